--- /dev/null
+++ b/Makefile
@@ -0,0 +1,51 @@
+# Two commands set the project up: `make demo` runs the main job, `make test` tests.
+BIN := bin
+TOOLS := $(CURDIR)/.tools
+LINT_VERSION := v2.15.0
+GEN_VERSION := v0.24.1
+SPINDLE_SEED ?= 1
+export SPINDLE_SEED
+
+export CGO_ENABLED := 1
+
+.PHONY: build demo test tools lint format-check generate generate-check libc-check fuzz clean
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+demo: build
+	$(BIN)/spindlebench demo --bin-dir $(BIN)
+
+test:
+	go test -race -count=1 -timeout 20m ./...
+
+# Long random runs under a fresh seed, which is printed.
+fuzz:
+	@seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); echo "seed $$seed"; \
+	SPINDLE_SEED=$$seed go test -count=1 -timeout 60m ./internal/policy/... -args -rapid.checks=5000
+
+tools: $(TOOLS)/golangci-lint $(TOOLS)/go-jsonschema
+
+$(TOOLS)/golangci-lint:
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+$(TOOLS)/go-jsonschema:
+	GOBIN=$(TOOLS) go install github.com/atombender/go-jsonschema@$(GEN_VERSION)
+
+lint: tools
+	$(TOOLS)/golangci-lint run ./...
+
+format-check:
+	@out=$$(gofmt -l $$(git ls-files '*.go')); [ -z "$$out" ] || { echo "gofmt would change: $$out"; exit 1; }
+
+generate: tools
+	PATH=$(TOOLS):$$PATH bash schema/generate.sh
+
+generate-check: generate
+	git diff --exit-code -- schema/gen
+
+libc-check: build
+	ldd $(BIN)/sardinespindle | grep libc.so
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/internal/testkit/testkit.go
@@ -0,0 +1,37 @@
+// Package testkit starts ginkgo suites with fixed seeds, so that a test run
+// gives the same verdict each time. SPINDLE_SEED overrides the seed.
+package testkit
+
+import (
+	"flag"
+	"os"
+	"strconv"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	_ "pgregory.net/rapid" // registers the flag rapid.seed
+)
+
+const defaultSeed = 1
+
+// Seed returns the seed of this run: SPINDLE_SEED or a fixed one.
+func Seed() int64 {
+	s, err := strconv.ParseInt(os.Getenv("SPINDLE_SEED"), 10, 64)
+	if err != nil || s <= 0 {
+		return defaultSeed
+	}
+	return s
+}
+
+// Run runs the ginkgo suite of the calling package under the run's seed.
+func Run(t *testing.T, name string) {
+	t.Helper()
+	if err := flag.Set("rapid.seed", strconv.FormatInt(Seed(), 10)); err != nil {
+		t.Fatalf("set rapid.seed: %v", err)
+	}
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	suite, reporter := ginkgo.GinkgoConfiguration()
+	suite.RandomSeed = Seed()
+	ginkgo.RunSpecs(t, name, suite, reporter)
+}
