--- /dev/null
+++ b/internal/gather/gather_test.go
@@ -0,0 +1,9 @@
+package gather_test
+
+import (
+	"testing"
+
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
+)
+
+func TestGather(t *testing.T) { testkit.Run(t, "gather") }
--- /dev/null
+++ b/internal/gather/handle.go
@@ -0,0 +1,181 @@
+package gather
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/policy/coverage"
+	"github.com/sardinespindle/sardinespindle/internal/policy/retry"
+	"github.com/sardinespindle/sardinespindle/internal/policy/snapshot"
+	"github.com/sardinespindle/sardinespindle/internal/upstream"
+	upstreamgen "github.com/sardinespindle/sardinespindle/schema/gen/upstream"
+)
+
+// handle takes in the end of one attempt. It returns an outcome where the search
+// must end at once.
+func (q *query) handle(ev event) (outcome.Outcome, bool) {
+	sh := ev.shard
+	q.inflight--
+	if ev.attempt.dropped {
+		q.dropped--
+	}
+	sh.flying = slices.DeleteFunc(sh.flying, func(a *attempt) bool { return a == ev.attempt })
+	q.ran = q.ran || ev.result.Class.MayHaveRun()
+	q.after = max(q.after, ev.result.RetryAfter)
+	if ev.result.Class != upstream.OK {
+		return q.failed(sh, ev.attempt, ev.result.Class)
+	}
+	if !q.genuine(sh, ev.attempt, ev.result.Reply) {
+		return q.failed(sh, ev.attempt, upstream.Garbled)
+	}
+	q.reply(sh, ev.attempt, ev.result.Reply)
+	return outcome.Outcome{}, false
+}
+
+// genuine reports whether a reply belongs to the attempt.
+func (q *query) genuine(sh *shard, at *attempt, r *upstreamgen.Reply) bool {
+	if r == nil {
+		return false
+	}
+	return !q.e.mode.echo || r.RequestId == at.id && r.Shard == sh.name
+}
+
+func (q *query) reply(sh *shard, at *attempt, r *upstreamgen.Reply) {
+	q.replied = true
+	verdict := q.learn(sh, at, r)
+	if !q.e.mode.snapshot {
+		q.mix(r)
+	}
+	if verdict == coverage.Whole && q.mapped(sh, r.Snapshot) {
+		q.merge.Add(coverage.Part{
+			Shard: sh.name, Snapshot: r.Snapshot, Held: r.DocumentsHeld, Documents: r.Documents,
+		}, len(q.pmap.Shards))
+	}
+	q.touch(sh)
+	if sh.planned && sh.class == covered {
+		q.drop(sh)
+		return
+	}
+	if !q.hasTarget || r.Snapshot != q.target {
+		if q.retarget() {
+			q.reaskMissing()
+			return
+		}
+	}
+	if sh.planned && sh.class == dead {
+		q.reask(sh)
+	}
+}
+
+// mapped reports whether a shard belongs to the partition map of a snapshot.
+func (q *query) mapped(sh *shard, id snapshot.ID) bool {
+	pm, ok := q.s.Workload.Maps[id.Map]
+	return ok && pm.ByName[sh.name] != nil
+}
+
+// learn remembers which snapshot the replica serves and judges whether the reply is
+// its shard's whole part.
+func (q *query) learn(sh *shard, at *attempt, r *upstreamgen.Reply) coverage.Verdict {
+	now := q.e.now()
+	verdict := coverage.Whole
+	q.e.memories.Do(q.key(sh.name), func(m *memory) {
+		m.seen.Note(at.address, at.want, r.Snapshot, now)
+		verdict = m.held.Judge(coverage.Count{
+			Snapshot: r.Snapshot, Address: at.address,
+			Held: r.DocumentsHeld, Found: len(r.Documents), Replicas: len(sh.replicas),
+		}, now)
+	})
+	q.e.budgets.Do(q.workload, func(b *budget) {
+		b.retry.Earn()
+		b.reask.Earn()
+	})
+	if !q.e.mode.coverage {
+		return coverage.Whole
+	}
+	return verdict
+}
+
+// mix lets a reply pass for the target, whatever it names. It serves experiments
+// that turn the check off.
+func (q *query) mix(r *upstreamgen.Reply) {
+	if !q.hasTarget {
+		q.target, q.hasTarget = snapshot.ID{Index: r.Snapshot.Index, Map: q.pmap.Version}, true
+	}
+	r.Snapshot = q.target
+}
+
+// drop cancels what is still in flight for a shard that is covered.
+func (q *query) drop(sh *shard) {
+	sh.hedgeAt, sh.pickAt = time.Time{}, time.Time{}
+	for _, a := range sh.flying {
+		if !a.dropped {
+			a.dropped = true
+			a.cancel()
+			q.dropped++
+			q.e.metrics.count(q.workload, kindCancelled, 1)
+		}
+	}
+}
+
+// reask asks a shard again for its part of the target, another replica first.
+func (q *query) reask(sh *shard) {
+	if q.e.mode.baseline || sh.reasks >= maxReasks || len(sh.tried) >= maxAttempts {
+		return
+	}
+	sh.reasks++
+	paid := false
+	q.e.budgets.Do(q.workload, func(b *budget) { paid = b.reask.Take() })
+	if paid && q.launch(sh, q.want()) {
+		q.e.metrics.count(q.workload, kindRetried, 1)
+	}
+}
+
+// failed decides what follows an attempt that gave no usable reply.
+func (q *query) failed(sh *shard, at *attempt, c upstream.Class) (outcome.Outcome, bool) {
+	q.shed = q.shed || c == upstream.Shed
+	if c != upstream.Shed {
+		sh.barred = append(sh.barred, at.address)
+	}
+	if c == upstream.Lost && q.lost(at) {
+		return crashSuspected(), true
+	}
+	q.touch(sh)
+	if sh.class != dead || !sh.planned || q.e.mode.baseline {
+		return outcome.Outcome{}, false
+	}
+	q.retry(sh, c)
+	if sh.class == dead && q.retarget() {
+		q.reaskMissing()
+	}
+	return outcome.Outcome{}, false
+}
+
+// lost notes a lost connection; true where the request is now refused everywhere.
+func (q *query) lost(at *attempt) bool {
+	q.losses++
+	if !q.e.mode.poison {
+		return false
+	}
+	q.e.poison.Crashed(q.s.Fingerprint, at.id)
+	return q.e.poison.Crashes(q.s.Fingerprint)
+}
+
+func (q *query) retry(sh *shard, c upstream.Class) {
+	h := retry.History{ShardRetries: sh.retries, Losses: q.losses, LossRetries: q.lossTry}
+	verdict := retry.Decide(c, h)
+	paid := verdict == retry.Free
+	if verdict == retry.Paid {
+		q.e.budgets.Do(q.workload, func(b *budget) { paid = b.retry.Take() })
+	}
+	if !paid || len(sh.tried) >= maxAttempts {
+		return
+	}
+	sh.retries++
+	if q.losses > 0 {
+		q.lossTry++
+	}
+	if q.launch(sh, q.want()) {
+		q.e.metrics.count(q.workload, kindRetried, 1)
+	}
+}
--- /dev/null
+++ b/internal/gather/search_test.go
@@ -0,0 +1,73 @@
+package gather_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinespindle/sardinespindle/internal/gather"
+	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/upstream"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
+	manifestgen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/upstream"
+)
+
+var v5 = gen.Snapshot{Index: 5, Map: 1}
+
+const (
+	partial  = manifestgen.GrantTradePartial
+	fuller   = manifestgen.GrantTradeFuller
+	complete = manifestgen.GrantTradeComplete
+)
+
+var _ = Describe("Search", func() {
+	run := func(f *fake, s gather.Search) outcome.Outcome {
+		return gather.New(gather.Options{Upstream: gather.From(f)}).Search(context.Background(), s)
+	}
+
+	It("answers with every shard of one snapshot", func() {
+		w := workload(map[int][]string{1: names("s", 20)})
+		out := run(newFake(w, holder(7, v5)), search(w, partial, 0, time.Second))
+		Expect(out.Kind).To(Equal(caller.OutcomeAnswered))
+		Expect(out.Coverage.Complete).To(BeTrue())
+		Expect(*out.Coverage.DocumentsTotal).To(Equal(140))
+		Expect(out.Documents).To(HaveLen(20))
+		Expect(*out.Snapshot).To(Equal(caller.Snapshot{Index: 5, Map: 1}))
+	})
+
+	It("names the missing shard of a partial answer in time", func() {
+		w := workload(map[int][]string{1: names("s", 4)})
+		f := newFake(w, holder(7, v5))
+		f.serve[address("s2", 0)], f.serve[address("s2", 1)] = hang, hang
+		begun := time.Now()
+		out := run(f, search(w, partial, 0, 100*time.Millisecond))
+		Expect(time.Since(begun)).To(BeNumerically("<", 100*time.Millisecond))
+		Expect(out.Kind).To(Equal(caller.OutcomeAnswered))
+		Expect(out.Coverage.Missing).To(Equal([]string{"s2"}))
+		Expect(out.Coverage.Complete).To(BeFalse())
+	})
+
+	It("refuses a complete answer as soon as it is impossible", func() {
+		w := workload(map[int][]string{1: names("s", 4)})
+		f := newFake(w, holder(7, v5))
+		f.serve[address("s2", 0)], f.serve[address("s2", 1)] = ends(upstream.Failed), ends(upstream.Failed)
+		begun := time.Now()
+		out := run(f, search(w, complete, 0, 10*time.Second))
+		Expect(time.Since(begun)).To(BeNumerically("<", time.Second))
+		Expect(out.Reason).To(Equal(outcome.CoverageTooLow))
+		Expect(out.Coverage.ShardsCovered).To(Equal(3))
+	})
+
+	It("says not run only where nothing was sent", func() {
+		w := workload(map[int][]string{1: names("s", 4)})
+		f := newFake(w, nil)
+		out := run(f, search(w, partial, 0, time.Second))
+		Expect(out.Kind).To(Equal(caller.OutcomeNotRun))
+		Expect(out.RetryAfter).To(BeNumerically(">", 0))
+		out = run(newFake(w, ends(upstream.Failed)), search(w, partial, 0, time.Second))
+		Expect(out.Kind).To(Equal(caller.OutcomeUnknown))
+	})
+})
