--- a/internal/gather/choose.go
+++ b/internal/gather/choose.go
@@ -9,15 +9,15 @@
 func (q *query) choose() {
 	w := q.s.Workload
 	now := q.e.now()
-	var ids []snapshot.ID
+	var tally snapshot.Tally
 	for _, pm := range w.Maps {
 		for i := range pm.Shards {
 			q.e.memories.View(q.key(string(pm.Shards[i].Name)), func(m *memory) {
-				ids = m.seen.Served(ids, now)
+				m.seen.Served(&tally, now)
 			})
 		}
 	}
-	id, ok := snapshot.Best(ids, q.score)
+	id, ok := snapshot.Best(tally.IDs(nil), q.score)
 	if !ok {
 		q.pmap = w.Newest
 		return
@@ -48,7 +48,7 @@
 
 // outlook says whether a shard without a part of snapshot id may still give one.
 func (q *query) outlook(name string, id snapshot.ID) snapshot.Knowledge {
-	if sh, ok := q.shards[name]; ok && sh.spent() {
+	if sh, ok := q.shards[name]; ok && sh.given {
 		return snapshot.Lacks
 	}
 	know := snapshot.Unknown
@@ -82,7 +82,7 @@
 // reaskMissing asks each shard of the plan that has neither a part nor an attempt.
 func (q *query) reaskMissing() {
 	for _, sh := range q.plan {
-		if sh.class == dead {
+		if sh.class == dead && !sh.given {
 			q.reask(sh)
 		}
 	}
--- a/internal/gather/engine.go
+++ b/internal/gather/engine.go
@@ -20,7 +20,11 @@
 
 const (
 	maxWorkloads = 4096
-	maxShards    = 200_000
+	maxShards    = 32_768
+	maxReports   = 4096
+	// oneCrash is the time in which losses of like requests at one upstream are one
+	// crash, which cuts all its connections at once.
+	oneCrash = 100 * time.Millisecond
 )
 
 // Options of an Engine.
@@ -42,6 +46,7 @@
 	metrics  *metrics
 	budgets  *sharded.Map[string, budget]
 	memories *sharded.Map[shardKey, memory]
+	reports  *sharded.Map[reportKey, time.Duration] // last report by fingerprint and upstream
 }
 
 // mode says which mechanisms are on.
@@ -59,6 +64,8 @@
 
 type shardKey struct{ workload, shard string }
 
+type reportKey struct{ fingerprint, address string }
+
 // memory is what is known of one shard.
 type memory struct {
 	seen snapshot.Shard
@@ -87,6 +94,7 @@
 		},
 		budgets:  sharded.New[string, budget](maxWorkloads),
 		memories: sharded.New[shardKey, memory](maxShards),
+		reports:  sharded.New[reportKey, time.Duration](maxReports),
 	}
 }
 
@@ -111,5 +119,15 @@
 	return e.mode.poison && e.poison.Crashes(fingerprint)
 }
 
+// firstReport reports whether a loss is the first of its crash that this VM sees.
+func (e *Engine) firstReport(fingerprint, address string) bool {
+	now, first := e.now(), false
+	e.reports.Do(reportKey{fingerprint, address}, func(last *time.Duration) {
+		first = *last == 0 || now-*last >= oneCrash
+		*last = now
+	})
+	return first
+}
+
 // now is the time since the engine's start, as the policies take it.
 func (e *Engine) now() time.Duration { return time.Since(e.start) }
--- a/internal/gather/handle.go
+++ b/internal/gather/handle.go
@@ -47,10 +47,10 @@
 	if !q.e.mode.snapshot {
 		q.mix(r)
 	}
-	if verdict == coverage.Whole && q.mapped(sh, r.Snapshot) {
-		q.merge.Add(coverage.Part{
+	if verdict == coverage.Whole {
+		q.merge.Add(q.s.Workload.Maps[r.Snapshot.Map], coverage.Part{
 			Shard: sh.name, Snapshot: r.Snapshot, Held: r.DocumentsHeld, Documents: r.Documents,
-		}, len(q.pmap.Shards))
+		})
 	}
 	q.touch(sh)
 	if sh.planned && sh.class == covered {
@@ -68,12 +68,6 @@
 	}
 }
 
-// mapped reports whether a shard belongs to the partition map of a snapshot.
-func (q *query) mapped(sh *shard, id snapshot.ID) bool {
-	pm, ok := q.s.Workload.Maps[id.Map]
-	return ok && pm.ByName[sh.name] != nil
-}
-
 // learn remembers which snapshot the replica serves and judges whether the reply is
 // its shard's whole part.
 func (q *query) learn(sh *shard, at *attempt, r *upstreamgen.Reply) coverage.Verdict {
@@ -87,8 +81,8 @@
 		}, now)
 	})
 	q.e.budgets.Do(q.workload, func(b *budget) {
-		b.retry.Earn()
-		b.reask.Earn()
+		b.retry.Earn(retry.Retries)
+		b.reask.Earn(retry.Reasks)
 	})
 	if !q.e.mode.coverage {
 		return coverage.Whole
@@ -120,17 +114,21 @@
 
 // reask asks a shard again for its part of the target, another replica first.
 func (q *query) reask(sh *shard) {
-	if q.e.mode.baseline || sh.reasks >= maxReasks || len(sh.tried) >= maxAttempts {
+	sh.reasks++
+	if q.e.mode.baseline || sh.reasks > maxReasks || len(sh.tried) >= maxAttempts || !q.payReask() {
+		sh.given = true
 		return
 	}
-	sh.reasks++
-	paid := false
-	q.e.budgets.Do(q.workload, func(b *budget) { paid = b.reask.Take() })
-	if paid && q.launch(sh, q.want()) {
+	if q.launch(sh, q.want()) {
 		q.e.metrics.count(q.workload, kindRetried, 1)
 	}
 }
 
+func (q *query) payReask() (paid bool) {
+	q.e.budgets.Do(q.workload, func(b *budget) { paid = b.reask.Take(retry.Reasks) })
+	return paid
+}
+
 // failed decides what follows an attempt that gave no usable reply.
 func (q *query) failed(sh *shard, at *attempt, c upstream.Class) (outcome.Outcome, bool) {
 	q.shed = q.shed || c == upstream.Shed
@@ -141,7 +139,7 @@
 		return crashSuspected(), true
 	}
 	q.touch(sh)
-	if sh.class != dead || !sh.planned || q.e.mode.baseline {
+	if sh.class != dead || !sh.planned {
 		return outcome.Outcome{}, false
 	}
 	q.retry(sh, c)
@@ -157,18 +155,16 @@
 	if !q.e.mode.poison {
 		return false
 	}
-	q.e.poison.Crashed(q.s.Fingerprint, at.id)
+	if q.e.firstReport(q.s.Fingerprint, at.address) {
+		q.e.log.Warn("connection lost while a request ran", "workload", q.workload, "address", at.address)
+		q.e.poison.Crashed(q.s.Fingerprint, at.id)
+	}
 	return q.e.poison.Crashes(q.s.Fingerprint)
 }
 
 func (q *query) retry(sh *shard, c upstream.Class) {
-	h := retry.History{ShardRetries: sh.retries, Losses: q.losses, LossRetries: q.lossTry}
-	verdict := retry.Decide(c, h)
-	paid := verdict == retry.Free
-	if verdict == retry.Paid {
-		q.e.budgets.Do(q.workload, func(b *budget) { paid = b.retry.Take() })
-	}
-	if !paid || len(sh.tried) >= maxAttempts {
+	if q.e.mode.baseline || len(sh.tried) >= maxAttempts || !q.payRetry(sh, c) {
+		sh.given = true
 		return
 	}
 	sh.retries++
@@ -179,3 +175,15 @@
 		q.e.metrics.count(q.workload, kindRetried, 1)
 	}
 }
+
+func (q *query) payRetry(sh *shard, c upstream.Class) (paid bool) {
+	h := retry.History{ShardRetries: sh.retries, Losses: q.losses, LossRetries: q.lossTry}
+	switch retry.Decide(c, h) {
+	case retry.Free:
+		return true
+	case retry.Paid:
+		q.e.budgets.Do(q.workload, func(b *budget) { paid = b.retry.Take(retry.Retries) })
+	case retry.GiveUp:
+	}
+	return paid
+}
--- a/internal/gather/query.go
+++ b/internal/gather/query.go
@@ -11,13 +11,14 @@
 	"github.com/sardinespindle/sardinespindle/internal/policy/coverage"
 	"github.com/sardinespindle/sardinespindle/internal/policy/snapshot"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
-	upstreamgen "github.com/sardinespindle/sardinespindle/schema/gen/upstream"
 )
 
 const (
 	// reserveShare and maxReserve bound the time kept back to write the answer.
 	reserveShare = 20 // a 1/20 of the time given
 	maxReserve   = 5 * time.Millisecond
+	// defaultLimit is the number of documents of a search that names none.
+	defaultLimit = 10
 )
 
 // query is one search in progress. Only its own goroutine touches it, but for
@@ -77,9 +78,12 @@
 	hedgeAt  time.Time     // zero where no hedge is due
 	pickAt   time.Time     // zero where no pick is due
 	picks    int
-	hedged   bool
+	hedged   bool // a hedge was sent, or will not be
+	given    bool // given up: nothing more is sent
 	retries  int
 	reasks   int
+
+	hedgeTries int
 }
 
 // attempt is one sub-request in flight.
@@ -99,7 +103,10 @@
 }
 
 func (e *Engine) newQuery(ctx context.Context, s Search) (*query, error) {
-	body, err := json.Marshal(upstreamgen.Query{Query: s.Query.Query, Limit: s.Query.Limit})
+	if s.Query.Limit <= 0 {
+		s.Query.Limit = defaultLimit
+	}
+	body, err := json.Marshal(s.Query)
 	if err != nil {
 		return nil, fmt.Errorf("encode query: %w", err)
 	}
@@ -123,7 +130,9 @@
 	q.cancel()
 	q.timer.Stop()
 	m := q.e.metrics
-	m.count(q.workload, kindNeeded, len(q.plan))
+	if q.attempts > 0 {
+		m.count(q.workload, kindNeeded, len(q.plan))
+	}
 	m.count(q.workload, kindCancelled, q.inflight-q.dropped)
 }
 
--- a/internal/gather/send.go
+++ b/internal/gather/send.go
@@ -22,15 +22,12 @@
 	maxPicks = 3
 	// maxReasks is the most times a shard is asked again for another snapshot.
 	maxReasks = 2
+	// maxHedgeTries is how often a hedge that is due may find no token or no replica.
+	maxHedgeTries = 3
 	// maxAttempts is the most attempts of one shard in one search.
 	maxAttempts = 1 + 1 + retry.PerShard + maxReasks
 )
 
-func (sh *shard) spent() bool {
-	return len(sh.flying) == 0 && sh.pickAt.IsZero() && len(sh.tried) > 0 &&
-		(sh.reasks >= maxReasks || len(sh.tried) >= maxAttempts || sh.picks > maxPicks)
-}
-
 // launchAll sends the first attempt of each shard.
 func (q *query) launchAll() {
 	scout := -1
@@ -75,7 +72,8 @@
 
 func (q *query) pickLater(sh *shard) {
 	sh.picks++
-	if sh.picks <= maxPicks {
+	sh.given = sh.picks > maxPicks
+	if !sh.given {
 		sh.pickAt = time.Now().Add(pickBackoff << (sh.picks - 1))
 		q.wakeAt(sh.pickAt)
 	}
@@ -153,11 +151,17 @@
 	))
 }
 
+var classNames = map[upstream.Class]string{
+	upstream.OK: "ok", upstream.Shed: "shed", upstream.NotSent: "not_sent", upstream.Lost: "lost",
+	upstream.TimedOut: "timed_out", upstream.Canceled: "canceled", upstream.Garbled: "garbled",
+	upstream.Failed: "failed",
+}
+
 func endSpan(span trace.Span, res upstream.Result) {
 	if span == nil {
 		return
 	}
-	span.SetAttributes(attribute.Int("class", int(res.Class)))
+	span.SetAttributes(attribute.String("class", classNames[res.Class]))
 	if res.Reply != nil {
 		s := res.Reply.Snapshot
 		span.SetAttributes(attribute.String("snapshot", strconv.Itoa(s.Index)+"."+strconv.Itoa(s.Map)))
@@ -202,17 +206,29 @@
 	if !allowed || len(sh.flying) != 1 || len(sh.tried) >= maxAttempts {
 		return
 	}
+	t, ok := q.hedgeTicket(sh)
+	if !ok {
+		sh.hedgeTries++
+		sh.hedged = sh.hedgeTries == maxHedgeTries
+		sh.hedgeAt = now.Add(sh.delay)
+		return
+	}
 	sh.hedged = true
+	q.e.metrics.count(q.workload, kindHedged, 1)
+	q.send(sh, t, q.want(), true)
+}
+
+// hedgeTicket pays for a hedge and picks another replica; false where either fails.
+func (q *query) hedgeTicket(sh *shard) (Ticket, bool) {
 	paid := false
 	q.e.budgets.Do(q.workload, func(b *budget) { paid = b.hedge.Take() })
 	if !paid {
-		return
+		return nil, false
 	}
 	t, err := q.e.up.Pick(q.s.Workload, sh.name, sh.tried, true)
 	if err != nil {
 		q.e.budgets.Do(q.workload, func(b *budget) { b.hedge.GiveBack() })
-		return
+		return nil, false
 	}
-	q.e.metrics.count(q.workload, kindHedged, 1)
-	q.send(sh, t, q.want(), true)
+	return t, true
 }
--- a/internal/policy/coverage/coverage.go
+++ b/internal/policy/coverage/coverage.go
@@ -31,15 +31,19 @@
 	parts map[string]Part
 }
 
-// Add takes a part in; of two parts of one shard and snapshot the fuller stays. It
-// returns false where the part changes nothing.
-func (m *Merge) Add(p Part, shards int) bool {
+// Add takes in a part of a snapshot with partition map pm, nil where that is not
+// known. Of two parts of one shard and snapshot the fuller stays. It returns false
+// where the part changes nothing or its shard is not of the map.
+func (m *Merge) Add(pm *manifest.PartitionMap, p Part) bool {
+	if pm == nil || pm.ByName[p.Shard] == nil {
+		return false
+	}
 	s := m.find(p.Snapshot)
 	if s == nil {
 		if len(m.sets) == MaxSnapshots {
 			return false
 		}
-		m.sets = append(m.sets, set{id: p.Snapshot, parts: make(map[string]Part, shards)})
+		m.sets = append(m.sets, set{id: p.Snapshot, parts: make(map[string]Part, len(pm.Shards))})
 		s = &m.sets[len(m.sets)-1]
 	}
 	if old, ok := s.parts[p.Shard]; ok && old.Held >= p.Held {
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -7,29 +7,41 @@
 import "github.com/sardinespindle/sardinespindle/internal/upstream"
 
 const (
-	// EarnPerSuccess is what one good reply pays into a Bucket, in tokens.
-	EarnPerSuccess = 0.02
-	// Burst is the most that a Bucket holds, in tokens.
-	Burst = 50
 	// PerShard is the most retries of one shard in one search.
 	PerShard = 2
 	// AfterLoss is the most retries in a search that saw a connection lost.
 	AfterLoss = 1
 )
 
-// Bucket is the budget of one workload. The zero value is full.
+// Budget says how a Bucket fills.
+type Budget struct {
+	// PerSuccess is what one good reply pays, in tokens.
+	PerSuccess float64
+	// Burst is the most that a Bucket holds, in tokens.
+	Burst float64
+}
+
+var (
+	// Retries is the budget for attempts after failures.
+	Retries = Budget{PerSuccess: 0.02, Burst: 50}
+	// Reasks is the budget for attempts after replies of another snapshot, which
+	// are many for a moment while an index version spreads.
+	Reasks = Budget{PerSuccess: 0.25, Burst: 500}
+)
+
+// Bucket holds the tokens of one workload. The zero value is full.
 type Bucket struct {
 	spent float64
 }
 
 // Earn pays for one good reply.
-func (b *Bucket) Earn() {
-	b.spent = max(0, b.spent-EarnPerSuccess)
+func (b *Bucket) Earn(g Budget) {
+	b.spent = max(0, b.spent-g.PerSuccess)
 }
 
 // Take takes one token; false where none is left.
-func (b *Bucket) Take() bool {
-	if b.spent+1 > Burst {
+func (b *Bucket) Take(g Budget) bool {
+	if b.spent+1 > g.Burst {
 		return false
 	}
 	b.spent++
--- a/internal/policy/snapshot/snapshot.go
+++ b/internal/policy/snapshot/snapshot.go
@@ -4,6 +4,7 @@
 package snapshot
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sardinespindle/sardinespindle/schema/gen/upstream"
@@ -80,16 +81,21 @@
 	return Unknown
 }
 
-// Served appends to ids each snapshot that a replica lately served, without repeats.
-func (s *Shard) Served(ids []ID, now time.Duration) []ID {
+// Served adds to the tally each snapshot that a replica lately served, once.
+func (s *Shard) Served(t *Tally, now time.Duration) {
+	var mine [replicasPerShard * marksPerReplica]ID
+	n := 0
 	for i := range s.replicas {
 		for _, m := range s.replicas[i].marks {
-			if m.fresh(now) && m.holds && !contains(ids, m.id) {
-				ids = append(ids, m.id)
+			if m.holds && m.fresh(now) && !slices.Contains(mine[:n], m.id) {
+				mine[n] = m.id
+				n++
 			}
 		}
 	}
-	return ids
+	for _, id := range mine[:n] {
+		t.Add(id)
+	}
 }
 
 func (s *Shard) replica(address string) *replica {
@@ -160,12 +166,3 @@
 	}
 	return now-m.at < lacksFor
 }
-
-func contains(ids []ID, id ID) bool {
-	for _, x := range ids {
-		if x == id {
-			return true
-		}
-	}
-	return false
-}
