--- /dev/null
+++ b/internal/gather/failure_test.go
@@ -0,0 +1,159 @@
+package gather_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/sardinespindle/sardinespindle/internal/gather"
+	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/policy/retry"
+	"github.com/sardinespindle/sardinespindle/internal/upstream"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/upstream"
+)
+
+// crashes is a record of lost connections that refuses after limit of them.
+type crashes struct{ limit, seen atomic.Int64 }
+
+func (c *crashes) Crashes(string) bool    { return c.seen.Load() >= c.limit.Load() }
+func (c *crashes) Crashed(string, string) { c.seen.Add(1) }
+
+var _ = Describe("Search under failure", func() {
+	v6 := gen.Snapshot{Index: 6, Map: 1}
+	ctx := context.Background()
+	engine := func(f *fake, p gather.Poison) *gather.Engine {
+		return gather.New(gather.Options{Upstream: gather.From(f), Poison: p})
+	}
+
+	It("hedges a slow shard once, cancels the loser and leaks no goroutine", func() {
+		before := goleak.IgnoreCurrent()
+		w := workload(map[int][]string{1: names("s", 10)})
+		f := newFake(w, holder(7, v5))
+		f.delay = 2 * time.Millisecond
+		cancelled := make(chan struct{})
+		f.serve[address("s3", 0)] = func(ctx context.Context, a upstream.Attempt) upstream.Result {
+			defer close(cancelled)
+			return hang(ctx, a)
+		}
+		out := engine(f, nil).Search(ctx, search(w, complete, 0, 5*time.Second))
+		Expect(out.Kind).To(Equal(caller.OutcomeAnswered))
+		Eventually(cancelled).Should(BeClosed())
+		Expect(f.count(address("s3", 1))).To(Equal(1))
+		Expect(f.total()).To(Equal(11))
+		Expect(goleak.Find(before)).To(Succeed())
+	})
+
+	It("sends one retry at most and no hedge after a connection was lost", func() {
+		w := workload(map[int][]string{1: names("s", 10)})
+		f := newFake(w, ends(upstream.Lost))
+		f.delay = time.Millisecond
+		out := engine(f, nil).Search(ctx, search(w, partial, 0, time.Second))
+		Expect(out.Kind).To(Equal(caller.OutcomeUnknown))
+		Expect(out.Reason).To(Equal(outcome.ConnectionLost))
+		Expect(f.total()).To(BeNumerically("<=", 11))
+	})
+
+	It("gives up at once on a request that crashes upstreams", func() {
+		w := workload(map[int][]string{1: {"s0"}})
+		p := &crashes{}
+		p.limit.Store(2)
+		f := newFake(w, ends(upstream.Lost))
+		e := engine(f, p)
+		for range 3 {
+			out := e.Search(ctx, search(w, fuller, 0, time.Second))
+			Expect(out.Reason).To(Equal(outcome.CrashSuspected))
+			Expect(out.Kind).To(Equal(caller.OutcomeUnknown))
+			Expect(out.RetryAfter).To(BeNumerically(">", 0))
+		}
+		Expect(f.total()).To(Equal(2))
+	})
+
+	It("keeps retries within their budget while every upstream sheds", func() {
+		w := workload(map[int][]string{1: names("s", 20)})
+		f := newFake(w, ends(upstream.Shed))
+		e := engine(f, nil)
+		const searches = 50
+		for range searches {
+			out := e.Search(ctx, search(w, partial, 0, time.Second))
+			Expect(out.Kind).To(Equal(caller.OutcomeNotRun))
+			Expect(out.Reason).To(Equal(outcome.Overloaded))
+		}
+		Expect(f.total()).To(BeNumerically("<=", searches*20+int(retry.Retries.Burst)))
+	})
+
+	It("does not follow a replica that goes back to an older index version", func() {
+		w := workload(map[int][]string{1: names("s", 5)})
+		f := newFake(w, holder(7, v6))
+		f.serve[address("s1", 0)] = holder(7, v5)
+		e := engine(f, nil)
+		for range 10 {
+			out := e.Search(ctx, search(w, complete, 0, time.Second))
+			Expect(out.Kind).To(Equal(caller.OutcomeAnswered))
+			Expect(out.Snapshot.Index).To(Equal(6))
+		}
+	})
+
+	It("does not count the empty reply of a cold replica", func() {
+		w := workload(map[int][]string{1: names("s", 5)})
+		f := newFake(w, holder(7, v5))
+		f.serve[address("s1", 0)] = func(_ context.Context, a upstream.Attempt) upstream.Result {
+			return reply(a, v5, 0)
+		}
+		e := engine(f, nil)
+		Expect(e.Search(ctx, search(w, complete, 0, time.Second)).Documents).To(HaveLen(5))
+		f.serve[address("s1", 1)] = nil
+		out := e.Search(ctx, search(w, partial, 0, time.Second))
+		Expect(out.Coverage.Missing).To(Equal([]string{"s1"}))
+	})
+
+	It("gives an error where the partition map of the replies is unknown", func() {
+		w := workload(map[int][]string{1: names("s", 5)})
+		out := engine(newFake(w, holder(7, gen.Snapshot{Index: 6, Map: 9})), nil).
+			Search(ctx, search(w, partial, 0, time.Second))
+		Expect(out.Kind).To(Equal(caller.OutcomeUnknown))
+		Expect(out.Reason).To(Equal(outcome.CoverageUnknown))
+	})
+
+	It("moves on to a newer index version and partition map without a gap", func() {
+		w := workload(map[int][]string{1: names("s", 5)})
+		f := newFake(w, holder(7, v5))
+		e := engine(f, nil)
+		answersUntil := func(want gen.Snapshot) {
+			const enough = 30
+			for range enough {
+				out := e.Search(ctx, search(w, complete, 0, time.Second))
+				Expect(out.Kind).To(Equal(caller.OutcomeAnswered), fmt.Sprint(out))
+				if out.Snapshot.Index == want.Index && out.Snapshot.Map == want.Map {
+					return
+				}
+			}
+			Fail(fmt.Sprintf("no answer of snapshot %v", want))
+		}
+		answersUntil(v5)
+		for a := range f.serve {
+			f.serve[a] = holder(7, v5, v6)
+		}
+		answersUntil(v6)
+
+		v6split := gen.Snapshot{Index: 6, Map: 2}
+		w = workload(map[int][]string{1: names("s", 5), 2: {"s0", "s1", "s2", "s3", "s4a", "s4b"}})
+		for shard, us := range w.Replicas {
+			for _, u := range us {
+				f.serve[u.Address] = holder(7, v6, v6split)
+				if shard == "s4" {
+					f.serve[u.Address] = holder(7, v6)
+				}
+				if shard == "s4a" || shard == "s4b" {
+					f.serve[u.Address] = holder(7, v6split)
+				}
+			}
+		}
+		answersUntil(v6split)
+	})
+})
--- a/internal/gather/fake_test.go
+++ b/internal/gather/fake_test.go
@@ -53,6 +53,12 @@
 
 func (f *fake) HedgeDelay(string, string) (time.Duration, bool) { return f.delay, f.delay > 0 }
 
+func (f *fake) total() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.sent)
+}
+
 func (f *fake) count(address string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gather/gather_test.go
+++ b/internal/gather/gather_test.go
@@ -6,4 +6,10 @@
 	"github.com/sardinespindle/sardinespindle/internal/testkit"
 )
 
-func TestGather(t *testing.T) { testkit.Run(t, "gather") }
+// suite is the test that runs this package's specs; bubbles of fake time hang on it.
+var suite *testing.T
+
+func TestGather(t *testing.T) {
+	suite = t
+	testkit.Run(t, "gather")
+}
--- a/internal/gather/send.go
+++ b/internal/gather/send.go
@@ -30,19 +30,39 @@
 
 // launchAll sends the first attempt of each shard.
 func (q *query) launchAll() {
-	scout := -1
+	cursor := 0
 	q.e.budgets.Do(q.workload, func(b *budget) {
 		b.hedge.Earn(len(q.plan), q.s.Grant.HedgePercent)
 		b.cursor++
-		scout = b.cursor % len(q.plan)
+		cursor = b.cursor
 	})
 	for i, sh := range q.plan {
 		want := q.want()
-		if i == scout {
-			want = nil
+		if i == cursor%len(q.plan) {
+			want = nil // learns of a newer snapshot
 		}
 		q.launch(sh, want)
 	}
+	q.exploreMap(cursor)
+}
+
+// exploreMap asks one shard that only the newest partition map has, so that a
+// repartition is found out. The search does not wait for it.
+func (q *query) exploreMap(cursor int) {
+	newest := q.s.Workload.Newest
+	if !q.hasTarget || newest == q.pmap || q.e.mode.baseline {
+		return
+	}
+	sh := q.shard(string(newest.Shards[cursor%len(newest.Shards)].Name))
+	if sh.planned || !q.payHedge() {
+		return
+	}
+	t, err := q.e.up.Pick(q.s.Workload, sh.name, nil, true)
+	if err != nil {
+		q.refundHedge()
+		return
+	}
+	q.send(sh, t, nil, true)
 }
 
 // want is the snapshot that an attempt asks for; nil for the newest.
@@ -220,15 +240,22 @@
 
 // hedgeTicket pays for a hedge and picks another replica; false where either fails.
 func (q *query) hedgeTicket(sh *shard) (Ticket, bool) {
-	paid := false
-	q.e.budgets.Do(q.workload, func(b *budget) { paid = b.hedge.Take() })
-	if !paid {
+	if !q.payHedge() {
 		return nil, false
 	}
 	t, err := q.e.up.Pick(q.s.Workload, sh.name, sh.tried, true)
 	if err != nil {
-		q.e.budgets.Do(q.workload, func(b *budget) { b.hedge.GiveBack() })
+		q.refundHedge()
 		return nil, false
 	}
 	return t, true
 }
+
+func (q *query) payHedge() (paid bool) {
+	q.e.budgets.Do(q.workload, func(b *budget) { paid = b.hedge.Take() })
+	return paid
+}
+
+func (q *query) refundHedge() {
+	q.e.budgets.Do(q.workload, func(b *budget) { b.hedge.GiveBack() })
+}
