--- /dev/null
+++ b/internal/policy/answer/answer_test.go
@@ -0,0 +1,51 @@
+package answer_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	"pgregory.net/rapid"
+
+	"github.com/sardinespindle/sardinespindle/internal/policy/answer"
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
+	"github.com/sardinespindle/sardinespindle/schema/gen/manifest"
+)
+
+func TestAnswer(t *testing.T) { testkit.Run(t, "answer") }
+
+var _ = Describe("Decide", func() {
+	It("never gives too little, never waits for nothing, never waits past the time", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			total := rapid.IntRange(1, 40).Draw(t, "total")
+			covered := rapid.IntRange(0, total).Draw(t, "covered")
+			s := answer.State{
+				Trade: rapid.SampledFrom([]manifest.GrantTrade{
+					manifest.GrantTradePartial, manifest.GrantTradeFuller, manifest.GrantTradeComplete,
+				}).Draw(t, "trade"),
+				Minimum: float64(rapid.IntRange(0, 10).Draw(t, "minimum")) / 10,
+				Total:   total, Covered: covered, Open: rapid.IntRange(0, total-covered).Draw(t, "open"),
+				TimeUp: rapid.Bool().Draw(t, "time up"), Late: rapid.Bool().Draw(t, "late"),
+			}
+			enough := func(n int) bool {
+				if s.Trade == manifest.GrantTradeComplete {
+					return n == total
+				}
+				return n > 0 && float64(n) >= s.Minimum*float64(total)-1e-6
+			}
+			got := answer.Decide(s)
+			switch {
+			case got == answer.Give && !enough(covered):
+				t.Fatalf("gives %+v", s)
+			case got == answer.Refuse && enough(covered):
+				t.Fatalf("refuses %+v", s)
+			case got == answer.Refuse && enough(covered+s.Open) && !s.TimeUp && s.Open > 0:
+				t.Fatalf("refuses early %+v", s)
+			case got == answer.Wait && (s.TimeUp || s.Open == 0 || !enough(covered+s.Open)):
+				t.Fatalf("waits for nothing %+v", s)
+			case got == answer.Give && covered < total && !s.TimeUp && s.Open > 0 &&
+				(s.Trade != manifest.GrantTradePartial || !s.Late || !answer.Few(s)):
+				t.Fatalf("gives early %+v", s)
+			}
+		})
+	})
+})
--- a/internal/policy/hedge/hedge.go
+++ b/internal/policy/hedge/hedge.go
@@ -43,8 +43,6 @@
 	Losses int
 	// Left is the time left to answer.
 	Left time.Duration
-	// Quantile is a high quantile of the shard's latency.
-	Quantile time.Duration
 }
 
 // Delay returns how long after the first attempt a hedge is due; known says
--- /dev/null
+++ b/internal/policy/retry/retry_test.go
@@ -0,0 +1,48 @@
+package retry_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/sardinespindle/sardinespindle/internal/policy/retry"
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
+	"github.com/sardinespindle/sardinespindle/internal/upstream"
+)
+
+func TestRetry(t *testing.T) { testkit.Run(t, "retry") }
+
+var _ = Describe("Bucket", func() {
+	It("never pays more than its burst and what successes earned", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			var b retry.Bucket
+			taken, earned := 0, 0
+			for _, success := range rapid.SliceOfN(rapid.Bool(), 0, 500).Draw(t, "successes") {
+				if success {
+					b.Earn(retry.Retries)
+					earned++
+				} else if b.Take(retry.Retries) {
+					taken++
+				}
+			}
+			if most := retry.Retries.Burst + float64(earned)*retry.Retries.PerSuccess; float64(taken) > most+1e-9 {
+				t.Fatalf("%d taken, at most %v", taken, most)
+			}
+		})
+	})
+})
+
+var _ = DescribeTable("Decide",
+	func(c upstream.Class, h retry.History, want retry.Verdict) {
+		Expect(retry.Decide(c, h)).To(Equal(want))
+	},
+	Entry("pays for a shed attempt", upstream.Shed, retry.History{}, retry.Paid),
+	Entry("retries free of charge what was not sent", upstream.NotSent, retry.History{}, retry.Free),
+	Entry("has no time after a timeout", upstream.TimedOut, retry.History{}, retry.GiveUp),
+	Entry("retries once after a loss", upstream.Lost, retry.History{Losses: 1}, retry.Paid),
+	Entry("retries nothing after the retry of a loss", upstream.Shed,
+		retry.History{Losses: 1, LossRetries: retry.AfterLoss}, retry.GiveUp),
+	Entry("is bounded a shard", upstream.NotSent, retry.History{ShardRetries: retry.PerShard}, retry.GiveUp),
+)
--- /dev/null
+++ b/internal/policy/snapshot/snapshot_test.go
@@ -0,0 +1,92 @@
+package snapshot_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/sardinespindle/sardinespindle/internal/policy/snapshot"
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
+)
+
+func TestSnapshot(t *testing.T) { testkit.Run(t, "snapshot") }
+
+var _ = Describe("Shard", func() {
+	v5, v6 := snapshot.ID{Index: 5, Map: 1}, snapshot.ID{Index: 6, Map: 1}
+
+	It("forgets the newer snapshot of a replica that went back", func() {
+		var s snapshot.Shard
+		s.Note("a", nil, v6, 0)
+		s.Note("a", nil, v5, 1)
+		Expect(s.Knows("a", v6, 2)).To(Equal(snapshot.Lacks))
+		Expect(s.Knows("a", v5, 2)).To(Equal(snapshot.Holds))
+		Expect(s.Knows("b", v6, 2)).To(Equal(snapshot.Unknown))
+	})
+
+	It("notes that a replica did not have the snapshot asked for, for a while", func() {
+		var s snapshot.Shard
+		s.Note("a", &v5, v6, 0)
+		Expect(s.Knows("a", v5, 1)).To(Equal(snapshot.Lacks))
+		Expect(s.Knows("a", v5, time.Minute)).To(Equal(snapshot.Unknown))
+		Expect(s.Knows("a", v6, time.Minute)).To(Equal(snapshot.Unknown))
+	})
+})
+
+var _ = Describe("Tally", func() {
+	It("keeps each snapshot that many shards serve, whatever the others name", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			named := rapid.SliceOfN(rapid.IntRange(0, 40), 1, 200).Draw(t, "named")
+			var tally snapshot.Tally
+			count := map[snapshot.ID]int{}
+			for _, index := range named {
+				id := snapshot.ID{Index: index, Map: 1}
+				tally.Add(id)
+				count[id]++
+			}
+			kept := tally.IDs(nil)
+			for id, n := range count {
+				if n*(snapshot.TallySize+1) > len(named) && !slices.Contains(kept, id) {
+					t.Fatalf("%v named %d times of %d is not kept", id, n, len(named))
+				}
+			}
+		})
+	})
+})
+
+var _ = Describe("Best", func() {
+	It("chooses the largest share of shards, then the newest, never an unknown map", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			totals := map[int]int{1: 3, 2: 5}
+			have := map[snapshot.ID]int{}
+			var ids []snapshot.ID
+			for range rapid.IntRange(0, 6).Draw(t, "ids") {
+				id := snapshot.ID{Index: rapid.IntRange(1, 3).Draw(t, "index"), Map: rapid.IntRange(1, 3).Draw(t, "map")}
+				if slices.Contains(ids, id) {
+					continue
+				}
+				ids = append(ids, id)
+				have[id] = rapid.IntRange(1, 3).Draw(t, "have")
+			}
+			best, ok := snapshot.Best(ids, func(id snapshot.ID) (snapshot.Score, bool) {
+				n, known := totals[id.Map]
+				return snapshot.Score{Total: n, Have: have[id], Likely: have[id], Possible: have[id]}, known
+			})
+			share := func(id snapshot.ID) float64 { return float64(have[id]) / float64(totals[id.Map]) }
+			for _, id := range ids {
+				if totals[id.Map] == 0 {
+					continue
+				}
+				if !ok || share(id) > share(best) || share(id) == share(best) && snapshot.Newer(id, best) {
+					t.Fatalf("%v is better than %v", id, best)
+				}
+			}
+			if ok && totals[best.Map] == 0 {
+				t.Fatalf("%v has no known map", best)
+			}
+		})
+	})
+})
