Add settings, manifest, platform client, rollout and admission

Cause: the daemon needs checked settings, a manifest in force and a way to shed. Change: strict TOML settings; manifest build with cross-checks, all problems at once, decoding only changed parts; platform reads and watches; rollout with a settle time that keeps two commits of one generation out of force; rate-based admission. Ruled out: limiting by requests in flight: with 16 VMs over 2-slot servers a VM's share is below one request, too coarse to follow. Figures: unit tests only; a first RetryAfter overflowed int64 for extreme excess (test kept). Admission model: 200/s offered to 100/s keeps at least 90/s. Conclusion: the control side builds and is tested without a fleet.

--- /dev/null
+++ b/internal/manifest/build.go
@@ -0,0 +1,245 @@
+package manifest
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"github.com/sardinespindle/sardinespindle/internal/validate"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
+)
+
+// MaxPartBytes is the largest value that the platform holds.
+const MaxPartBytes = 1_000_000
+
+const (
+	defaultResendWindowMs   = 600_000
+	defaultMaxBodyBytes     = 65_536
+	defaultConnectionCostMs = 1
+	defaultPriority         = 5
+	defaultHedgePercent     = 3
+)
+
+// Digest returns the SHA-256 of a head or part as published, in hexadecimal.
+func Digest(text []byte) string {
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:])
+}
+
+// ParseHead checks and decodes a head.
+func ParseHead(text []byte) (*gen.Head, error) {
+	var h gen.Head
+	if err := decode(validate.Must("manifest", "Head"), text, &h); err != nil {
+		return nil, fmt.Errorf("manifest head: %w", err)
+	}
+	return &h, nil
+}
+
+// ParsePart checks and decodes a part, and fills defaults.
+func ParsePart(text []byte) (*gen.Part, error) {
+	var p gen.Part
+	if err := decode(validate.Must("manifest", "Part"), text, &p); err != nil {
+		return nil, fmt.Errorf("manifest part %.12s: %w", Digest(text), err)
+	}
+	fillDefaults(&p, present(text))
+	return &p, nil
+}
+
+func decode(s *validate.Schema, text []byte, into any) error {
+	if len(text) > MaxPartBytes {
+		return validate.Problems{{Reason: fmt.Sprintf("%d bytes exceed %d", len(text), MaxPartBytes)}}
+	}
+	tree, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		return fmt.Errorf("parse: %w", err)
+	}
+	if err := s.Check(tree); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return fmt.Errorf("parse: %w", err)
+	}
+	return nil
+}
+
+// grantKeys records which optional keys of a grant were given, since 0 is a value
+// of its own for both.
+type grantKeys struct {
+	Priority     *int     `json:"priority"`
+	HedgePercent *float64 `json:"hedge_percent"`
+}
+
+type partKeys struct {
+	Callers []struct {
+		Grants []grantKeys `json:"grants"`
+	} `json:"callers"`
+	Upstreams []struct {
+		ConnectionCostMs *float64 `json:"connection_cost_ms"`
+	} `json:"upstreams"`
+}
+
+func present(text []byte) partKeys {
+	var k partKeys
+	if err := json.Unmarshal(text, &k); err != nil {
+		panic(fmt.Sprintf("manifest: part decoded once but not twice: %v", err))
+	}
+	return k
+}
+
+func fillDefaults(p *gen.Part, k partKeys) {
+	for i := range p.Workloads {
+		w := &p.Workloads[i]
+		if w.ResendWindowMs == 0 {
+			w.ResendWindowMs = defaultResendWindowMs
+		}
+		if w.MaxBodyBytes == 0 {
+			w.MaxBodyBytes = defaultMaxBodyBytes
+		}
+	}
+	for i := range p.Upstreams {
+		if k.Upstreams[i].ConnectionCostMs == nil {
+			p.Upstreams[i].ConnectionCostMs = defaultConnectionCostMs
+		}
+	}
+	for i := range p.Callers {
+		for j := range p.Callers[i].Grants {
+			g := &p.Callers[i].Grants[j]
+			if k.Callers[i].Grants[j].Priority == nil {
+				g.Priority = defaultPriority
+			}
+			if k.Callers[i].Grants[j].HedgePercent == nil {
+				g.HedgePercent = defaultHedgePercent
+			}
+		}
+	}
+}
+
+// Builder turns heads and parts into manifests. It keeps the decoded parts of the
+// last build, so that a change of one part decodes only that part. Its one lock
+// guards the kept parts.
+type Builder struct {
+	mu   sync.Mutex
+	kept map[string]*gen.Part
+}
+
+// NewBuilder returns a Builder that has kept nothing.
+func NewBuilder() *Builder {
+	return &Builder{kept: make(map[string]*gen.Part)}
+}
+
+// Missing returns the digests of a head's parts that the builder has not kept.
+func (b *Builder) Missing(h *gen.Head) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var missing []string
+	for _, ref := range h.Parts {
+		if _, ok := b.kept[string(ref.Digest)]; !ok {
+			missing = append(missing, string(ref.Digest))
+		}
+	}
+	return missing
+}
+
+// Build checks a head and its parts as a whole and compiles them. Texts holds the
+// parts that the builder lacks, by digest. The error lists every problem.
+func (b *Builder) Build(headText []byte, texts map[string][]byte) (*Manifest, error) {
+	head, err := ParseHead(headText)
+	if err != nil {
+		return nil, err
+	}
+	parts, problems := b.collect(head, texts)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	m, problems := compile(head, parts)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	m.Digest = Digest(headText)
+	b.keep(head, parts)
+	return m, nil
+}
+
+func (b *Builder) collect(head *gen.Head, texts map[string][]byte) ([]*gen.Part, validate.Problems) {
+	var problems validate.Problems
+	parts := make([]*gen.Part, 0, len(head.Parts))
+	for _, ref := range head.Parts {
+		p, err := b.part(ref, texts[string(ref.Digest)])
+		if err != nil {
+			problems = append(problems, validate.Problem{Key: fmt.Sprintf("part %.12s", ref.Digest), Reason: err.Error()})
+			continue
+		}
+		parts = append(parts, p)
+	}
+	return parts, problems
+}
+
+func (b *Builder) part(ref gen.PartRef, text []byte) (*gen.Part, error) {
+	b.mu.Lock()
+	kept, ok := b.kept[string(ref.Digest)]
+	b.mu.Unlock()
+	if ok {
+		return kept, nil
+	}
+	if text == nil {
+		return nil, fmt.Errorf("not at hand")
+	}
+	if len(text) != ref.Bytes {
+		return nil, fmt.Errorf("%d bytes, the head says %d", len(text), ref.Bytes)
+	}
+	if got := Digest(text); got != string(ref.Digest) {
+		return nil, fmt.Errorf("digest %s does not match", got)
+	}
+	return ParsePart(text)
+}
+
+func (b *Builder) keep(head *gen.Head, parts []*gen.Part) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.kept = make(map[string]*gen.Part, len(parts))
+	for i, ref := range head.Parts {
+		b.kept[string(ref.Digest)] = parts[i]
+	}
+}
+
+// compile builds the lookup tables and cross-checks the whole.
+func compile(head *gen.Head, parts []*gen.Part) (*Manifest, validate.Problems) {
+	c := &compilation{m: &Manifest{
+		Generation: head.Generation,
+		Workloads:  make(map[string]*Workload),
+		Callers:    make(map[string]*Caller),
+		Upstreams:  make(map[string]*gen.Upstream),
+	}}
+	for _, p := range parts {
+		c.addWorkloads(p)
+	}
+	for _, p := range parts {
+		c.addMaps(p)
+	}
+	for _, p := range parts {
+		c.addUpstreams(p)
+	}
+	for _, p := range parts {
+		c.addCallers(p)
+	}
+	c.checkWorkloads()
+	for _, w := range c.m.Workloads {
+		sortUpstreams(w.Upstreams)
+		for _, replicas := range w.Replicas {
+			sortUpstreams(replicas)
+		}
+	}
+	return c.m, c.problems
+}
+
+func sortUpstreams(us []*gen.Upstream) {
+	slices.SortFunc(us, func(a, b *gen.Upstream) int {
+		return bytes.Compare([]byte(a.Address), []byte(b.Address))
+	})
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,160 @@
+// Package platform reads and watches the platform's configuration service. It
+// writes nothing. A Client is safe for concurrent use; its one shared state is the
+// index of the address that answered last, an atomic.
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Keys of the values that the platform publishes.
+const (
+	HeadKey = "manifest/head"
+	VMsKey  = "vms"
+)
+
+// PartKey returns the key of a manifest part.
+func PartKey(digest string) string { return "manifest/parts/" + digest }
+
+const (
+	maxValueBytes  = 1_000_000
+	maxHeaderBytes = 16 << 10
+	dialTimeout    = time.Second
+	readTimeout    = 3 * time.Second
+	watchMargin    = 2 * time.Second
+	idleTimeout    = 90 * time.Second
+)
+
+// ErrNotFound says that the platform holds no value under the key.
+var ErrNotFound = errors.New("platform: no such value")
+
+// Value is one value with the tag that names its state.
+type Value struct {
+	Body []byte
+	Tag  string
+}
+
+// Options configures a Client.
+type Options struct {
+	// Addresses of the configuration service, IP number and port, tried in turn.
+	Addresses []string
+	// LocalIP is the address that connections are made from; nil for any.
+	LocalIP net.IP
+	// Registerer takes the client's metrics.
+	Registerer prometheus.Registerer
+}
+
+// Client reads the configuration service.
+type Client struct {
+	addrs []string
+	next  atomic.Uint32
+	http  *http.Client
+	reads *prometheus.CounterVec
+}
+
+// New returns a Client.
+func New(o Options) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if o.LocalIP != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: o.LocalIP}
+	}
+	transport := &http.Transport{
+		DialContext:            dialer.DialContext,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		IdleConnTimeout:        idleTimeout,
+		MaxIdleConnsPerHost:    4,
+	}
+	c := &Client{
+		addrs: o.Addresses,
+		http:  &http.Client{Transport: transport},
+		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "spindle_platform_reads_total",
+			Help: "Calls to the platform's configuration service, by kind and result.",
+		}, []string{"kind", "result"}),
+	}
+	if o.Registerer != nil {
+		o.Registerer.MustRegister(c.reads)
+	}
+	return c
+}
+
+// Get reads a value.
+func (c *Client) Get(ctx context.Context, key string) (Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	v, _, err := c.call(ctx, "get", key, "", 0)
+	return v, err
+}
+
+// Watch waits until the value differs from the tag, for at most wait. It reports
+// whether the value changed.
+func (c *Client) Watch(ctx context.Context, key, tag string, wait time.Duration) (Value, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
+	defer cancel()
+	return c.call(ctx, "watch", key, tag, wait)
+}
+
+// call makes one call to the address that answered last; a failure moves on to the
+// next address for the call after.
+func (c *Client) call(ctx context.Context, kind, key, tag string, wait time.Duration) (Value, bool, error) {
+	at := c.next.Load()
+	addr := c.addrs[int(at)%len(c.addrs)]
+	v, changed, err := c.roundTrip(ctx, addr, key, tag, wait)
+	if err != nil && !errors.Is(err, ErrNotFound) {
+		c.next.CompareAndSwap(at, at+1)
+		c.reads.WithLabelValues(kind, "error").Inc()
+		return Value{}, false, fmt.Errorf("platform %s %s: %w", kind, key, err)
+	}
+	c.reads.WithLabelValues(kind, "ok").Inc()
+	return v, changed, err
+}
+
+func (c *Client) roundTrip(ctx context.Context, addr, key, tag string, wait time.Duration) (Value, bool, error) {
+	u := url.URL{Scheme: "http", Host: addr, Path: "/v1/values/" + key}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return Value{}, false, err
+	}
+	if tag != "" {
+		req.Header.Set("If-None-Match", tag)
+	}
+	if wait > 0 {
+		req.Header.Set("Prefer", "wait="+strconv.Itoa(int(wait.Seconds())))
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Value{}, false, err
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotModified:
+		return Value{Tag: tag}, false, nil
+	case http.StatusNotFound:
+		return Value{}, false, ErrNotFound
+	default:
+		return Value{}, false, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxValueBytes+1))
+	if err != nil {
+		return Value{}, false, fmt.Errorf("read value: %w", err)
+	}
+	if len(body) > maxValueBytes {
+		return Value{}, false, fmt.Errorf("value exceeds %d bytes", maxValueBytes)
+	}
+	return Value{Body: body, Tag: resp.Header.Get("ETag")}, true, nil
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
--- /dev/null
+++ b/internal/policy/admission/admission_test.go
@@ -0,0 +1,109 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/sardinespindle/sardinespindle/internal/policy/admission"
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
+)
+
+func TestAdmission(t *testing.T) { testkit.Run(t, "admission") }
+
+// load is an open-loop model: requests of two priorities arrive at a rate, the
+// upstreams bear a capacity and shed the rest.
+type load struct {
+	bucket admission.Bucket
+	now    time.Duration
+}
+
+// second runs one second of it and returns what finished at each priority.
+func (l *load) second(high, low, capacity float64) (int, int) {
+	const steps = 5
+	doneHigh, doneLow := 0, 0
+	for range steps {
+		room := int(capacity / steps)
+		sample := admission.Sample{Length: admission.Interval}
+		admit := func(n int, priority int) int {
+			admitted := 0
+			for i := range n {
+				at := l.now + admission.Interval*time.Duration(i)/time.Duration(max(1, n))
+				sample.Asked++
+				if l.bucket.Take(at, priority) {
+					admitted++
+				}
+			}
+			return admitted
+		}
+		h, lo := admit(int(high/steps), 9), admit(int(low/steps), 1)
+		sample.Sent = min(h+lo, room)
+		sample.Shed = h + lo - sample.Sent
+		sample.Finished = sample.Sent
+		doneHigh += min(h, sample.Sent)
+		doneLow += sample.Sent - min(h, sample.Sent)
+		l.now += admission.Interval
+		l.bucket.Adapt(l.now, sample)
+	}
+	return doneHigh, doneLow
+}
+
+var _ = Describe("admission", func() {
+	It("lets everything through below capacity", func() {
+		l := &load{}
+		for range 5 {
+			h, lo := l.second(40, 40, 100)
+			Expect(h + lo).To(BeNumerically("==", 80))
+		}
+	})
+
+	It("keeps goodput at capacity, sheds the low priority first and recovers", func() {
+		l := &load{}
+		l.second(40, 40, 100)
+		high, low := 0, 0
+		for i := range 10 {
+			h, lo := l.second(60, 140, 100)
+			if i >= 2 {
+				high, low = high+h, low+lo
+			}
+		}
+		Expect(high + low).To(BeNumerically(">=", 8*90))
+		Expect(high).To(BeNumerically(">=", 8*57))
+		for range 4 {
+			l.second(40, 40, 100)
+		}
+		h, lo := l.second(40, 40, 100)
+		Expect(h + lo).To(Equal(80))
+	})
+
+	It("never stays closed once the upstreams recover", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			l := &load{}
+			for range rapid.IntRange(1, 20).Draw(t, "seconds") {
+				l.second(rapid.Float64Range(0, 100).Draw(t, "high"), rapid.Float64Range(0, 300).Draw(t, "low"), rapid.Float64Range(0, 150).Draw(t, "capacity"))
+			}
+			for range 20 {
+				l.second(20, 20, 150)
+			}
+			h, lo := l.second(20, 20, 150)
+			if h+lo != 40 {
+				t.Fatalf("%d of 40 a second after 20 s of normal load", h+lo)
+			}
+		})
+	})
+
+	It("spreads returns and sends them further away as the excess grows", func() {
+		Expect(admission.RetryAfter(100, 100, 0)).To(BeNumerically("<", admission.RetryAfter(100, 100, 0.9)))
+		Expect(admission.RetryAfter(400, 100, 0.5)).To(BeNumerically(">", 4*admission.RetryAfter(100, 100, 0.5)))
+		Expect(admission.RetryAfter(1e9, 1, 0.99)).To(BeNumerically("<=", 15*time.Second))
+	})
+
+	It("keeps one caller from starving another", func() {
+		Expect(admission.Fair(9, 9, 2, 10)).To(BeTrue())
+		Expect(admission.Fair(10, 10, 2, 10)).To(BeFalse())
+		Expect(admission.Fair(0, 10, 2, 10)).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/internal/policy/generation/generation_test.go
@@ -0,0 +1,96 @@
+package generation_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/sardinespindle/sardinespindle/internal/policy/generation"
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
+)
+
+func TestGeneration(t *testing.T) { testkit.Run(t, "generation") }
+
+// vm is a model VM that takes offers in any order.
+type vm struct {
+	current generation.Head
+	gate    generation.Gate
+	guarded bool
+}
+
+func (v *vm) hear(now time.Duration, h generation.Head) {
+	if !v.guarded {
+		v.current = h
+		return
+	}
+	if generation.Decide(v.current, h) != generation.Newer {
+		return
+	}
+	v.gate.Hear(now, h)
+}
+
+func (v *vm) tick(now time.Duration, h generation.Head) {
+	if v.guarded && generation.Decide(v.current, h) == generation.Newer && v.gate.Ripe(now, h) {
+		v.current = h
+		v.gate.Forget(h.Generation)
+	}
+}
+
+// replay delivers commits in any order, repeated, and reports a reversal.
+func replay(t *rapid.T, guarded bool) bool {
+	v := &vm{guarded: guarded}
+	now := time.Duration(0)
+	reverted := false
+	offers := rapid.SliceOfN(rapid.IntRange(1, 6), 1, 30).Draw(t, "offers")
+	for _, n := range offers {
+		h := generation.Head{Generation: n, Digest: fmt.Sprintf("%d%s", n, rapid.SampledFrom([]string{"a", "a", "b"}).Draw(t, "digest"))}
+		before := v.current
+		now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond
+		v.hear(now, h)
+		v.tick(now, h)
+		if v.current.Generation < before.Generation || (v.current.Generation == before.Generation && v.current != before) {
+			reverted = true
+		}
+	}
+	return reverted
+}
+
+var _ = Describe("a VM that hears of manifests in any order", func() {
+	It("never reverts", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			if replay(t, true) {
+				t.Fatal("reverted")
+			}
+		})
+	})
+
+	It("would revert without the decision", func() {
+		found := false
+		rapid.Check(GinkgoT(), func(t *rapid.T) { found = replay(t, false) || found })
+		Expect(found).To(BeTrue())
+	})
+
+	It("puts neither of two commits of one generation in force within the settle time", func() {
+		var g generation.Gate
+		a := generation.Head{Generation: 3, Digest: "a"}
+		b := generation.Head{Generation: 3, Digest: "b"}
+		Expect(g.Hear(0, a)).To(BeFalse())
+		Expect(g.Hear(generation.Settle/2, b)).To(BeTrue())
+		Expect(g.Ripe(generation.Settle*2, a)).To(BeFalse())
+		Expect(g.Ripe(generation.Settle*2, b)).To(BeFalse())
+		Expect(g.Torn(3)).To(BeTrue())
+	})
+
+	It("bounds what waits", func() {
+		var g generation.Gate
+		for n := range 1000 {
+			g.Hear(0, generation.Head{Generation: n + 1, Digest: "x"})
+		}
+		Expect(g.Ripe(generation.Settle, generation.Head{Generation: 1, Digest: "x"})).To(BeFalse())
+		Expect(g.Ripe(generation.Settle, generation.Head{Generation: 1000, Digest: "x"})).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,72 @@
+// Package telemetry sets up logs and traces from the settings.
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/charmbracelet/log"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	"go.opentelemetry.io/otel/sdk/trace"
+
+	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
+)
+
+// Logger returns the daemon's logger.
+func Logger(w io.Writer, s *settings.Log, vm string) (*log.Logger, error) {
+	level, err := log.ParseLevel(string(s.Level))
+	if err != nil {
+		return nil, fmt.Errorf("log level: %w", err)
+	}
+	formatter := log.TextFormatter
+	switch s.Format {
+	case settings.LogFormatJson:
+		formatter = log.JSONFormatter
+	case settings.LogFormatLogfmt:
+		formatter = log.LogfmtFormatter
+	}
+	l := log.NewWithOptions(w, log.Options{Level: level, Formatter: formatter, ReportTimestamp: true})
+	return l.With("vm", vm), nil
+}
+
+// Traces installs the global tracer provider and propagator. The function returned
+// exports what is left and shuts the exporter down.
+func Traces(ctx context.Context, s *settings.Trace, vm, zone string) (func(context.Context) error, error) {
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	options := []trace.TracerProviderOption{
+		trace.WithSampler(trace.ParentBased(trace.TraceIDRatioBased(s.Sample))),
+		trace.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", "sardinespindle"),
+			attribute.String("service.instance.id", vm),
+			attribute.String("cloud.availability_zone", zone),
+		)),
+	}
+	exporter, err := newExporter(ctx, s)
+	if err != nil {
+		return nil, fmt.Errorf("trace exporter %s: %w", s.Exporter, err)
+	}
+	if exporter != nil {
+		options = append(options, trace.WithBatcher(exporter))
+	}
+	provider := trace.NewTracerProvider(options...)
+	otel.SetTracerProvider(provider)
+	return provider.Shutdown, nil
+}
+
+func newExporter(ctx context.Context, s *settings.Trace) (trace.SpanExporter, error) {
+	switch s.Exporter {
+	case settings.TraceExporterStdout:
+		return stdouttrace.New(stdouttrace.WithWriter(os.Stdout))
+	case settings.TraceExporterOtlp:
+		return otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(s.Endpoint), otlptracehttp.WithInsecure())
+	default:
+		return nil, nil
+	}
+}
