--- /dev/null
+++ b/internal/callers/input.go
@@ -0,0 +1,188 @@
+package callers
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"github.com/sardinespindle/sardinespindle/internal/manifest"
+	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/policy/once"
+	"github.com/sardinespindle/sardinespindle/internal/validate"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
+	"github.com/sardinespindle/sardinespindle/schema/gen/upstream"
+)
+
+// Headers of a caller's request.
+const (
+	deadlineHeader = "Spindle-Deadline-Ms"
+	keyHeader      = "Idempotency-Key"
+	firstHeader    = "Spindle-First-Attempt"
+)
+
+const (
+	maxSearchBytes = 16 << 10
+	maxKeyLength   = 64
+	defaultLimit   = 10
+)
+
+// input is a request that passed every check.
+type input struct {
+	workload    *manifest.Workload
+	grant       *gen.Grant
+	deadline    time.Time
+	body        []byte
+	fingerprint string
+	query       upstream.Query
+	key         string
+	first       bool
+}
+
+// refusalError is a request that did not pass a check.
+type refusalError struct {
+	outcome outcome.Outcome
+}
+
+// Error returns the reason.
+func (e *refusalError) Error() string { return string(e.outcome.Reason) + ": " + e.outcome.Detail }
+
+func reject(r outcome.Reason, format string, args ...any) error {
+	return &refusalError{outcome.Rejected(r, fmt.Sprintf(format, args...))}
+}
+
+// read checks identity, workload, headers and body, in this order.
+func (s *Server) read(w http.ResponseWriter, r *http.Request, c *call, m *manifest.Manifest) (*input, error) {
+	in := &input{}
+	if err := identify(r, c, m, in); err != nil {
+		return nil, err
+	}
+	if err := in.readDeadline(r, c.begin); err != nil {
+		return nil, err
+	}
+	if err := in.readKey(r); err != nil {
+		return nil, err
+	}
+	if err := in.readBody(w, r); err != nil {
+		return nil, err
+	}
+	return in, nil
+}
+
+func identify(r *http.Request, c *call, m *manifest.Manifest, in *input) error {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || token == "" {
+		return reject(outcome.Unauthorized, "no bearer token")
+	}
+	sum := sha256.Sum256([]byte(token))
+	caller, ok := m.Callers[hex.EncodeToString(sum[:])]
+	if !ok {
+		return reject(outcome.Unauthorized, "unknown token")
+	}
+	c.caller = string(caller.Name)
+	w, ok := m.Workloads[c.workload]
+	if !ok {
+		name := c.workload
+		c.workload = ""
+		return reject(outcome.UnknownWorkload, "unknown workload %q", name)
+	}
+	grant, ok := caller.ByWorkload[c.workload]
+	if !ok {
+		return reject(outcome.Forbidden, "caller %s has no grant for %s", c.caller, c.workload)
+	}
+	if search := strings.HasSuffix(r.URL.Path, "/search"); search != w.Sharded() {
+		return reject(outcome.BadRequest, "workload %s is %s", c.workload, w.Kind)
+	}
+	in.workload = w
+	in.grant = grant
+	return nil
+}
+
+func (in *input) readDeadline(r *http.Request, begin time.Time) error {
+	budget := manifest.Deadline(in.grant)
+	if text := r.Header.Get(deadlineHeader); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 32)
+		if err != nil || ms < 1 {
+			return reject(outcome.BadRequest, "%s: %q is no positive number of milliseconds", deadlineHeader, text)
+		}
+		budget = min(budget, time.Duration(ms)*time.Millisecond)
+	}
+	in.deadline = begin.Add(budget)
+	return nil
+}
+
+func (in *input) readKey(r *http.Request) error {
+	in.key = r.Header.Get(keyHeader)
+	in.first = r.Header.Get(firstHeader) == "true"
+	if in.workload.Idempotent {
+		return nil
+	}
+	if in.key == "" {
+		return reject(outcome.MissingKey, "%s is required for %s", keyHeader, in.workload.Name)
+	}
+	if len(in.key) > maxKeyLength {
+		return reject(outcome.BadKey, "%s is longer than %d", keyHeader, maxKeyLength)
+	}
+	if _, err := once.Birth(in.key); err != nil {
+		return reject(outcome.BadKey, "%s: %v", keyHeader, err)
+	}
+	return nil
+}
+
+func (in *input) readBody(w http.ResponseWriter, r *http.Request) error {
+	most := int64(in.workload.MaxBodyBytes)
+	if in.workload.Sharded() {
+		most = min(most, maxSearchBytes)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return reject(outcome.TooLarge, "body exceeds %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return reject(outcome.BadRequest, "read body: %v", err)
+	}
+	in.body = body
+	in.fingerprint = fingerprint(string(in.workload.Name), body)
+	if in.workload.Sharded() {
+		return in.readQuery()
+	}
+	return nil
+}
+
+var searchSchema = validate.Must("caller", "Search")
+
+func (in *input) readQuery() error {
+	tree, err := jsonschema.UnmarshalJSON(bytes.NewReader(in.body))
+	if err != nil {
+		return reject(outcome.BadRequest, "body: %v", err)
+	}
+	if err := searchSchema.Check(tree); err != nil {
+		return reject(outcome.BadRequest, "body: %v", err)
+	}
+	if err := json.Unmarshal(in.body, &in.query); err != nil {
+		return reject(outcome.BadRequest, "body: %v", err)
+	}
+	if in.query.Limit == 0 {
+		in.query.Limit = defaultLimit
+	}
+	return nil
+}
+
+// fingerprint names requests of the same workload and body.
+func fingerprint(workload string, body []byte) string {
+	h := sha256.New()
+	h.Write([]byte(workload))
+	h.Write([]byte{0})
+	h.Write(body)
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
--- /dev/null
+++ b/internal/callers/server.go
@@ -0,0 +1,192 @@
+// Package callers serves the callers' HTTP interface: it checks identity and input,
+// admits or sheds, runs the request and writes the whole reply at once. Handlers
+// share only the counters of requests in flight, which are atomic.
+package callers
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+
+	"github.com/sardinespindle/sardinespindle/internal/admission"
+	"github.com/sardinespindle/sardinespindle/internal/gather"
+	"github.com/sardinespindle/sardinespindle/internal/manifest"
+	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/single"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 32 << 10
+	// comeBack is when to come back where nothing better is known.
+	comeBack = time.Second
+)
+
+// Searcher runs searches of sharded workloads.
+type Searcher interface {
+	Search(ctx context.Context, s gather.Search) outcome.Outcome
+}
+
+// Runner runs requests of single workloads.
+type Runner interface {
+	Run(ctx context.Context, q single.Request) outcome.Outcome
+}
+
+// Options configures a Server.
+type Options struct {
+	// Manifest returns the manifest in force, nil for none.
+	Manifest  func() *manifest.Manifest
+	Searcher  Searcher
+	Runner    Runner
+	Admission *admission.Controller
+	Log       *log.Logger
+	// Registerer takes the metrics.
+	Registerer prometheus.Registerer
+}
+
+// Server is the callers' interface of one VM.
+type Server struct {
+	o        Options
+	metrics  *metrics
+	stopping atomic.Bool
+	inFlight atomic.Int64
+}
+
+// New returns a Server.
+func New(o Options) *Server {
+	return &Server{o: o, metrics: newMetrics(o.Registerer)}
+}
+
+// Handler returns the HTTP handler of the interface.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/workloads/{workload}/search", s.serve(s.search))
+	mux.HandleFunc("POST /v1/workloads/{workload}/requests", s.serve(s.request))
+	mux.HandleFunc("GET /v1/health", s.health)
+	return otelhttp.NewHandler(mux, "caller request")
+}
+
+// HTTPServer returns the server that serves the handler on an address.
+func (s *Server) HTTPServer(addr string) *http.Server {
+	return &http.Server{
+		Addr:              addr,
+		Handler:           s.Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// Stop makes the health check say that the VM is leaving. Requests that still come
+// are served.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// InFlight returns the number of requests being served.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	if s.stopping.Load() || s.o.Manifest() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// call is one request being served.
+type call struct {
+	id       string
+	begin    time.Time
+	workload string
+	caller   string
+	// generation in force when the request arrived.
+	generation int
+}
+
+// handler runs a checked request.
+type handler func(r *http.Request, c *call, in *input) outcome.Outcome
+
+func (s *Server) serve(run handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		c := &call{id: uuid.NewString(), begin: time.Now(), workload: r.PathValue("workload")}
+		o := s.handle(w, r, c, run)
+		s.metrics.done(c, o)
+		if o.Kind != caller.OutcomeAnswered {
+			s.o.Log.Debug("request refused", "id", c.id, "workload", c.workload, "caller", c.caller, "outcome", o.Kind, "reason", o.Reason, "detail", o.Detail)
+		}
+		s.write(w, r, c, o)
+	}
+}
+
+func (s *Server) handle(w http.ResponseWriter, r *http.Request, c *call, run handler) outcome.Outcome {
+	m := s.o.Manifest()
+	if m == nil {
+		return outcome.NotRun(outcome.NoManifest, "this VM has no manifest yet", comeBack)
+	}
+	c.generation = m.Generation
+	in, err := s.read(w, r, c, m)
+	if err != nil {
+		var refusal *refusalError
+		if errors.As(err, &refusal) {
+			return refusal.outcome
+		}
+		return outcome.Rejected(outcome.BadRequest, err.Error())
+	}
+	pass, shed := s.o.Admission.Admit(c.workload, c.caller, in.grant)
+	if shed != nil {
+		return shedOutcome(*shed, in)
+	}
+	o := run(r, c, in)
+	pass.Done(admission.Load{
+		Sent: o.Cost.Sent,
+		Shed: o.Cost.Shed,
+		Good: o.Kind == caller.OutcomeAnswered,
+	})
+	return o
+}
+
+// shedOutcome says not_run only where no other attempt with the same key may run:
+// another VM may have taken an earlier attempt of a request that is not idempotent.
+func shedOutcome(o outcome.Outcome, in *input) outcome.Outcome {
+	if in.workload.Idempotent || in.first {
+		return o
+	}
+	return outcome.Unknown(o.Reason, o.Detail+"; an earlier attempt with the same key may have run", o.RetryAfter)
+}
+
+func (s *Server) search(r *http.Request, c *call, in *input) outcome.Outcome {
+	return s.o.Searcher.Search(r.Context(), gather.Search{
+		ID:          c.id,
+		Fingerprint: in.fingerprint,
+		Workload:    in.workload,
+		Grant:       in.grant,
+		Caller:      c.caller,
+		Query:       in.query,
+		Deadline:    in.deadline,
+	})
+}
+
+func (s *Server) request(r *http.Request, c *call, in *input) outcome.Outcome {
+	return s.o.Runner.Run(r.Context(), single.Request{
+		ID:          c.id,
+		Fingerprint: in.fingerprint,
+		Workload:    in.workload,
+		Caller:      c.caller,
+		Body:        in.body,
+		Key:         in.key,
+		First:       in.first,
+		Deadline:    in.deadline,
+	})
+}
--- /dev/null
+++ b/internal/callers/write.go
@@ -0,0 +1,68 @@
+package callers
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
+)
+
+// write sends the whole reply at once, with its length.
+func (s *Server) write(w http.ResponseWriter, r *http.Request, c *call, o outcome.Outcome) {
+	reply := o.Reply()
+	reply.Generation = c.generation
+	reply.TraceId = trace.SpanContextFromContext(r.Context()).TraceID().String()
+	body, err := json.Marshal(reply)
+	if err != nil {
+		panic(fmt.Sprintf("callers: reply does not encode: %v", err))
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if o.RetryAfter > 0 {
+		seconds := (o.RetryAfter + time.Second - 1) / time.Second
+		h.Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	if s.stopping.Load() {
+		h.Set("Connection", "close")
+	}
+	w.WriteHeader(status(o))
+	if _, err := w.Write(body); err != nil {
+		s.o.Log.Debug("reply not written", "id", c.id, "reason", err)
+	}
+}
+
+// status returns the HTTP status of an outcome.
+func status(o outcome.Outcome) int {
+	switch o.Kind {
+	case caller.OutcomeAnswered:
+		return http.StatusOK
+	case caller.OutcomeNotRun:
+		if o.Reason == outcome.RateLimited {
+			return http.StatusTooManyRequests
+		}
+		return http.StatusServiceUnavailable
+	case caller.OutcomeUnknown:
+		return http.StatusGatewayTimeout
+	}
+	switch o.Reason {
+	case outcome.Unauthorized:
+		return http.StatusUnauthorized
+	case outcome.Forbidden:
+		return http.StatusForbidden
+	case outcome.UnknownWorkload:
+		return http.StatusNotFound
+	case outcome.KeyReused:
+		return http.StatusConflict
+	case outcome.TooLarge:
+		return http.StatusRequestEntityTooLarge
+	default:
+		return http.StatusBadRequest
+	}
+}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -37,6 +37,7 @@
 	UpstreamError    Reason = "upstream_error"
 	Stopping         Reason = "stopping"
 	Canceled         Reason = "canceled"
+	OutcomeTooLarge  Reason = "outcome_too_large"
 )
 
 // Outcome is the final result of one request.
@@ -59,6 +60,16 @@
 	ResultStatus int
 	// Replayed says that the result was recorded by an earlier attempt.
 	Replayed bool
+	// Cost is what the request cost the upstreams.
+	Cost Cost
+}
+
+// Cost counts the attempts made for one request.
+type Cost struct {
+	// Sent counts attempts that reached an upstream.
+	Sent int
+	// Shed counts attempts that an upstream refused or that found no free replica.
+	Shed int
 }
 
 // NotRun says that the request did not run and no attempt of it can still run.
--- /dev/null
+++ b/internal/single/single.go
@@ -0,0 +1,214 @@
+// Package single runs a request to a single workload. An idempotent request may be
+// tried again at another upstream; any other wins its key's claim first and is
+// written at most once. It holds no state and no lock of its own.
+package single
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/sardinespindle/sardinespindle/internal/claims"
+	"github.com/sardinespindle/sardinespindle/internal/clock"
+	"github.com/sardinespindle/sardinespindle/internal/manifest"
+	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/upstream"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
+)
+
+const (
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 4
+	// recordTime bounds the storing of an outcome.
+	recordTime = 2 * time.Second
+	// comeBack is when to come back where nothing better is known.
+	comeBack = time.Second
+)
+
+// Request is one request of a caller.
+type Request struct {
+	// ID is unique for each request; ids of attempts start with it.
+	ID string
+	// Fingerprint is the hash of workload and body.
+	Fingerprint string
+	Workload    *manifest.Workload
+	Caller      string
+	Body        []byte
+	// Key is the idempotency key, empty for none.
+	Key string
+	// First says that the caller marked the attempt as its first.
+	First    bool
+	Deadline time.Time
+}
+
+// Ticket is an upstream picked, with a slot taken.
+type Ticket interface {
+	Address() string
+	Cancel()
+}
+
+// Upstream picks upstreams and sends attempts.
+type Upstream interface {
+	Pick(w *manifest.Workload, shard string, exclude []string, hedge bool) (Ticket, error)
+	Do(ctx context.Context, t Ticket, a upstream.Attempt) upstream.Result
+}
+
+// Claims wins idempotency keys.
+type Claims interface {
+	Claim(ctx context.Context, r claims.Request) claims.Decision
+}
+
+// Poison knows which requests crash upstreams.
+type Poison interface {
+	Crashes(fingerprint string) bool
+	Crashed(fingerprint, requestID string)
+}
+
+// Runner runs requests.
+type Runner struct {
+	Upstream Upstream
+	Claims   Claims
+	Poison   Poison
+}
+
+// Run runs a request and returns its final outcome.
+func (r *Runner) Run(ctx context.Context, q Request) outcome.Outcome {
+	if q.Workload.Idempotent {
+		return r.runIdempotent(ctx, q)
+	}
+	return r.runOnce(ctx, q)
+}
+
+func (r *Runner) runIdempotent(ctx context.Context, q Request) outcome.Outcome {
+	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
+	defer cancel()
+	if r.Poison.Crashes(q.Fingerprint) {
+		return outcome.Unknown(outcome.CrashSuspected, "requests like this one crashed upstreams", comeBack)
+	}
+	return r.attempts(ctx, q, maxAttempts, alwaysValid)
+}
+
+// runOnce runs a request that is not idempotent. It goes on when the caller hangs
+// up, so that a resend finds the outcome.
+func (r *Runner) runOnce(ctx context.Context, q Request) outcome.Outcome {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.Deadline)
+	defer cancel()
+	d := r.claim(ctx, q)
+	if d.Verdict != claims.Won {
+		return refused(d, q.First)
+	}
+	o := r.runHeld(ctx, q, d.Hold)
+	rctx, stop := context.WithTimeout(context.WithoutCancel(ctx), recordTime)
+	defer stop()
+	err := d.Hold.Record(rctx, o.Encode())
+	if err != nil && o.Kind == caller.OutcomeNotRun {
+		return outcome.Unknown(outcome.NoQuorum, "the refusal could not be recorded", comeBack)
+	}
+	return o
+}
+
+func (r *Runner) claim(ctx context.Context, q Request) claims.Decision {
+	ctx, span := otel.Tracer("sardinespindle/single").Start(ctx, "claim")
+	defer span.End()
+	d := r.Claims.Claim(ctx, claims.Request{
+		Key:         q.Caller + "/" + q.Key,
+		Fingerprint: q.Fingerprint,
+		Window:      q.Workload.ResendWindow(),
+	})
+	span.SetAttributes(attribute.String("verdict", d.Verdict.String()))
+	return d
+}
+
+// runHeld runs a request whose key this VM holds. A refusal is final for the key,
+// since it is recorded: the key never runs after it.
+func (r *Runner) runHeld(ctx context.Context, q Request, h *claims.Hold) outcome.Outcome {
+	if r.Poison.Crashes(q.Fingerprint) {
+		return outcome.NotRun(outcome.CrashSuspected, "requests like this one crashed upstreams; the key is closed", comeBack)
+	}
+	return r.attempts(ctx, q, maxAttempts, func() bool { return h.StillValid(clock.Boot()) })
+}
+
+func alwaysValid() bool { return true }
+
+// attempts makes attempts until one may have run, where the request is not
+// idempotent, or until one is answered, where it is.
+func (r *Runner) attempts(ctx context.Context, q Request, most int, valid func() bool) outcome.Outcome {
+	var cost outcome.Cost
+	var excluded []string
+	last := outcome.NotRun(outcome.NoUpstream, "no upstream is eligible", comeBack)
+	ran := false
+	for try := range most {
+		if ctx.Err() != nil || !valid() {
+			break
+		}
+		t, err := r.Upstream.Pick(q.Workload, "", excluded, false)
+		if err != nil {
+			cost.Shed++
+			break
+		}
+		excluded = append(excluded, t.Address())
+		res := r.send(ctx, q, t, try, valid)
+		count(&cost, res.Class)
+		last = judge(res)
+		ran = ran || res.Class.MayHaveRun()
+		if res.Class == upstream.OK || !r.again(q, res.Class) {
+			break
+		}
+	}
+	if ran && last.Kind == caller.OutcomeNotRun {
+		last = outcome.Unknown(last.Reason, last.Detail, last.RetryAfter)
+	}
+	last.Cost = cost
+	return last
+}
+
+func count(c *outcome.Cost, class upstream.Class) {
+	if class != upstream.NotSent {
+		c.Sent++
+	}
+	if class == upstream.Shed {
+		c.Shed++
+	}
+}
+
+// again reports whether another attempt may follow one of this class.
+func (r *Runner) again(q Request, c upstream.Class) bool {
+	switch c {
+	case upstream.Shed, upstream.NotSent:
+		return true
+	case upstream.Lost:
+		return q.Workload.Idempotent && !r.Poison.Crashes(q.Fingerprint)
+	case upstream.Garbled, upstream.Failed:
+		return q.Workload.Idempotent
+	default:
+		return false
+	}
+}
+
+func (r *Runner) send(ctx context.Context, q Request, t Ticket, try int, valid func() bool) upstream.Result {
+	ctx, span := otel.Tracer("sardinespindle/single").Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	if !valid() {
+		t.Cancel()
+		return upstream.Result{Class: upstream.NotSent, Err: errors.New("claim no longer valid")}
+	}
+	id := fmt.Sprintf("%s-%d", q.ID, try)
+	res := r.Upstream.Do(ctx, t, upstream.Attempt{
+		Kind:           upstream.Single,
+		Workload:       string(q.Workload.Name),
+		RequestID:      id,
+		Deadline:       q.Deadline,
+		Body:           q.Body,
+		IdempotencyKey: q.Key,
+	})
+	span.SetAttributes(attribute.String("upstream", t.Address()), attribute.Int("class", int(res.Class)))
+	if res.Class == upstream.Lost {
+		r.Poison.Crashed(q.Fingerprint, id)
+	}
+	return res
+}
