Let votes carry a member count and records a fingerprint

Cause: a claimant younger than a key does not know which VMs left the list since the key's birth, so its own count of members is no bound on the voters; and a guard that takes a record without having voted could not tell a resend from a reuse of the key with another body. Change: peer.Vote.members (optional) and peer.Record.fingerprint (required). Ruled out: putting both into the opaque strings, which hides them from the schema. Conclusion: needed by internal/claims; no other package reads these fields.

--- a/schema/gen/peer/peer.go
+++ b/schema/gen/peer/peer.go
@@ -157,6 +157,9 @@
 	// Claimant that ran the request.
 	Claimant string `json:"claimant" toml:"claimant" cbor:"claimant"`
 
+	// Hash of workload and body.
+	Fingerprint string `json:"fingerprint" toml:"fingerprint" cbor:"fingerprint"`
+
 	// Caller name and idempotency key.
 	Key string `json:"key" toml:"key" cbor:"key"`
 
@@ -178,6 +181,10 @@
 	// Claimant that holds the vote.
 	Holder string `json:"holder,omitempty,omitzero" toml:"holder,omitempty" cbor:"holder,omitempty"`
 
+	// VMs that the guard saw listed at any time since the key's birth, where the
+	// verdict is granted.
+	Members int `json:"members,omitempty,omitzero" toml:"members,omitempty" cbor:"members,omitempty"`
+
 	// Recorded reply as JSON, where the verdict is recorded.
 	Outcome string `json:"outcome,omitempty,omitzero" toml:"outcome,omitempty" cbor:"outcome,omitempty"`
 
