--- /dev/null
+++ b/internal/upstream/client.go
@@ -0,0 +1,330 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sardinespindle/sardinespindle/internal/clock"
+	"github.com/sardinespindle/sardinespindle/internal/manifest"
+	"github.com/sardinespindle/sardinespindle/internal/mechanism"
+	"github.com/sardinespindle/sardinespindle/internal/policy/connbudget"
+	"github.com/sardinespindle/sardinespindle/internal/policy/limit"
+	"github.com/sardinespindle/sardinespindle/internal/policy/replica"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
+	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
+)
+
+// Options of a Client. Only Log and Registerer may be nil besides the functions
+// marked optional.
+type Options struct {
+	// VM and Zone name this VM and its availability zone.
+	VM, Zone   string
+	Mechanisms mechanism.Set
+	// VMs returns how many VMs may be alive; optional, 0 where not known.
+	VMs func() int
+	// Members returns the names of the VMs that may be alive, this one included;
+	// optional. It shares out probes, and connections where VMs outnumber them.
+	Members func() []string
+	Log     *log.Logger
+	// Registerer takes the metrics.
+	Registerer prometheus.Registerer
+	// Report is called on each change worth telling peers; optional.
+	Report func(Evidence)
+	// Now reads a clock that runs while the VM is frozen; optional.
+	Now func() time.Duration
+}
+
+// Evidence says whether an upstream drains.
+type Evidence struct {
+	Address  string
+	Draining bool
+	// Age of the evidence.
+	Age time.Duration
+}
+
+// rules are the mechanisms in force.
+type rules struct {
+	limits, drain, echo bool
+}
+
+// groupKey names the upstreams that serve one shard; Shard is empty for a single workload.
+type groupKey struct {
+	workload, shard string
+}
+
+// group is the upstreams that serve one shard.
+type group struct {
+	servers []*server
+	hedge   atomic.Pointer[hedgeDelay]
+}
+
+// table is one manifest compiled for lookup. It is immutable.
+type table struct {
+	servers   map[string]*server
+	groups    map[groupKey]*group
+	workloads map[string]*group
+}
+
+// Client sends requests to upstreams. Each upstream's state has its own lock; the
+// table of upstreams is replaced as a whole.
+type Client struct {
+	o         Options
+	rules     rules
+	metrics   *metrics
+	transport *http.Transport
+
+	apply   sync.Mutex // held while a manifest is applied or shares are set
+	current atomic.Pointer[table]
+	probing chan struct{} // bounds background probes
+}
+
+// mostProbes is the most background probes at a time.
+const mostProbes = 16
+
+// New returns a client without upstreams.
+func New(o Options) (*Client, error) {
+	if o.Now == nil {
+		o.Now = clock.Boot
+	}
+	if o.VMs == nil {
+		o.VMs = func() int { return 0 }
+	}
+	if o.Members == nil {
+		o.Members = func() []string { return nil }
+	}
+	if o.Report == nil {
+		o.Report = func(Evidence) {}
+	}
+	m, err := newMetrics(o.Registerer)
+	if err != nil {
+		return nil, fmt.Errorf("register upstream metrics: %w", err)
+	}
+	c := &Client{
+		o:         o,
+		metrics:   m,
+		transport: newTransport(o.Now),
+		probing:   make(chan struct{}, mostProbes),
+		rules: rules{
+			limits: !o.Mechanisms.Baseline(),
+			drain:  o.Mechanisms.On(settings.ExperimentDisableElemDrain),
+			echo:   o.Mechanisms.On(settings.ExperimentDisableElemEcho),
+		},
+	}
+	c.current.Store(&table{})
+	return c, nil
+}
+
+// Apply puts a new manifest in force. State of upstreams that stay is kept.
+func (c *Client) Apply(m *manifest.Manifest) {
+	c.apply.Lock()
+	defer c.apply.Unlock()
+	old := c.current.Load()
+	next := &table{
+		servers:   make(map[string]*server, len(m.Upstreams)),
+		groups:    make(map[groupKey]*group),
+		workloads: make(map[string]*group),
+	}
+	for address, u := range m.Upstreams {
+		s := old.servers[address]
+		if s == nil {
+			s = c.newServer(u, len(old.servers) == 0)
+		}
+		s.update(u, string(u.Zone) == c.o.Zone)
+		next.servers[address] = s
+	}
+	for name, w := range m.Workloads {
+		next.addWorkload(name, w)
+	}
+	c.current.Store(next)
+	for address, s := range old.servers {
+		if next.servers[address] == nil {
+			s.pool.setMost(0)
+			c.metrics.connections.DeleteLabelValues(address)
+		}
+	}
+	c.setShares(next)
+}
+
+// addWorkload adds the groups of one workload.
+func (t *table) addWorkload(name string, w *manifest.Workload) {
+	t.workloads[name] = t.group(w.Upstreams)
+	if !w.Sharded() {
+		t.groups[groupKey{workload: name}] = t.group(w.Upstreams)
+		return
+	}
+	for shard, us := range w.Replicas {
+		t.groups[groupKey{name, shard}] = t.group(us)
+	}
+}
+
+// group returns the group of the upstreams listed.
+func (t *table) group(us []*gen.Upstream) *group {
+	g := &group{}
+	for _, u := range us {
+		if s := t.servers[u.Address]; s != nil {
+			g.servers = append(g.servers, s)
+		}
+	}
+	return g
+}
+
+// newServer returns the state of an upstream that is new to this VM; atStart tells
+// that the VM itself is new, so that the upstream may have been there for long.
+func (c *Client) newServer(u *gen.Upstream, atStart bool) *server {
+	return &server{
+		address: u.Address,
+		speed:   replica.New(c.o.Now(), atStart),
+		limit:   limit.New(u.Slots),
+		pool: &pool{
+			address:   u.Address,
+			transport: c.transport,
+			now:       c.o.Now,
+			dialed:    c.countDial,
+		},
+	}
+}
+
+// countDial counts one dial.
+func (c *Client) countDial(err error) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	c.metrics.dials.WithLabelValues(result).Inc()
+}
+
+// setShares sets each pool's share for the VM list as it is now.
+func (c *Client) setShares(t *table) {
+	vms := c.o.VMs()
+	members := c.o.Members()
+	for _, s := range t.servers {
+		s.mu.Lock()
+		limit := s.entry.ConnectionLimit
+		s.mu.Unlock()
+		s.pool.setMost(connbudget.Connections(limit, vms, s.address, c.o.VM, members))
+		open, _, _ := s.pool.counts()
+		c.metrics.connections.WithLabelValues(s.address).Set(float64(open))
+	}
+}
+
+const (
+	upkeepInterval = 250 * time.Millisecond
+	shareInterval  = time.Second
+)
+
+// Run probes, keeps connections warm and follows the VM list until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	tick := time.NewTicker(upkeepInterval)
+	defer tick.Stop()
+	var sharedAt time.Duration
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := c.o.Now()
+		if now-sharedAt >= shareInterval {
+			sharedAt = now
+			c.apply.Lock()
+			c.setShares(c.current.Load())
+			c.apply.Unlock()
+		}
+		c.upkeep(ctx, now)
+	}
+}
+
+// warmChance is the part of the pools that are looked after in one tick, which
+// spreads the dials of a VM that starts.
+const warmChance = 0.5
+
+// upkeep warms pools and probes the upstreams that are due.
+func (c *Client) upkeep(ctx context.Context, now time.Duration) {
+	members := c.o.Members()
+	for _, s := range c.current.Load().servers {
+		if rand.Float64() < warmChance && s.verdict(now) != drainVerdict {
+			s.pool.warm()
+		}
+		if c.rules.drain && c.probeDue(s, now, members) {
+			c.probeInBackground(ctx, s)
+		}
+	}
+}
+
+// Close closes every idle connection; those in use are closed when they are given back.
+func (c *Client) Close() {
+	c.apply.Lock()
+	defer c.apply.Unlock()
+	for _, s := range c.current.Load().servers {
+		s.pool.setMost(0)
+	}
+}
+
+// State is what the read-only status shows of one upstream.
+type State struct {
+	Address     string  `json:"address"`
+	Workload    string  `json:"workload"`
+	Zone        string  `json:"zone"`
+	Eligibility string  `json:"eligibility"`
+	LeaseLeftMs int64   `json:"lease_left_ms"`
+	Outstanding int     `json:"outstanding"`
+	Limit       int     `json:"limit"`
+	LatencyMs   float64 `json:"latency_ms"`
+	Suspect     bool    `json:"suspect"`
+	Shedding    bool    `json:"shedding"`
+	Connections int     `json:"connections"`
+	Share       int     `json:"share"`
+}
+
+// States returns the state of every upstream, ordered by address.
+func (c *Client) States() []State {
+	now := c.o.Now()
+	t := c.current.Load()
+	out := make([]State, 0, len(t.servers))
+	for _, s := range t.servers {
+		out = append(out, s.state(now))
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Address < out[j].Address })
+	return out
+}
+
+// state returns what the status shows of the upstream.
+func (s *server) state(now time.Duration) State {
+	open, _, most := s.pool.counts()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return State{
+		Address:     s.address,
+		Workload:    string(s.entry.Workload),
+		Zone:        string(s.entry.Zone),
+		Eligibility: s.lease.Verdict(now).String(),
+		LeaseLeftMs: s.lease.Left(now).Milliseconds(),
+		Outstanding: s.speed.Outstanding,
+		Limit:       s.limit.Value(),
+		LatencyMs:   s.speed.Latency(now) / float64(time.Millisecond),
+		Suspect:     s.speed.Suspect(now),
+		Shedding:    s.speed.Shedding(now),
+		Connections: open,
+		Share:       most,
+	}
+}
+
+// Errors of Pick. After each nothing was sent.
+var (
+	// ErrNoReplica: the manifest has no upstream left to try for the shard.
+	ErrNoReplica = errors.New("upstream: no replica")
+	// ErrDraining: every upstream left to try is draining.
+	ErrDraining = errors.New("upstream: every replica is draining")
+	// ErrLimited: every upstream left to try is at its concurrency limit.
+	ErrLimited = errors.New("upstream: every replica is at its limit")
+)
--- /dev/null
+++ b/internal/upstream/do.go
@@ -0,0 +1,249 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+)
+
+// mostStale is how many connections may be found closed before an attempt gives up.
+const mostStale = 3
+
+var (
+	errSpent    = errors.New("upstream: ticket was used before")
+	errTooLate  = errors.New("upstream: deadline passed before sending")
+	errLease    = errors.New("upstream: lease expired before sending")
+	errNotRun   = errors.New("upstream refused before it ran anything")
+	errStatus   = errors.New("upstream replied with an error")
+	errNoWrite  = errors.New("connection had ended before the first byte")
+	contentType = []string{"application/json"}
+)
+
+// Do makes one attempt at the ticket's replica. It is never repeated after its
+// first byte.
+func (c *Client) Do(ctx context.Context, t *Ticket, a Attempt) Result {
+	s := t.server
+	if !t.spent.CompareAndSwap(false, true) {
+		return Result{Class: NotSent, Address: s.address, Err: errSpent}
+	}
+	if !a.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, a.Deadline)
+		defer cancel()
+	}
+	r := c.attempt(ctx, s, &a)
+	now := c.o.Now()
+	r.Address = s.address
+	r.Latency = now - t.pickedAt
+	learned := r.Class
+	if errors.Is(r.Err, errConnect) {
+		learned = failedConnect
+	}
+	s.learn(now, learned, r.Latency, r.RetryAfter)
+	c.metrics.attempts.WithLabelValues(a.Workload, r.Class.String()).Inc()
+	c.metrics.seconds.WithLabelValues(a.Workload).Observe(r.Latency.Seconds())
+	return r
+}
+
+// errConnect marks an attempt that failed for want of a connection.
+var errConnect = errors.New("upstream: no connection")
+
+// attempt renews the lease where needed, takes a connection and sends.
+func (c *Client) attempt(ctx context.Context, s *server, a *Attempt) Result {
+	if c.rules.drain {
+		if err := c.ensureLease(ctx, s); err != nil {
+			return Result{Class: NotSent, Err: err}
+		}
+	}
+	for range mostStale {
+		cn, err := s.pool.get(ctx)
+		if err != nil {
+			if ctx.Err() == nil {
+				err = fmt.Errorf("%w: %w", errConnect, err)
+			}
+			return Result{Class: NotSent, Err: err}
+		}
+		r := c.send(ctx, s, cn, a)
+		if !errors.Is(r.Err, errNoWrite) {
+			return r
+		}
+	}
+	return Result{Class: NotSent, Err: errNoWrite}
+}
+
+// send makes the attempt on one connection and gives the connection back.
+func (c *Client) send(ctx context.Context, s *server, cn *conn, a *Attempt) Result {
+	req := c.request(ctx, s, a)
+	cn.sock.arm(func() error { return c.gate(ctx, s) })
+	resp, err := cn.RoundTrip(req)
+	if err != nil {
+		wrote, read, _ := cn.sock.seal()
+		cn.Close()
+		return lostResult(ctx, err, wrote, read)
+	}
+	body, err := readBody(resp, maxReplyBody)
+	received := c.o.Now()
+	_, _, sent := cn.sock.seal()
+	if err != nil {
+		cn.Close()
+		return lostResult(ctx, err, true, true)
+	}
+	if c.rules.echo && resp.Header.Get(headerRequestID) != a.RequestID {
+		cn.Close()
+		return Result{Class: Garbled, Status: resp.StatusCode, Err: errEcho}
+	}
+	r := c.classify(a, resp, body)
+	if r.Class == Garbled {
+		cn.Close()
+		return r
+	}
+	s.pool.put(cn)
+	c.observe(s, resp, sent, received)
+	return r
+}
+
+// gate is asked right before the first byte is written.
+func (c *Client) gate(ctx context.Context, s *server) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if d, ok := ctx.Deadline(); ok && !time.Now().Before(d) {
+		return errTooLate
+	}
+	if !c.rules.drain {
+		return nil
+	}
+	switch s.verdict(c.o.Now()) {
+	case drainVerdict:
+		return ErrDraining
+	case readyVerdict:
+		return nil
+	default:
+		return errLease
+	}
+}
+
+// lostResult classifies an attempt that got no whole reply.
+func lostResult(ctx context.Context, err error, wrote, read bool) Result {
+	switch {
+	case !wrote && gateRefused(ctx, err):
+		return Result{Class: NotSent, Err: err}
+	case !wrote:
+		return Result{Class: NotSent, Err: fmt.Errorf("%w: %w", errNoWrite, err)}
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return Result{Class: TimedOut, Err: err}
+	case ctx.Err() != nil:
+		return Result{Class: Canceled, Err: err}
+	case read:
+		return Result{Class: Garbled, Err: err}
+	default:
+		return Result{Class: Lost, Err: err}
+	}
+}
+
+// gateRefused reports whether it was this VM that did not want to send.
+func gateRefused(ctx context.Context, err error) bool {
+	return ctx.Err() != nil || errors.Is(err, errTooLate) || errors.Is(err, ErrDraining) || errors.Is(err, errLease)
+}
+
+// classify says what a whole reply means.
+func (c *Client) classify(a *Attempt, resp *http.Response, body []byte) Result {
+	status := resp.StatusCode
+	r := Result{Status: status, RetryAfter: retryAfterOf(resp)}
+	answered := status/100 == 2 || status/100 == 4
+	switch {
+	case status == http.StatusServiceUnavailable && resp.Header.Get(headerNotRun) == "true":
+		r.Class, r.Err = Shed, errNotRun
+	case a.Kind == Single && answered:
+		r.Class, r.Body = OK, body
+	case a.Kind == Search && status == http.StatusOK:
+		reply, err := decodeReply(body)
+		if err == nil {
+			err = c.checkReply(a, reply.RequestId, reply.Shard)
+		}
+		if err != nil {
+			r.Class, r.Err = Garbled, err
+			return r
+		}
+		r.Class, r.Reply = OK, reply
+	default:
+		r.Class, r.Err = Failed, fmt.Errorf("%w: status %d", errStatus, status)
+		r.Body = body
+	}
+	return r
+}
+
+// checkReply checks that a part is for this attempt and of its shard.
+func (c *Client) checkReply(a *Attempt, id, shard string) error {
+	if !c.rules.echo {
+		return nil
+	}
+	if id != a.RequestID {
+		return errEcho
+	}
+	if shard != a.Shard {
+		return errShard
+	}
+	return nil
+}
+
+// observe learns from the headers of a reply.
+func (c *Client) observe(s *server, resp *http.Response, sent, received time.Duration) {
+	c.witness(s, sent, received, isDraining(resp))
+	if load, ok := loadOf(resp); ok {
+		s.reported(received, load)
+	}
+}
+
+// request builds the HTTP request of an attempt.
+func (c *Client) request(ctx context.Context, s *server, a *Attempt) *http.Request {
+	path := "/request/" + a.Workload
+	if a.Kind == Search {
+		path = "/search/" + a.Workload
+	}
+	req := newRequest(ctx, http.MethodPost, s.address, path, a.Body)
+	h := req.Header
+	h["Content-Type"] = contentType
+	h[headerRequestID] = []string{a.RequestID}
+	if a.Shard != "" {
+		h[headerShard] = []string{a.Shard}
+	}
+	if a.Snapshot != nil {
+		h[headerSnapshot] = []string{strconv.Itoa(a.Snapshot.Index) + "." + strconv.Itoa(a.Snapshot.Map)}
+	}
+	if d, ok := ctx.Deadline(); ok {
+		left := max(time.Until(d).Milliseconds(), 1)
+		h[headerDeadline] = []string{strconv.FormatInt(left, 10)}
+	}
+	if a.IdempotencyKey != "" {
+		h[headerKey] = []string{a.IdempotencyKey}
+	}
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(h))
+	return req
+}
+
+// newRequest returns a request whose body cannot be rewound.
+func newRequest(ctx context.Context, method, address, path string, body []byte) *http.Request {
+	req := &http.Request{
+		Method: method,
+		URL:    &url.URL{Scheme: "http", Host: address, Path: path},
+		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: make(http.Header, 8),
+		Host:   address,
+		Body:   http.NoBody,
+	}
+	if len(body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(body))
+		req.ContentLength = int64(len(body))
+	}
+	return req.WithContext(ctx)
+}
--- /dev/null
+++ b/internal/upstream/metrics.go
@@ -0,0 +1,58 @@
+package upstream
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics holds the package's metrics.
+type metrics struct {
+	connections *prometheus.GaugeVec
+	attempts    *prometheus.CounterVec
+	dials       *prometheus.CounterVec
+	probes      *prometheus.CounterVec
+	refusals    *prometheus.CounterVec
+	seconds     *prometheus.HistogramVec
+}
+
+// newMetrics makes the metrics and registers them; r may be nil.
+func newMetrics(r prometheus.Registerer) (*metrics, error) {
+	m := &metrics{
+		connections: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "spindle_upstream_connections", Help: "Connections open to an upstream.",
+		}, []string{"address"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "spindle_upstream_attempts_total", Help: "Attempts by workload and class.",
+		}, []string{"workload", "class"}),
+		dials: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "spindle_upstream_dials_total", Help: "Connections dialed, by result.",
+		}, []string{"result"}),
+		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "spindle_upstream_probes_total", Help: "Probes sent, by result.",
+		}, []string{"result"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "spindle_upstream_refusals_total", Help: "Attempts for which no replica was picked, by reason.",
+		}, []string{"workload", "reason"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "spindle_upstream_attempt_seconds", Help: "Time from picking a replica to the end of its reply.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
+		}, []string{"workload"}),
+	}
+	if r == nil {
+		return m, nil
+	}
+	for _, c := range []prometheus.Collector{m.connections, m.attempts, m.dials, m.probes, m.refusals, m.seconds} {
+		if err := r.Register(c); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
+
+// String names the class in metrics and logs.
+func (c Class) String() string {
+	names := [...]string{"ok", "shed", "not_sent", "lost", "timed_out", "canceled", "garbled", "failed"}
+	if c < 0 || int(c) >= len(names) {
+		return "invalid"
+	}
+	return names[c]
+}
--- /dev/null
+++ b/internal/upstream/pick.go
@@ -0,0 +1,122 @@
+package upstream
+
+import (
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/manifest"
+	"github.com/sardinespindle/sardinespindle/internal/policy/replica"
+)
+
+// Ticket is a picked replica with a concurrency slot. It is used by one Do or
+// given back by Cancel.
+type Ticket struct {
+	server   *server
+	pickedAt time.Duration
+	spent    atomic.Bool
+}
+
+// Address returns the address of the picked replica.
+func (t *Ticket) Address() string { return t.server.address }
+
+// Cancel gives the slot back; it does nothing on a ticket that was used.
+func (t *Ticket) Cancel() {
+	if t.spent.CompareAndSwap(false, true) {
+		t.server.giveBack()
+	}
+}
+
+// fewReplicas is the number of replicas up to which all are weighed against each other.
+const fewReplicas = 8
+
+// Pick picks a replica of a shard and takes a slot of it. It never waits.
+func (c *Client) Pick(w *manifest.Workload, shard string, exclude []string, hedge bool) (*Ticket, error) {
+	g := c.current.Load().groups[groupKey{string(w.Name), shard}]
+	if g == nil {
+		return nil, c.refuse(w, ErrNoReplica)
+	}
+	now := c.o.Now()
+	var tried [fewReplicas]*server
+	for n := 0; n < len(tried); n++ {
+		s, err := c.choose(g, now, exclude, tried[:n], hedge)
+		if err != nil {
+			return nil, c.refuse(w, err)
+		}
+		if s.take(c.rules) {
+			return &Ticket{server: s, pickedAt: now}, nil
+		}
+		tried[n] = s
+	}
+	return nil, c.refuse(w, ErrLimited)
+}
+
+// refuse counts a refusal.
+func (c *Client) refuse(w *manifest.Workload, err error) error {
+	reason := "no_replica"
+	switch {
+	case errors.Is(err, ErrDraining):
+		reason = "draining"
+	case errors.Is(err, ErrLimited):
+		reason = "limited"
+	}
+	c.metrics.refusals.WithLabelValues(string(w.Name), reason).Inc()
+	return err
+}
+
+// choose weighs the replicas of a group, two at random where there are many.
+func (c *Client) choose(g *group, now time.Duration, exclude []string, tried []*server, hedge bool) (*server, error) {
+	var buf [2 * fewReplicas]*server
+	good, suspect := buf[:0:fewReplicas], buf[fewReplicas:fewReplicas]
+	var costBuf [2 * fewReplicas]float64
+	goodCost, suspectCost := costBuf[:0:fewReplicas], costBuf[fewReplicas:fewReplicas]
+	refusal := ErrNoReplica
+	start := 0
+	if len(g.servers) > 0 {
+		start = rand.IntN(len(g.servers))
+	}
+	for i := range g.servers {
+		s := g.servers[(start+i)%len(g.servers)]
+		if slices.Contains(exclude, s.address) || slices.Contains(tried, s) {
+			continue
+		}
+		o := s.offer(now, c.rules, hedge)
+		switch {
+		case o.refusal != nil:
+			refusal = worse(refusal, o.refusal)
+		case o.suspect && len(suspect) < fewReplicas:
+			suspect, suspectCost = append(suspect, s), append(suspectCost, o.cost)
+		case !o.suspect:
+			good, goodCost = append(good, s), append(goodCost, o.cost)
+		}
+		if len(good) == fewReplicas {
+			break
+		}
+	}
+	switch {
+	case len(good) > 0:
+		return good[c.pickCost(goodCost)], nil
+	case len(suspect) > 0:
+		return suspect[c.pickCost(suspectCost)], nil
+	default:
+		return nil, refusal
+	}
+}
+
+// pickCost chooses by cost, or at random under the baseline policy.
+func (c *Client) pickCost(costs []float64) int {
+	if c.o.Mechanisms.Baseline() {
+		return rand.IntN(len(costs))
+	}
+	return replica.Choose(costs, rand.Float64())
+}
+
+// worse keeps the refusal that says most: a limit passes sooner than a drain.
+func worse(a, b error) error {
+	if errors.Is(a, ErrLimited) || errors.Is(b, ErrNoReplica) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,319 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	dialTimeout        = time.Second
+	dialBackoff        = time.Second
+	keepAliveIdle      = 10 * time.Second
+	keepAliveInterval  = 5 * time.Second
+	keepAliveCount     = 3
+	userTimeout        = 15 * time.Second
+	maxReplyHeader     = 16 << 10
+	connBuffer         = 4 << 10
+	mostWaiters        = 1024
+	warmConnections    = 2
+	idleConnectionLife = 5 * time.Minute
+)
+
+// Errors of taking a connection. After each no byte has been sent.
+var (
+	errNoShare  = errors.New("upstream: this VM has no connection share")
+	errPoolFull = errors.New("upstream: too many attempts wait for a connection")
+)
+
+// conn is one HTTP/1.1 connection: net/http speaks on it and never replays a
+// request on another one, as http.Transport's own pool would.
+type conn struct {
+	*http.ClientConn
+	sock      *sock
+	idleSince time.Duration
+}
+
+// sockKey carries, in the context of a dial, the place where the socket is put.
+type sockKey struct{}
+
+// newTransport returns the transport that makes connections. It has no proxy, no
+// compression and no pool of its own.
+func newTransport(now func() time.Duration) *http.Transport {
+	d := &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+		},
+		Control: setUserTimeout,
+	}
+	return &http.Transport{
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxReplyHeader,
+		ReadBufferSize:         connBuffer,
+		WriteBufferSize:        connBuffer,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			nc, err := d.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			s := &sock{Conn: nc, now: now, onClose: func() {}}
+			if p, ok := ctx.Value(sockKey{}).(**sock); ok {
+				*p = s
+			}
+			return s, nil
+		},
+	}
+}
+
+// setUserTimeout bounds how long written bytes may stay unacknowledged, so that a
+// connection to a host that has gone does not hold its place for minutes.
+func setUserTimeout(_, _ string, rc syscall.RawConn) error {
+	var serr error
+	err := rc.Control(func(fd uintptr) {
+		serr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	return errors.Join(err, serr)
+}
+
+// waiter waits for a connection.
+type waiter struct {
+	ready chan struct{}
+	conn  *conn
+	err   error
+}
+
+// pool holds the connections to one upstream, at most this VM's share. Its lock is
+// never held while a connection is used or closed.
+type pool struct {
+	address   string
+	transport *http.Transport
+	now       func() time.Duration
+	dialed    func(error)
+
+	mu       sync.Mutex // guards the fields below
+	most     int
+	open     int // connections open or being dialed
+	dialing  int
+	idle     []*conn
+	waiters  []*waiter
+	peak     int // most connections in use of late
+	failedAt time.Duration
+	failed   bool
+}
+
+// get takes a connection: an idle one, or the first that is dialed or given back.
+func (p *pool) get(ctx context.Context) (*conn, error) {
+	w := &waiter{ready: make(chan struct{})}
+	c, err := p.takeOrWait(w)
+	if c != nil || err != nil {
+		return c, err
+	}
+	select {
+	case <-w.ready:
+		return w.conn, w.err
+	case <-ctx.Done():
+		p.leave(w)
+		return nil, fmt.Errorf("wait for a connection: %w", ctx.Err())
+	}
+}
+
+// takeOrWait returns an idle connection, or puts w in the queue.
+func (p *pool) takeOrWait(w *waiter) (*conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.most <= 0 {
+		return nil, errNoShare
+	}
+	for n := len(p.idle); n > 0; n = len(p.idle) {
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		if !c.sock.dead() {
+			p.peak = max(p.peak, p.open-p.dialing-len(p.idle))
+			return c, nil
+		}
+	}
+	if len(p.waiters) >= mostWaiters {
+		return nil, errPoolFull
+	}
+	p.waiters = append(p.waiters, w)
+	p.peak = min(max(p.peak, p.open-p.dialing+len(p.waiters)), p.most)
+	if p.open < p.most && p.dialing < len(p.waiters) {
+		p.startDial()
+	}
+	return nil, nil
+}
+
+// leave takes w out of the queue; a connection that it already got goes back.
+func (p *pool) leave(w *waiter) {
+	p.mu.Lock()
+	for i, x := range p.waiters {
+		if x == w {
+			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
+			p.mu.Unlock()
+			return
+		}
+	}
+	p.mu.Unlock()
+	<-w.ready
+	if w.conn != nil {
+		p.put(w.conn)
+	}
+}
+
+// put gives a connection back. One above the share, or of no more use, is closed.
+func (p *pool) put(c *conn) {
+	if c.Available() == 0 {
+		c.Close()
+		return
+	}
+	if !p.keep(c) {
+		c.Close()
+	}
+}
+
+// keep passes a connection to a waiter or to the idle ones; false where it is over
+// the share.
+func (p *pool) keep(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open > p.most || c.sock.dead() {
+		return false
+	}
+	if len(p.waiters) > 0 {
+		p.serve(c, nil)
+		return true
+	}
+	c.idleSince = p.now()
+	p.idle = append(p.idle, c)
+	return true
+}
+
+// serve hands a connection or an error to the first waiter. The lock is held.
+func (p *pool) serve(c *conn, err error) {
+	w := p.waiters[0]
+	p.waiters = p.waiters[1:]
+	w.conn, w.err = c, err
+	close(w.ready)
+}
+
+// startDial dials in the background. The lock is held.
+func (p *pool) startDial() {
+	p.open++
+	p.dialing++
+	go p.dial()
+}
+
+// dial makes one connection and hands it over.
+func (p *pool) dial() {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	var s *sock
+	ctx = context.WithValue(ctx, sockKey{}, &s)
+	cc, err := p.transport.NewClientConn(ctx, "http", p.address)
+	p.dialed(err)
+	p.mu.Lock()
+	p.dialing--
+	p.failed = err != nil
+	if err != nil {
+		p.failedAt = p.now()
+		p.open--
+		if len(p.waiters) > 0 {
+			p.serve(nil, fmt.Errorf("connect to %s: %w", p.address, err))
+		}
+		p.mu.Unlock()
+		return
+	}
+	p.mu.Unlock()
+	if !p.watch(s) {
+		p.gone()
+	}
+	p.put(&conn{ClientConn: cc, sock: s})
+}
+
+// watch makes the pool hear of the connection's end; false where it has ended.
+func (p *pool) watch(s *sock) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onClose = p.gone
+	return !s.closed
+}
+
+// gone counts a connection that has ended, and replaces it where one is needed.
+func (p *pool) gone() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+	live := p.idle[:0]
+	for _, c := range p.idle {
+		if !c.sock.dead() {
+			live = append(live, c)
+		}
+	}
+	clear(p.idle[len(live):])
+	p.idle = live
+	if len(p.waiters) > p.dialing && p.open < p.most {
+		p.startDial()
+	}
+}
+
+// setMost changes the share. Idle connections above it are closed at once, others
+// when they are given back.
+func (p *pool) setMost(most int) {
+	p.mu.Lock()
+	p.most = most
+	var extra []*conn
+	for p.open-len(extra) > most && len(p.idle) > 0 {
+		extra = append(extra, p.idle[0])
+		p.idle = p.idle[1:]
+	}
+	var refused []*waiter
+	if most <= 0 {
+		refused, p.waiters = p.waiters, nil
+	}
+	p.mu.Unlock()
+	for _, c := range extra {
+		c.Close()
+	}
+	for _, w := range refused {
+		w.err = errNoShare
+		close(w.ready)
+	}
+}
+
+// warm dials up to as many connections as were in use of late, so that a request
+// does not wait for one, and closes those idle for long.
+func (p *pool) warm() {
+	p.mu.Lock()
+	now := p.now()
+	if !p.failed || now-p.failedAt > dialBackoff {
+		want := min(max(p.peak, warmConnections), p.most)
+		for p.open < want {
+			p.startDial()
+		}
+	}
+	var old []*conn
+	for len(p.idle) > 0 && p.open-len(old) > warmConnections && now-p.idle[0].idleSince > idleConnectionLife {
+		old = append(old, p.idle[0])
+		p.idle = p.idle[1:]
+		p.peak = min(p.peak, p.open-len(old))
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		c.Close()
+	}
+}
+
+// counts returns the connections open, those idle among them, and the share.
+func (p *pool) counts() (open, idle, most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open, len(p.idle), p.most
+}
--- /dev/null
+++ b/internal/upstream/probe.go
@@ -0,0 +1,208 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/sardinespindle/sardinespindle/internal/policy/connbudget"
+	"github.com/sardinespindle/sardinespindle/internal/policy/drain"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
+)
+
+const (
+	// drainVerdict is the verdict that ends upkeep of connections.
+	drainVerdict = drain.Draining
+	// readyVerdict is the verdict that lets an attempt go.
+	readyVerdict = drain.Ready
+
+	probeTimeout = time.Second
+	// ownInterval is the interval of the probes of the VM that probes for all.
+	ownInterval = time.Second
+	// markedInterval is the interval at which each VM asks again an upstream that
+	// it holds for draining, should a peer's report have been lost.
+	markedInterval = 5 * time.Second
+)
+
+// probeCall is a probe under way; err is set before done is closed.
+type probeCall struct {
+	done chan struct{}
+	err  error
+}
+
+// ensureLease waits for a probe where the lease has expired.
+func (c *Client) ensureLease(ctx context.Context, s *server) error {
+	switch s.verdict(c.o.Now()) {
+	case drain.Ready:
+		return nil
+	case drain.Draining:
+		return ErrDraining
+	case drain.Expired:
+	}
+	call := c.startProbe(s)
+	select {
+	case <-call.done:
+	case <-ctx.Done():
+		return fmt.Errorf("probe %s: %w", s.address, ctx.Err())
+	}
+	if call.err != nil {
+		return fmt.Errorf("probe %s: %w", s.address, call.err)
+	}
+	return nil
+}
+
+// startProbe starts a probe, or joins the one under way.
+func (c *Client) startProbe(s *server) *probeCall {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.probe != nil {
+		return s.probe
+	}
+	call := &probeCall{done: make(chan struct{})}
+	s.probe = call
+	s.probedAt = c.o.Now()
+	path := probePath(s.entry)
+	go func() {
+		call.err = c.sendProbe(s, path)
+		s.mu.Lock()
+		s.probe = nil
+		s.mu.Unlock()
+		close(call.done)
+	}()
+	return call
+}
+
+// probePath returns the request path of an upstream's workload.
+func probePath(u *gen.Upstream) string {
+	if len(u.Shards) > 0 {
+		return "/search/" + string(u.Workload)
+	}
+	return "/request/" + string(u.Workload)
+}
+
+// errProbe refuses a reply to a probe that proves nothing.
+var errProbe = errors.New("reply to a probe proves nothing")
+
+// sendProbe asks the upstream on the path of real requests whether it drains.
+func (c *Client) sendProbe(s *server, path string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	err := c.tryProbe(ctx, s, path)
+	result := "ok"
+	switch {
+	case errors.Is(err, ErrDraining):
+		result = "draining"
+	case err != nil:
+		result = "failed"
+	}
+	c.metrics.probes.WithLabelValues(result).Inc()
+	return err
+}
+
+// tryProbe makes one probe.
+func (c *Client) tryProbe(ctx context.Context, s *server, path string) error {
+	id := uuid.NewString()
+	cn, err := s.pool.get(ctx)
+	if err != nil {
+		return err
+	}
+	req := newRequest(ctx, http.MethodOptions, s.address, path, nil)
+	req.Header[headerRequestID] = []string{id}
+	cn.sock.arm(func() error { return nil })
+	resp, err := cn.RoundTrip(req)
+	if err != nil {
+		cn.sock.seal()
+		cn.Close()
+		return err
+	}
+	_, err = readBody(resp, maxProbeBody)
+	received := c.o.Now()
+	_, _, sent := cn.sock.seal()
+	if err != nil {
+		cn.Close()
+		return err
+	}
+	if echo := resp.Header.Get(headerRequestID); c.rules.echo && echo != "" && echo != id {
+		cn.Close()
+		return errEcho
+	}
+	s.pool.put(cn)
+	draining := isDraining(resp)
+	if !draining && resp.StatusCode/100 != 2 {
+		return fmt.Errorf("%w: status %d", errProbe, resp.StatusCode)
+	}
+	c.witness(s, sent, received, draining)
+	if draining {
+		return ErrDraining
+	}
+	return nil
+}
+
+// witness records an upstream's own statement and tells peers of a change.
+func (c *Client) witness(s *server, sent, received time.Duration, draining bool) {
+	if !s.heard(sent, received, draining) {
+		return
+	}
+	age := time.Duration(0)
+	if !draining {
+		age = max(c.o.Now()-sent, 0)
+	}
+	c.logChange(s.address, draining, "itself")
+	c.o.Report(Evidence{Address: s.address, Draining: draining, Age: age})
+}
+
+// Learn takes evidence from a peer.
+func (c *Client) Learn(e Evidence) {
+	s := c.current.Load().servers[e.Address]
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	changed := s.lease.Report(c.o.Now(), e.Age, e.Draining)
+	s.mu.Unlock()
+	if changed {
+		c.logChange(e.Address, e.Draining, "peer")
+	}
+}
+
+// logChange logs that an upstream began or ended to drain.
+func (c *Client) logChange(address string, draining bool, source string) {
+	if c.o.Log != nil {
+		c.o.Log.Info("upstream draining changed", "address", address, "draining", draining, "source", source)
+	}
+}
+
+// probeDue reports whether this VM should probe the upstream now, unasked: an idle
+// one where it probes for all VMs, or one that it holds for draining.
+func (c *Client) probeDue(s *server, now time.Duration, members []string) bool {
+	s.mu.Lock()
+	due := s.probe == nil && now-s.probedAt >= ownInterval && s.lease.Left(now) < ownInterval
+	lost := s.lease.Marked() && now-s.probedAt >= markedInterval+rand.N(markedInterval)
+	s.mu.Unlock()
+	if !due {
+		return false
+	}
+	return lost || connbudget.First(s.address, members) == c.o.VM
+}
+
+// probeInBackground starts a probe unless too many are under way.
+func (c *Client) probeInBackground(ctx context.Context, s *server) {
+	select {
+	case c.probing <- struct{}{}:
+	default:
+		return
+	}
+	call := c.startProbe(s)
+	go func() {
+		defer func() { <-c.probing }()
+		select {
+		case <-call.done:
+		case <-ctx.Done():
+		}
+	}()
+}
--- /dev/null
+++ b/internal/upstream/reply.go
@@ -0,0 +1,136 @@
+package upstream
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/upstream"
+)
+
+// Header names, in the canonical form of net/http.
+const (
+	headerRequestID  = "Spindle-Request-Id"
+	headerShard      = "Spindle-Shard"
+	headerSnapshot   = "Spindle-Snapshot"
+	headerDeadline   = "Spindle-Deadline-Ms"
+	headerDraining   = "Spindle-Draining"
+	headerLoad       = "Spindle-Load"
+	headerNotRun     = "Spindle-Not-Run"
+	headerRetryAfter = "Retry-After"
+	headerKey        = "Idempotency-Key"
+)
+
+const (
+	maxReplyBody   = 8 << 20
+	maxProbeBody   = 4 << 10
+	maxDocuments   = 1000
+	mostRetryAfter = time.Hour
+	mostLoad       = 1e6
+)
+
+// Errors of replies that may not be used.
+var (
+	errEcho     = errors.New("reply is for another attempt")
+	errShard    = errors.New("reply is of another shard")
+	errTooLarge = errors.New("reply is too large")
+	errNoLength = errors.New("reply has no length, so its end cannot be told from a cut")
+	errInvalid  = errors.New("reply is not valid")
+)
+
+// readBody reads a whole body of at most most bytes.
+func readBody(resp *http.Response, most int64) ([]byte, error) {
+	defer resp.Body.Close()
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, errNoLength
+	}
+	if resp.ContentLength > most {
+		return nil, errTooLarge
+	}
+	if resp.ContentLength >= 0 {
+		// One byte more lets the read see the end, which frees the connection.
+		body := make([]byte, resp.ContentLength+1)
+		n, err := io.ReadFull(resp.Body, body)
+		if errors.Is(err, io.EOF) || (errors.Is(err, io.ErrUnexpectedEOF) && int64(n) == resp.ContentLength) {
+			return body[:n], nil
+		}
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > most {
+		return nil, errTooLarge
+	}
+	return body, nil
+}
+
+// wireReply tells a field left out from one that is zero.
+type wireReply struct {
+	RequestID *string `json:"request_id"`
+	Shard     *string `json:"shard"`
+	Snapshot  *struct {
+		Index *int `json:"index"`
+		Map   *int `json:"map"`
+	} `json:"snapshot"`
+	Documents     *[]gen.Document `json:"documents"`
+	DocumentsHeld *int            `json:"documents_held"`
+}
+
+// decodeReply decodes one shard's part and checks that it is whole.
+func decodeReply(body []byte) (*gen.Reply, error) {
+	var w wireReply
+	if err := json.Unmarshal(body, &w); err != nil {
+		return nil, fmt.Errorf("%w: %w", errInvalid, err)
+	}
+	if w.RequestID == nil || w.Shard == nil || w.Documents == nil || w.DocumentsHeld == nil {
+		return nil, fmt.Errorf("%w: a field is missing", errInvalid)
+	}
+	if w.Snapshot == nil || w.Snapshot.Index == nil || w.Snapshot.Map == nil {
+		return nil, fmt.Errorf("%w: snapshot is missing", errInvalid)
+	}
+	r := &gen.Reply{
+		RequestId:     *w.RequestID,
+		Shard:         *w.Shard,
+		Snapshot:      gen.Snapshot{Index: *w.Snapshot.Index, Map: *w.Snapshot.Map},
+		Documents:     *w.Documents,
+		DocumentsHeld: *w.DocumentsHeld,
+	}
+	if r.Snapshot.Index < 0 || r.Snapshot.Map < 0 || r.DocumentsHeld < len(r.Documents) || len(r.Documents) > maxDocuments {
+		return nil, fmt.Errorf("%w: a number is out of range", errInvalid)
+	}
+	for i := range r.Documents {
+		if r.Documents[i].Id == "" {
+			return nil, fmt.Errorf("%w: a document has no id", errInvalid)
+		}
+	}
+	return r, nil
+}
+
+// isDraining reports whether a reply says that its upstream is leaving.
+func isDraining(resp *http.Response) bool {
+	return resp.Header.Get(headerDraining) == "true"
+}
+
+// loadOf returns the load that a reply reports; false where it reports none.
+func loadOf(resp *http.Response) (float64, bool) {
+	load, err := strconv.ParseFloat(resp.Header.Get(headerLoad), 64)
+	if err != nil || !(load >= 0 && load <= mostLoad) {
+		return 0, false
+	}
+	return load, true
+}
+
+// retryAfterOf returns the Retry-After of a reply; 0 where there is none.
+func retryAfterOf(resp *http.Response) time.Duration {
+	seconds, err := strconv.ParseFloat(resp.Header.Get(headerRetryAfter), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return min(time.Duration(min(seconds, mostRetryAfter.Seconds())*float64(time.Second)), mostRetryAfter)
+}
--- /dev/null
+++ b/internal/upstream/server.go
@@ -0,0 +1,147 @@
+package upstream
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/policy/drain"
+	"github.com/sardinespindle/sardinespindle/internal/policy/limit"
+	"github.com/sardinespindle/sardinespindle/internal/policy/replica"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
+)
+
+// server is one upstream: its connections and what this VM knows of it.
+type server struct {
+	address string
+	pool    *pool
+
+	mu        sync.Mutex // guards the fields below
+	entry     *gen.Upstream
+	sameZone  bool
+	speed     replica.State
+	limit     limit.Limit
+	lease     drain.State
+	latencies histogram
+	probe     *probeCall // under way; nil for none
+	probedAt  time.Duration
+}
+
+// update takes the upstream's entry of a new manifest.
+func (s *server) update(u *gen.Upstream, sameZone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entry, s.sameZone = u, sameZone
+	s.lease.SetManifest(u.Draining)
+}
+
+// verdict says whether new work may be sent at now.
+func (s *server) verdict(now time.Duration) drain.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lease.Verdict(now)
+}
+
+// heard records the statement of a reply on draining; it reports a change.
+func (s *server) heard(sent, received time.Duration, draining bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lease.Reply(sent, received, draining)
+}
+
+// offer is what a replica offers to the choice.
+type offer struct {
+	refusal error
+	suspect bool
+	cost    float64
+}
+
+// expiredLeaseCost stands for the probe that an expired lease needs first.
+const expiredLeaseCost = 2 * time.Millisecond
+
+// offer says whether one more attempt may go to this upstream, and at what cost.
+func (s *server) offer(now time.Duration, rules rules, hedge bool) offer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if rules.drain && s.lease.Verdict(now) == drain.Draining {
+		return offer{refusal: ErrDraining}
+	}
+	if rules.limits && !s.limit.Allows(s.speed.Outstanding) {
+		return offer{refusal: ErrLimited}
+	}
+	suspect := s.speed.Suspect(now)
+	if hedge && (suspect || s.speed.Shedding(now)) {
+		return offer{refusal: ErrLimited}
+	}
+	cost := s.speed.Cost(now, max(s.entry.Slots, 1), s.sameZone)
+	if rules.drain && s.lease.Verdict(now) == drain.Expired {
+		cost += float64(expiredLeaseCost)
+	}
+	return offer{suspect: suspect, cost: cost}
+}
+
+// take takes a concurrency slot; false where the limit is reached meanwhile.
+func (s *server) take(rules rules) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if rules.limits && !s.limit.Allows(s.speed.Outstanding) {
+		return false
+	}
+	s.speed.Outstanding++
+	return true
+}
+
+// giveBack returns the slot of an attempt that was not made.
+func (s *server) giveBack() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.speed.Outstanding--
+}
+
+// failedConnect is the class of an attempt that got no connection, for learning only.
+const failedConnect Class = -1
+
+// learn returns the slot and records what became of an attempt.
+func (s *server) learn(now time.Duration, class Class, latency, retryAfter time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	inFlight := s.speed.Outstanding
+	s.speed.Outstanding--
+	switch class {
+	case OK:
+		s.speed.Answered(now, latency)
+		s.limit.Done(now, latency, inFlight, s.entry.ConnectionLimit)
+		s.latencies.add(now, latency)
+	case Shed:
+		s.speed.Shed(now, retryAfter)
+		s.limit.Shed(now)
+	case Lost, Garbled, Failed, failedConnect:
+		s.speed.Failed(now)
+		s.limit.Lost(now)
+	case TimedOut:
+		s.timedOut(now, latency)
+	case Canceled:
+		s.speed.Unanswered(now, latency)
+	case NotSent:
+	}
+}
+
+// slowFactor is the ratio to the expected latency from which a timeout speaks
+// against the replica and not against the deadline.
+const slowFactor = 2
+
+// timedOut records an attempt that reached its deadline. The lock is held.
+func (s *server) timedOut(now, waited time.Duration) {
+	slow := float64(waited) > slowFactor*s.speed.Latency(now)
+	s.speed.Unanswered(now, waited)
+	if slow {
+		s.speed.Failed(now)
+		s.limit.Lost(now)
+	}
+}
+
+// reported records the load that the upstream reported.
+func (s *server) reported(now time.Duration, load float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.speed.Load(now, load)
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,279 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinespindle/sardinespindle/internal/manifest"
+	"github.com/sardinespindle/sardinespindle/internal/mechanism"
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
+	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
+	upgen "github.com/sardinespindle/sardinespindle/schema/gen/upstream"
+)
+
+func TestUpstream(t *testing.T) { testkit.Run(t, "upstream") }
+
+// fake is an upstream on loopback that counts what reaches it.
+type fake struct {
+	*httptest.Server
+	posts, probes, conns atomic.Int64
+	draining             atomic.Bool
+	handle               atomic.Pointer[http.HandlerFunc]
+}
+
+// newFake starts a fake that answers every search with an empty part.
+func newFake() *fake {
+	f := &fake{}
+	f.answer(f.empty)
+	f.Server = httptest.NewUnstartedServer(http.HandlerFunc(f.serve))
+	f.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		switch s {
+		case http.StateNew:
+			f.conns.Add(1)
+		case http.StateClosed, http.StateHijacked:
+			f.conns.Add(-1)
+		default:
+		}
+	}
+	f.Start()
+	DeferCleanup(f.Close)
+	return f
+}
+
+func (f *fake) address() string { return strings.TrimPrefix(f.URL, "http://") }
+
+func (f *fake) answer(h http.HandlerFunc) { f.handle.Store(&h) }
+
+func (f *fake) serve(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
+	if f.draining.Load() {
+		w.Header().Set(headerDraining, "true")
+	}
+	if r.Method == http.MethodOptions {
+		f.probes.Add(1)
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	f.posts.Add(1)
+	(*f.handle.Load())(w, r)
+}
+
+func (f *fake) empty(w http.ResponseWriter, r *http.Request) {
+	_ = json.NewEncoder(w).Encode(upgen.Reply{
+		RequestId: r.Header.Get(headerRequestID), Shard: r.Header.Get(headerShard),
+		Snapshot: upgen.Snapshot{Index: 1, Map: 1}, Documents: []upgen.Document{},
+	})
+}
+
+const wlSearch, wlOrder = "parts-finder", "order-desk"
+
+// model returns a manifest with the upstreams as replicas of shard s0, and as upstreams of a single workload.
+func model(us ...*gen.Upstream) *manifest.Manifest {
+	m := &manifest.Manifest{Workloads: map[string]*manifest.Workload{}, Upstreams: map[string]*gen.Upstream{}}
+	for _, u := range us {
+		m.Upstreams[u.Address] = u
+	}
+	m.Workloads[wlSearch] = &manifest.Workload{
+		Workload:  gen.Workload{Name: wlSearch, Kind: gen.WorkloadKindSharded, Idempotent: true},
+		Upstreams: us, Replicas: map[string][]*gen.Upstream{"s0": us},
+	}
+	m.Workloads[wlOrder] = &manifest.Workload{
+		Workload:  gen.Workload{Name: wlOrder, Kind: gen.WorkloadKindSingle},
+		Upstreams: us,
+	}
+	return m
+}
+
+func entry(address string) *gen.Upstream {
+	return &gen.Upstream{Address: address, Zone: "a", Workload: wlSearch, Shards: []gen.Name{"s0"}, Slots: 2, ConnectionLimit: 60}
+}
+
+func newClient(o Options, m *manifest.Manifest) *Client {
+	o.VM, o.Zone = "vm-1", "a"
+	if o.VMs == nil {
+		o.VMs = func() int { return 16 }
+	}
+	c, err := New(o)
+	Expect(err).NotTo(HaveOccurred())
+	c.Apply(m)
+	DeferCleanup(c.Close)
+	return c
+}
+
+var attemptN atomic.Int64
+
+func search() Attempt {
+	return Attempt{
+		Kind: Search, Workload: wlSearch, Shard: "s0", RequestID: "r" + strconv.FormatInt(attemptN.Add(1), 10),
+		Body: []byte(`{"query":"quill"}`), Deadline: time.Now().Add(5 * time.Second),
+	}
+}
+
+func order() Attempt {
+	a := search()
+	a.Kind, a.Workload, a.Shard, a.IdempotencyKey = Single, wlOrder, "", "0192-key"
+	return a
+}
+
+func try(ctx context.Context, c *Client, m *manifest.Manifest, a Attempt) Result {
+	t, err := c.Pick(m.Workloads[a.Workload], a.Shard, nil, a.Hedge)
+	Expect(err).NotTo(HaveOccurred())
+	return c.Do(ctx, t, a)
+}
+
+// hijack takes the connection of a request over from the fake's server.
+func hijack(w http.ResponseWriter) net.Conn {
+	nc, _, err := http.NewResponseController(w).Hijack()
+	Expect(err).NotTo(HaveOccurred())
+	return nc
+}
+
+var _ = Describe("Do", func() {
+	var f *fake
+	var m *manifest.Manifest
+	var c *Client
+	BeforeEach(func() {
+		f = newFake()
+		m = model(entry(f.address()))
+		c = newClient(Options{}, m)
+	})
+
+	It("never replays an order whose kept-alive connection breaks without a reply", func() {
+		f.answer(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") })
+		Expect(try(context.Background(), c, m, order()).Class).To(Equal(OK))
+		f.answer(func(w http.ResponseWriter, _ *http.Request) { hijack(w).Close() })
+		before := f.posts.Load()
+		r := try(context.Background(), c, m, order())
+		Expect(r.Class).To(Equal(Lost))
+		empty := order()
+		empty.Body = nil
+		f.answer(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") })
+		Expect(try(context.Background(), c, m, order()).Class).To(Equal(OK))
+		f.answer(func(w http.ResponseWriter, _ *http.Request) { hijack(w).Close() })
+		Expect(try(context.Background(), c, m, empty).Class).To(Equal(Lost))
+		Consistently(f.posts.Load, "100ms").Should(Equal(before + 3))
+	})
+
+	DescribeTable("classifies a reply that may not be used",
+		func(a func() Attempt, h http.HandlerFunc, want Class) {
+			f.answer(h)
+			r := try(context.Background(), c, m, a())
+			Expect(r.Class).To(Equal(want), "%v", r.Err)
+			Expect(r.Reply).To(BeNil())
+			Expect(r.Err).To(HaveOccurred())
+		},
+		Entry("cut short", search, func(w http.ResponseWriter, r *http.Request) {
+			nc := hijack(w)
+			fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 100\r\n\r\n{", headerRequestID, r.Header.Get(headerRequestID))
+			nc.Close()
+		}, Garbled),
+		Entry("cut in its header", search, func(w http.ResponseWriter, _ *http.Request) {
+			nc := hijack(w)
+			fmt.Fprint(nc, "HTTP/1.1 200 OK\r\nSpind")
+			nc.Close()
+		}, Garbled),
+		Entry("ended by closing, so that a cut would not show", order, func(w http.ResponseWriter, r *http.Request) {
+			nc := hijack(w)
+			fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\nhalf", headerRequestID, r.Header.Get(headerRequestID))
+			nc.Close()
+		}, Garbled),
+		Entry("not JSON", search, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{"request_id":`) }, Garbled),
+		Entry("without its snapshot", search, func(w http.ResponseWriter, r *http.Request) {
+			fmt.Fprintf(w, `{"request_id":%q,"shard":"s0","documents":[],"documents_held":0}`, r.Header.Get(headerRequestID))
+		}, Garbled),
+		Entry("of another attempt by its header", order, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerRequestID, "other")
+		}, Garbled),
+		Entry("a refusal of another attempt", order, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerRequestID, "other")
+			w.Header().Set(headerNotRun, "true")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, Garbled),
+		Entry("of another shard", search, func(w http.ResponseWriter, r *http.Request) {
+			fmt.Fprintf(w, `{"request_id":%q,"shard":"s1","snapshot":{"index":1,"map":1},"documents":[],"documents_held":0}`, r.Header.Get(headerRequestID))
+		}, Garbled),
+		Entry("a refusal that ran nothing", search, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerNotRun, "true")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, Shed),
+		Entry("a 503 that may have run", order, func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, Failed),
+		Entry("a redirect", order, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Location", "/request/order-desk")
+			w.WriteHeader(http.StatusTemporaryRedirect)
+		}, Failed),
+	)
+
+	It("drops the connection after a crossed reply", func() {
+		f.answer(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(headerRequestID, "other") })
+		Expect(try(context.Background(), c, m, order()).Class).To(Equal(Garbled))
+		Eventually(func() int { open, _, _ := c.current.Load().servers[f.address()].pool.counts(); return open }).Should(BeZero())
+	})
+
+	It("says what may have run when an attempt is cancelled or late", func() {
+		release := make(chan struct{})
+		defer close(release)
+		arrived := make(chan struct{}, 2)
+		f.answer(func(_ http.ResponseWriter, r *http.Request) {
+			arrived <- struct{}{}
+			select {
+			case <-r.Context().Done():
+			case <-release:
+			}
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { <-arrived; cancel() }()
+		Expect(try(ctx, c, m, order()).Class).To(Equal(Canceled))
+		late := order()
+		late.Deadline = time.Now().Add(50 * time.Millisecond)
+		Expect(try(context.Background(), c, m, late).Class).To(Equal(TimedOut))
+		gone := order()
+		gone.Deadline = time.Now().Add(-time.Millisecond)
+		before := f.posts.Load()
+		Expect(try(context.Background(), c, m, gone).Class).To(Equal(NotSent))
+		Consistently(f.posts.Load, "50ms").Should(Equal(before))
+	})
+
+	It("reports an upstream that cannot be reached as not sent", func() {
+		f.Close()
+		r := try(context.Background(), c, m, order())
+		Expect(r.Class).To(Equal(NotSent))
+	})
+
+	It("takes a ticket once", func() {
+		t, err := c.Pick(m.Workloads[wlSearch], "s0", nil, false)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.Do(context.Background(), t, search()).Class).To(Equal(OK))
+		t.Cancel()
+		Expect(c.Do(context.Background(), t, search()).Class).To(Equal(NotSent))
+		Expect(c.States()[0].Outstanding).To(BeZero())
+	})
+
+	It("passes the answer of a client error on for a single workload", func() {
+		f.answer(func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no such part", http.StatusNotFound) })
+		r := try(context.Background(), c, m, order())
+		Expect(r.Class).To(Equal(OK))
+		Expect(r.Status).To(Equal(http.StatusNotFound))
+		Expect(string(r.Body)).To(ContainSubstring("no such part"))
+	})
+
+	It("takes a crossed reply only where the check is off", func() {
+		off := newClient(Options{Mechanisms: mechanism.New(&settings.Experiment{Disable: []settings.ExperimentDisableElem{settings.ExperimentDisableElemEcho}})}, m)
+		f.answer(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(headerRequestID, "other") })
+		Expect(try(context.Background(), off, m, order()).Class).To(Equal(OK))
+	})
+})
