Add stand-ins, example manifests and the demonstration

Ruled out: source addresses to tell VMs apart at the platform and on peer links; each VM gets a platform address and peer links of its own instead, so that the daemon needs no code for the bench.

--- /dev/null
+++ b/internal/bench/client.go
@@ -0,0 +1,127 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/standin"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
+)
+
+// Request is one request of a caller.
+type Request struct {
+	Caller   string
+	Workload string
+	Sharded  bool
+	// Query and Limit belong to a search; Body to a request of a single workload.
+	Query string
+	Limit int
+	Body  string
+	// Nonce stands in Query or Body and is unique to the request, not to its resends.
+	Nonce    string
+	Key      string
+	Deadline time.Duration
+}
+
+// Seen is what a caller saw of one attempt.
+type Seen struct {
+	Request Request
+	VM      string
+	// Due is when the attempt should have been sent, Sent when it was, End when its
+	// reply was whole.
+	Due, Sent, End time.Time
+	Status         int
+	// Reply is nil where no whole reply came.
+	Reply *caller.Reply
+	Err   error
+	// Refused says that no connection could be made at all.
+	Refused bool
+	// Stopping says that the VM had been told to stop before the attempt ended.
+	Stopping bool
+}
+
+// Client sends callers' requests to VMs.
+type Client struct{ http *http.Client }
+
+// idlePerVM bounds the idle connections to each VM.
+const idlePerVM = 256
+
+// replySlack is how long after the deadline the client still waits, to see late replies.
+const replySlack = 3 * time.Second
+
+// NewClient returns a client with a connection pool of its own.
+func NewClient() *Client {
+	return &Client{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerVM}}}
+}
+
+// Do sends one attempt to the VM at an address.
+func (c *Client) Do(ctx context.Context, address string, r Request) Seen {
+	s := Seen{Request: r, VM: address, Sent: time.Now()}
+	s.Due = s.Sent
+	ctx, cancel := context.WithTimeout(ctx, r.Deadline+replySlack)
+	defer cancel()
+	req, err := newRequest(ctx, address, r)
+	if err != nil {
+		s.Err = err
+		return s
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		s.End = time.Now()
+		s.Err = err
+		s.Refused = refused(err)
+		return s
+	}
+	defer resp.Body.Close()
+	s.Status = resp.StatusCode
+	body, err := io.ReadAll(resp.Body)
+	s.End = time.Now()
+	if err != nil {
+		s.Err = fmt.Errorf("read reply: %w", err)
+		return s
+	}
+	var reply caller.Reply
+	if err := json.Unmarshal(body, &reply); err != nil {
+		s.Err = fmt.Errorf("decode reply: %w", err)
+		return s
+	}
+	s.Reply = &reply
+	return s
+}
+
+func newRequest(ctx context.Context, address string, r Request) (*http.Request, error) {
+	path := "requests"
+	body := []byte(r.Body)
+	if r.Sharded {
+		path = "search"
+		var err error
+		if body, err = json.Marshal(caller.Search{Query: r.Query, Limit: r.Limit}); err != nil {
+			return nil, fmt.Errorf("encode search: %w", err)
+		}
+	}
+	url := fmt.Sprintf("http://%s/v1/workloads/%s/%s", address, r.Workload, path)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("request: %w", err)
+	}
+	// A body that cannot be read again keeps net/http from resending by itself.
+	req.GetBody = nil
+	req.Header.Set("Authorization", "Bearer "+Token(r.Caller))
+	req.Header.Set("Content-Type", "application/json")
+	if r.Deadline > 0 {
+		req.Header.Set("Spindle-Deadline-Ms", strconv.FormatInt(r.Deadline.Milliseconds(), 10))
+	}
+	if r.Key != "" {
+		req.Header.Set("Idempotency-Key", r.Key)
+	}
+	return req, nil
+}
+
+// nonceWord is the word of a query or body that carries the nonce.
+func nonceWord(n string) string { return standin.NonceMark + n }
--- /dev/null
+++ b/internal/bench/cluster.go
@@ -0,0 +1,416 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/sardinespindle/sardinespindle/internal/standin"
+	"github.com/sardinespindle/sardinespindle/schema/gen/platform"
+	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
+)
+
+// Loopback addresses: 127.NET.0.N is VM N, 127.NET.1.N the platform as VM N sees it,
+// 127.NET.(100+I).J the link from VM I to VM J; upstreams use the nets from 10 to 23.
+const (
+	callerPort   = 8080
+	peerPort     = 8081
+	adminPort    = 8082
+	platformPort = 8083
+	controlPort  = 8084
+	lockPort     = 8085
+
+	firstNet = 30
+	lastNet  = 250
+	linkNet  = 100
+	maxVMs   = 20
+)
+
+const (
+	readyTimeout = 20 * time.Second
+	readyPoll    = 50 * time.Millisecond
+	callTimeout  = 2 * time.Second
+)
+
+// Options says what a cluster consists of.
+type Options struct {
+	BinDir     string
+	Deployment string
+	VMs        int
+	Seed       uint64
+	Policy     string
+	Disable    []string
+	LingerMs   int
+	// Self is the spindlebench binary, which serves the upstreams.
+	Self string
+	// Dir receives settings and logs.
+	Dir string
+}
+
+// VM is one daemon.
+type VM struct {
+	Name, Zone    string
+	Callers       string
+	Peers         string
+	Admin         string
+	settings      string
+	proc          *process
+	lastStartedAt time.Time
+}
+
+// Cluster is stand-ins and daemons. It is driven by one goroutine; only what stands in
+// fleet and Platform is shared.
+type Cluster struct {
+	Options
+	Platform   *standin.Platform
+	Deployment *Deployment
+	VMs        []*VM
+	Generation int
+	net        int
+	lock       net.Listener
+	http       *http.Client
+	servers    []*http.Server
+	links      [][]*relay
+	upstreams  *process
+	parts      map[string]bool // digests already published
+}
+
+// NewCluster starts everything and waits until each VM is ready.
+func NewCluster(ctx context.Context, o Options) (*Cluster, error) {
+	if o.VMs < 1 || o.VMs > maxVMs {
+		return nil, fmt.Errorf("cluster: %d VMs, want 1 to %d", o.VMs, maxVMs)
+	}
+	c := &Cluster{
+		Options:  o,
+		Platform: standin.NewPlatform(),
+		http:     &http.Client{Timeout: callTimeout},
+		parts:    map[string]bool{},
+	}
+	if err := c.start(ctx); err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	return c, nil
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	if err := c.takeNet(ctx); err != nil {
+		return err
+	}
+	var err error
+	if c.Deployment, err = NewDeployment(c.Options.Deployment, c.net); err != nil {
+		return err
+	}
+	if err := os.MkdirAll(c.Dir, dirMode); err != nil {
+		return fmt.Errorf("cluster: %w", err)
+	}
+	if err := c.startUpstreams(ctx); err != nil {
+		return err
+	}
+	if err := c.Commit(); err != nil {
+		return err
+	}
+	if err := c.prepareVMs(ctx); err != nil {
+		return err
+	}
+	for _, vm := range c.VMs {
+		if err := c.StartVM(vm); err != nil {
+			return err
+		}
+	}
+	return c.WaitReady(ctx)
+}
+
+// takeNet finds a second octet that no other bench on this machine uses.
+func (c *Cluster) takeNet(ctx context.Context) error {
+	var lc net.ListenConfig
+	for n := firstNet; n <= lastNet; n++ {
+		l, err := lc.Listen(ctx, "tcp", fmt.Sprintf("127.%d.0.254:%d", n, lockPort))
+		if err == nil {
+			c.net, c.lock = n, l
+			return nil
+		}
+	}
+	return errors.New("cluster: no free loopback net")
+}
+
+func (c *Cluster) address(third, fourth, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", c.net, third, fourth, port)
+}
+
+func (c *Cluster) startUpstreams(ctx context.Context) error {
+	file := filepath.Join(c.Dir, "upstreams.json")
+	body, err := json.Marshal(c.Deployment.Parts())
+	if err != nil {
+		return fmt.Errorf("cluster: %w", err)
+	}
+	if err := os.WriteFile(file, body, fileMode); err != nil {
+		return fmt.Errorf("cluster: %w", err)
+	}
+	c.upstreams, err = start(c.Dir, "upstreams", c.Self, "standin", "upstreams",
+		"--parts", file, "--control", c.control(), "--seed", fmt.Sprint(c.Seed))
+	if err != nil {
+		return err
+	}
+	return c.wait(ctx, "upstreams", func() bool { return c.get(ctx, "http://"+c.control()+"/v1/log", nil) == nil })
+}
+
+func (c *Cluster) control() string { return c.address(0, 253, controlPort) }
+
+// prepareVMs lays out the VMs, their links, and the platform as each sees it.
+func (c *Cluster) prepareVMs(ctx context.Context) error {
+	for i := range c.Options.VMs {
+		c.VMs = append(c.VMs, &VM{
+			Name:    fmt.Sprintf("vm-%02d", i+1),
+			Zone:    c.Deployment.Zones[i%len(c.Deployment.Zones)],
+			Callers: c.address(0, i+1, callerPort),
+			Peers:   c.address(0, i+1, peerPort),
+			Admin:   c.address(0, i+1, adminPort),
+		})
+	}
+	for i, vm := range c.VMs {
+		if err := c.link(ctx, i); err != nil {
+			return err
+		}
+		if err := c.servePlatform(ctx, i); err != nil {
+			return err
+		}
+		if err := c.writeSettings(i, vm); err != nil {
+			return err
+		}
+	}
+	c.PublishVMs()
+	return nil
+}
+
+// link makes the relays from one VM to every other.
+func (c *Cluster) link(ctx context.Context, i int) error {
+	row := make([]*relay, len(c.VMs))
+	c.links = append(c.links, row)
+	for j, vm := range c.VMs {
+		if i == j {
+			continue
+		}
+		r, err := newRelay(ctx, c.address(linkNet+i, j+1, peerPort), vm.Peers)
+		if err != nil {
+			return err
+		}
+		row[j] = r
+	}
+	return nil
+}
+
+func (c *Cluster) servePlatform(ctx context.Context, i int) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", c.address(1, i+1, platformPort))
+	if err != nil {
+		return fmt.Errorf("platform: %w", err)
+	}
+	s := &http.Server{Handler: c.Platform.Handler(c.VMs[i].Name), ReadHeaderTimeout: time.Minute}
+	c.servers = append(c.servers, s)
+	go func() { _ = s.Serve(l) }()
+	return nil
+}
+
+func (c *Cluster) writeSettings(i int, vm *VM) error {
+	s := settings.Settings{
+		Name: vm.Name,
+		Zone: vm.Zone,
+		Listen: settings.Listen{
+			Callers: settings.Address(vm.Callers),
+			Peers:   settings.Address(vm.Peers),
+			Admin:   settings.Address(vm.Admin),
+		},
+		Platform: settings.Platform{
+			Addresses:    []settings.Address{settings.Address(c.address(1, i+1, platformPort))},
+			WatchSeconds: 30,
+		},
+		Log:  &settings.Log{Level: settings.LogLevelInfo, Format: settings.LogFormatLogfmt},
+		Stop: &settings.Stop{LingerMs: c.LingerMs},
+	}
+	if c.Policy != "" || len(c.Disable) > 0 {
+		e := &settings.Experiment{Policy: settings.ExperimentPolicyCurrent}
+		if c.Policy != "" {
+			e.Policy = settings.ExperimentPolicy(c.Policy)
+		}
+		for _, m := range c.Disable {
+			e.Disable = append(e.Disable, settings.ExperimentDisableElem(m))
+		}
+		s.Experiment = e
+	}
+	body, err := toml.Marshal(s)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	vm.settings = filepath.Join(c.Dir, vm.Name+".toml")
+	if err := os.WriteFile(vm.settings, body, fileMode); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	return nil
+}
+
+// PublishVMs publishes the list of VMs, to each VM with its own links.
+func (c *Cluster) PublishVMs(leaving ...*VM) {
+	for i, reader := range c.VMs {
+		var list platform.VMList
+		for j, vm := range c.VMs {
+			v := platform.VM{Name: vm.Name, Zone: vm.Zone, PeerAddress: vm.Peers, State: platform.VMStateLive}
+			if i != j {
+				v.PeerAddress = c.address(linkNet+i, j+1, peerPort)
+			}
+			for _, l := range leaving {
+				if l == vm {
+					v.State = platform.VMStateLeaving
+				}
+			}
+			list.Vms = append(list.Vms, v)
+		}
+		body, err := json.Marshal(list)
+		if err != nil {
+			panic(fmt.Errorf("encode VM list: %w", err))
+		}
+		c.Platform.SetFor(reader.Name, "vms", body)
+	}
+}
+
+// Commit publishes the deployment as the next generation.
+func (c *Cluster) Commit() error {
+	p, err := Publish(c.Deployment.Parts(), c.Generation+1, now())
+	if err != nil {
+		return err
+	}
+	c.Generation++
+	for i, body := range p.Parts {
+		if !c.parts[p.Digests[i]] {
+			c.parts[p.Digests[i]] = true
+			c.Platform.Set("manifest/parts/"+p.Digests[i], body)
+		}
+	}
+	c.Platform.Set("manifest/head", p.Head)
+	return nil
+}
+
+// StartVM starts a daemon.
+func (c *Cluster) StartVM(vm *VM) error {
+	var err error
+	vm.proc, err = start(c.Dir, vm.Name, filepath.Join(c.BinDir, "sardinespindle"), "--settings", vm.settings)
+	vm.lastStartedAt = time.Now()
+	return err
+}
+
+// WaitReady waits until every VM serves.
+func (c *Cluster) WaitReady(ctx context.Context) error {
+	for _, vm := range c.VMs {
+		if err := c.waitVM(ctx, vm); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) waitVM(ctx context.Context, vm *VM) error {
+	return c.wait(ctx, vm.Name, func() bool { return c.get(ctx, "http://"+vm.Admin+"/readyz", nil) == nil })
+}
+
+func (c *Cluster) wait(ctx context.Context, what string, ok func() bool) error {
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		if ok() {
+			return nil
+		}
+		time.Sleep(readyPoll)
+	}
+	return fmt.Errorf("cluster: %s not ready in %v (logs in %s)", what, readyTimeout, c.Dir)
+}
+
+// get reads a JSON document; into may be nil.
+func (c *Cluster) get(ctx context.Context, url string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return fmt.Errorf("get: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("get: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("get %s: status %d", url, resp.StatusCode)
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+		return fmt.Errorf("get %s: %w", url, err)
+	}
+	return nil
+}
+
+// Do sends a command to the upstreams.
+func (c *Cluster) Do(ctx context.Context, cmd standin.Command) error {
+	body, err := json.Marshal(cmd)
+	if err != nil {
+		return fmt.Errorf("command: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.control()+"/v1/command", bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("command: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("command: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("command: status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// Log reads what the upstreams ran.
+func (c *Cluster) Log(ctx context.Context) (standin.Log, error) {
+	var l standin.Log
+	err := c.get(ctx, "http://"+c.control()+"/v1/log", &l)
+	return l, err
+}
+
+// Close ends every child of the cluster, daemons first.
+func (c *Cluster) Close() error {
+	var errs []error
+	for _, vm := range c.VMs {
+		if vm.proc != nil && vm.proc.alive() {
+			errs = append(errs, vm.proc.signal(syscall.SIGCONT), vm.proc.signal(syscall.SIGTERM))
+		}
+	}
+	for _, vm := range c.VMs {
+		if vm.proc != nil && vm.proc.alive() {
+			errs = append(errs, vm.proc.stop())
+		}
+	}
+	if c.upstreams != nil {
+		errs = append(errs, c.upstreams.stop())
+	}
+	for _, s := range c.servers {
+		_ = s.Close()
+	}
+	for _, row := range c.links {
+		for _, r := range row {
+			if r != nil {
+				r.close()
+			}
+		}
+	}
+	if c.lock != nil {
+		_ = c.lock.Close()
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/bench/deployment.go
@@ -0,0 +1,239 @@
+// Package bench drives real daemons on loopback addresses: it generates the example
+// manifests, starts stand-ins and daemons as processes of its own, loads them, breaks
+// them in the ways of an experiment, and checks what callers saw against what the
+// upstreams ran. State that goroutines share has a lock named where it is declared.
+package bench
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/sardinespindle/sardinespindle/schema/gen/manifest"
+)
+
+// Names of the deployments.
+const (
+	Klapka = "klapka"
+	Kervan = "kervan"
+	// Both is the two deployments in one manifest.
+	Both = "both"
+)
+
+const (
+	upstreamPort    = 7000
+	resendWindowMs  = 600_000
+	maxBodyBytes    = 65_536
+	hashSpace       = 1 << 32
+	replicas        = 2
+	hedgePercent    = 3
+	firstMapVersion = 1
+)
+
+// Deployment is a manifest's content before it is published.
+type Deployment struct {
+	Name      string
+	Zones     []string
+	Workloads []manifest.Workload
+	Maps      []manifest.PartitionMap
+	Upstreams []manifest.Upstream
+	Callers   []manifest.Caller
+}
+
+type tier struct {
+	name       string
+	services   int // 0 for a single workload
+	servers    int // servers of a single workload
+	slots      int
+	conns      int
+	costMs     float64
+	idempotent bool
+}
+
+var klapkaTiers = []tier{
+	{name: "parts-finder", services: 20, slots: 2, conns: 60, costMs: 6, idempotent: true},
+	{name: "voicing-guide", services: 30, slots: 2, conns: 60, costMs: 6, idempotent: true},
+	{name: "order-desk", servers: 10, slots: 4, conns: 250, costMs: 1},
+	{name: "workshop-news", servers: 5, slots: 4, conns: 250, costMs: 1, idempotent: true},
+}
+
+var kervanTiers = []tier{
+	{name: "iade-bakis", services: 20, slots: 2, conns: 50, costMs: 6, idempotent: true},
+	{name: "stok-geri", services: 30, slots: 2, conns: 50, costMs: 6, idempotent: true},
+	{name: "mutabakat", servers: 20, slots: 2, conns: 70, costMs: 1},
+	{name: "bayi-portal", servers: 10, slots: 2, conns: 70, costMs: 1, idempotent: true},
+}
+
+// klapkaNet and kervanNet keep the addresses of the two apart where both run.
+const (
+	klapkaNet = 10
+	kervanNet = 20
+)
+
+// NewDeployment returns a deployment whose upstreams listen on 127.NET.x.y.
+func NewDeployment(name string, net int) (*Deployment, error) {
+	switch name {
+	case Klapka:
+		return klapka(net), nil
+	case Kervan:
+		return kervan(net), nil
+	case Both:
+		return join(klapka(net), kervan(net)), nil
+	}
+	return nil, fmt.Errorf("bench: no deployment %q", name)
+}
+
+func klapka(net int) *Deployment {
+	d := &Deployment{Name: Klapka, Zones: []string{"brno", "olomouc", "zlin"}}
+	for i, t := range klapkaTiers {
+		d.add(t, net, klapkaNet+i)
+	}
+	d.Callers = []manifest.Caller{
+		newCaller("builders",
+			grant("parts-finder", 300, manifest.GrantTradePartial, 0.5, 8),
+			grant("voicing-guide", 300, manifest.GrantTradePartial, 0.5, 8)),
+		newCaller("teachers",
+			grant("voicing-guide", 1000, manifest.GrantTradeFuller, 0.9, 5),
+			grant("workshop-news", 1000, manifest.GrantTradePartial, 0, 3)),
+		newCaller("workshops",
+			grant("parts-finder", 1000, manifest.GrantTradeFuller, 0.9, 5),
+			grant("order-desk", 3000, manifest.GrantTradeComplete, 0, 9),
+			grant("workshop-news", 1000, manifest.GrantTradePartial, 0, 4)),
+	}
+	return d
+}
+
+func kervan(net int) *Deployment {
+	d := &Deployment{Name: Kervan, Zones: []string{"bursa", "izmit", "tekirdag", "yalova"}}
+	for i, t := range kervanTiers {
+		d.add(t, net, kervanNet+i)
+	}
+	d.Callers = []manifest.Caller{
+		newCaller("counters",
+			grant("iade-bakis", 300, manifest.GrantTradePartial, 0, 9),
+			grant("mutabakat", 3000, manifest.GrantTradeComplete, 0, 9)),
+		newCaller("auditors",
+			grant("iade-bakis", 2000, manifest.GrantTradeFuller, 0.95, 5),
+			grant("stok-geri", 2000, manifest.GrantTradeFuller, 0.95, 5),
+			grant("bayi-portal", 2000, manifest.GrantTradePartial, 0, 4)),
+		newCaller("reconciliation",
+			grant("iade-bakis", 10_000, manifest.GrantTradeComplete, 1, 2),
+			grant("stok-geri", 10_000, manifest.GrantTradeComplete, 1, 2),
+			grant("mutabakat", 10_000, manifest.GrantTradeComplete, 0, 3)),
+	}
+	return d
+}
+
+func join(a, b *Deployment) *Deployment {
+	return &Deployment{
+		Name:      Both,
+		Zones:     append(a.Zones, b.Zones...),
+		Workloads: append(a.Workloads, b.Workloads...),
+		Maps:      append(a.Maps, b.Maps...),
+		Upstreams: append(a.Upstreams, b.Upstreams...),
+		Callers:   append(a.Callers, b.Callers...),
+	}
+}
+
+// Token returns the bearer token of a caller in the generated manifests.
+func Token(caller string) string { return "dev-" + caller }
+
+func newCaller(name string, grants ...manifest.Grant) manifest.Caller {
+	sum := sha256.Sum256([]byte(Token(name)))
+	return manifest.Caller{
+		Name:        manifest.Name(name),
+		TokenSha256: manifest.Digest(hex.EncodeToString(sum[:])),
+		Grants:      grants,
+	}
+}
+
+func grant(workload string, deadlineMs int, t manifest.GrantTrade, coverage float64, priority int) manifest.Grant {
+	return manifest.Grant{
+		Workload:        manifest.Name(workload),
+		DeadlineMs:      deadlineMs,
+		Trade:           t,
+		MinimumCoverage: coverage,
+		Priority:        priority,
+		HedgePercent:    hedgePercent,
+	}
+}
+
+// add declares one workload with its partition map and upstreams.
+func (d *Deployment) add(t tier, net, third int) {
+	kind := manifest.WorkloadKindSingle
+	if t.services > 0 {
+		kind = manifest.WorkloadKindSharded
+	}
+	d.Workloads = append(d.Workloads, manifest.Workload{
+		Name:           manifest.Name(t.name),
+		Kind:           kind,
+		Idempotent:     t.idempotent,
+		ResendWindowMs: resendWindowMs,
+		MaxBodyBytes:   maxBodyBytes,
+	})
+	if t.services == 0 {
+		for i := range t.servers {
+			d.Upstreams = append(d.Upstreams, d.upstream(t, net, third, i, nil))
+		}
+		return
+	}
+	m := evenMap(t.name, t.services)
+	d.Maps = append(d.Maps, m)
+	for i := range t.services * replicas {
+		shard := m.Shards[i/replicas].Name
+		d.Upstreams = append(d.Upstreams, d.upstream(t, net, third, i, []manifest.Name{shard}))
+	}
+}
+
+func (d *Deployment) upstream(t tier, net, third, i int, shards []manifest.Name) manifest.Upstream {
+	zone := i % len(d.Zones)
+	if t.services > 0 {
+		zone = (i/replicas + i%replicas) % len(d.Zones)
+	}
+	return manifest.Upstream{
+		Address:          fmt.Sprintf("127.%d.%d.%d:%d", net, third, i+1, upstreamPort),
+		Zone:             manifest.Name(d.Zones[zone]),
+		Workload:         manifest.Name(t.name),
+		Shards:           shards,
+		Slots:            t.slots,
+		ConnectionLimit:  t.conns,
+		ConnectionCostMs: t.costMs,
+	}
+}
+
+// evenMap cuts the hash space into n ranges of nearly equal size.
+func evenMap(workload string, n int) manifest.PartitionMap {
+	m := manifest.PartitionMap{Workload: manifest.Name(workload), Version: firstMapVersion}
+	for i := range n {
+		m.Shards = append(m.Shards, manifest.Shard{
+			Name:  manifest.Name(fmt.Sprintf("s%02d", i+1)),
+			First: i * hashSpace / n,
+			Last:  (i+1)*hashSpace/n - 1,
+		})
+	}
+	return m
+}
+
+// Parts returns the deployment as manifest parts: workloads, upstreams, callers.
+func (d *Deployment) Parts() []manifest.Part {
+	return []manifest.Part{
+		{Workloads: d.Workloads, PartitionMaps: d.Maps},
+		{Upstreams: d.Upstreams},
+		{Callers: d.Callers},
+	}
+}
+
+// AddressesOf lists the upstreams of a workload that serve a shard, or all of them
+// where shard is empty.
+func (d *Deployment) AddressesOf(workload, shard string) []string {
+	var out []string
+	for _, u := range d.Upstreams {
+		if string(u.Workload) != workload {
+			continue
+		}
+		if shard == "" || (len(u.Shards) > 0 && string(u.Shards[0]) == shard) {
+			out = append(out, u.Address)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/bench/process.go
@@ -0,0 +1,90 @@
+package bench
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// killAfter is how long a child may take to end after SIGTERM.
+const killAfter = 30 * time.Second
+
+// process is one child of the bench. Signals go to this child only, by its handle.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error // valid once done is closed
+}
+
+// start starts a child whose output goes to a file in dir.
+func start(dir, name, bin string, args ...string) (*process, error) {
+	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, fileMode)
+	if err != nil {
+		return nil, fmt.Errorf("start %s: %w", name, err)
+	}
+	defer func() { _ = log.Close() }()
+	cmd := exec.Command(bin, args...) //nolint:noctx // ended by stop and kill, not by a context
+	cmd.Stdout = log
+	cmd.Stderr = log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start %s: %w", name, err)
+	}
+	p := &process{name: name, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+func (p *process) signal(s os.Signal) error {
+	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fmt.Errorf("signal %s: %w", p.name, err)
+	}
+	return nil
+}
+
+// alive reports whether the child has not ended.
+func (p *process) alive() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// stop ends the child by SIGTERM, and by SIGKILL where that takes too long. The error
+// is that of a child that ended with another code than 0.
+func (p *process) stop() error {
+	if err := p.signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-p.done:
+	case <-time.After(killAfter):
+		if err := p.kill(); err != nil {
+			return err
+		}
+		return fmt.Errorf("stop %s: still running %v after SIGTERM", p.name, killAfter)
+	}
+	if p.err != nil {
+		return fmt.Errorf("stop %s: %w", p.name, p.err)
+	}
+	return nil
+}
+
+// kill ends the child at once.
+func (p *process) kill() error {
+	if err := p.signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-p.done
+	return nil
+}
