--- a/cmd/sardinespindle/main.go
+++ b/cmd/sardinespindle/main.go
@@ -2,15 +2,57 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/sardinespindle/sardinespindle/internal/daemon"
+	"github.com/sardinespindle/sardinespindle/internal/settings"
+	"github.com/sardinespindle/sardinespindle/internal/telemetry"
 )
 
+// traceFlush bounds the export of the last spans.
+const traceFlush = 2 * time.Second
+
 func main() {
-	app := kingpin.New("sardinespindle", "Query tier over many shards.")
+	app := kingpin.New("sardinespindle", "Query tier over many shards: the daemon of one VM.")
 	path := app.Flag("settings", "Settings file in TOML.").Required().String()
+	check := app.Flag("check", "Check the settings file and exit.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	fmt.Fprintln(os.Stderr, "settings:", *path)
+	if err := run(*path, *check); err != nil {
+		fmt.Fprintln(os.Stderr, "sardinespindle:", err)
+		os.Exit(1)
+	}
+}
+
+func run(path string, check bool) error {
+	s, err := settings.Load(path)
+	if err != nil || check {
+		return err
+	}
+	l, err := telemetry.Logger(os.Stderr, s.Log, s.Name)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	flush, err := telemetry.Traces(ctx, s.Trace, s.Name, s.Zone)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(s, l)
+	if err != nil {
+		return err
+	}
+	if err := d.Run(ctx); err != nil {
+		return err
+	}
+	fctx, cancel := context.WithTimeout(context.Background(), traceFlush)
+	defer cancel()
+	return flush(fctx)
 }
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -225,3 +225,20 @@
 		p.s.sample.Finished++
 	}
 }
+
+// Rate returns the requests a second let through for a workload; 0 for no limit.
+func (c *Controller) Rate(workload string) float64 {
+	c.mu.RLock()
+	s := c.states[workload]
+	c.mu.RUnlock()
+	if s == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, limited := s.bucket.Rate()
+	if !limited {
+		return 0
+	}
+	return r
+}
--- /dev/null
+++ b/internal/daemon/evidence.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/facts"
+	"github.com/sardinespindle/sardinespindle/internal/upstream"
+	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
+)
+
+// spreadTime bounds how long a crash is told to the other VMs before its request
+// goes on.
+const spreadTime = 50 * time.Millisecond
+
+// report tells the other VMs what was seen of an upstream.
+func (d *Daemon) report(e upstream.Evidence) {
+	if e.Draining {
+		d.node.Facts().Put("drain/"+e.Address, "", drainTTL)
+		return
+	}
+	d.node.Facts().Put("alive/"+e.Address, "", aliveTTL)
+}
+
+// learnDrain takes another VM's evidence that an upstream is leaving.
+func (d *Daemon) learnDrain(f facts.Fact) { d.learn(f, "drain/", true, drainTTL) }
+
+// learnAlive takes another VM's evidence that an upstream is not leaving.
+func (d *Daemon) learnAlive(f facts.Fact) { d.learn(f, "alive/", false, aliveTTL) }
+
+func (d *Daemon) learn(f facts.Fact, prefix string, draining bool, ttl time.Duration) {
+	if f.VM() == d.s.Name {
+		return
+	}
+	d.upstreams.Learn(upstream.Evidence{
+		Address:  strings.TrimPrefix(f.Key, prefix),
+		Draining: draining,
+		Age:      max(0, ttl-f.TTL),
+	})
+}
+
+// suspects gives the request path what it needs to know of crashing requests.
+type suspects struct{ d *Daemon }
+
+// Crashes reports whether requests with this fingerprint are refused.
+func (s suspects) Crashes(fingerprint string) bool {
+	if !s.d.mechanisms.On(settings.ExperimentDisableElemPoison) {
+		return false
+	}
+	_, refused := s.d.poison.Refused(fingerprint)
+	return refused
+}
+
+// Crashed notes that a connection was lost while a request ran, and tells the others
+// before the request goes on.
+func (s suspects) Crashed(fingerprint, requestID string) {
+	ctx, cancel := context.WithTimeout(context.Background(), spreadTime)
+	defer cancel()
+	s.d.poison.Crashed(ctx, fingerprint, requestID)
+}
--- /dev/null
+++ b/internal/daemon/vms.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/platform"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/platform"
+)
+
+// vmsBackoff is the mean pause after the platform's VM list could not be read.
+const vmsBackoff = time.Second
+
+// watchVMs follows the platform's lagging list of VMs.
+func (d *Daemon) watchVMs(ctx context.Context) {
+	tag := ""
+	wait := time.Duration(d.s.Platform.WatchSeconds) * time.Second
+	for ctx.Err() == nil {
+		v, changed, err := d.platform.Watch(ctx, platform.VMsKey, tag, wait)
+		if err != nil {
+			tag = ""
+			pause(ctx, vmsBackoff/2+rand.N(vmsBackoff))
+			continue
+		}
+		if !changed {
+			continue
+		}
+		tag = v.Tag
+		d.setVMs(v.Body)
+	}
+}
+
+func (d *Daemon) setVMs(text []byte) {
+	var list gen.VMList
+	if err := json.Unmarshal(text, &list); err != nil {
+		d.log.Error("VM list refused", "reason", err)
+		return
+	}
+	d.node.SetVMs(list.Vms)
+}
+
+func pause(ctx context.Context, t time.Duration) {
+	timer := time.NewTimer(t)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/daemon/wire.go
@@ -0,0 +1,196 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/admission"
+	"github.com/sardinespindle/sardinespindle/internal/callers"
+	"github.com/sardinespindle/sardinespindle/internal/claims"
+	"github.com/sardinespindle/sardinespindle/internal/facts"
+	"github.com/sardinespindle/sardinespindle/internal/manifest"
+	"github.com/sardinespindle/sardinespindle/internal/peer"
+	"github.com/sardinespindle/sardinespindle/internal/platform"
+	"github.com/sardinespindle/sardinespindle/internal/poison"
+	"github.com/sardinespindle/sardinespindle/internal/policy/roster"
+	"github.com/sardinespindle/sardinespindle/internal/rollout"
+	"github.com/sardinespindle/sardinespindle/internal/single"
+	"github.com/sardinespindle/sardinespindle/internal/upstream"
+	peergen "github.com/sardinespindle/sardinespindle/schema/gen/peer"
+	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	leavingTTL    = 60 * time.Second
+	drainMargin   = 5 * time.Second
+	drainTTL      = 30 * time.Second
+	aliveTTL      = 3 * time.Second
+)
+
+// wireFleet makes what talks to the platform and to other VMs.
+func (d *Daemon) wireFleet() error {
+	ip, err := netip.ParseAddrPort(string(d.s.Listen.Peers))
+	if err != nil {
+		return err
+	}
+	d.platform = platform.New(platform.Options{
+		Addresses:  addresses(d.s.Platform.Addresses),
+		LocalIP:    net.IP(ip.Addr().AsSlice()),
+		Registerer: d.registry,
+	})
+	d.node = peer.New(peer.Options{
+		Name:        d.s.Name,
+		Zone:        d.s.Zone,
+		Incarnation: d.incarnation,
+		Started:     d.started,
+		ListenIP:    ip.Addr().String(),
+		Generation:  func() (int, string) { return d.keeper.Head() },
+		Log:         d.log,
+		Registerer:  d.registry,
+	})
+	d.keeper = rollout.New(rollout.Options{
+		Peers:      peers{d},
+		Source:     d.platform,
+		Relay:      d.node.Relay,
+		Wait:       time.Duration(d.s.Platform.WatchSeconds) * time.Second,
+		Apply:      d.apply,
+		Unchecked:  !d.mechanisms.On(settings.ExperimentDisableElemGeneration),
+		Log:        d.log,
+		Registerer: d.registry,
+	})
+	d.claims = claims.New(claims.Options{
+		VM:          d.s.Name,
+		Incarnation: d.incarnation,
+		Started:     time.Now(),
+		Call:        d.node.Call,
+		Roster:      d.claimants,
+		Generation:  func() int { n, _ := d.keeper.Head(); return n },
+		Mechanisms:  d.mechanisms,
+		Log:         d.log,
+		Registerer:  d.registry,
+	})
+	d.poison = poison.New(poison.Options{Fleet: d.node, Log: d.log, Registerer: d.registry})
+	return nil
+}
+
+// wireRequests makes what serves callers and calls upstreams.
+func (d *Daemon) wireRequests() error {
+	var err error
+	d.upstreams, err = upstream.New(upstream.Options{
+		VM:         d.s.Name,
+		Zone:       d.s.Zone,
+		Mechanisms: d.mechanisms,
+		VMs:        d.countVMs,
+		Members:    d.memberNames,
+		Log:        d.log,
+		Registerer: d.registry,
+		Report:     d.report,
+	})
+	if err != nil {
+		return err
+	}
+	d.admission = admission.New(admission.Options{
+		VMs:        d.countVMs,
+		Off:        d.mechanisms.Baseline(),
+		Registerer: d.registry,
+	})
+	d.callers = callers.New(callers.Options{
+		Manifest:   d.keeper.Current,
+		Searcher:   d.newGather(),
+		Runner:     d.newRunner(),
+		Admission:  d.admission,
+		Log:        d.log,
+		Registerer: d.registry,
+	})
+	return nil
+}
+
+// connect lets the parts hear of each other.
+func (d *Daemon) connect() {
+	d.node.Handle(d.keeper.Handle)
+	d.node.Handle(d.claims.Handle)
+	d.node.Facts().Watch(rollout.HeadFact, func(f facts.Fact) {
+		d.keeper.Hear(context.Background(), f.VM(), f.Value)
+	})
+	d.node.Facts().Watch("drain/", d.learnDrain)
+	d.node.Facts().Watch("alive/", d.learnAlive)
+}
+
+// apply takes a manifest that came into force.
+func (d *Daemon) apply(m *manifest.Manifest) {
+	d.upstreams.Apply(m)
+	d.admission.Apply(m)
+}
+
+func addresses(as []settings.Address) []string {
+	out := make([]string, len(as))
+	for i, a := range as {
+		out[i] = string(a)
+	}
+	return out
+}
+
+// countVMs returns how many VMs may be alive: listed, leaving or lately removed.
+func (d *Daemon) countVMs() int { return max(1, len(d.node.Roster())) }
+
+func (d *Daemon) memberNames() []string {
+	var names []string
+	for _, m := range d.node.Roster() {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+func (d *Daemon) claimants() []claims.Member {
+	var out []claims.Member
+	for _, m := range d.node.Roster() {
+		out = append(out, claims.Member{Name: m.Name})
+	}
+	return out
+}
+
+// peers is the keeper's view of the other VMs.
+type peers struct{ d *Daemon }
+
+func (p peers) Call(ctx context.Context, vm string, m *peergen.Message) (*peergen.Message, error) {
+	return p.d.node.Call(ctx, vm, m)
+}
+
+// Names lists the live VMs, those of the own zone first.
+func (p peers) Names() []string {
+	var near, far []string
+	for _, m := range p.d.node.Roster() {
+		switch {
+		case m.Name == p.d.s.Name || m.State != roster.Live:
+		case m.Zone == p.d.s.Zone:
+			near = append(near, m.Name)
+		default:
+			far = append(far, m.Name)
+		}
+	}
+	return append(near, far...)
+}
+
+func (p peers) Put(key, value string, ttl time.Duration) { p.d.node.Facts().Put(key, value, ttl) }
+
+// singleUpstream gives the runner the upstream client by its interface.
+type singleUpstream struct{ c *upstream.Client }
+
+func (u singleUpstream) Pick(w *manifest.Workload, shard string, exclude []string, hedge bool) (single.Ticket, error) {
+	t, err := u.c.Pick(w, shard, exclude, hedge)
+	if err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+func (u singleUpstream) Do(ctx context.Context, t single.Ticket, a upstream.Attempt) upstream.Result {
+	own, ok := t.(*upstream.Ticket)
+	if !ok {
+		panic("daemon: ticket of another client")
+	}
+	return u.c.Do(ctx, own, a)
+}
