Connect VMs as peers and exchange facts, first thin version

Cause: VMs need to share drain marks, manifest heads and crash suspicions without a coordination service. Ruled out: one connection for each direction; a message whose id has the sender's parity tells request from reply, so one serves both. Conclusion: the interfaces compile and the path can be wired; limits and faults are tested next.

--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,181 @@
+package peer
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	rules "github.com/sardinespindle/sardinespindle/internal/policy/facts"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/peer"
+)
+
+// Bounds of messages.
+const (
+	// maxMessageBytes is just above the largest part reply.
+	maxMessageBytes = 1_100_000
+	// maxHelloBytes bounds what an unknown peer may send first.
+	maxHelloBytes = 4096
+	// maxFacts bounds the facts of one message.
+	maxFacts = 1024
+	// maxDigestBuckets bounds the buckets of one digest.
+	maxDigestBuckets = 256
+	maxNameBytes     = 63
+)
+
+// Errors of messages that end a connection.
+var (
+	errFields  = errors.New("not exactly one field set")
+	errBounds  = errors.New("field out of bounds")
+	errNoHello = errors.New("first message is no hello")
+)
+
+var (
+	encMode = mustEnc()
+	decMode = mustDec()
+)
+
+func mustEnc() cbor.EncMode {
+	m, err := cbor.EncOptions{}.EncMode()
+	if err != nil {
+		panic("peer: " + err.Error())
+	}
+	return m
+}
+
+func mustDec() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		MaxNestedLevels:   8,
+		MaxArrayElements:  maxFacts,
+		MaxMapPairs:       32,
+		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
+	}.DecMode()
+	if err != nil {
+		panic("peer: " + err.Error())
+	}
+	return m
+}
+
+func encode(m *gen.Message) ([]byte, error) {
+	b, err := encMode.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode message: %w", err)
+	}
+	if len(b) > maxMessageBytes {
+		return nil, fmt.Errorf("encode message of %d bytes: %w", len(b), errBounds)
+	}
+	return b, nil
+}
+
+// decode reads one message and checks that it is within its bounds.
+func decode(b []byte) (*gen.Message, error) {
+	var m gen.Message
+	if err := decMode.Unmarshal(b, &m); err != nil {
+		return nil, fmt.Errorf("decode message: %w", err)
+	}
+	if fields(&m) != 1 || m.Id < 0 {
+		return nil, errFields
+	}
+	if !inBounds(&m) {
+		return nil, errBounds
+	}
+	return &m, nil
+}
+
+// kinds names the field that is set, for metrics.
+func kind(m *gen.Message) string {
+	for _, k := range kinds {
+		if k.set(m) {
+			return k.name
+		}
+	}
+	return "none"
+}
+
+func fields(m *gen.Message) int {
+	n := 0
+	for _, k := range kinds {
+		if k.set(m) {
+			n++
+		}
+	}
+	return n
+}
+
+type kindOf struct {
+	name string
+	set  func(*gen.Message) bool
+}
+
+var kinds = []kindOf{
+	{"facts", func(m *gen.Message) bool { return m.Facts != nil }},
+	{"digest", func(m *gen.Message) bool { return m.Digest != nil }},
+	{"claim", func(m *gen.Message) bool { return m.Claim != nil }},
+	{"vote", func(m *gen.Message) bool { return m.Vote != nil }},
+	{"release", func(m *gen.Message) bool { return m.Release != nil }},
+	{"record", func(m *gen.Message) bool { return m.Record != nil }},
+	{"lookup", func(m *gen.Message) bool { return m.Lookup != nil }},
+	{"found", func(m *gen.Message) bool { return m.Found != nil }},
+	{"part", func(m *gen.Message) bool { return m.Part != nil }},
+	{"part_reply", func(m *gen.Message) bool { return m.PartReply != nil }},
+	{"hello", func(m *gen.Message) bool { return m.Hello != nil }},
+}
+
+// inBounds checks the messages that this package handles itself; handlers check
+// their own.
+func inBounds(m *gen.Message) bool {
+	switch {
+	case m.Hello != nil:
+		h := m.Hello
+		return h.Name != "" && len(h.Name) <= maxNameBytes && len(h.Zone) <= maxNameBytes &&
+			h.Incarnation != "" && len(h.Incarnation) <= maxNameBytes && h.UptimeMs >= 0
+	case m.Facts != nil:
+		return len(m.Facts.Facts) <= maxFacts
+	case m.Digest != nil:
+		return len(m.Digest.Buckets) <= maxDigestBuckets
+	}
+	return true
+}
+
+// toWire gives facts the time they have left.
+func toWire(now time.Duration, fs []rules.Fact) *gen.Facts {
+	out := make([]gen.Fact, 0, len(fs))
+	for _, f := range fs {
+		left := (f.Expires - now).Milliseconds()
+		if left <= 0 {
+			continue
+		}
+		out = append(out, gen.Fact{Key: f.Key, Origin: f.Origin, Version: f.Version, Value: f.Value, TtlMs: int(left)})
+	}
+	return &gen.Facts{Facts: out}
+}
+
+// fromWire gives facts their expiry on this VM's clock.
+func fromWire(now time.Duration, m *gen.Facts) []rules.Fact {
+	out := make([]rules.Fact, 0, len(m.Facts))
+	for _, f := range m.Facts {
+		ttl := min(time.Duration(max(f.TtlMs, 0)), rules.MaxTTL/time.Millisecond) * time.Millisecond
+		out = append(out, rules.Fact{Key: f.Key, Origin: f.Origin, Version: f.Version, Value: f.Value, Expires: now + ttl})
+	}
+	return out
+}
+
+func digestToWire(sums []uint32) *gen.Digest {
+	out := make([]int, len(sums))
+	for i, s := range sums {
+		out[i] = int(s)
+	}
+	return &gen.Digest{Buckets: out}
+}
+
+func digestFromWire(m *gen.Digest) []uint32 {
+	out := make([]uint32, len(m.Buckets))
+	for i, s := range m.Buckets {
+		out[i] = uint32(s)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/peer/conn.go
@@ -0,0 +1,336 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"golang.org/x/time/rate"
+
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/peer"
+)
+
+// Bounds and times of one connection.
+const (
+	queueMessages = 256
+	queueBytes    = 4 << 20
+	maxPending    = 1024
+	maxHandling   = 64
+	writeTimeout  = 2 * time.Second
+	pingInterval  = time.Second
+	pingTimeout   = 2 * time.Second
+	// A peer that sends faster than this is cut off.
+	messageRate  = rate.Limit(10_000)
+	messageBurst = 20_000
+	byteRate     = rate.Limit(8 << 20)
+	byteBurst    = 32 << 20
+)
+
+// Reasons why a connection ends, as counted.
+const (
+	cutOverflow = "queue_overflow"
+	cutGarbage  = "garbage"
+	cutFlood    = "flood"
+	cutWrite    = "write"
+	cutRead     = "read"
+	cutPing     = "ping"
+	cutIdle     = "idle"
+	cutStop     = "stop"
+	cutIdentity = "identity"
+	cutHello    = "hello"
+	cutFull     = "full"
+	cutReplaced = "replaced"
+	cutPenalty  = "penalty"
+	cutFilter   = "filter"
+)
+
+var errClosed = errors.New("connection closed")
+
+// conn is one connection. The side that dialed numbers its requests with odd ids,
+// the other with even ones, so that a message whose id has this side's parity is a
+// reply.
+type conn struct {
+	node   *Node
+	ws     *websocket.Conn
+	peer   string
+	inc    string
+	dialed bool
+
+	out      chan []byte
+	outBytes atomic.Int64
+	slots    chan struct{}
+	messages *rate.Limiter
+	bytes    *rate.Limiter
+	done     chan struct{}
+	once     sync.Once
+
+	// lastUse and gossipUntil are on the node's clock.
+	lastUse     atomic.Int64
+	gossipUntil atomic.Int64
+
+	mu      sync.Mutex // guards next and pending
+	next    int
+	pending map[int]chan *gen.Message
+}
+
+func newConn(n *Node, ws *websocket.Conn, h *gen.Hello, dialed bool) *conn {
+	c := &conn{
+		node: n, ws: ws, peer: h.Name, inc: h.Incarnation, dialed: dialed,
+		out:      make(chan []byte, queueMessages),
+		slots:    make(chan struct{}, maxHandling),
+		messages: rate.NewLimiter(messageRate, messageBurst),
+		bytes:    rate.NewLimiter(byteRate, byteBurst),
+		done:     make(chan struct{}),
+		pending:  map[int]chan *gen.Message{},
+		next:     2,
+	}
+	if dialed {
+		c.next = 1
+	}
+	c.touch()
+	return c
+}
+
+func (c *conn) direction() string {
+	if c.dialed {
+		return "out"
+	}
+	return "in"
+}
+
+func (c *conn) touch() { c.lastUse.Store(int64(c.node.now())) }
+
+func (c *conn) idle(now time.Duration) time.Duration { return now - time.Duration(c.lastUse.Load()) }
+
+func (c *conn) gossips(now time.Duration) bool { return time.Duration(c.gossipUntil.Load()) > now }
+
+// run serves the connection until it ends.
+func (c *conn) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() { c.writeLoop(ctx) })
+	wg.Go(func() { c.pingLoop(ctx) })
+	c.readLoop(ctx)
+	cancel()
+	wg.Wait()
+}
+
+// close ends the connection once and says why.
+func (c *conn) close(reason string) {
+	c.once.Do(func() {
+		c.node.metrics.cut.WithLabelValues(reason).Inc()
+		close(c.done)
+		_ = c.ws.CloseNow()
+	})
+}
+
+// send queues a message; a full queue ends the connection.
+func (c *conn) send(m *gen.Message) error {
+	b, err := encode(m)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-c.done:
+		return errClosed
+	default:
+	}
+	if c.outBytes.Add(int64(len(b))) > queueBytes {
+		c.close(cutOverflow)
+		return fmt.Errorf("send to %s: queue of bytes full: %w", c.peer, errClosed)
+	}
+	select {
+	case c.out <- b:
+		c.node.metrics.messages.WithLabelValues("out", kind(m)).Inc()
+		return nil
+	default:
+		c.close(cutOverflow)
+		return fmt.Errorf("send to %s: queue full: %w", c.peer, errClosed)
+	}
+}
+
+func (c *conn) writeLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			c.close(cutStop)
+			return
+		case <-c.done:
+			return
+		case b := <-c.out:
+			if !c.write(ctx, b) {
+				return
+			}
+		}
+	}
+}
+
+func (c *conn) write(ctx context.Context, b []byte) bool {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	err := c.ws.Write(ctx, websocket.MessageBinary, b)
+	c.outBytes.Add(-int64(len(b)))
+	if err != nil {
+		c.close(cutWrite)
+		return false
+	}
+	c.node.metrics.bytes.WithLabelValues("out").Add(float64(len(b)))
+	return true
+}
+
+func (c *conn) pingLoop(ctx context.Context) {
+	t := time.NewTicker(pingInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.done:
+			return
+		case <-t.C:
+		}
+		pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+		err := c.ws.Ping(pingCtx)
+		cancel()
+		if err != nil {
+			c.close(cutPing)
+			return
+		}
+	}
+}
+
+func (c *conn) readLoop(ctx context.Context) {
+	for {
+		m, reason := c.read(ctx)
+		if reason != "" {
+			c.close(reason)
+			if reason == cutGarbage || reason == cutFlood {
+				c.node.penalize(c.peer)
+				c.node.log.Warn("peer cut off", "peer", c.peer, "reason", reason)
+			}
+			return
+		}
+		c.dispatch(ctx, m)
+	}
+}
+
+// read returns the next message or the reason to end the connection.
+func (c *conn) read(ctx context.Context) (*gen.Message, string) {
+	typ, b, err := c.ws.Read(ctx)
+	if err != nil {
+		if websocket.CloseStatus(err) == -1 && errors.Is(err, websocket.ErrMessageTooBig) {
+			return nil, cutGarbage
+		}
+		return nil, cutRead
+	}
+	c.node.metrics.bytes.WithLabelValues("in").Add(float64(len(b)))
+	now := time.Now()
+	if !c.messages.AllowN(now, 1) || !c.bytes.AllowN(now, len(b)) {
+		return nil, cutFlood
+	}
+	m, err := decode(b)
+	if err != nil || typ != websocket.MessageBinary || m.Hello != nil {
+		return nil, cutGarbage
+	}
+	c.node.metrics.messages.WithLabelValues("in", kind(m)).Inc()
+	return m, ""
+}
+
+func (c *conn) dispatch(ctx context.Context, m *gen.Message) {
+	switch {
+	case m.Id != 0 && c.mine(m.Id):
+		c.resolve(m)
+	case m.Digest != nil:
+		c.node.repair(c, m.Digest)
+	case m.Facts != nil && m.Id == 0:
+		c.node.learn(c.peer, m.Facts)
+	default:
+		c.handle(ctx, m)
+	}
+}
+
+// mine reports whether an id was given by this side.
+func (c *conn) mine(id int) bool { return (id%2 == 1) == c.dialed }
+
+func (c *conn) resolve(m *gen.Message) {
+	c.mu.Lock()
+	reply, ok := c.pending[m.Id]
+	delete(c.pending, m.Id)
+	c.mu.Unlock()
+	if !ok {
+		c.node.metrics.dropped.WithLabelValues("late_reply").Inc()
+		return
+	}
+	reply <- m
+}
+
+// handle runs a request's handler on a goroutine of its own, of which there are
+// only so many for each connection.
+func (c *conn) handle(ctx context.Context, m *gen.Message) {
+	select {
+	case c.slots <- struct{}{}:
+	default:
+		c.node.metrics.dropped.WithLabelValues("busy").Inc()
+		return
+	}
+	c.touch()
+	go func() {
+		defer func() { <-c.slots }()
+		reply := c.node.serve(ctx, c.peer, m)
+		if reply == nil || m.Id == 0 {
+			return
+		}
+		answer := *reply
+		answer.Id = m.Id
+		if err := c.send(&answer); err != nil {
+			c.node.log.Debug("reply not sent", "peer", c.peer, "err", err)
+		}
+	}()
+}
+
+// call sends a request and waits for its reply.
+func (c *conn) call(ctx context.Context, m *gen.Message) (*gen.Message, error) {
+	c.touch()
+	id, reply, err := c.expect()
+	if err != nil {
+		return nil, err
+	}
+	defer c.forget(id)
+	request := *m
+	request.Id = id
+	if err := c.send(&request); err != nil {
+		return nil, err
+	}
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-c.done:
+		return nil, fmt.Errorf("call %s: %w", c.peer, errClosed)
+	case <-ctx.Done():
+		return nil, fmt.Errorf("call %s: %w", c.peer, ctx.Err())
+	}
+}
+
+func (c *conn) expect() (int, chan *gen.Message, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.pending) >= maxPending {
+		return 0, nil, fmt.Errorf("call %s: too many requests under way", c.peer)
+	}
+	id := c.next
+	c.next += 2
+	reply := make(chan *gen.Message, 1)
+	c.pending[id] = reply
+	return id, reply, nil
+}
+
+func (c *conn) forget(id int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.pending, id)
+}
--- /dev/null
+++ b/internal/peer/fleet_test.go
@@ -0,0 +1,189 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sardinespindle/sardinespindle/internal/clock"
+	"github.com/sardinespindle/sardinespindle/internal/peer"
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
+	"github.com/sardinespindle/sardinespindle/schema/gen/platform"
+)
+
+func TestPeer(t *testing.T) { testkit.Run(t, "peer") }
+
+// vm is one node of a test fleet on a loopback address of its own.
+type vm struct {
+	*peer.Node
+	name, ip, address string
+	registry          *prometheus.Registry
+	server            *httptest.Server
+	cancel            context.CancelFunc
+	done              chan struct{}
+}
+
+func (v *vm) stop() {
+	v.cancel()
+	<-v.done
+	v.server.Close()
+}
+
+// fleet is a set of nodes whose links can be cut.
+type fleet struct {
+	vms []*vm
+	mu  sync.Mutex
+	cut map[[2]string]bool
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{cut: map[[2]string]bool{}}
+	for i := range n {
+		f.vms = append(f.vms, f.start(i, "1"))
+	}
+	f.list()
+	DeferCleanup(func() {
+		for _, v := range f.vms {
+			v.stop()
+		}
+	})
+	return f
+}
+
+func (f *fleet) start(i int, incarnation string) *vm {
+	v := &vm{
+		name: fmt.Sprintf("vm%d", i), ip: fmt.Sprintf("127.0.%d.%d", 10+GinkgoParallelProcess(), i+1),
+		registry: prometheus.NewRegistry(), done: make(chan struct{}),
+	}
+	d := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(v.ip)}}
+	v.Node = peer.New(peer.Options{
+		Name: v.name, Zone: fmt.Sprintf("z%d", i%3), Incarnation: v.name + "-" + incarnation,
+		Started: clock.Boot(), ListenIP: v.ip, Log: log.New(io.Discard), Registerer: v.registry,
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			host, _, _ := net.SplitHostPort(address)
+			if f.isCut(v.ip, host) {
+				return nil, fmt.Errorf("cut")
+			}
+			c, err := d.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &link{Conn: c, fleet: f, a: v.ip, b: host}, nil
+		},
+	})
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, v.Handler())
+	v.server = httptest.NewUnstartedServer(mux)
+	l, err := net.Listen("tcp", v.ip+":0")
+	Expect(err).NotTo(HaveOccurred())
+	v.server.Listener.Close()
+	v.server.Listener = l
+	v.server.Start()
+	v.address = l.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	v.cancel = cancel
+	go func() { defer close(v.done); v.Run(ctx) }()
+	return v
+}
+
+func (f *fleet) list() {
+	var vms []platform.VM
+	for i, v := range f.vms {
+		vms = append(vms, platform.VM{Name: v.name, Zone: fmt.Sprintf("z%d", i%3), PeerAddress: v.address, State: platform.VMStateLive})
+	}
+	for _, v := range f.vms {
+		v.SetVMs(vms)
+	}
+}
+
+func (f *fleet) isCut(a, b string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut[[2]string{min(a, b), max(a, b)}]
+}
+
+func (f *fleet) setCut(a, b *vm, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[[2]string{min(a.ip, b.ip), max(a.ip, b.ip)}] = cut
+}
+
+// link is a connection that goes silent while it is cut and stays dead after it.
+type link struct {
+	net.Conn
+	fleet *fleet
+	a, b  string
+	dead  atomic.Bool
+}
+
+func (l *link) silent() bool {
+	if l.fleet.isCut(l.a, l.b) {
+		l.dead.Store(true)
+	}
+	return l.dead.Load()
+}
+
+func (l *link) Write(p []byte) (int, error) {
+	if l.silent() {
+		return len(p), nil
+	}
+	return l.Conn.Write(p)
+}
+
+func (l *link) Read(p []byte) (int, error) {
+	n, err := l.Conn.Read(p)
+	for err == nil && l.silent() {
+		n, err = l.Conn.Read(p)
+	}
+	return n, err
+}
+
+// reached counts the nodes that know a fact.
+func (f *fleet) reached(key, value string) int {
+	count := 0
+	for _, v := range f.vms {
+		for _, fact := range v.Facts().List(key) {
+			if fact.Value == value {
+				count++
+				break
+			}
+		}
+	}
+	return count
+}
+
+var _ = Describe("a fleet of 20", func() {
+	It("carries a fact to all and heals a cut", func() {
+		f := newFleet(20)
+		f.vms[0].Facts().Put("drain/a", "1", time.Minute)
+		Eventually(func() int { return f.reached("drain/a", "1") }, "5s", "5ms").Should(Equal(20))
+		start := time.Now()
+		f.vms[7].Facts().Put("drain/b", "1", time.Minute)
+		Eventually(func() int { return f.reached("drain/b", "1") }, "5s", "1ms").Should(Equal(20))
+		GinkgoWriter.Println("reached 20 after", time.Since(start))
+		for _, v := range f.vms[1:] {
+			f.setCut(f.vms[0], v, true)
+		}
+		f.vms[3].Facts().Put("drain/c", "1", time.Minute)
+		Eventually(func() int { return f.reached("drain/c", "1") }, "5s", "5ms").Should(Equal(19))
+		Consistently(func() int { return f.reached("drain/c", "1") }, "300ms", "20ms").Should(Equal(19))
+		for _, v := range f.vms[1:] {
+			f.setCut(f.vms[0], v, false)
+		}
+		start = time.Now()
+		Eventually(func() int { return f.reached("drain/c", "1") }, "20s", "10ms").Should(Equal(20))
+		GinkgoWriter.Println("healed after", time.Since(start))
+	})
+})
--- /dev/null
+++ b/internal/poison/poison.go
@@ -0,0 +1,314 @@
+// Package poison keeps requests that crash upstreams from crashing more of them.
+// It shares suspicions among the VMs as facts and asks the fleet before a suspected
+// request runs again. Records are kept in shards, each under its own lock; no lock
+// is held while the fleet is asked.
+package poison
+
+import (
+	"context"
+	"maps"
+	"strings"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sardinespindle/sardinespindle/internal/facts"
+	policy "github.com/sardinespindle/sardinespindle/internal/policy/poison"
+	"github.com/sardinespindle/sardinespindle/internal/policy/roster"
+)
+
+// Bounds of the tables and of the time spent asking.
+const (
+	shards          = 16
+	recordsPerShard = 256
+	recentPerShard  = 512
+	// askTimeout bounds how long the fleet is waited for.
+	askTimeout = 50 * time.Millisecond
+	// comeBack is when to come back for a request that another VM may be running.
+	comeBack = time.Second
+)
+
+// Keys of facts: the lost attempts under their ids, and two kinds of their own.
+const (
+	prefix   = "crash/"
+	run      = "!run"
+	answered = "!answered"
+	idle     = "idle"
+)
+
+// Fleet is what this package needs of the other VMs.
+type Fleet interface {
+	// Spread states a fact directly to every member and returns how many
+	// acknowledged it; what they know under its prefix is merged on the way.
+	Spread(ctx context.Context, f facts.Fact) int
+	// OnSpread registers a function called with each fact before it is acknowledged.
+	OnSpread(fn func(facts.Fact))
+	Facts() *facts.Store
+	Roster() []roster.Member
+}
+
+// Options configure a Guard.
+type Options struct {
+	Fleet      Fleet
+	Now        func() time.Duration
+	Off        bool // Off turns the mechanism off, for experiments.
+	Registerer prometheus.Registerer
+}
+
+// Guard knows the fingerprints that are suspected of crashing upstreams.
+type Guard struct {
+	fleet  Fleet
+	now    func() time.Duration
+	off    bool
+	shards [shards]shard
+	events *prometheus.CounterVec
+}
+
+type shard struct {
+	mu      sync.Mutex
+	records *lru.Cache[string, *policy.Record]
+	// recent holds what this VM lately ran and answered itself.
+	recent *lru.Cache[string, recent]
+}
+
+type recent struct {
+	started  time.Duration
+	running  bool
+	answered time.Duration
+	proven   bool
+}
+
+// New returns a Guard that follows the fleet's facts.
+func New(o Options) *Guard {
+	g := &Guard{fleet: o.Fleet, now: o.Now, off: o.Off}
+	for i := range g.shards {
+		g.shards[i].records = mustLRU[*policy.Record](recordsPerShard)
+		g.shards[i].recent = mustLRU[recent](recentPerShard)
+	}
+	g.events = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "spindle_poison_events_total",
+		Help: "Losses and refusals of requests suspected of crashing upstreams, by event.",
+	}, []string{"event"})
+	if o.Registerer != nil {
+		o.Registerer.MustRegister(g.events)
+	}
+	if !o.Off {
+		g.fleet.Facts().Watch(prefix, g.learn)
+		g.fleet.OnSpread(g.asked)
+	}
+	return g
+}
+
+func mustLRU[V any](size int) *lru.Cache[string, V] {
+	c, err := lru.New[string, V](size)
+	if err != nil {
+		panic("poison: " + err.Error())
+	}
+	return c
+}
+
+func (g *Guard) shard(fingerprint string) *shard {
+	h := uint32(2166136261)
+	for i := range len(fingerprint) {
+		h = (h ^ uint32(fingerprint[i])) * 16777619
+	}
+	return &g.shards[h%shards]
+}
+
+// Refused reports whether a request must not run now, and when to come back. It is
+// asked before each attempt. A request without suspicion costs no message; a
+// suspected one is asked about in the fleet, for a bounded time.
+func (g *Guard) Refused(fingerprint string) (time.Duration, bool) {
+	if g.off {
+		return 0, false
+	}
+	now := g.now()
+	verdict, retryAfter := g.record(fingerprint).Judge(now)
+	switch verdict {
+	case policy.Free:
+		g.started(fingerprint, now)
+		return 0, false
+	case policy.Refuse:
+		g.events.WithLabelValues("refused").Inc()
+		return retryAfter, true
+	}
+	return g.ask(fingerprint)
+}
+
+// ask asks the fleet whether a suspected request may run here.
+func (g *Guard) ask(fingerprint string) (time.Duration, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	store := g.fleet.Facts()
+	f := store.State(prefix+fingerprint+"/"+run, "", policy.RunLease)
+	acks := g.fleet.Spread(ctx, f) + 1
+	g.refresh(fingerprint)
+	record := g.record(fingerprint)
+	if record.Permit(g.now(), store.Origin(), acks, len(g.fleet.Roster())) {
+		g.events.WithLabelValues("permitted").Inc()
+		g.started(fingerprint, g.now())
+		return 0, false
+	}
+	g.withdraw(fingerprint)
+	g.events.WithLabelValues("not_permitted").Inc()
+	verdict, retryAfter := record.Judge(g.now())
+	if verdict == policy.Refuse {
+		return retryAfter, true
+	}
+	return comeBack, true
+}
+
+// withdraw says that this VM does not run a fingerprint any more.
+func (g *Guard) withdraw(fingerprint string) {
+	g.fleet.Facts().Put(prefix+fingerprint+"/"+run, idle, policy.RunLease)
+}
+
+// Crashed takes a connection that was lost while an attempt of the request ran. It
+// returns once the fleet has acknowledged the suspicion, or after a bounded time.
+func (g *Guard) Crashed(ctx context.Context, fingerprint, requestID string) {
+	if g.off {
+		return
+	}
+	if g.ended(fingerprint) {
+		g.events.WithLabelValues("loss_of_proven").Inc()
+		return
+	}
+	g.events.WithLabelValues("loss").Inc()
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	g.withdraw(fingerprint)
+	id := strings.ReplaceAll(requestID, "/", "_")
+	f := g.fleet.Facts().State(prefix+fingerprint+"/"+id, "", policy.Expiry)
+	g.fleet.Spread(ctx, f)
+}
+
+// Answered takes a whole answer to the request, from every upstream that it needs.
+// It lifts the suspicions known so far. It must not be called for a partial answer.
+func (g *Guard) Answered(fingerprint string) {
+	if g.off {
+		return
+	}
+	now := g.now()
+	sh := g.shard(fingerprint)
+	sh.mu.Lock()
+	sh.recent.Add(fingerprint, recent{answered: now, proven: true})
+	sh.mu.Unlock()
+	record := g.record(fingerprint)
+	if len(record.Losses) == 0 {
+		return
+	}
+	var ids []string
+	for id := range record.Losses {
+		ids = append(ids, id)
+	}
+	g.withdraw(fingerprint)
+	g.fleet.Facts().Put(prefix+fingerprint+"/"+answered, strings.Join(ids, "\n"), policy.Expiry)
+	g.events.WithLabelValues("cleared").Inc()
+}
+
+// started notes that this VM may be running a fingerprint.
+func (g *Guard) started(fingerprint string, now time.Duration) {
+	sh := g.shard(fingerprint)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	r, _ := sh.recent.Get(fingerprint)
+	r.started, r.running = now, true
+	sh.recent.Add(fingerprint, r)
+}
+
+// ended notes the end of a run by a loss and reports whether the fingerprint was
+// proven before.
+func (g *Guard) ended(fingerprint string) bool {
+	sh := g.shard(fingerprint)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	r, _ := sh.recent.Get(fingerprint)
+	r.running = false
+	sh.recent.Add(fingerprint, r)
+	return policy.Proven(g.now(), r.answered, r.proven)
+}
+
+// asked is called with each fact that another VM spreads, before it is
+// acknowledged: where this VM may be running the fingerprint, it says so.
+func (g *Guard) asked(f facts.Fact) {
+	fingerprint, _, ok := parse(f.Key)
+	if !ok {
+		return
+	}
+	g.learn(f)
+	sh := g.shard(fingerprint)
+	sh.mu.Lock()
+	r, _ := sh.recent.Get(fingerprint)
+	sh.mu.Unlock()
+	if left := r.started + policy.RunLease - g.now(); r.running && left > 0 {
+		g.fleet.Facts().Put(prefix+fingerprint+"/"+run, "", left)
+	}
+}
+
+// refresh takes what the store knows of a fingerprint; a watcher's call may still
+// be on its way.
+func (g *Guard) refresh(fingerprint string) {
+	for _, f := range g.fleet.Facts().List(prefix + fingerprint + "/") {
+		g.learn(f)
+	}
+}
+
+// learn takes a fact about a fingerprint.
+func (g *Guard) learn(f facts.Fact) {
+	fingerprint, id, ok := parse(f.Key)
+	if !ok {
+		return
+	}
+	sh := g.shard(fingerprint)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	r, ok := sh.records.Get(fingerprint)
+	if !ok {
+		r = &policy.Record{
+			Losses: map[string]time.Duration{}, Cleared: map[string]time.Duration{}, Runs: map[string]time.Duration{},
+		}
+		sh.records.Add(fingerprint, r)
+	}
+	g.note(r, id, f)
+}
+
+func (g *Guard) note(r *policy.Record, id string, f facts.Fact) {
+	now := g.now()
+	for _, m := range []map[string]time.Duration{r.Losses, r.Cleared, r.Runs} {
+		maps.DeleteFunc(m, func(_ string, until time.Duration) bool { return until <= now })
+	}
+	switch {
+	case id == run && f.Value == idle:
+		delete(r.Runs, f.Origin)
+	case id == run && len(r.Runs) < roster.MaxMembers:
+		r.Runs[f.Origin] = f.Expires
+	case id == answered:
+		for _, lost := range strings.SplitN(f.Value, "\n", policy.MaxLosses+1) {
+			r.Cleared[lost] = f.Expires
+		}
+	case id != run && len(r.Losses) < policy.MaxLosses:
+		r.Losses[id] = f.Expires
+	}
+}
+
+// record returns a copy of what is known of a fingerprint.
+func (g *Guard) record(fingerprint string) policy.Record {
+	sh := g.shard(fingerprint)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	r, ok := sh.records.Peek(fingerprint)
+	if !ok {
+		return policy.Record{}
+	}
+	return policy.Record{Losses: maps.Clone(r.Losses), Cleared: maps.Clone(r.Cleared), Runs: maps.Clone(r.Runs)}
+}
+
+func parse(key string) (fingerprint, id string, ok bool) {
+	rest, ok := strings.CutPrefix(key, prefix)
+	if !ok {
+		return "", "", false
+	}
+	return strings.Cut(rest, "/")
+}
