--- a/internal/bench/deployment.go
+++ b/internal/bench/deployment.go
@@ -94,11 +94,11 @@
 			grant("voicing-guide", 300, manifest.GrantTradePartial, 0.5, 8)),
 		newCaller("teachers",
 			grant("voicing-guide", 1000, manifest.GrantTradeFuller, 0.9, 5),
-			grant("workshop-news", 1000, manifest.GrantTradePartial, 0, 3)),
+			grant("workshop-news", 1000, manifest.GrantTradeComplete, 0, 3)),
 		newCaller("workshops",
 			grant("parts-finder", 1000, manifest.GrantTradeFuller, 0.9, 5),
 			grant("order-desk", 3000, manifest.GrantTradeComplete, 0, 9),
-			grant("workshop-news", 1000, manifest.GrantTradePartial, 0, 4)),
+			grant("workshop-news", 1000, manifest.GrantTradeComplete, 0, 4)),
 	}
 	return d
 }
@@ -115,7 +115,7 @@
 		newCaller("auditors",
 			grant("iade-bakis", 2000, manifest.GrantTradeFuller, 0.95, 5),
 			grant("stok-geri", 2000, manifest.GrantTradeFuller, 0.95, 5),
-			grant("bayi-portal", 2000, manifest.GrantTradePartial, 0, 4)),
+			grant("bayi-portal", 2000, manifest.GrantTradeComplete, 0, 4)),
 		newCaller("reconciliation",
 			grant("iade-bakis", 10_000, manifest.GrantTradeComplete, 1, 2),
 			grant("stok-geri", 10_000, manifest.GrantTradeComplete, 1, 2),
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -174,18 +174,19 @@
 	return longest
 }
 
-// newGather returns the search engine over the wired parts.
-func (d *Daemon) newGather() *gather.Engine {
-	return gather.New(gather.Options{
+// newSearcher returns the search engine over the wired parts.
+func (d *Daemon) newSearcher() callers.Searcher {
+	return provenSearch{d: d, engine: gather.New(gather.Options{
 		Upstream:   gather.From(d.upstreams),
 		Poison:     suspects{d},
 		Mechanisms: d.mechanisms,
 		Log:        d.log,
 		Registerer: d.registry,
-	})
+	})}
 }
 
 // newRunner returns the runner of single workloads over the wired parts.
-func (d *Daemon) newRunner() *single.Runner {
-	return &single.Runner{Upstream: singleUpstream{d.upstreams}, Claims: d.claims, Poison: suspects{d}}
+func (d *Daemon) newRunner() callers.Runner {
+	r := &single.Runner{Upstream: singleUpstream{d.upstreams}, Claims: d.claims, Poison: suspects{d}}
+	return provenRun{d: d, runner: r}
 }
--- a/internal/daemon/evidence.go
+++ b/internal/daemon/evidence.go
@@ -5,9 +5,13 @@
 	"strings"
 	"time"
 
+	"github.com/sardinespindle/sardinespindle/internal/clock"
 	"github.com/sardinespindle/sardinespindle/internal/facts"
+	"github.com/sardinespindle/sardinespindle/internal/gather"
+	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/single"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
-	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
 )
 
 // spreadTime bounds how long a crash is told to the other VMs before its request
@@ -36,7 +40,7 @@
 	d.upstreams.Learn(upstream.Evidence{
 		Address:  strings.TrimPrefix(f.Key, prefix),
 		Draining: draining,
-		Age:      max(0, ttl-f.TTL),
+		Age:      max(0, ttl-(f.Expires-clock.Boot())),
 	})
 }
 
@@ -45,9 +49,6 @@
 
 // Crashes reports whether requests with this fingerprint are refused.
 func (s suspects) Crashes(fingerprint string) bool {
-	if !s.d.mechanisms.On(settings.ExperimentDisableElemPoison) {
-		return false
-	}
 	_, refused := s.d.poison.Refused(fingerprint)
 	return refused
 }
@@ -59,3 +60,33 @@
 	defer cancel()
 	s.d.poison.Crashed(ctx, fingerprint, requestID)
 }
+
+// provenSearch tells the fleet of searches that every upstream survived.
+type provenSearch struct {
+	d      *Daemon
+	engine *gather.Engine
+}
+
+// Search runs a search.
+func (p provenSearch) Search(ctx context.Context, q gather.Search) outcome.Outcome {
+	o := p.engine.Search(ctx, q)
+	if o.Kind == caller.OutcomeAnswered && o.Coverage != nil && o.Coverage.Complete {
+		p.d.poison.Answered(q.Fingerprint)
+	}
+	return o
+}
+
+// provenRun tells the fleet of requests that their upstream survived.
+type provenRun struct {
+	d      *Daemon
+	runner *single.Runner
+}
+
+// Run runs a request.
+func (p provenRun) Run(ctx context.Context, q single.Request) outcome.Outcome {
+	o := p.runner.Run(ctx, q)
+	if o.Kind == caller.OutcomeAnswered && !o.Replayed {
+		p.d.poison.Answered(q.Fingerprint)
+	}
+	return o
+}
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -9,6 +9,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/admission"
 	"github.com/sardinespindle/sardinespindle/internal/callers"
 	"github.com/sardinespindle/sardinespindle/internal/claims"
+	"github.com/sardinespindle/sardinespindle/internal/clock"
 	"github.com/sardinespindle/sardinespindle/internal/facts"
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/peer"
@@ -72,7 +73,12 @@
 		Log:         d.log,
 		Registerer:  d.registry,
 	})
-	d.poison = poison.New(poison.Options{Fleet: d.node, Log: d.log, Registerer: d.registry})
+	d.poison = poison.New(poison.Options{
+		Fleet:      d.node,
+		Now:        clock.Boot,
+		Off:        !d.mechanisms.On(settings.ExperimentDisableElemPoison),
+		Registerer: d.registry,
+	})
 	return nil
 }
 
@@ -99,7 +105,7 @@
 	})
 	d.callers = callers.New(callers.Options{
 		Manifest:   d.keeper.Current,
-		Searcher:   d.newGather(),
+		Searcher:   d.newSearcher(),
 		Runner:     d.newRunner(),
 		Admission:  d.admission,
 		Log:        d.log,
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -215,16 +215,33 @@
 	if verdict != generation.Newer {
 		return false
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.gate.Hear(clock.Boot(), h) && !k.o.Unchecked {
+	torn, newest := k.hear(h)
+	if newest {
+		k.announce(h)
+	}
+	if torn && !k.o.Unchecked {
 		k.conflict(h)
 		return false
 	}
-	if h.Generation > k.newest.Generation {
+	return k.startFetch(h)
+}
+
+// hear notes a head. It reports whether its generation is torn, and whether it is
+// the newest heard of.
+func (k *Keeper) hear(h generation.Head) (torn, newest bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	torn = k.gate.Hear(clock.Boot(), h)
+	newest = h.Generation > k.newest.Generation
+	if newest {
 		k.newest = h
-		k.announce(h)
 	}
+	return torn, newest
+}
+
+func (k *Keeper) startFetch(h generation.Head) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	if k.refused[h] || k.fetching[h] || len(k.fetching) >= maxFetches {
 		return false
 	}
@@ -244,6 +261,8 @@
 	delete(k.fetching, h)
 }
 
+// announce states a head to the other VMs. Watchers of facts are called on the way,
+// so the lock must not be held.
 func (k *Keeper) announce(h generation.Head) {
 	k.o.Peers.Put(HeadFact, fmt.Sprintf("%d %s", h.Generation, h.Digest), headTTL)
 }
--- a/internal/rollout/watch.go
+++ b/internal/rollout/watch.go
@@ -78,10 +78,10 @@
 		sleep(ctx, jitter(headRefresh))
 		k.mu.Lock()
 		newest := k.newest
+		k.mu.Unlock()
 		if newest.Generation > 0 {
 			k.announce(newest)
 		}
-		k.mu.Unlock()
 		if newest.Generation > k.inForce().Generation {
 			k.offer(ctx, newest, nil, "")
 		}
