--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,280 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinespindle/sardinespindle/internal/standin"
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
+	"github.com/sardinespindle/sardinespindle/schema/gen/manifest"
+	"github.com/sardinespindle/sardinespindle/schema/gen/upstream"
+)
+
+func TestBench(t *testing.T) { testkit.Run(t, "bench") }
+
+// answered makes up what a caller sees of a right answer with some shards missing.
+func answered(d *Deployment, missing ...string) Seen {
+	const n = "abc"
+	m := d.newest("parts-finder")
+	cov := caller.Coverage{ShardsTotal: len(m.Shards), Missing: missing, Complete: len(missing) == 0}
+	cov.ShardsCovered = cov.ShardsTotal - len(missing)
+	var ranges []standin.Range
+	for _, s := range m.Shards {
+		if len(missing) == 0 || string(s.Name) != missing[0] {
+			ranges = append(ranges, standin.Range{First: uint32(s.First), Last: uint32(s.Last)})
+		}
+	}
+	r := Request{Caller: "builders", Workload: "parts-finder", Sharded: true, Query: "jack " + nonceWord(n), Limit: 10, Nonce: n, Deadline: time.Second}
+	f := standin.NewCorpus("parts-finder").Search(upstream.Query{Query: r.Query, Limit: 10}, upstream.Snapshot{Index: 2, Map: m.Version}, ranges...)
+	cov.DocumentsCovered = f.Held
+	reply := &caller.Reply{Outcome: caller.OutcomeAnswered, Snapshot: &caller.Snapshot{Index: 2, Map: m.Version}, Coverage: &cov}
+	for _, doc := range f.Documents {
+		reply.Documents = append(reply.Documents, caller.Document{Id: doc.Id, Score: doc.Score, Body: doc.Body})
+	}
+	at := time.Now()
+	return Seen{Request: r, VM: "vm-01", Due: at, Sent: at, End: at.Add(50 * time.Millisecond), Status: 200, Reply: reply}
+}
+
+// ordered makes up one attempt of an order.
+func ordered(at time.Time, o caller.Outcome) Seen {
+	r := Request{Caller: "workshops", Workload: "order-desk", Nonce: "n1", Key: "k1", Deadline: time.Second}
+	reply := &caller.Reply{Outcome: o}
+	if o == caller.OutcomeAnswered {
+		reply.ResultStatus = 200
+		reply.Result = `{"nonce":"n1"}`
+	}
+	return Seen{Request: r, VM: "vm-01", Due: at, Sent: at, End: at.Add(50 * time.Millisecond), Reply: reply}
+}
+
+func ran(at time.Time) standin.Run {
+	return standin.Run{Key: "k1", Nonce: "n1", StartNs: at.UnixNano()}
+}
+
+var _ = Describe("Check", func() {
+	d, _ := NewDeployment(Klapka, 10)
+	now := time.Now()
+
+	check := func(e Evidence) map[Kind]int {
+		e.Maps = d.Maps
+		return Check(e).Violations
+	}
+
+	It("passes right answers, whole and partial, and honest outcomes of orders", func() {
+		Expect(check(Evidence{Seen: []Seen{answered(d), answered(d, "s04")}})).To(BeEmpty())
+		Expect(check(Evidence{
+			Seen: []Seen{ordered(now, caller.OutcomeNotRun), ordered(now.Add(time.Second), caller.OutcomeAnswered)},
+			Log:  standin.Log{Runs: []standin.Run{ran(now.Add(time.Second + time.Millisecond))}},
+		})).To(BeEmpty())
+	})
+
+	DescribeTable("counts each kind of wrong answer", func(kind Kind, spoil func(*Seen)) {
+		s := answered(d)
+		spoil(&s)
+		Expect(check(Evidence{Seen: []Seen{s}})).To(Equal(map[Kind]int{kind: 1}))
+	},
+		Entry("document of another index version", MixedSnapshot, func(s *Seen) {
+			s.Reply.Documents[3].Body = "jack" + standin.Mark(upstream.Snapshot{Index: 1, Map: 1}, "abc")
+		}),
+		Entry("document of another partition map", MixedSnapshot, func(s *Seen) {
+			s.Reply.Documents[3].Body = "jack" + standin.Mark(upstream.Snapshot{Index: 2, Map: 2}, "abc")
+		}),
+		Entry("document of someone else's query", ForeignAnswer, func(s *Seen) {
+			s.Reply.Documents[0].Body = "jack" + standin.Mark(upstream.Snapshot{Index: 2, Map: 1}, "xyz")
+		}),
+		Entry("document lost", WrongCoverage, func(s *Seen) { s.Reply.Documents = s.Reply.Documents[1:] }),
+		Entry("document twice", WrongCoverage, func(s *Seen) { s.Reply.Documents[1] = s.Reply.Documents[0] }),
+		Entry("shard missing but complete", WrongCoverage, func(s *Seen) { s.Reply.Coverage.Missing = []string{"s01"} }),
+		Entry("shard miscounted", WrongCoverage, func(s *Seen) { s.Reply.Coverage.ShardsCovered-- }),
+		Entry("fewer documents held than covered", WrongCoverage, func(s *Seen) { s.Reply.Coverage.DocumentsCovered++ }),
+		Entry("unknown shard missing", WrongCoverage, func(s *Seen) { s.Reply.Coverage.Missing = []string{"zz"} }),
+		Entry("no coverage", WrongCoverage, func(s *Seen) { s.Reply.Coverage = nil }),
+		Entry("late", LateAnswer, func(s *Seen) { s.End = s.Sent.Add(2 * time.Second) }),
+	)
+
+	It("counts a search refused as not run that ran", func() {
+		s := answered(d)
+		s.Reply = &caller.Reply{Outcome: caller.OutcomeNotRun}
+		Expect(check(Evidence{Seen: []Seen{s}, Log: standin.Log{Nonces: map[string]int{"abc": 3}}})).To(Equal(map[Kind]int{NotRunButRan: 1}))
+	})
+
+	DescribeTable("counts wrong outcomes of orders", func(want Kind, seen []Seen, runs ...standin.Run) {
+		Expect(check(Evidence{Seen: seen, Log: standin.Log{Runs: runs}})).To(Equal(map[Kind]int{want: 1}))
+	},
+		Entry("ran twice", RanTwice, []Seen{ordered(now, caller.OutcomeUnknown)}, ran(now), ran(now.Add(time.Second))),
+		Entry("answered but never ran", AnsweredNotRun, []Seen{ordered(now, caller.OutcomeAnswered)}),
+		Entry("refused after it ran", NotRunButRan, []Seen{ordered(now, caller.OutcomeNotRun)}, ran(now.Add(time.Millisecond))),
+		Entry("refused and run later without another attempt", NotRunButRan, []Seen{ordered(now, caller.OutcomeNotRun)}, ran(now.Add(time.Second))),
+		Entry("refused while an earlier attempt could still run", NotRunButRan,
+			[]Seen{ordered(now.Add(-10*time.Millisecond), caller.OutcomeUnknown), ordered(now, caller.OutcomeNotRun)}, ran(now.Add(time.Second))),
+	)
+
+	It("counts a request cut off at a planned stop, but not one lost to a kill", func() {
+		s := answered(d)
+		s.Reply = nil
+		s.Err = net.ErrClosed
+		Expect(check(Evidence{Seen: []Seen{s}})).To(BeEmpty())
+		stops := map[string][]Span{"vm-01": {{From: s.Sent.Add(-time.Second)}}}
+		Expect(check(Evidence{Seen: []Seen{s}, Journal: Journal{Stops: stops}})).To(Equal(map[Kind]int{CutOff: 1}))
+	})
+
+	It("counts what upstreams counted, and crashes beyond two a shard", func() {
+		l := standin.Log{Counts: standin.Counts{WorkAfterDrain: 2, ConnectionOver: 3}, Crashes: map[string]int{"w/s01": 2, "w/s02": 4}}
+		Expect(check(Evidence{Log: l})).To(Equal(map[Kind]int{WorkAfterDrain: 2, ConnectionLimit: 3, CrashRepeated: 2}))
+	})
+
+	It("counts a manifest that reverts or comes late, but not where the VM was cut off", func() {
+		j := Journal{
+			Commits: []CommitTime{{Generation: 2, At: now}},
+			Samples: []Sample{
+				{VM: "vm-01", Incarnation: "a", Generation: 2, At: now.Add(time.Second)},
+				{VM: "vm-01", Incarnation: "a", Generation: 1, At: now.Add(2 * time.Second)},
+				{VM: "vm-02", Incarnation: "b", Generation: 1, At: now.Add(6 * time.Second)},
+				{VM: "vm-02", Incarnation: "b", Generation: 1, At: now.Add(7 * time.Second)},
+			},
+		}
+		Expect(check(Evidence{Journal: j})).To(Equal(map[Kind]int{ManifestReverted: 1, ManifestLate: 1}))
+		j.Cuts = map[string][]Span{"vm-02": {{From: now}}}
+		Expect(check(Evidence{Journal: j})).To(Equal(map[Kind]int{ManifestReverted: 1}))
+	})
+})
+
+var _ = Describe("Deployment", func() {
+	It("has the sizes of the brief", func() {
+		k, _ := NewDeployment(Klapka, 10)
+		v, _ := NewDeployment(Kervan, 20)
+		Expect(k.Upstreams).To(HaveLen(40 + 60 + 10 + 5))
+		Expect(v.Upstreams).To(HaveLen(40 + 60 + 20 + 10))
+		Expect(k.Zones).To(HaveLen(3))
+		Expect(v.Zones).To(HaveLen(4))
+	})
+
+	It("keeps the hash space covered, without gap or overlap, through repartitions", func() {
+		d, _ := NewDeployment(Klapka, 10)
+		for i := range 30 {
+			how := []string{splitShard, mergeShard, moveRange}[i%3]
+			m, serves := d.Repartition("parts-finder", how, i*7)
+			d.Maps = append(d.Maps, m)
+			next := 0
+			for _, s := range m.Shards {
+				Expect(s.First).To(Equal(next))
+				next = s.Last + 1
+				holders := 0
+				for _, shards := range serves {
+					for _, have := range shards {
+						if have == s.Name {
+							holders++
+						}
+					}
+				}
+				Expect(holders).To(BeNumerically(">=", replicas), fmt.Sprintf("%s of map %d", s.Name, m.Version))
+			}
+			Expect(next).To(Equal(hashSpace))
+		}
+	})
+
+	It("matches the committed examples", func() {
+		for _, name := range []string{Klapka, Kervan} {
+			dir := GinkgoT().TempDir()
+			Expect(WriteExample(name, dir)).To(Succeed())
+			for _, f := range []string{"head.json", "part-1.json", "part-2.json", "part-3.json"} {
+				want, err := os.ReadFile(filepath.Join(dir, f))
+				Expect(err).NotTo(HaveOccurred())
+				got, err := os.ReadFile(filepath.Join("..", "..", "examples", name, f))
+				Expect(err).NotTo(HaveOccurred())
+				Expect(string(got)).To(Equal(string(want)))
+			}
+		}
+	})
+})
+
+var _ = Describe("relay", func() {
+	It("cuts open connections and lets new ones pass once healed", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = c.Write([]byte("x"))
+			}
+		}()
+		r, err := newRelay(GinkgoT().Context(), "127.0.0.1:0", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer r.close()
+		read := func() (net.Conn, error) {
+			c, err := net.Dial("tcp", r.listen.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+			_, err = c.Read(make([]byte, 1))
+			return c, err
+		}
+		c, err := read()
+		Expect(err).NotTo(HaveOccurred())
+		r.cut(true)
+		_, err = c.Read(make([]byte, 1))
+		Expect(err).To(HaveOccurred())
+		_, err = read()
+		Expect(err).To(HaveOccurred())
+		r.cut(false)
+		_, err = read()
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
+
+var _ = Describe("results", func() {
+	It("are written with plots and make a page", func() {
+		d, _ := NewDeployment(Klapka, 10)
+		m := &measure{verdict: &Verdict{Violations: map[Kind]int{}}, took: time.Second, shards: map[string]int{"parts-finder": 20}}
+		m.counts.Searches = 44
+		for i := range 4 {
+			s := answered(d)
+			if i > 1 {
+				s = answered(d, "s02")
+			}
+			s.End = s.Due.Add(time.Duration(i+1) * 10 * time.Millisecond)
+			m.seen = append(m.seen, s)
+		}
+		o := RunOptions{Experiment: "steady"}
+		r := m.result(o, Current)
+		Expect(r.Answered).To(Equal(4))
+		Expect(r.CoverageMean).To(BeNumerically("~", 0.975, 1e-9))
+		Expect(r.ExtraLoad).To(BeNumerically("~", 44.0/80, 1e-9))
+		Expect(r.P99Ms).To(BeNumerically("~", 40, 1))
+		dir := GinkgoT().TempDir()
+		Expect(write(filepath.Join(dir, "steady"), []*Result{r, m.result(o, Baseline)})).To(Succeed())
+		Expect(WriteReport(dir)).To(Succeed())
+		page, err := os.ReadFile(filepath.Join(dir, reportFile))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(page)).To(ContainSubstring("cdf-parts-finder-builders.png"))
+		Expect(filepath.Join(dir, "steady", "cdf-parts-finder-builders.png")).To(BeAnExistingFile())
+		var back []*Result
+		body, _ := os.ReadFile(filepath.Join(dir, "steady", resultFile))
+		Expect(json.Unmarshal(body, &back)).To(Succeed())
+		Expect(back).To(HaveLen(2))
+	})
+})
+
+var _ = Describe("manifest parts", func() {
+	It("stay under a megabyte in both deployments together", func() {
+		d, _ := NewDeployment(Both, 10)
+		p, err := Publish(d.Parts(), 1, "")
+		Expect(err).NotTo(HaveOccurred())
+		for _, body := range p.Parts {
+			Expect(len(body)).To(BeNumerically("<", 1_000_000))
+			var part manifest.Part
+			Expect(json.Unmarshal(body, &part)).To(Succeed())
+		}
+	})
+})
--- /dev/null
+++ b/internal/bench/check.go
@@ -0,0 +1,245 @@
+package bench
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/standin"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
+	"github.com/sardinespindle/sardinespindle/schema/gen/manifest"
+	"github.com/sardinespindle/sardinespindle/schema/gen/upstream"
+)
+
+// Kind names a guarantee that was violated.
+type Kind string
+
+// Kinds of violations.
+const (
+	MixedSnapshot    Kind = "mixed_snapshot"
+	WrongCoverage    Kind = "wrong_coverage"
+	ForeignAnswer    Kind = "foreign_answer"
+	NotRunButRan     Kind = "not_run_but_ran"
+	AnsweredNotRun   Kind = "answered_but_not_run"
+	RanTwice         Kind = "ran_twice"
+	WorkAfterDrain   Kind = "work_after_drain"
+	ConnectionLimit  Kind = "connection_limit"
+	CutOff           Kind = "cut_off"
+	ManifestReverted Kind = "manifest_reverted"
+	ManifestLate     Kind = "manifest_late"
+	CrashRepeated    Kind = "crash_repeated"
+	LateAnswer       Kind = "late_answer"
+)
+
+const (
+	// lateSlack is how long after its deadline an answer may still reach its caller.
+	lateSlack = 200 * time.Millisecond
+	// inForceWithin is how long after its commit a manifest may be not yet in force.
+	inForceWithin = 5 * time.Second
+	// maxCrashes is how often one request may crash the upstreams of one shard.
+	maxCrashes = 2
+	// clockSlack covers the time between an event and its time stamp.
+	clockSlack = 2 * time.Millisecond
+	// maxExamples bounds the violations described.
+	maxExamples = 20
+)
+
+// Evidence is what a check looks at.
+type Evidence struct {
+	Seen    []Seen
+	Log     standin.Log
+	Journal Journal
+	Maps    []manifest.PartitionMap
+}
+
+// Verdict counts violations and describes some of them.
+type Verdict struct {
+	Violations map[Kind]int `json:"violations"`
+	Examples   []string     `json:"examples"`
+}
+
+// Total is the number of violations.
+func (v *Verdict) Total() int {
+	n := 0
+	for _, k := range v.Violations {
+		n += k
+	}
+	return n
+}
+
+func (v *Verdict) add(k Kind, n int, format string, args ...any) {
+	if n <= 0 {
+		return
+	}
+	v.Violations[k] += n
+	if len(v.Examples) < maxExamples {
+		v.Examples = append(v.Examples, string(k)+": "+fmt.Sprintf(format, args...))
+	}
+}
+
+// checker holds the evidence in the order in which the checks need it.
+type checker struct {
+	Evidence
+	v       *Verdict
+	corpora map[string]*standin.Corpus
+	runs    map[string][]standin.Run // by key
+	tries   map[string][]Seen        // by key
+}
+
+// Check counts the violations in the evidence. It shares no code with the system but
+// the message types.
+func Check(e Evidence) *Verdict {
+	c := &checker{
+		Evidence: e,
+		v:        &Verdict{Violations: map[Kind]int{}},
+		corpora:  map[string]*standin.Corpus{},
+		runs:     map[string][]standin.Run{},
+		tries:    map[string][]Seen{},
+	}
+	for _, r := range e.Log.Runs {
+		c.runs[r.Key] = append(c.runs[r.Key], r)
+	}
+	for _, s := range e.Seen {
+		if s.Request.Key != "" {
+			c.tries[s.Request.Key] = append(c.tries[s.Request.Key], s)
+		}
+	}
+	for i := range e.Seen {
+		c.one(&e.Seen[i])
+	}
+	c.keys()
+	c.upstreams()
+	c.manifests()
+	return c.v
+}
+
+// one checks what a caller saw of one attempt.
+func (c *checker) one(s *Seen) {
+	c.timing(s)
+	if s.Reply == nil {
+		return
+	}
+	switch {
+	case s.Reply.Outcome == caller.OutcomeAnswered && s.Request.Sharded:
+		c.answer(s)
+	case s.Reply.Outcome == caller.OutcomeAnswered:
+		c.result(s)
+	case s.Reply.Outcome == caller.OutcomeNotRun && s.Request.Key == "":
+		if n := c.Log.Nonces[s.Request.Nonce]; n > 0 && !containsCrash(s.Request) {
+			c.v.add(NotRunButRan, 1, "%s of %s, reason %s: %d sub-requests ran", s.Request.Nonce, s.Request.Caller, s.Reply.Reason, n)
+		}
+	}
+}
+
+func (c *checker) timing(s *Seen) {
+	took := s.End.Sub(s.Sent)
+	late := took > s.Request.Deadline+lateSlack
+	if late && (s.Reply != nil || !s.Refused) && !during(c.Journal.Pauses[s.VM], s.Sent, s.End) {
+		c.v.add(LateAnswer, 1, "%s of %s through %s: %v after a deadline of %v: %v", s.Request.Workload, s.Request.Caller, s.VM, took, s.Request.Deadline, s.Err)
+	}
+	if s.Err != nil && !s.Refused && !late && during(c.Journal.Stops[s.VM], s.Sent, s.End) {
+		c.v.add(CutOff, 1, "%s of %s through %s: %v", s.Request.Workload, s.Request.Caller, s.VM, s.Err)
+	}
+}
+
+var markPattern = regexp.MustCompile(`@(\d+)\.(\d+) ` + standin.NonceMark + `(\S*)$`)
+
+// answer checks the answer to a search against the corpus.
+func (c *checker) answer(s *Seen) {
+	r := s.Reply
+	what := fmt.Sprintf("%s of %s, nonce %s, through %s", s.Request.Workload, s.Request.Caller, s.Request.Nonce, s.VM)
+	if r.Snapshot == nil || r.Coverage == nil {
+		c.v.add(WrongCoverage, 1, "%s: no snapshot or no coverage", what)
+		return
+	}
+	for _, d := range r.Documents {
+		m := markPattern.FindStringSubmatch(d.Body)
+		if m == nil || m[3] != s.Request.Nonce || !strings.HasPrefix(d.Id, s.Request.Workload) {
+			c.v.add(ForeignAnswer, 1, "%s: document %q", what, d.Body)
+			return
+		}
+		if m[1] != strconv.Itoa(r.Snapshot.Index) || m[2] != strconv.Itoa(r.Snapshot.Map) {
+			c.v.add(MixedSnapshot, 1, "%s: answer of %d.%d, document of %s.%s", what, r.Snapshot.Index, r.Snapshot.Map, m[1], m[2])
+			return
+		}
+	}
+	if why := c.coverage(s); why != "" {
+		c.v.add(WrongCoverage, 1, "%s: %s", what, why)
+	}
+}
+
+// coverage says what is wrong with an answer's coverage, or "".
+func (c *checker) coverage(s *Seen) string {
+	cov := s.Reply.Coverage
+	m := c.mapOf(s.Request.Workload, s.Reply.Snapshot.Map)
+	if m == nil {
+		return fmt.Sprintf("no partition map %d", s.Reply.Snapshot.Map)
+	}
+	var ranges []standin.Range
+	missing := 0
+	for _, sh := range m.Shards {
+		if slices.Contains(cov.Missing, string(sh.Name)) {
+			missing++
+			continue
+		}
+		ranges = append(ranges, standin.Range{First: uint32(sh.First), Last: uint32(sh.Last)})
+	}
+	if missing != len(cov.Missing) || cov.ShardsTotal != len(m.Shards) || cov.ShardsCovered != len(m.Shards)-missing {
+		return fmt.Sprintf("%d of %d covered, missing %v, map has %d", cov.ShardsCovered, cov.ShardsTotal, cov.Missing, len(m.Shards))
+	}
+	if cov.Complete != (missing == 0) {
+		return fmt.Sprintf("complete is %v with %d missing", cov.Complete, missing)
+	}
+	q := upstream.Query{Query: s.Request.Query, Limit: s.Request.Limit}
+	want := c.corpus(s.Request.Workload).Search(q, upstream.Snapshot{Index: s.Reply.Snapshot.Index, Map: m.Version}, ranges...)
+	if cov.DocumentsCovered != want.Held {
+		return fmt.Sprintf("%d documents covered, the covered shards hold %d", cov.DocumentsCovered, want.Held)
+	}
+	if !sameDocuments(s.Reply.Documents, want.Documents) {
+		return fmt.Sprintf("documents %v, want %v", ids(s.Reply.Documents), len(want.Documents))
+	}
+	return ""
+}
+
+func (c *checker) corpus(workload string) *standin.Corpus {
+	if c.corpora[workload] == nil {
+		c.corpora[workload] = standin.NewCorpus(workload)
+	}
+	return c.corpora[workload]
+}
+
+func (c *checker) mapOf(workload string, version int) *manifest.PartitionMap {
+	for i := range c.Maps {
+		if string(c.Maps[i].Workload) == workload && c.Maps[i].Version == version {
+			return &c.Maps[i]
+		}
+	}
+	return nil
+}
+
+func ids(docs []caller.Document) []string {
+	var out []string
+	for _, d := range docs {
+		out = append(out, d.Id)
+	}
+	return out
+}
+
+func sameDocuments(got []caller.Document, want []upstream.Document) bool {
+	if len(got) != len(want) {
+		return false
+	}
+	have := map[string]bool{}
+	for _, d := range got {
+		have[d.Id] = true
+	}
+	for _, d := range want {
+		if !have[d.Id] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/bench/check_runs.go
@@ -0,0 +1,114 @@
+package bench
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/standin"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
+)
+
+// crashWord is the word of a request that crashes upstreams, or "".
+func crashWord(r Request) string {
+	_, rest, _ := strings.Cut(r.Query+r.Body, standin.CrashMark)
+	return strings.TrimRight(rest, `"} `)
+}
+
+// result checks the answer to a request of a single workload.
+func (c *checker) result(s *Seen) {
+	if s.Reply.ResultStatus != http.StatusOK {
+		return
+	}
+	var r standin.SingleReply
+	if err := json.Unmarshal([]byte(s.Reply.Result), &r); err != nil || r.Nonce != s.Request.Nonce {
+		c.v.add(ForeignAnswer, 1, "%s of %s, nonce %s: result %q", s.Request.Workload, s.Request.Caller, s.Request.Nonce, s.Reply.Result)
+	}
+	if s.Request.Key != "" && len(c.runs[s.Request.Key]) == 0 {
+		c.v.add(AnsweredNotRun, 1, "%s, key %s", s.Request.Workload, s.Request.Key)
+	}
+}
+
+// keys checks the runs of requests that are not idempotent.
+func (c *checker) keys() {
+	for key, runs := range c.runs {
+		if len(runs) > 1 {
+			c.v.add(RanTwice, len(runs)-1, "key %s ran %d times, %v apart", key, len(runs), time.Duration(runs[1].StartNs-runs[0].StartNs))
+		}
+		for _, s := range c.tries[key] {
+			if s.Reply != nil && s.Reply.Outcome == caller.OutcomeNotRun {
+				c.notRun(s, runs)
+			}
+		}
+	}
+}
+
+// notRun checks a refusal against the runs of its key: a run is consistent with it
+// only where a later attempt was sent after the refusal and before the run.
+func (c *checker) notRun(refusal Seen, runs []standin.Run) {
+	for _, run := range runs {
+		at := time.Unix(0, run.StartNs)
+		excused := false
+		for _, t := range c.tries[refusal.Request.Key] {
+			later := t.Sent.After(refusal.End.Add(-clockSlack)) && !t.Sent.After(at.Add(clockSlack))
+			excused = excused || later
+		}
+		if !excused {
+			c.v.add(NotRunButRan, 1, "key %s: refused (%s) through %s, ran %v after the refusal", run.Key, refusal.Reply.Reason, refusal.VM, at.Sub(refusal.End))
+		}
+	}
+}
+
+// upstreams checks what the upstreams counted.
+func (c *checker) upstreams() {
+	n := c.Log.Counts
+	c.v.add(WorkAfterDrain, n.WorkAfterDrain, "%d requests", n.WorkAfterDrain)
+	c.v.add(ConnectionLimit, n.ConnectionOver, "%d connections", n.ConnectionOver)
+	for word, k := range c.Log.Crashes {
+		c.v.add(CrashRepeated, k-maxCrashes, "%s crashed %d upstreams", word, k)
+	}
+	for _, vm := range c.Journal.Unclean {
+		c.v.add(CutOff, 1, "%s ended uncleanly", vm)
+	}
+}
+
+// manifests checks which generations VMs had in force.
+func (c *checker) manifests() {
+	last := map[string]Sample{}
+	late := map[string]bool{}
+	for _, s := range c.Journal.Samples {
+		id := s.VM + "/" + s.Incarnation
+		if before, ok := last[id]; ok && s.Generation < before.Generation {
+			c.v.add(ManifestReverted, 1, "%s went from %d to %d", s.VM, before.Generation, s.Generation)
+		}
+		last[id] = s
+		due := c.due(s)
+		if s.Generation >= due {
+			late[id] = false
+			continue
+		}
+		if !late[id] && !c.excused(s) {
+			late[id] = true
+			c.v.add(ManifestLate, 1, "%s has %d in force, %d is due", s.VM, s.Generation, due)
+		}
+	}
+}
+
+// due is the generation that must be in force by the time of a sample.
+func (c *checker) due(s Sample) int {
+	n := 0
+	for _, k := range c.Journal.Commits {
+		if s.At.Sub(k.At) > inForceWithin {
+			n = max(n, k.Generation)
+		}
+	}
+	return n
+}
+
+// excused reports whether the VM was frozen or could hear of no manifest within the
+// time it had.
+func (c *checker) excused(s Sample) bool {
+	from := s.At.Add(-inForceWithin)
+	return during(c.Journal.Pauses[s.VM], from, s.At) || during(c.Journal.Cuts[s.VM], from, s.At)
+}
--- a/internal/bench/client.go
+++ b/internal/bench/client.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -125,3 +127,12 @@
 
 // nonceWord is the word of a query or body that carries the nonce.
 func nonceWord(n string) string { return standin.NonceMark + n }
+
+// errNoVM says that the balancer lists no VM.
+var errNoVM = errors.New("no VM listed")
+
+// refused reports whether an error says that no connection could be made.
+func refused(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -313,12 +313,17 @@
 		if err := c.waitVM(ctx, vm); err != nil {
 			return err
 		}
+		if !vm.proc.alive() {
+			return fmt.Errorf("cluster: %s ended by itself (logs in %s): %w", vm.Name, c.Dir, vm.proc.exit())
+		}
 	}
 	return nil
 }
 
 func (c *Cluster) waitVM(ctx context.Context, vm *VM) error {
-	return c.wait(ctx, vm.Name, func() bool { return c.get(ctx, "http://"+vm.Admin+"/readyz", nil) == nil })
+	return c.wait(ctx, vm.Name, func() bool {
+		return !vm.proc.alive() || c.get(ctx, "http://"+vm.Admin+"/readyz", nil) == nil
+	})
 }
 
 func (c *Cluster) wait(ctx context.Context, what string, ok func() bool) error {
--- a/internal/bench/demo.go
+++ b/internal/bench/demo.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"strings"
 	"time"
 
@@ -21,12 +19,6 @@
 // lostShard is the shard whose replicas the demo kills.
 const lostShard = "s07"
 
-// refused reports whether an error says that no connection could be made.
-func refused(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 // demo is one run of the demonstration.
 type demo struct {
 	out    io.Writer
--- /dev/null
+++ b/internal/bench/experiments.go
@@ -0,0 +1,271 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/standin"
+)
+
+// Experiment is a load and a script of faults.
+type Experiment struct {
+	Name, About string
+	// Streams adds to the deployment's usual load.
+	Streams func(deployment string) []Stream
+	// Alone leaves the usual load out.
+	Alone bool
+	// Script acts on the cluster while the load runs; nil for none.
+	Script func(ctx context.Context, s *stage, rng *rand.Rand, d time.Duration) error
+}
+
+// usual is the load of an ordinary minute.
+func usual(deployment string) []Stream {
+	k := []Stream{
+		{Caller: "builders", Workload: "parts-finder", Rate: 30},
+		{Caller: "workshops", Workload: "parts-finder", Rate: 5},
+		{Caller: "teachers", Workload: "voicing-guide", Rate: 10},
+		{Caller: "workshops", Workload: "order-desk", Rate: 10},
+		{Caller: "teachers", Workload: "workshop-news", Rate: 5},
+	}
+	v := []Stream{
+		{Caller: "counters", Workload: "iade-bakis", Rate: 30},
+		{Caller: "auditors", Workload: "iade-bakis", Rate: 5},
+		{Caller: "auditors", Workload: "stok-geri", Rate: 5},
+		{Caller: "reconciliation", Workload: "stok-geri", Rate: 5},
+		{Caller: "counters", Workload: "mutabakat", Rate: 10},
+		{Caller: "auditors", Workload: "bayi-portal", Rate: 5},
+	}
+	switch deployment {
+	case Klapka:
+		return k
+	case Kervan:
+		return v
+	}
+	return append(k, v...)
+}
+
+// leads names the workloads and callers that an experiment leans on.
+type leads struct{ search, first, second, orders, buyer, single, reader string }
+
+func leadsOf(deployment string) leads {
+	if deployment == Kervan {
+		return leads{search: "iade-bakis", first: "counters", second: "auditors", orders: "mutabakat", buyer: "counters", single: "bayi-portal", reader: "auditors"}
+	}
+	return leads{search: "parts-finder", first: "builders", second: "workshops", orders: "order-desk", buyer: "workshops", single: "workshop-news", reader: "teachers"}
+}
+
+// Experiments lists all experiments.
+func Experiments() []Experiment {
+	return []Experiment{
+		{Name: "steady", About: "ordinary load, no fault"},
+		{Name: "straggler", About: "1 in 100 sub-requests takes 20 times as long, one replica always 10 times", Script: straggler},
+		{Name: "overload", About: "twice the capacity for the middle half of the time", Alone: true, Script: overload, Streams: overloadStreams},
+		{Name: "drain", About: "replicas leave in turn; their health endpoints lie", Script: drain},
+		{Name: "partition", About: "half of the VMs lose the others and the platform, while the manifest changes", Script: partition},
+		{Name: "rolling-restart", About: "each VM in turn is stopped as planned and replaced", Script: rollingRestart},
+		{Name: "platform-outage", About: "the platform is down, then frozen, then answers older values; a VM is replaced meanwhile", Script: platformOutage},
+		{Name: "manifest-churn", About: "a commit every 2 s", Script: churn},
+		{Name: "repartition", About: "index versions advance while shards are split, merged and moved", Script: repartition},
+		{Name: "order-resend", About: "orders sent twice at once and again; VMs are killed and frozen", Streams: resendStreams, Script: orderResend},
+		{Name: "crashing-request", About: "requests that crash each upstream that runs them, sent again", Streams: crashStreams},
+		{Name: "replies", About: "truncated, crossed and late replies, ignored pins, older index versions", Script: replies},
+		{Name: "chaos", About: "all faults at random, with kill -9 and freezes", Streams: resendStreams, Script: chaos},
+	}
+}
+
+// Find returns an experiment by its name.
+func Find(name string) (Experiment, error) {
+	for _, e := range Experiments() {
+		if e.Name == name {
+			return e, nil
+		}
+	}
+	return Experiment{}, fmt.Errorf("bench: no experiment %q", name)
+}
+
+func resendStreams(deployment string) []Stream {
+	l := leadsOf(deployment)
+	return []Stream{{Caller: l.buyer, Workload: l.orders, Rate: 10, Twice: true}}
+}
+
+func crashStreams(deployment string) []Stream {
+	l := leadsOf(deployment)
+	return []Stream{
+		{Caller: l.first, Workload: l.search, Rate: 0.3, Crash: true},
+		{Caller: l.reader, Workload: l.single, Rate: 0.3, Crash: true},
+		{Caller: l.buyer, Workload: l.orders, Rate: 0.3, Crash: true},
+	}
+}
+
+func overloadStreams(deployment string) []Stream {
+	l := leadsOf(deployment)
+	return []Stream{
+		{Caller: l.first, Workload: l.search, Rate: 60},
+		{Caller: l.second, Workload: l.search, Rate: 40},
+	}
+}
+
+// overloadServiceMs makes a sharded workload's capacity 100 queries a second: two
+// replicas of two slots.
+const overloadServiceMs = 40
+
+// overload makes the upstreams so slow in the middle of the time that the load, until
+// then half of the capacity, is twice the capacity.
+func overload(ctx context.Context, s *stage, _ *rand.Rand, d time.Duration) error {
+	w := leadsOf(s.Deployment.Name).search
+	set := func(ms float64) error {
+		return s.Do(ctx, standin.Command{Workload: w, Behaviour: &standin.Behaviour{ServiceMs: ms}})
+	}
+	if err := set(overloadServiceMs / 2); err != nil {
+		return err
+	}
+	time.Sleep(d / 4)
+	if err := set(overloadServiceMs * 2); err != nil {
+		return err
+	}
+	time.Sleep(d / 2)
+	return set(overloadServiceMs / 2)
+}
+
+func straggler(ctx context.Context, s *stage, _ *rand.Rand, _ time.Duration) error {
+	b := standin.Behaviour{StragglerShare: 0.01}
+	if err := s.Do(ctx, standin.Command{Behaviour: &b}); err != nil {
+		return err
+	}
+	w := leadsOf(s.Deployment.Name).search
+	b.Slow = 10
+	return s.behave(ctx, b, s.Deployment.AddressesOf(w, "s03")[0])
+}
+
+// drain takes one replica after another out: it announces the drain in its replies,
+// goes down 5 s later and comes back cold.
+func drain(ctx context.Context, s *stage, rng *rand.Rand, d time.Duration) error {
+	const leave = 5 * time.Second
+	w := leadsOf(s.Deployment.Name).search
+	all := s.Deployment.AddressesOf(w, "")
+	single := s.Deployment.AddressesOf(leadsOf(s.Deployment.Name).single, "")
+	for begin := time.Now(); time.Since(begin) < d; {
+		batch := []string{all[rng.IntN(len(all)/2)*2], single[rng.IntN(len(single))]}
+		if err := s.behave(ctx, standin.Behaviour{Draining: true, LieHealth: true}, batch...); err != nil {
+			return err
+		}
+		time.Sleep(leave)
+		if err := s.behave(ctx, standin.Behaviour{Draining: true, Down: true}, batch...); err != nil {
+			return err
+		}
+		time.Sleep(leave / 5)
+		if err := s.behave(ctx, standin.Behaviour{ColdMs: 2000}, batch...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func partition(_ context.Context, s *stage, _ *rand.Rand, d time.Duration) error {
+	time.Sleep(d / 5)
+	s.split(len(s.VMs)/2, true)
+	if err := s.commit(); err != nil {
+		return err
+	}
+	time.Sleep(3 * d / 5)
+	s.split(len(s.VMs)/2, false)
+	return nil
+}
+
+func rollingRestart(ctx context.Context, s *stage, _ *rand.Rand, _ time.Duration) error {
+	for _, vm := range s.VMs {
+		if err := s.stopVM(vm); err != nil {
+			return err
+		}
+		if err := s.startVM(ctx, vm); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func platformOutage(ctx context.Context, s *stage, _ *rand.Rand, d time.Duration) error {
+	if err := s.commit(); err != nil {
+		return err
+	}
+	time.Sleep(d / 5)
+	for i, m := range []standin.Mode{standin.Down, standin.Frozen, standin.Older} {
+		s.outage(m)
+		vm := s.VMs[i%len(s.VMs)]
+		if err := s.killVM(vm); err != nil {
+			return err
+		}
+		if err := s.startVM(ctx, vm); err != nil {
+			return err
+		}
+		time.Sleep(d / 5)
+	}
+	s.outage(standin.Up)
+	return s.commit()
+}
+
+func churn(_ context.Context, s *stage, _ *rand.Rand, d time.Duration) error {
+	const each = 2 * time.Second
+	for begin := time.Now(); time.Since(begin) < d; time.Sleep(each) {
+		if err := s.commit(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func repartition(ctx context.Context, s *stage, rng *rand.Rand, d time.Duration) error {
+	const over = time.Second
+	w := leadsOf(s.Deployment.Name).search
+	hows := []string{splitShard, mergeShard, moveRange}
+	for i, begin := 0, time.Now(); time.Since(begin) < d; i++ {
+		if err := s.advance(ctx, w, over); err != nil {
+			return err
+		}
+		time.Sleep(over)
+		if err := s.repartition(ctx, w, hows[i%len(hows)], rng.IntN(16), over); err != nil {
+			return err
+		}
+		time.Sleep(over)
+	}
+	return nil
+}
+
+func orderResend(ctx context.Context, s *stage, rng *rand.Rand, d time.Duration) error {
+	for begin := time.Now(); time.Since(begin) < d; {
+		vm := s.VMs[rng.IntN(len(s.VMs))]
+		if err := s.pauseVM(vm, time.Duration(500+rng.IntN(1500))*time.Millisecond); err != nil {
+			return err
+		}
+		vm = s.VMs[rng.IntN(len(s.VMs))]
+		if err := s.killVM(vm); err != nil {
+			return err
+		}
+		if err := s.startVM(ctx, vm); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func replies(ctx context.Context, s *stage, rng *rand.Rand, d time.Duration) error {
+	w := leadsOf(s.Deployment.Name).search
+	faults := []standin.ReplyFault{standin.Truncated, standin.Crossed, standin.Late}
+	for i, begin := 0, time.Now(); time.Since(begin) < d; i++ {
+		b := standin.Behaviour{ReplyFault: faults[i%len(faults)], ReplyShare: 0.02, IgnorePin: i%2 == 1}
+		if err := s.Do(ctx, standin.Command{Behaviour: &b}); err != nil {
+			return err
+		}
+		if err := s.advance(ctx, w, time.Second); err != nil {
+			return err
+		}
+		back := s.Deployment.AddressesOf(w, "")[rng.IntN(20)]
+		if err := s.Do(ctx, standin.Command{Addresses: []string{back}, Index: s.index[w] - 1}); err != nil {
+			return err
+		}
+		time.Sleep(time.Second)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/faults.go
@@ -0,0 +1,211 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/standin"
+	"github.com/sardinespindle/sardinespindle/schema/gen/manifest"
+)
+
+// stage is a running cluster under load; an experiment's script acts on it.
+type stage struct {
+	*Cluster
+	b     *balancer
+	j     *recorder
+	index map[string]int // newest index version by workload
+}
+
+// commit publishes the deployment as the next generation and notes when.
+func (s *stage) commit() error {
+	if err := s.Commit(); err != nil {
+		return err
+	}
+	s.j.do(func(j *Journal) {
+		j.Commits = append(j.Commits, CommitTime{Generation: s.Generation, At: time.Now()})
+	})
+	return nil
+}
+
+// stopVM stops a VM as planned: the platform lists it as leaving, the balancer lags.
+func (s *stage) stopVM(vm *VM) error {
+	s.PublishVMs(vm)
+	s.b.leave(vm)
+	s.j.do(func(j *Journal) { begin(j.Stops, vm.Name) })
+	err := vm.proc.stop()
+	s.j.do(func(j *Journal) {
+		end(j.Stops, vm.Name)
+		if err != nil {
+			j.Unclean = append(j.Unclean, fmt.Sprintf("%s (%v)", vm.Name, err))
+		}
+	})
+	return nil
+}
+
+// killVM ends a VM without warning.
+func (s *stage) killVM(vm *VM) error {
+	s.b.leave(vm)
+	return vm.proc.kill()
+}
+
+// startVM starts a VM again and lists it once it is ready.
+func (s *stage) startVM(ctx context.Context, vm *VM) error {
+	time.Sleep(balancerLag)
+	if err := s.StartVM(vm); err != nil {
+		return err
+	}
+	s.PublishVMs()
+	if err := s.waitVM(ctx, vm); err != nil {
+		return err
+	}
+	s.b.join(vm)
+	return nil
+}
+
+// pauseVM freezes a VM for a while.
+func (s *stage) pauseVM(vm *VM, d time.Duration) error {
+	s.j.do(func(j *Journal) { begin(j.Pauses, vm.Name) })
+	err := vm.proc.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	err = errors.Join(err, vm.proc.signal(syscall.SIGCONT))
+	s.j.do(func(j *Journal) { end(j.Pauses, vm.Name) })
+	return err
+}
+
+// split cuts the links between the first n VMs and the others, and the first n from
+// the platform, or joins them again.
+func (s *stage) split(n int, cut bool) {
+	for i, row := range s.links {
+		for j, r := range row {
+			if r != nil && (i < n) != (j < n) {
+				r.cut(cut)
+			}
+		}
+	}
+	mode := standin.Up
+	if cut {
+		mode = standin.Down
+	}
+	for _, vm := range s.VMs[:n] {
+		s.Platform.SetMode(vm.Name, mode)
+		s.j.do(func(j *Journal) {
+			if cut {
+				begin(j.Cuts, vm.Name)
+			} else {
+				end(j.Cuts, vm.Name)
+			}
+		})
+	}
+}
+
+// outage sets the platform's mode towards all VMs; in a mode other than Up no commit
+// is due anywhere.
+func (s *stage) outage(m standin.Mode) {
+	s.Platform.SetMode("", m)
+	s.j.do(func(j *Journal) {
+		for _, vm := range s.VMs {
+			end(j.Cuts, vm.Name)
+			if m != standin.Up {
+				begin(j.Cuts, vm.Name)
+			}
+		}
+	})
+}
+
+// behave sets the behaviour of upstreams by address.
+func (s *stage) behave(ctx context.Context, b standin.Behaviour, addresses ...string) error {
+	return s.Do(ctx, standin.Command{Addresses: addresses, Behaviour: &b})
+}
+
+// advance makes a workload's upstreams go to the next index version, one by one.
+func (s *stage) advance(ctx context.Context, workload string, over time.Duration) error {
+	s.index[workload] = max(s.index[workload], 1) + 1
+	return s.Do(ctx, standin.Command{Workload: workload, Index: s.index[workload], SpreadMs: int(over.Milliseconds())})
+}
+
+// Repartition kinds.
+const (
+	splitShard = "split"
+	mergeShard = "merge"
+	moveRange  = "move"
+)
+
+// repartition commits a new partition map, then makes the upstreams go to it, one by
+// one. Upstreams keep serving the shards of the older map too.
+func (s *stage) repartition(ctx context.Context, workload, how string, at int, over time.Duration) error {
+	next, shards := s.Deployment.Repartition(workload, how, at)
+	s.Deployment.Maps = append(s.Deployment.Maps, next)
+	if err := s.commit(); err != nil {
+		return err
+	}
+	return s.Do(ctx, standin.Command{Workload: workload, Map: &next, Shards: shards, SpreadMs: int(over.Milliseconds())})
+}
+
+// Repartition draws the next partition map of a workload: the shard at a place is split
+// in two, merged with its right neighbour, or gives half of its range to it. It adds the
+// new shards to the upstreams and returns what each upstream serves.
+func (d *Deployment) Repartition(workload, how string, at int) (manifest.PartitionMap, map[string][]manifest.Name) {
+	old := d.newest(workload)
+	at %= len(old.Shards) - 1
+	a, b := old.Shards[at], old.Shards[at+1]
+	next := manifest.PartitionMap{Workload: old.Workload, Version: old.Version + 1}
+	name := func(n int) manifest.Name { return manifest.Name(fmt.Sprintf("m%d-%d", next.Version, n)) }
+	half := a.First + (a.Last-a.First)/2
+	var made []manifest.Shard
+	gone := 2
+	switch how {
+	case splitShard:
+		gone = 1
+		made = []manifest.Shard{{Name: name(1), First: a.First, Last: half}, {Name: name(2), First: half + 1, Last: a.Last}}
+	case mergeShard:
+		made = []manifest.Shard{{Name: name(1), First: a.First, Last: b.Last}}
+	default:
+		made = []manifest.Shard{{Name: name(1), First: a.First, Last: half}, {Name: name(2), First: half + 1, Last: b.Last}}
+	}
+	next.Shards = append(next.Shards, old.Shards[:at]...)
+	next.Shards = append(next.Shards, made...)
+	next.Shards = append(next.Shards, old.Shards[at+gone:]...)
+	homes := map[manifest.Name]manifest.Name{made[0].Name: a.Name}
+	if len(made) > 1 {
+		homes[made[1].Name] = b.Name
+		if how == splitShard {
+			homes[made[1].Name] = a.Name
+		}
+	}
+	return next, d.serve(workload, homes)
+}
+
+// serve adds shards to the upstreams that hold their homes. Upstreams are replaced, not
+// changed, since published parts may share them.
+func (d *Deployment) serve(workload string, homes map[manifest.Name]manifest.Name) map[string][]manifest.Name {
+	out := map[string][]manifest.Name{}
+	for i, u := range d.Upstreams {
+		if string(u.Workload) != workload {
+			continue
+		}
+		shards := append([]manifest.Name{}, u.Shards...)
+		for made, home := range homes {
+			for _, have := range u.Shards {
+				if have == home {
+					shards = append(shards, made)
+				}
+			}
+		}
+		d.Upstreams[i].Shards = shards
+		out[u.Address] = shards
+	}
+	return out
+}
+
+func (d *Deployment) newest(workload string) manifest.PartitionMap {
+	var newest manifest.PartitionMap
+	for _, m := range d.Maps {
+		if string(m.Workload) == workload && m.Version > newest.Version {
+			newest = m
+		}
+	}
+	return newest
+}
--- /dev/null
+++ b/internal/bench/load.go
@@ -0,0 +1,204 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/sardinespindle/sardinespindle/internal/standin"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
+	"github.com/sardinespindle/sardinespindle/schema/gen/manifest"
+)
+
+// Stream is one caller's requests to one workload.
+type Stream struct {
+	Caller, Workload string
+	// Rate is in requests a second.
+	Rate float64
+	// Crash makes each request crash the upstream that runs it.
+	Crash bool
+	// Twice sends each request through two VMs at the same time.
+	Twice bool
+}
+
+// Bounds of the load.
+const (
+	maxOutstanding = 4096
+	maxAttempts    = 6
+	resendLimit    = time.Second
+	resendLeast    = 100 * time.Millisecond
+	searchLimit    = 10
+	dialTries      = 3
+)
+
+// load is an open loop: requests are due at seeded times, whatever became of the
+// earlier ones, and latency counts from the time due. One lock guards what was seen.
+type load struct {
+	client   *Client
+	balancer *balancer
+	d        *Deployment
+	seed     uint64
+	mu       sync.Mutex
+	seen     []Seen
+	dropped  int
+	room     chan struct{}
+	wg       sync.WaitGroup
+}
+
+func newLoad(d *Deployment, b *balancer, seed uint64) *load {
+	return &load{client: NewClient(), balancer: b, d: d, seed: seed, room: make(chan struct{}, maxOutstanding)}
+}
+
+// run sends the streams' requests until ctx ends, then waits for those in flight.
+func (l *load) run(ctx context.Context, streams []Stream) {
+	var wg sync.WaitGroup
+	for _, s := range streams {
+		wg.Go(func() { l.stream(ctx, s) })
+	}
+	wg.Wait()
+	l.wg.Wait()
+}
+
+func (l *load) stream(ctx context.Context, s Stream) {
+	rng := rand.New(rand.NewPCG(l.seed, standin.Hash64(s.Caller+"/"+s.Workload)))
+	due := time.Now()
+	for n := 0; ; n++ {
+		due = due.Add(time.Duration(rng.ExpFloat64() / s.Rate * float64(time.Second)))
+		r := l.request(rng, s)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(due)):
+		}
+		select {
+		case l.room <- struct{}{}:
+		default:
+			l.mu.Lock()
+			l.dropped++
+			l.mu.Unlock()
+			continue
+		}
+		at := due
+		l.wg.Go(func() {
+			defer func() { <-l.room }()
+			l.resend(r, at, s.Twice)
+		})
+	}
+}
+
+// request draws the next request of a stream.
+func (l *load) request(rng *rand.Rand, s Stream) Request {
+	g, w := l.grant(s.Caller, s.Workload)
+	n := fmt.Sprintf("%016x", rng.Uint64())
+	r := Request{
+		Caller:   s.Caller,
+		Workload: s.Workload,
+		Sharded:  w.Kind == manifest.WorkloadKindSharded,
+		Nonce:    n,
+		Deadline: time.Duration(g.DeadlineMs) * time.Millisecond,
+	}
+	mark := nonceWord(n)
+	if s.Crash {
+		mark += " " + standin.CrashMark + n
+	}
+	if r.Sharded {
+		words := standin.Words(s.Workload)
+		r.Query = words[0][rng.IntN(len(words[0]))] + " " + words[1][rng.IntN(len(words[1]))] + " " + mark
+		r.Limit = searchLimit
+		return r
+	}
+	r.Body = fmt.Sprintf(`{"count":%d,"note":%q}`, 1+rng.IntN(9), mark)
+	if !w.Idempotent {
+		r.Key = newKey
+	}
+	return r
+}
+
+// newKey stands for a key that is drawn when the request is sent, since a key's birth
+// is part of it.
+const newKey = "new"
+
+func (l *load) grant(who, workload string) (manifest.Grant, manifest.Workload) {
+	for _, c := range l.d.Callers {
+		if string(c.Name) != who {
+			continue
+		}
+		for _, g := range c.Grants {
+			if string(g.Workload) != workload {
+				continue
+			}
+			for _, w := range l.d.Workloads {
+				if w.Name == g.Workload {
+					return g, w
+				}
+			}
+		}
+	}
+	panic(fmt.Sprintf("bench: no grant of %s for %s", workload, who))
+}
+
+// resend sends a request, and a keyed or crashing one again until it has an answer.
+func (l *load) resend(r Request, due time.Time, twice bool) {
+	if r.Key == newKey {
+		r.Key = uuid.Must(uuid.NewV7()).String()
+	}
+	again := r.Key != "" || containsCrash(r)
+	if twice {
+		l.wg.Go(func() { l.attempt(r, due) })
+	}
+	for range maxAttempts {
+		s := l.attempt(r, due)
+		if !again || done(s) {
+			return
+		}
+		wait := resendLeast
+		if s.Reply != nil {
+			wait = max(wait, time.Duration(s.Reply.RetryAfterMs)*time.Millisecond)
+		}
+		time.Sleep(min(wait, resendLimit))
+		due = time.Now()
+	}
+}
+
+func containsCrash(r Request) bool { return crashWord(r) != "" }
+
+func done(s Seen) bool {
+	if s.Reply == nil {
+		return false
+	}
+	return s.Reply.Outcome == caller.OutcomeAnswered || s.Reply.Outcome == caller.OutcomeRejected
+}
+
+// attempt sends a request once; like a balancer, it goes to another VM where the first
+// accepts no connection.
+func (l *load) attempt(r Request, due time.Time) Seen {
+	var s Seen
+	for range dialTries {
+		vm := l.balancer.pick()
+		if vm == nil {
+			s = Seen{Request: r, Due: due, Sent: time.Now(), End: time.Now(), Refused: true, Err: errNoVM}
+			break
+		}
+		s = l.client.Do(context.Background(), vm.Callers, r)
+		s.VM = vm.Name
+		if !s.Refused {
+			break
+		}
+	}
+	s.Due = due
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seen = append(l.seen, s)
+	return s
+}
+
+// taken returns what was seen so far, and how many requests were not sent for want of room.
+func (l *load) taken() (seen []Seen, dropped int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.seen, l.dropped
+}
--- a/internal/bench/process.go
+++ b/internal/bench/process.go
@@ -13,6 +13,9 @@
 // killAfter is how long a child may take to end after SIGTERM.
 const killAfter = 30 * time.Second
 
+// errExited says that a child ended with code 0.
+var errExited = errors.New("exit status 0")
+
 // process is one child of the bench. Signals go to this child only, by its handle.
 type process struct {
 	name string
@@ -60,6 +63,15 @@
 	}
 }
 
+// exit waits for the end of the child and says how it ended.
+func (p *process) exit() error {
+	<-p.done
+	if p.err == nil {
+		return errExited
+	}
+	return p.err
+}
+
 // stop ends the child by SIGTERM, and by SIGKILL where that takes too long. The error
 // is that of a child that ended with another code than 0.
 func (p *process) stop() error {
--- /dev/null
+++ b/internal/bench/report.go
@@ -0,0 +1,99 @@
+package bench
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// reportFile is the page that WriteReport writes.
+const reportFile = "report.md"
+
+// WriteReport writes one page over all results below dir.
+func WriteReport(dir string) error {
+	var page strings.Builder
+	page.WriteString("# Results\n")
+	found := false
+	err := filepath.WalkDir(dir, func(path string, e fs.DirEntry, err error) error {
+		if err != nil || e.Name() != resultFile {
+			return err
+		}
+		found = true
+		return section(&page, dir, path)
+	})
+	if err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	if !found {
+		return errors.New("report: no results below " + dir)
+	}
+	if err := os.WriteFile(filepath.Join(dir, reportFile), []byte(page.String()), fileMode); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	return nil
+}
+
+// section writes what one file of results holds.
+func section(page *strings.Builder, dir, path string) error {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	var results []*Result
+	if err := json.Unmarshal(body, &results); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	if len(results) == 0 {
+		return nil
+	}
+	first := results[0]
+	put := func(format string, args ...any) { fmt.Fprintf(page, format+"\n", args...) }
+	put("\n## %s, %s, seed %d\n", first.Experiment, first.Deployment, first.Seed)
+	put("%d VMs, %.0f s each.\n", first.VMs, first.Seconds)
+	put("| policy | requests | answered | not run | unknown | no reply | p50 ms | p99 ms | p999 ms | coverage | extra load | goodput | violations |")
+	put("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, r := range results {
+		put("| %s | %d | %d | %d | %d | %d | %.1f | %.1f | %.1f | %.4f | %.3f | %.1f | %d |",
+			r.Policy, r.Requests, r.Answered, r.NotRun, r.Unknown, r.NoReply, r.P50Ms, r.P99Ms, r.P999Ms, r.CoverageMean, r.ExtraLoad, r.Goodput, r.Violations)
+	}
+	put("\n| workload | caller | policy | answered | p50 ms | p99 ms | p999 ms | coverage |")
+	put("| --- | --- | --- | --- | --- | --- | --- | --- |")
+	for i := range first.Groups {
+		for _, r := range results {
+			for _, g := range r.Groups {
+				if g.Workload == first.Groups[i].Workload && g.Caller == first.Groups[i].Caller {
+					put("| %s | %s | %s | %d/%d | %.1f | %.1f | %.1f | %.4f |", g.Workload, g.Caller, r.Policy, g.Answered, g.Requests, g.P50Ms, g.P99Ms, g.P999Ms, g.CoverageMean)
+				}
+			}
+		}
+	}
+	violations(put, results)
+	plots(put, dir, path, first)
+	return nil
+}
+
+func violations(put func(string, ...any), results []*Result) {
+	for _, r := range results {
+		for kind, n := range r.Breakdown {
+			put("\n%s: %d %s", r.Policy, n, kind)
+		}
+	}
+}
+
+func plots(put func(string, ...any), dir, path string, first *Result) {
+	rel, err := filepath.Rel(dir, filepath.Dir(path))
+	if err != nil {
+		return
+	}
+	put("")
+	for _, g := range first.Groups {
+		put("![%s, %s](%s)", g.Workload, g.Caller, filepath.Join(rel, cdfFile(g)))
+	}
+	for _, b := range bars {
+		put("![%s](%s)", b.title, filepath.Join(rel, b.file+".png"))
+	}
+}
--- /dev/null
+++ b/internal/bench/result.go
@@ -0,0 +1,245 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/standin"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
+)
+
+// cdfPoints is the number of points of a latency distribution.
+const cdfPoints = 200
+
+// resultFile is the name of the file with an experiment's results.
+const resultFile = "result.json"
+
+// Result is what an experiment measured under one policy.
+type Result struct {
+	Experiment string   `json:"experiment"`
+	Deployment string   `json:"deployment"`
+	Policy     string   `json:"policy"`
+	Disable    []string `json:"disable"`
+	Seed       uint64   `json:"seed"`
+	VMs        int      `json:"vms"`
+	Seconds    float64  `json:"seconds"`
+	// Attempts by what callers saw of them.
+	Requests int `json:"requests"`
+	Answered int `json:"answered"`
+	NotRun   int `json:"not_run"`
+	Unknown  int `json:"unknown"`
+	Rejected int `json:"rejected"`
+	NoReply  int `json:"no_reply"`
+	// Unsent requests found the bench itself at its bound.
+	Unsent int `json:"unsent"`
+	// Latencies of answered requests, from the time due.
+	P50Ms        float64 `json:"p50_ms"`
+	P99Ms        float64 `json:"p99_ms"`
+	P999Ms       float64 `json:"p999_ms"`
+	CoverageMean float64 `json:"coverage_mean"`
+	// ExtraLoad is sub-requests received by upstreams by those needed; 1 is none extra.
+	ExtraLoad float64 `json:"extra_load"`
+	// Goodput is requests answered in time, each second.
+	Goodput    float64        `json:"goodput"`
+	Violations int            `json:"violations"`
+	Breakdown  map[Kind]int   `json:"breakdown"`
+	Examples   []string       `json:"examples"`
+	Reasons    map[string]int `json:"reasons"`
+	// PlatformReads is the most reads in one second, of all VMs together.
+	PlatformReads int            `json:"platform_reads"`
+	Upstreams     standin.Counts `json:"upstreams"`
+	Groups        []Group        `json:"groups"`
+}
+
+// Group is the measures of one caller's requests to one workload.
+type Group struct {
+	Workload     string  `json:"workload"`
+	Caller       string  `json:"caller"`
+	Requests     int     `json:"requests"`
+	Answered     int     `json:"answered"`
+	P50Ms        float64 `json:"p50_ms"`
+	P99Ms        float64 `json:"p99_ms"`
+	P999Ms       float64 `json:"p999_ms"`
+	CoverageMean float64 `json:"coverage_mean"`
+	// CDFMs are the latencies at equal steps of the distribution.
+	CDFMs []float64 `json:"cdf_ms"`
+}
+
+// measure is the raw material of a result.
+type measure struct {
+	seen    []Seen
+	dropped int
+	counts  standin.Counts
+	verdict *Verdict
+	took    time.Duration
+	reads   int
+	shards  map[string]int
+}
+
+// join adds another round.
+func (m *measure) join(o *measure) {
+	m.seen = append(m.seen, o.seen...)
+	m.dropped += o.dropped
+	m.took += o.took
+	m.reads = max(m.reads, o.reads)
+	a, b := &m.counts, o.counts
+	a.Received += b.Received
+	a.Searches += b.Searches
+	a.Ran += b.Ran
+	a.Shed += b.Shed
+	a.Canceled += b.Canceled
+	a.Probes += b.Probes
+	a.Connections += b.Connections
+	a.ConnectionOver += b.ConnectionOver
+	a.WorkAfterDrain += b.WorkAfterDrain
+	a.Crashes += b.Crashes
+	for k, n := range o.verdict.Violations {
+		m.verdict.Violations[k] += n
+	}
+	m.verdict.Examples = append(m.verdict.Examples, o.verdict.Examples...)
+}
+
+// tally collects latencies and coverage.
+type tally struct {
+	requests  int
+	latencies []float64
+	coverage  []float64
+}
+
+func (t *tally) add(s *Seen) {
+	t.requests++
+	if s.Reply == nil || s.Reply.Outcome != caller.OutcomeAnswered {
+		return
+	}
+	t.latencies = append(t.latencies, float64(s.End.Sub(s.Due).Microseconds())/1000)
+	if c := s.Reply.Coverage; c != nil && c.ShardsTotal > 0 {
+		t.coverage = append(t.coverage, float64(c.ShardsCovered)/float64(c.ShardsTotal))
+	}
+}
+
+func quantile(sorted []float64, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
+func mean(v []float64) float64 {
+	if len(v) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, x := range v {
+		sum += x
+	}
+	return sum / float64(len(v))
+}
+
+func (t *tally) group(workload, who string) Group {
+	slices.Sort(t.latencies)
+	g := Group{
+		Workload: workload, Caller: who,
+		Requests: t.requests, Answered: len(t.latencies),
+		P50Ms: quantile(t.latencies, 0.5), P99Ms: quantile(t.latencies, 0.99), P999Ms: quantile(t.latencies, 0.999),
+		CoverageMean: mean(t.coverage),
+	}
+	for i := range cdfPoints {
+		if len(t.latencies) > 0 {
+			g.CDFMs = append(g.CDFMs, quantile(t.latencies, (float64(i)+0.5)/cdfPoints))
+		}
+	}
+	return g
+}
+
+// result sums a measure up.
+func (m *measure) result(o RunOptions, policy string) *Result {
+	r := &Result{
+		Experiment: o.Experiment, Deployment: o.Deployment, Policy: policy, Disable: o.Disable,
+		Seed: o.Seed, VMs: o.VMs, Seconds: m.took.Seconds(),
+		Requests: len(m.seen), Unsent: m.dropped, PlatformReads: m.reads, Upstreams: m.counts,
+		Violations: m.verdict.Total(), Breakdown: m.verdict.Violations, Examples: m.verdict.Examples,
+		Reasons: map[string]int{},
+	}
+	all := &tally{}
+	groups := map[string]*tally{}
+	needed, inTime := 0, 0
+	for i := range m.seen {
+		s := &m.seen[i]
+		r.count(s)
+		all.add(s)
+		k := s.Request.Workload + "/" + s.Request.Caller
+		if groups[k] == nil {
+			groups[k] = &tally{}
+		}
+		groups[k].add(s)
+		needed += m.needed(s)
+		if s.Reply != nil && s.Reply.Outcome == caller.OutcomeAnswered && s.End.Sub(s.Due) <= s.Request.Deadline+lateSlack {
+			inTime++
+		}
+	}
+	g := all.group("", "")
+	r.P50Ms, r.P99Ms, r.P999Ms, r.CoverageMean = g.P50Ms, g.P99Ms, g.P999Ms, g.CoverageMean
+	if needed > 0 {
+		r.ExtraLoad = float64(m.counts.Searches) / float64(needed)
+	}
+	r.Goodput = float64(inTime) / m.took.Seconds()
+	for _, k := range slices.Sorted(maps.Keys(groups)) {
+		w, who := filepath.Split(k)
+		r.Groups = append(r.Groups, groups[k].group(filepath.Clean(w), who))
+	}
+	return r
+}
+
+// needed is the sub-requests that an attempt needs at least.
+func (m *measure) needed(s *Seen) int {
+	if !s.Request.Sharded || s.Refused {
+		return 0
+	}
+	if s.Reply != nil && (s.Reply.Outcome == caller.OutcomeNotRun || s.Reply.Outcome == caller.OutcomeRejected) {
+		return 0
+	}
+	if s.Reply != nil && s.Reply.Coverage != nil {
+		return s.Reply.Coverage.ShardsTotal
+	}
+	return m.shards[s.Request.Workload]
+}
+
+func (r *Result) count(s *Seen) {
+	if s.Reply == nil {
+		r.NoReply++
+		return
+	}
+	switch s.Reply.Outcome {
+	case caller.OutcomeAnswered:
+		r.Answered++
+	case caller.OutcomeNotRun:
+		r.NotRun++
+	case caller.OutcomeUnknown:
+		r.Unknown++
+	case caller.OutcomeRejected:
+		r.Rejected++
+	}
+	if s.Reply.Reason != "" {
+		r.Reasons[string(s.Reply.Outcome)+"/"+s.Reply.Reason]++
+	}
+}
+
+// write writes the results and their plots into dir.
+func write(dir string, results []*Result) error {
+	if err := os.MkdirAll(dir, dirMode); err != nil {
+		return fmt.Errorf("results: %w", err)
+	}
+	body, err := json.MarshalIndent(results, "", " ")
+	if err != nil {
+		return fmt.Errorf("results: %w", err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, resultFile), append(body, '\n'), fileMode); err != nil {
+		return fmt.Errorf("results: %w", err)
+	}
+	return plotAll(dir, results)
+}
--- /dev/null
+++ b/internal/bench/run.go
@@ -0,0 +1,180 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/standin"
+	"github.com/sardinespindle/sardinespindle/schema/gen/manifest"
+)
+
+const (
+	// rounds is how often each policy takes its turn where both are compared.
+	rounds = 2
+	// settle is how long the load goes on after the script, so that what it left is seen.
+	settle = time.Second
+	// scriptLimit bounds a script to so many times its planned duration.
+	scriptLimit = 6
+	sampleEach  = 250 * time.Millisecond
+)
+
+// Policies of a run.
+const (
+	Current  = "current"
+	Baseline = "baseline"
+)
+
+// RunOptions says which experiment runs and how.
+type RunOptions struct {
+	Options
+	Experiment string
+	// Policy is current, baseline or both.
+	Policy   string
+	Duration time.Duration
+	Out      string
+}
+
+// Run runs an experiment and writes its results. Where both policies run, they take
+// turns, the second round in the opposite order.
+func Run(ctx context.Context, o RunOptions, progress func(string)) ([]*Result, error) {
+	e, err := Find(o.Experiment)
+	if err != nil {
+		return nil, err
+	}
+	turns := []string{o.Policy}
+	if o.Policy == Both {
+		turns = []string{Current, Baseline, Baseline, Current}
+		o.Duration /= rounds
+	}
+	byPolicy := map[string]*measure{}
+	var order []string
+	for i, policy := range turns {
+		p := o
+		p.Options.Policy = policy
+		p.Dir = filepath.Join(o.Dir, fmt.Sprintf("%d-%s", i+1, policy))
+		p.Seed = o.Seed + uint64(i/2)
+		progress(fmt.Sprintf("%s, %s, %d VMs, seed %d", e.Name, policy, o.VMs, p.Seed))
+		m, err := runOnce(ctx, e, p)
+		if err != nil {
+			return nil, err
+		}
+		if byPolicy[policy] == nil {
+			byPolicy[policy] = m
+			order = append(order, policy)
+			continue
+		}
+		byPolicy[policy].join(m)
+	}
+	var results []*Result
+	for _, policy := range order {
+		results = append(results, byPolicy[policy].result(o, policy))
+	}
+	return results, write(o.Out, results)
+}
+
+// runOnce runs an experiment on a fresh cluster and checks what came of it.
+func runOnce(ctx context.Context, e Experiment, o RunOptions) (*measure, error) {
+	c, err := NewCluster(ctx, o.Options)
+	if err != nil {
+		return nil, err
+	}
+	s := &stage{Cluster: c, b: newBalancer(c.VMs, o.Seed), j: newRecorder(), index: map[string]int{}}
+	m, err := s.perform(ctx, e, o)
+	if err = errors.Join(err, c.Close()); err != nil {
+		return nil, fmt.Errorf("%s: %w", e.Name, err)
+	}
+	return m, nil
+}
+
+// perform runs load, script and sampling side by side.
+func (s *stage) perform(ctx context.Context, e Experiment, o RunOptions) (*measure, error) {
+	var streams []Stream
+	if !e.Alone {
+		streams = usual(s.Deployment.Name)
+	}
+	if e.Streams != nil {
+		streams = append(streams, e.Streams(s.Deployment.Name)...)
+	}
+	l := newLoad(s.Deployment.frozen(), s.b, o.Seed)
+	loadCtx, stopLoad := context.WithCancel(ctx)
+	defer stopLoad()
+	sampleCtx, stopSamples := context.WithCancel(ctx)
+	defer stopSamples()
+	var loading, sampling sync.WaitGroup
+	begin := time.Now()
+	loading.Go(func() { l.run(loadCtx, streams) })
+	for _, vm := range s.VMs {
+		sampling.Go(func() { s.sample(sampleCtx, vm) })
+	}
+	err := s.script(ctx, e, o)
+	time.Sleep(max(0, o.Duration-time.Since(begin)) + settle)
+	stopLoad()
+	took := time.Since(begin)
+	loading.Wait()
+	stopSamples()
+	sampling.Wait()
+	if err != nil {
+		return nil, err
+	}
+	log, err := s.Log(ctx)
+	if err != nil {
+		return nil, err
+	}
+	seen, dropped := l.taken()
+	busiest, _ := s.Platform.Reads()
+	m := &measure{seen: seen, dropped: dropped, counts: log.Counts, took: took, reads: busiest, shards: map[string]int{}}
+	s.j.do(func(j *Journal) {
+		m.verdict = Check(Evidence{Seen: seen, Log: log, Journal: *j, Maps: s.Deployment.Maps})
+	})
+	for _, p := range s.Deployment.Maps {
+		m.shards[string(p.Workload)] = len(p.Shards)
+	}
+	return m, nil
+}
+
+// script runs the experiment's script in its time.
+func (s *stage) script(ctx context.Context, e Experiment, o RunOptions) error {
+	if e.Script == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.Duration*scriptLimit+time.Minute)
+	defer cancel()
+	rng := rand.New(rand.NewPCG(o.Seed, standin.Hash64(e.Name)))
+	return e.Script(ctx, s, rng, o.Duration)
+}
+
+type status struct {
+	Incarnation string `json:"incarnation"`
+	Generation  int    `json:"generation"`
+}
+
+// sample asks a VM now and then what it has in force, while it is ready.
+func (s *stage) sample(ctx context.Context, vm *VM) {
+	for ; ctx.Err() == nil; time.Sleep(sampleEach) {
+		at := time.Now()
+		var st status
+		if s.get(ctx, "http://"+vm.Admin+"/readyz", nil) != nil {
+			continue
+		}
+		if s.get(ctx, "http://"+vm.Admin+"/v1/status", &st) != nil {
+			continue
+		}
+		s.j.do(func(j *Journal) {
+			j.Samples = append(j.Samples, Sample{VM: vm.Name, Incarnation: st.Incarnation, Generation: st.Generation, At: at})
+		})
+	}
+}
+
+// frozen copies what the load reads, which scripts do not change.
+func (d *Deployment) frozen() *Deployment {
+	return &Deployment{
+		Name:      d.Name,
+		Workloads: append([]manifest.Workload{}, d.Workloads...),
+		Callers:   append([]manifest.Caller{}, d.Callers...),
+	}
+}
--- a/internal/standin/recorder.go
+++ b/internal/standin/recorder.go
@@ -26,6 +26,7 @@
 // Counts sums up what the upstreams saw.
 type Counts struct {
 	Received       int `json:"received"`         // requests but probes
+	Searches       int `json:"searches"`         // requests for a shard's part
 	Ran            int `json:"ran"`              // requests that got a slot
 	Shed           int `json:"shed"`             // refused before they ran
 	Canceled       int `json:"canceled"`         // given up by the VM while they ran
@@ -46,7 +47,7 @@
 type Recorder struct {
 	mu      sync.Mutex
 	counts  Counts
-	crashes map[string]int // by the crash word of the request
+	crashes map[string]int // by the crash word and shard of the request
 	runs    []Run
 	nonces  [nonceShards]nonceShard
 }
@@ -96,7 +97,8 @@
 
 // Log is everything recorded so far.
 type Log struct {
-	Counts  Counts         `json:"counts"`
+	Counts Counts `json:"counts"`
+	// Crashes by the crash word of the request, and the shard after a slash.
 	Crashes map[string]int `json:"crashes"`
 	Runs    []Run          `json:"runs"`
 	// Nonces counts the runs of each request by its nonce.
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -103,7 +103,12 @@
 
 // enter waits for a slot; it replies with a refusal and reports false where there is none.
 func (u *Upstream) enter(w http.ResponseWriter, r *http.Request) bool {
-	u.rec.count(func(c *Counts) { c.Received++ })
+	u.rec.count(func(c *Counts) {
+		c.Received++
+		if r.Header.Get("Spindle-Shard") != "" {
+			c.Searches++
+		}
+	})
 	ctx := r.Context()
 	if ms, err := strconv.Atoi(r.Header.Get("Spindle-Deadline-Ms")); err == nil {
 		var cancel context.CancelFunc
@@ -136,7 +141,7 @@
 		}
 	})
 	if word := marked(text, CrashMark); word != "" {
-		u.crash(word)
+		u.crash(word + "/" + r.Header.Get("Spindle-Shard"))
 		panic(http.ErrAbortHandler)
 	}
 	if pause(r.Context(), s.service) {
