Measure what each VM uses, and split the cluster's file

Change: runs report processor time and peak memory of each daemon and the bytes on the links between VMs; an idle experiment shows what control costs.

--- a/cmd/spindlebench/experiment.go
+++ b/cmd/spindlebench/experiment.go
@@ -53,6 +53,11 @@
 		fmt.Printf("%s %s seed %d %s: %d requests, %d answered, %d not run, %d unknown, %d rejected, %d no reply; p50 %.1f p99 %.1f p999 %.1f ms; coverage %.4f; extra load %.3f; goodput %.1f/s; %d violations\n",
 			r.Experiment, r.Deployment, r.Seed, r.Policy, r.Requests, r.Answered, r.NotRun, r.Unknown, r.Rejected, r.NoReply,
 			r.P50Ms, r.P99Ms, r.P999Ms, r.CoverageMean, r.ExtraLoad, r.Goodput, r.Violations)
+		fmt.Printf("  a VM: %.3f cores, peak %.1f MB, %.1f KB/s to and from other VMs; platform: %d reads in the busiest second; %d probes, %d canceled, %d shed\n",
+			r.VM.Cores, r.VM.PeakMB, r.VM.PeerKBps, r.PlatformReads, r.Upstreams.Probes, r.Upstreams.Canceled, r.Upstreams.Shed)
+		for reason, n := range r.Reasons {
+			fmt.Printf("  %d %s\n", n, reason)
+		}
 		for kind, n := range r.Breakdown {
 			fmt.Printf("  %d %s\n", n, kind)
 		}
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -13,11 +13,7 @@
 	"syscall"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"github.com/sardinespindle/sardinespindle/internal/standin"
-	"github.com/sardinespindle/sardinespindle/schema/gen/platform"
-	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
 )
 
 // Loopback addresses: 127.NET.0.N is VM N, 127.NET.1.N the platform as VM N sees it,
@@ -57,17 +53,6 @@
 	Dir string
 }
 
-// VM is one daemon.
-type VM struct {
-	Name, Zone    string
-	Callers       string
-	Peers         string
-	Admin         string
-	settings      string
-	proc          *process
-	lastStartedAt time.Time
-}
-
 // Cluster is stand-ins and daemons. It is driven by one goroutine; only what stands in
 // fleet and Platform is shared.
 type Cluster struct {
@@ -166,122 +151,6 @@
 
 func (c *Cluster) control() string { return c.address(0, 253, controlPort) }
 
-// prepareVMs lays out the VMs, their links, and the platform as each sees it.
-func (c *Cluster) prepareVMs(ctx context.Context) error {
-	for i := range c.Options.VMs {
-		c.VMs = append(c.VMs, &VM{
-			Name:    fmt.Sprintf("vm-%02d", i+1),
-			Zone:    c.Deployment.Zones[i%len(c.Deployment.Zones)],
-			Callers: c.address(0, i+1, callerPort),
-			Peers:   c.address(0, i+1, peerPort),
-			Admin:   c.address(0, i+1, adminPort),
-		})
-	}
-	for i, vm := range c.VMs {
-		if err := c.link(ctx, i); err != nil {
-			return err
-		}
-		if err := c.servePlatform(ctx, i); err != nil {
-			return err
-		}
-		if err := c.writeSettings(i, vm); err != nil {
-			return err
-		}
-	}
-	c.PublishVMs()
-	return nil
-}
-
-// link makes the relays from one VM to every other.
-func (c *Cluster) link(ctx context.Context, i int) error {
-	row := make([]*relay, len(c.VMs))
-	c.links = append(c.links, row)
-	for j, vm := range c.VMs {
-		if i == j {
-			continue
-		}
-		r, err := newRelay(ctx, c.address(linkNet+i, j+1, peerPort), vm.Peers)
-		if err != nil {
-			return err
-		}
-		row[j] = r
-	}
-	return nil
-}
-
-func (c *Cluster) servePlatform(ctx context.Context, i int) error {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", c.address(1, i+1, platformPort))
-	if err != nil {
-		return fmt.Errorf("platform: %w", err)
-	}
-	s := &http.Server{Handler: c.Platform.Handler(c.VMs[i].Name), ReadHeaderTimeout: time.Minute}
-	c.servers = append(c.servers, s)
-	go func() { _ = s.Serve(l) }()
-	return nil
-}
-
-func (c *Cluster) writeSettings(i int, vm *VM) error {
-	s := settings.Settings{
-		Name: vm.Name,
-		Zone: vm.Zone,
-		Listen: settings.Listen{
-			Callers: settings.Address(vm.Callers),
-			Peers:   settings.Address(vm.Peers),
-			Admin:   settings.Address(vm.Admin),
-		},
-		Platform: settings.Platform{
-			Addresses:    []settings.Address{settings.Address(c.address(1, i+1, platformPort))},
-			WatchSeconds: 30,
-		},
-		Log:  &settings.Log{Level: settings.LogLevelInfo, Format: settings.LogFormatLogfmt},
-		Stop: &settings.Stop{LingerMs: c.LingerMs},
-	}
-	if c.Policy != "" || len(c.Disable) > 0 {
-		e := &settings.Experiment{Policy: settings.ExperimentPolicyCurrent}
-		if c.Policy != "" {
-			e.Policy = settings.ExperimentPolicy(c.Policy)
-		}
-		for _, m := range c.Disable {
-			e.Disable = append(e.Disable, settings.ExperimentDisableElem(m))
-		}
-		s.Experiment = e
-	}
-	body, err := toml.Marshal(s)
-	if err != nil {
-		return fmt.Errorf("settings: %w", err)
-	}
-	vm.settings = filepath.Join(c.Dir, vm.Name+".toml")
-	if err := os.WriteFile(vm.settings, body, fileMode); err != nil {
-		return fmt.Errorf("settings: %w", err)
-	}
-	return nil
-}
-
-// PublishVMs publishes the list of VMs, to each VM with its own links.
-func (c *Cluster) PublishVMs(leaving ...*VM) {
-	for i, reader := range c.VMs {
-		var list platform.VMList
-		for j, vm := range c.VMs {
-			v := platform.VM{Name: vm.Name, Zone: vm.Zone, PeerAddress: vm.Peers, State: platform.VMStateLive}
-			if i != j {
-				v.PeerAddress = c.address(linkNet+i, j+1, peerPort)
-			}
-			for _, l := range leaving {
-				if l == vm {
-					v.State = platform.VMStateLeaving
-				}
-			}
-			list.Vms = append(list.Vms, v)
-		}
-		body, err := json.Marshal(list)
-		if err != nil {
-			panic(fmt.Errorf("encode VM list: %w", err))
-		}
-		c.Platform.SetFor(reader.Name, "vms", body)
-	}
-}
-
 // Commit publishes the deployment as the next generation.
 func (c *Cluster) Commit() error {
 	p, err := Publish(c.Deployment.Parts(), c.Generation+1, now())
@@ -299,33 +168,6 @@
 	return nil
 }
 
-// StartVM starts a daemon.
-func (c *Cluster) StartVM(vm *VM) error {
-	var err error
-	vm.proc, err = start(c.Dir, vm.Name, filepath.Join(c.BinDir, "sardinespindle"), "--settings", vm.settings)
-	vm.lastStartedAt = time.Now()
-	return err
-}
-
-// WaitReady waits until every VM serves.
-func (c *Cluster) WaitReady(ctx context.Context) error {
-	for _, vm := range c.VMs {
-		if err := c.waitVM(ctx, vm); err != nil {
-			return err
-		}
-		if !vm.proc.alive() {
-			return fmt.Errorf("cluster: %s ended by itself (logs in %s): %w", vm.Name, c.Dir, vm.proc.exit())
-		}
-	}
-	return nil
-}
-
-func (c *Cluster) waitVM(ctx context.Context, vm *VM) error {
-	return c.wait(ctx, vm.Name, func() bool {
-		return !vm.proc.alive() || c.get(ctx, "http://"+vm.Admin+"/readyz", nil) == nil
-	})
-}
-
 func (c *Cluster) wait(ctx context.Context, what string, ok func() bool) error {
 	deadline := time.Now().Add(readyTimeout)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
--- a/internal/bench/experiments.go
+++ b/internal/bench/experiments.go
@@ -59,6 +59,7 @@
 // Experiments lists all experiments.
 func Experiments() []Experiment {
 	return []Experiment{
+		{Name: "idle", About: "no load, no fault: what control costs", Alone: true},
 		{Name: "steady", About: "ordinary load, no fault"},
 		{Name: "straggler", About: "1 in 100 sub-requests takes 20 times as long, one replica always 10 times", Script: straggler},
 		{Name: "overload", About: "twice the capacity for the middle half of the time", Alone: true, Script: overload, Streams: overloadStreams},
--- a/internal/bench/relay.go
+++ b/internal/bench/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 // relay passes on the connections from one VM to another, and can cut them. One lock
@@ -13,6 +14,7 @@
 type relay struct {
 	target string
 	listen net.Listener
+	bytes  atomic.Int64 // passed on in both directions
 	mu     sync.Mutex
 	isCut  bool
 	conns  map[net.Conn]bool
@@ -56,7 +58,7 @@
 	}
 	done := make(chan struct{}, 2)
 	pipe := func(dst, src net.Conn) {
-		_, _ = io.Copy(dst, src)
+		_, _ = io.Copy(counter{dst, &r.bytes}, src)
 		done <- struct{}{}
 	}
 	go pipe(out, in)
@@ -102,3 +104,16 @@
 	_ = r.listen.Close()
 	r.cut(true)
 }
+
+// counter counts what is written.
+type counter struct {
+	io.Writer
+	n *atomic.Int64
+}
+
+// Write writes and counts.
+func (c counter) Write(b []byte) (int, error) {
+	n, err := c.Writer.Write(b)
+	c.n.Add(int64(n))
+	return n, err
+}
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -52,6 +52,7 @@
 	Reasons    map[string]int `json:"reasons"`
 	// PlatformReads is the most reads in one second, of all VMs together.
 	PlatformReads int            `json:"platform_reads"`
+	VM            Usage          `json:"vm"`
 	Upstreams     standin.Counts `json:"upstreams"`
 	Groups        []Group        `json:"groups"`
 }
@@ -78,6 +79,7 @@
 	verdict *Verdict
 	took    time.Duration
 	reads   int
+	usage   Usage
 	shards  map[string]int
 }
 
@@ -161,7 +163,7 @@
 	r := &Result{
 		Experiment: o.Experiment, Deployment: o.Deployment, Policy: policy, Disable: o.Disable,
 		Seed: o.Seed, VMs: o.VMs, Seconds: m.took.Seconds(),
-		Requests: len(m.seen), Unsent: m.dropped, PlatformReads: m.reads, Upstreams: m.counts,
+		Requests: len(m.seen), Unsent: m.dropped, PlatformReads: m.reads, Upstreams: m.counts, VM: m.usage,
 		Violations: m.verdict.Total(), Breakdown: m.verdict.Violations, Examples: m.verdict.Examples,
 		Reasons: map[string]int{},
 	}
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -106,6 +106,7 @@
 	sampleCtx, stopSamples := context.WithCancel(ctx)
 	defer stopSamples()
 	var loading, sampling sync.WaitGroup
+	before := s.usage()
 	begin := time.Now()
 	loading.Go(func() { l.run(loadCtx, streams) })
 	for _, vm := range s.VMs {
@@ -115,6 +116,7 @@
 	time.Sleep(max(0, o.Duration-time.Since(begin)) + settle)
 	stopLoad()
 	took := time.Since(begin)
+	used := s.since(before)
 	loading.Wait()
 	stopSamples()
 	sampling.Wait()
@@ -127,7 +129,7 @@
 	}
 	seen, dropped := l.taken()
 	busiest, _ := s.Platform.Reads()
-	m := &measure{seen: seen, dropped: dropped, counts: log.Counts, took: took, reads: busiest, shards: map[string]int{}}
+	m := &measure{seen: seen, dropped: dropped, counts: log.Counts, took: took, reads: busiest, usage: used, shards: map[string]int{}}
 	s.j.do(func(j *Journal) {
 		m.verdict = Check(Evidence{Seen: seen, Log: log, Journal: *j, Maps: s.Deployment.Maps})
 	})
--- /dev/null
+++ b/internal/bench/usage.go
@@ -0,0 +1,119 @@
+package bench
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// ticksPerSecond is the unit of processor times in /proc.
+const ticksPerSecond = 100
+
+// Positions in /proc/PID/stat, counted after the command's name.
+const (
+	userField   = 11
+	systemField = 12
+)
+
+// Usage is what one VM's process used in a run, averaged over the VMs that lived
+// through it.
+type Usage struct {
+	// Cores is processor time by time.
+	Cores float64 `json:"cores"`
+	// PeakMB is the largest resident memory of any VM.
+	PeakMB float64 `json:"peak_mb"`
+	// PeerKBps is bytes to and from other VMs, sent and received, in KB a second.
+	PeerKBps float64 `json:"peer_kbps"`
+	// Processes is the number of VMs measured.
+	Processes int `json:"processes"`
+}
+
+// snapshot is the use of resources at one moment.
+type snapshot struct {
+	at    time.Time
+	cpu   map[int]float64 // seconds, by process id
+	bytes int64
+}
+
+func (c *Cluster) usage() snapshot {
+	s := snapshot{at: time.Now(), cpu: map[int]float64{}}
+	for _, vm := range c.VMs {
+		if vm.proc != nil && vm.proc.alive() {
+			if sec, err := cpuSeconds(vm.proc.cmd.Process.Pid); err == nil {
+				s.cpu[vm.proc.cmd.Process.Pid] = sec
+			}
+		}
+	}
+	for _, row := range c.links {
+		for _, r := range row {
+			if r != nil {
+				s.bytes += r.bytes.Load()
+			}
+		}
+	}
+	return s
+}
+
+// since returns the use between an earlier moment and now.
+func (c *Cluster) since(before snapshot) Usage {
+	after := c.usage()
+	took := after.at.Sub(before.at).Seconds()
+	var u Usage
+	for pid, sec := range after.cpu {
+		from, ok := before.cpu[pid]
+		if !ok {
+			continue
+		}
+		u.Processes++
+		u.Cores += (sec - from) / took
+		if mb, err := peakMB(pid); err == nil {
+			u.PeakMB = max(u.PeakMB, mb)
+		}
+	}
+	if u.Processes > 0 {
+		u.Cores /= float64(u.Processes)
+	}
+	// Each byte on a link is sent by one VM and received by another.
+	u.PeerKBps = 2 * float64(after.bytes-before.bytes) / 1000 / took / float64(len(c.VMs))
+	return u
+}
+
+func cpuSeconds(pid int) (float64, error) {
+	body, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, fmt.Errorf("usage: %w", err)
+	}
+	_, rest, _ := strings.Cut(string(body), ") ")
+	f := strings.Fields(rest)
+	if len(f) <= systemField {
+		return 0, fmt.Errorf("usage: short stat of %d", pid)
+	}
+	user, err := strconv.Atoi(f[userField])
+	if err != nil {
+		return 0, fmt.Errorf("usage: %w", err)
+	}
+	system, err := strconv.Atoi(f[systemField])
+	if err != nil {
+		return 0, fmt.Errorf("usage: %w", err)
+	}
+	return float64(user+system) / ticksPerSecond, nil
+}
+
+func peakMB(pid int) (float64, error) {
+	body, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, fmt.Errorf("usage: %w", err)
+	}
+	_, rest, ok := strings.Cut(string(body), "VmHWM:")
+	f := strings.Fields(rest)
+	if !ok || len(f) == 0 {
+		return 0, fmt.Errorf("usage: no peak memory of %d", pid)
+	}
+	kb, err := strconv.ParseFloat(f[0], 64)
+	if err != nil {
+		return 0, fmt.Errorf("usage: %w", err)
+	}
+	return kb / 1000, nil
+}
