Publish only the newest partition maps, and grants that the manifest check accepts

Cause: the check refuses partial trades on single workloads and shards that stand in no partition map; long runs pile up maps. Change: the generator publishes the newest three maps of a workload and the shards they name; single workloads are granted as complete; a test feeds repartitioned manifests to the daemon's own check.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	accept "github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/standin"
 	"github.com/sardinespindle/sardinespindle/internal/testkit"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
@@ -181,6 +182,22 @@
 		}
 	})
 
+	It("is accepted by the manifest's check, also after repartitions", func() {
+		d, _ := NewDeployment(Both, 10)
+		for i := range 8 {
+			m, _ := d.Repartition("iade-bakis", []string{splitShard, mergeShard, moveRange}[i%3], i*5)
+			d.Maps = append(d.Maps, m)
+			p, err := Publish(d.Parts(), i+1, "")
+			Expect(err).NotTo(HaveOccurred())
+			texts := map[string][]byte{}
+			for j, body := range p.Parts {
+				texts[p.Digests[j]] = body
+			}
+			_, err = accept.NewBuilder().Build(p.Head, texts)
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+
 	It("matches the committed examples", func() {
 		for _, name := range []string{Klapka, Kervan} {
 			dir := GinkgoT().TempDir()
--- a/internal/bench/deployment.go
+++ b/internal/bench/deployment.go
@@ -8,6 +8,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"slices"
 
 	"github.com/sardinespindle/sardinespindle/schema/gen/manifest"
 )
@@ -94,11 +95,11 @@
 			grant("voicing-guide", 300, manifest.GrantTradePartial, 0.5, 8)),
 		newCaller("teachers",
 			grant("voicing-guide", 1000, manifest.GrantTradeFuller, 0.9, 5),
-			grant("workshop-news", 1000, manifest.GrantTradePartial, 0, 3)),
+			grant("workshop-news", 1000, manifest.GrantTradeComplete, 0, 3)),
 		newCaller("workshops",
 			grant("parts-finder", 1000, manifest.GrantTradeFuller, 0.9, 5),
 			grant("order-desk", 3000, manifest.GrantTradeComplete, 0, 9),
-			grant("workshop-news", 1000, manifest.GrantTradePartial, 0, 4)),
+			grant("workshop-news", 1000, manifest.GrantTradeComplete, 0, 4)),
 	}
 	return d
 }
@@ -115,7 +116,7 @@
 		newCaller("auditors",
 			grant("iade-bakis", 2000, manifest.GrantTradeFuller, 0.95, 5),
 			grant("stok-geri", 2000, manifest.GrantTradeFuller, 0.95, 5),
-			grant("bayi-portal", 2000, manifest.GrantTradePartial, 0, 4)),
+			grant("bayi-portal", 2000, manifest.GrantTradeComplete, 0, 4)),
 		newCaller("reconciliation",
 			grant("iade-bakis", 10_000, manifest.GrantTradeComplete, 1, 2),
 			grant("stok-geri", 10_000, manifest.GrantTradeComplete, 1, 2),
@@ -214,11 +215,38 @@
 	return m
 }
 
-// Parts returns the deployment as manifest parts: workloads, upstreams, callers.
+// mapsPublished is the number of newest partition maps of a workload in the manifest.
+const mapsPublished = 3
+
+// Parts returns the deployment as manifest parts: workloads, upstreams, callers. Older
+// partition maps, and shards that only they name, are left out.
 func (d *Deployment) Parts() []manifest.Part {
+	var maps []manifest.PartitionMap
+	named := map[manifest.Name]map[manifest.Name]bool{}
+	for _, m := range d.Maps {
+		if m.Version <= d.newest(string(m.Workload)).Version-mapsPublished {
+			continue
+		}
+		maps = append(maps, m)
+		if named[m.Workload] == nil {
+			named[m.Workload] = map[manifest.Name]bool{}
+		}
+		for _, s := range m.Shards {
+			named[m.Workload][s.Name] = true
+		}
+	}
+	upstreams := slices.Clone(d.Upstreams)
+	for i, u := range upstreams {
+		upstreams[i].Shards = nil
+		for _, s := range u.Shards {
+			if named[u.Workload][s] {
+				upstreams[i].Shards = append(upstreams[i].Shards, s)
+			}
+		}
+	}
 	return []manifest.Part{
-		{Workloads: d.Workloads, PartitionMaps: d.Maps},
-		{Upstreams: d.Upstreams},
+		{Workloads: d.Workloads, PartitionMaps: maps},
+		{Upstreams: upstreams},
 		{Callers: d.Callers},
 	}
 }
--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -168,30 +169,30 @@
 	next.Shards = append(next.Shards, old.Shards[:at]...)
 	next.Shards = append(next.Shards, made...)
 	next.Shards = append(next.Shards, old.Shards[at+gone:]...)
-	homes := map[manifest.Name]manifest.Name{made[0].Name: a.Name}
-	if len(made) > 1 {
-		homes[made[1].Name] = b.Name
-		if how == splitShard {
-			homes[made[1].Name] = a.Name
-		}
+	homes := map[manifest.Name][]manifest.Name{made[0].Name: {a.Name}}
+	switch how {
+	case splitShard:
+		homes[made[1].Name] = []manifest.Name{a.Name}
+	case mergeShard:
+		homes[made[0].Name] = []manifest.Name{a.Name, b.Name}
+	default:
+		homes[made[1].Name] = []manifest.Name{b.Name}
 	}
 	return next, d.serve(workload, homes)
 }
 
 // serve adds shards to the upstreams that hold their homes. Upstreams are replaced, not
 // changed, since published parts may share them.
-func (d *Deployment) serve(workload string, homes map[manifest.Name]manifest.Name) map[string][]manifest.Name {
+func (d *Deployment) serve(workload string, homes map[manifest.Name][]manifest.Name) map[string][]manifest.Name {
 	out := map[string][]manifest.Name{}
 	for i, u := range d.Upstreams {
 		if string(u.Workload) != workload {
 			continue
 		}
 		shards := append([]manifest.Name{}, u.Shards...)
-		for made, home := range homes {
-			for _, have := range u.Shards {
-				if have == home {
-					shards = append(shards, made)
-				}
+		for made, old := range homes {
+			if slices.ContainsFunc(old, func(h manifest.Name) bool { return slices.Contains(u.Shards, h) }) {
+				shards = append(shards, made)
 			}
 		}
 		d.Upstreams[i].Shards = shards
