--- /dev/null
+++ b/internal/ctl/vm.go
@@ -0,0 +1,198 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/google/uuid"
+
+	"github.com/sardinespindle/sardinespindle/internal/admin"
+	"github.com/sardinespindle/sardinespindle/internal/upstream"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
+)
+
+// maxReplyBytes bounds what is read from a VM.
+const maxReplyBytes = 16 << 20
+
+var errNotAnswered = errors.New("request not answered")
+
+func (c *command) statusCommand(app *kingpin.Application, run map[string]func(context.Context) error) {
+	cmd := app.Command("status", "Show what a VM knows.")
+	vm := cmd.Flag("vm", "Operators' address of the VM, IP number and port.").Required().TCP()
+	upstreams := cmd.Flag("upstreams", "List the upstreams too.").Bool()
+	run["status"] = func(ctx context.Context) error {
+		var s admin.Status
+		if err := c.call(ctx, http.MethodGet, "http://"+(*vm).String()+"/v1/status", nil, nil, &s); err != nil {
+			return err
+		}
+		return c.printStatus(s, *upstreams)
+	}
+}
+
+func (c *command) printStatus(s admin.Status, upstreams bool) error {
+	if c.json {
+		return c.print(s, table{})
+	}
+	err := c.printTable(table{
+		head: []string{"VM", "ZONE", "READY", "STOPPING", "GENERATION", "RELAY", "IN FLIGHT", "FACTS", "UP"},
+		rows: [][]string{{s.Name, s.Zone, text(s.Ready), text(s.Stopping), text(s.Generation), text(s.Relay), text(s.InFlight), text(s.Facts), text(s.UptimeMs/1000) + "s"}},
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(c.out)
+	t := table{head: []string{"MEMBER", "ZONE", "STATE", "INCARNATION"}}
+	for _, m := range s.Roster {
+		t.rows = append(t.rows, []string{m.Name, m.Zone, m.State, m.Incarnation})
+	}
+	if err := c.printTable(t); err != nil || !upstreams {
+		return err
+	}
+	fmt.Fprintln(c.out)
+	return c.printTable(upstreamTable(s.Upstreams))
+}
+
+func upstreamTable(states []upstream.State) table {
+	t := table{head: []string{"UPSTREAM", "WORKLOAD", "ZONE", "ELIGIBILITY", "OUTSTANDING", "LIMIT", "LATENCY", "CONNECTIONS", "SHARE", "SUSPECT"}}
+	for _, u := range states {
+		t.rows = append(t.rows, []string{u.Address, u.Workload, u.Zone, u.Eligibility, text(u.Outstanding), text(u.Limit), fmt.Sprintf("%.1fms", u.LatencyMs), text(u.Connections), text(u.Share), text(u.Suspect)})
+	}
+	return t
+}
+
+func (c *command) explainCommand(app *kingpin.Application, run map[string]func(context.Context) error) {
+	cmd := app.Command("explain", "Say what a request would meet now at a VM, and why. Nothing is run.")
+	vm := cmd.Flag("vm", "Operators' address of the VM, IP number and port.").Required().TCP()
+	who := cmd.Flag("caller", "Caller by name.").Required().String()
+	workload := cmd.Arg("workload", "Workload.").Required().String()
+	run["explain"] = func(ctx context.Context) error {
+		var e admin.Explanation
+		q := admin.ExplainRequest{Caller: *who, Workload: *workload}
+		if err := c.call(ctx, http.MethodPost, "http://"+(*vm).String()+"/v1/explain", nil, q, &e); err != nil {
+			return err
+		}
+		return c.printExplanation(e)
+	}
+}
+
+func (c *command) printExplanation(e admin.Explanation) error {
+	if c.json {
+		return c.print(e, table{})
+	}
+	err := c.printTable(table{
+		head: []string{"VERDICT", "GENERATION", "DEADLINE", "TRADE", "PRIORITY", "HEDGE AFTER", "ADMISSION RATE"},
+		rows: [][]string{{e.Verdict, text(e.Generation), text(e.DeadlineMs) + "ms", e.Trade, text(e.Priority), fmt.Sprintf("%.1fms", e.HedgeAfterMs), fmt.Sprintf("%.1f/s", e.AdmissionRate)}},
+	})
+	if err != nil {
+		return err
+	}
+	for _, r := range e.Reasons {
+		if _, err := fmt.Fprintln(c.out, "because", r); err != nil {
+			return err
+		}
+	}
+	t := table{head: []string{"SHARD", "ELIGIBLE", "REPLICAS"}}
+	for _, s := range e.Shards {
+		var replicas []string
+		for _, r := range s.Replicas {
+			replicas = append(replicas, fmt.Sprintf("%s (%s, %d of %d, %.1fms)", r.Address, r.Eligibility, r.Outstanding, r.Limit, r.LatencyMs))
+		}
+		t.rows = append(t.rows, []string{s.Shard, text(s.Eligible), strings.Join(replicas, " ")})
+	}
+	return c.printTable(t)
+}
+
+func (c *command) queryCommand(app *kingpin.Application, run map[string]func(context.Context) error) {
+	cmd := app.Command("query", "Send a search as a caller. The token is read from SPINDLE_TOKEN.")
+	vm := cmd.Flag("vm", "Callers' address of the VM, IP number and port.").Required().TCP()
+	limit := cmd.Flag("limit", "Largest number of documents.").Default("10").Int()
+	workload := cmd.Arg("workload", "Sharded workload.").Required().String()
+	words := cmd.Arg("words", "Words to search for.").Required().Strings()
+	run["query"] = func(ctx context.Context) error {
+		q := caller.Search{Query: strings.Join(*words, " "), Limit: *limit}
+		header := http.Header{"Authorization": {"Bearer " + os.Getenv("SPINDLE_TOKEN")}}
+		var r caller.Reply
+		url := "http://" + (*vm).String() + "/v1/workloads/" + *workload + "/search"
+		if err := c.call(ctx, http.MethodPost, url, header, q, &r); err != nil {
+			return err
+		}
+		return c.printReply(r)
+	}
+}
+
+func (c *command) printReply(r caller.Reply) error {
+	t := table{head: []string{"OUTCOME", "REASON", "COVERAGE", "MISSING", "SNAPSHOT", "GENERATION", "TRACE"}}
+	row := []string{string(r.Outcome), r.Reason, "", "", "", text(r.Generation), r.TraceId}
+	if r.Coverage != nil {
+		row[2] = fmt.Sprintf("%d/%d", r.Coverage.ShardsCovered, r.Coverage.ShardsTotal)
+		row[3] = strings.Join(r.Coverage.Missing, ",")
+	}
+	if r.Snapshot != nil {
+		row[4] = fmt.Sprintf("%d.%d", r.Snapshot.Index, r.Snapshot.Map)
+	}
+	t.rows = append(t.rows, row)
+	if err := c.print(r, t); err != nil {
+		return err
+	}
+	if !c.json && len(r.Documents) > 0 {
+		docs := table{head: []string{"SCORE", "DOCUMENT", "TEXT"}}
+		for _, d := range r.Documents {
+			docs.rows = append(docs.rows, []string{fmt.Sprintf("%.3f", d.Score), d.Id, d.Body})
+		}
+		if err := c.printTable(docs); err != nil {
+			return err
+		}
+	}
+	if r.Outcome != caller.OutcomeAnswered {
+		return fmt.Errorf("%w: %s", errNotAnswered, r.Outcome)
+	}
+	return nil
+}
+
+// traceCommand prints a new trace context, so that a request can be found again in
+// the collector of traces.
+func (c *command) traceCommand(app *kingpin.Application, run map[string]func(context.Context) error) {
+	cmd := app.Command("trace", "Print a new sampled traceparent header for a request whose spans are to be found.")
+	run[cmd.FullCommand()] = func(context.Context) error {
+		id := uuid.New()
+		span := uuid.New()
+		header := fmt.Sprintf("00-%x-%x-01", id[:], span[:8])
+		return c.print(map[string]string{"traceparent": header}, table{head: []string{"TRACEPARENT"}, rows: [][]string{{header}}})
+	}
+}
+
+// call sends one request to a VM and decodes its JSON reply, whatever its status.
+func (c *command) call(ctx context.Context, method, url string, header http.Header, body, into any) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(encoded))
+	if err != nil {
+		return err
+	}
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("VM not read: %w", err)
+	}
+	defer resp.Body.Close()
+	reply, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return fmt.Errorf("VM not read: %w", err)
+	}
+	if err := json.Unmarshal(reply, into); err != nil {
+		return fmt.Errorf("VM replied with status %d: %w", resp.StatusCode, err)
+	}
+	return nil
+}
