Let an attempt carry a check before its first byte

Cause: a claim must be seen valid immediately before the write, and only the connection knows when that is. Change: Attempt.Check, asked under the socket's gate; an error makes the attempt NotSent. Ruled out: checking before Do, since an attempt may wait there for a probe or a connection.

--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -60,6 +60,9 @@
 	IdempotencyKey string
 	// Hedge marks an extra attempt, which never goes to a shedding or suspect replica.
 	Hedge bool
+	// Check is asked right before the first byte is written, where set; an error
+	// stops the attempt, which is then NotSent. It must not block.
+	Check func() error
 }
 
 // Result is what became of one attempt.
