Doubt on a peer's word, judge on the upstream's own

Cause: a peer's report may have been on its way for any time, so it can neither renew a lease nor evict the last replica of a shard. Change: a report only doubts or withdraws a doubt; suspects stay so until a probe or reply answers; cancelled attempts count as censored latencies; connections lost to cancellation are replaced; spans, cached metrics, no-share refusals. Ruled out: peers' positive reports as lease evidence (unbounded transit). Conclusion: safe direction only travels between VMs.

--- a/internal/policy/drain/drain.go
+++ b/internal/policy/drain/drain.go
@@ -18,15 +18,29 @@
 	Expired Verdict = iota
 	// Ready: the lease holds.
 	Ready
-	// Draining: the upstream is leaving.
+	// Draining: the upstream itself or the manifest says that it is leaving.
 	Draining
 )
 
+// String names the verdict in the status.
+func (v Verdict) String() string {
+	switch v {
+	case Ready:
+		return "ready"
+	case Draining:
+		return "draining"
+	default:
+		return "expired"
+	}
+}
+
 // State is what one VM knows of one upstream. The zero value knows nothing.
 type State struct {
 	manifest  bool
-	marked    bool
+	marked    bool // by the upstream itself
 	markedAt  time.Duration
+	doubted   bool // by a peer
+	doubtedAt time.Duration
 	renewed   bool
 	renewedAt time.Duration
 }
@@ -40,13 +54,20 @@
 // it is surely the newer one. It reports whether the mark changed.
 func (s *State) Reply(sent, received time.Duration, draining bool) bool {
 	if draining {
-		return s.mark(received)
+		changed := !s.marked
+		s.marked, s.renewed, s.doubted = true, false, false
+		s.markedAt = max(s.markedAt, received)
+		return changed
 	}
 	if s.marked && sent <= s.markedAt {
 		return false
 	}
 	changed := s.marked
 	s.marked = false
+	if s.doubted && sent <= s.doubtedAt {
+		return changed
+	}
+	s.doubted = false
 	if !s.renewed || sent > s.renewedAt {
 		s.renewed, s.renewedAt = true, sent
 	}
@@ -54,30 +75,28 @@
 }
 
 // Report records a peer's report of age at now. A report that the upstream drains
-// marks it. A report of the contrary never renews the lease, since it may have
-// been on its way for any time; where it is newer than the mark it only lets
-// this VM ask the upstream again. It reports whether the mark changed.
+// ends the lease unless it was renewed since, so that this VM asks the upstream
+// itself. A report of the contrary never renews the lease, since it may have been
+// on its way for any time: it only withdraws what an older report said, and lets
+// this VM ask a marked upstream again. It reports whether anything changed.
 func (s *State) Report(now, age time.Duration, draining bool) bool {
 	at := now - max(age, 0)
 	if draining {
-		if s.renewed && s.renewedAt > at {
+		if s.marked || (s.renewed && s.renewedAt > at) {
 			return false
 		}
-		return s.mark(at)
+		changed := !s.doubted
+		s.doubted, s.renewed = true, false
+		s.doubtedAt = max(s.doubtedAt, at)
+		return changed
 	}
-	if !s.marked || at <= s.markedAt {
-		return false
+	changed := false
+	if s.marked && at > s.markedAt {
+		s.marked, changed = false, true
+	}
+	if s.doubted && at > s.doubtedAt {
+		s.doubted, changed = false, true
 	}
-	s.marked = false
-	return true
-}
-
-// mark records a statement made at a time that the upstream drains.
-func (s *State) mark(at time.Duration) bool {
-	changed := !s.marked
-	s.markedAt = max(s.markedAt, at)
-	s.marked = true
-	s.renewed = false
 	return changed
 }
 
@@ -101,17 +120,8 @@
 	return LeaseTTL - (now - s.renewedAt)
 }
 
-// Marked reports whether a reply, probe or peer says that the upstream drains.
+// Marked reports whether the upstream itself says that it drains.
 func (s *State) Marked() bool { return s.marked }
 
-// String names the verdict in the status.
-func (v Verdict) String() string {
-	switch v {
-	case Ready:
-		return "ready"
-	case Draining:
-		return "draining"
-	default:
-		return "expired"
-	}
-}
+// Doubted reports whether a peer says that the upstream drains.
+func (s *State) Doubted() bool { return s.doubted }
--- a/internal/policy/replica/replica.go
+++ b/internal/policy/replica/replica.go
@@ -22,15 +22,16 @@
 	loadAge = 500 * time.Millisecond
 	// loadWeight is the weight of a fresh reported load against an own outstanding request.
 	loadWeight = 0.5
-	// otherZone is the cost of leaving the VM's own availability zone.
-	otherZone = 3 * time.Millisecond
+	// otherZone is the cost of leaving the VM's own availability zone, besides the
+	// latency, which is measured.
+	otherZone = time.Millisecond
 	// slowStart is the time in which a new or returned replica comes to its full part.
 	slowStart = 5 * time.Second
 	// slowStartCost is the factor on the cost of a replica that has just appeared.
 	slowStartCost = 8.0
 	// shedCost is the factor on the cost of a replica that shed lately.
 	shedCost = 4.0
-	// suspectFirst and suspectMost bound the time that a replica stays suspect.
+	// suspectFirst and suspectMost bound the time to the next probe of a suspect replica.
 	suspectFirst = 200 * time.Millisecond
 	suspectMost  = 5 * time.Second
 	// shedFirst is how long a replica counts as shedding without a Retry-After; shedMost bounds one.
@@ -44,15 +45,16 @@
 type State struct {
 	Outstanding int
 
-	since        time.Duration
-	sampled      bool
-	latency      float64 // estimate at sampledAt, in nanoseconds
-	sampledAt    time.Duration
-	load         float64
-	loadAt       time.Duration
-	failures     int
-	suspectUntil time.Duration
-	shedUntil    time.Duration
+	since     time.Duration
+	sampled   bool
+	latency   float64 // estimate at sampledAt, in nanoseconds
+	sampledAt time.Duration
+	load      float64
+	loadAt    time.Duration
+	failures  int
+	suspect   bool
+	probeAt   time.Duration
+	shedUntil time.Duration
 }
 
 // New returns the state of a replica first seen at now. A replica that was there
@@ -66,13 +68,21 @@
 
 // Answered records a reply at now after latency.
 func (s *State) Answered(now, latency time.Duration) {
-	if s.failures > 0 && s.suspectUntil > 0 {
+	if s.failures > 0 {
 		s.since = now
 	}
-	s.failures, s.suspectUntil = 0, 0
+	s.failures, s.suspect = 0, false
 	s.sample(now, latency)
 }
 
+// Probed records that the replica answered a probe: it is no longer suspect, but
+// its failures still count until it answers a request.
+func (s *State) Probed(now time.Duration) {
+	if s.suspect {
+		s.suspect, s.since = false, now
+	}
+}
+
 // Unanswered records that an attempt was given up after waited, so that its
 // latency would have been longer. It only raises the estimate.
 func (s *State) Unanswered(now, waited time.Duration) {
@@ -81,12 +91,13 @@
 	}
 }
 
-// Failed records a lost connection or a timeout at now: the replica is suspect for
-// a time that doubles.
+// Failed records a lost connection, a timeout or a failed probe at now: the
+// replica is suspect until it answers a probe, which is due after a time that
+// doubles with each failure.
 func (s *State) Failed(now time.Duration) {
 	const mostDoublings = 8
 	d := suspectFirst << min(s.failures, mostDoublings)
-	s.suspectUntil = now + min(d, suspectMost)
+	s.suspect, s.probeAt = true, now+min(d, suspectMost)
 	s.failures++
 }
 
@@ -100,8 +111,11 @@
 	s.load, s.loadAt = load, now
 }
 
-// Suspect reports whether the replica failed lately.
-func (s *State) Suspect(now time.Duration) bool { return now < s.suspectUntil }
+// Suspect reports whether the replica failed and has not answered since.
+func (s *State) Suspect() bool { return s.suspect }
+
+// ProbeDue reports whether a suspect replica should be probed at now.
+func (s *State) ProbeDue(now time.Duration) bool { return s.suspect && now >= s.probeAt }
 
 // Shedding reports whether the replica shed lately.
 func (s *State) Shedding(now time.Duration) bool { return now < s.shedUntil }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -54,7 +54,7 @@
 
 // rules are the mechanisms in force.
 type rules struct {
-	limits, drain, echo bool
+	baseline, drain, echo bool
 }
 
 // groupKey names the upstreams that serve one shard; Shard is empty for a single workload.
@@ -65,6 +65,7 @@
 // group is the upstreams that serve one shard.
 type group struct {
 	servers []*server
+	metrics *workloadMetrics
 	hedge   atomic.Pointer[hedgeDelay]
 }
 
@@ -115,9 +116,9 @@
 		transport: newTransport(o.Now),
 		probing:   make(chan struct{}, mostProbes),
 		rules: rules{
-			limits: !o.Mechanisms.Baseline(),
-			drain:  o.Mechanisms.On(settings.ExperimentDisableElemDrain),
-			echo:   o.Mechanisms.On(settings.ExperimentDisableElemEcho),
+			baseline: o.Mechanisms.Baseline(),
+			drain:    o.Mechanisms.On(settings.ExperimentDisableElemDrain),
+			echo:     o.Mechanisms.On(settings.ExperimentDisableElemEcho),
 		},
 	}
 	c.current.Store(&table{})
@@ -143,7 +144,7 @@
 		next.servers[address] = s
 	}
 	for name, w := range m.Workloads {
-		next.addWorkload(name, w)
+		next.addWorkload(w, c.metrics.forWorkload(name))
 	}
 	c.current.Store(next)
 	for address, s := range old.servers {
@@ -156,20 +157,21 @@
 }
 
 // addWorkload adds the groups of one workload.
-func (t *table) addWorkload(name string, w *manifest.Workload) {
-	t.workloads[name] = t.group(w.Upstreams)
+func (t *table) addWorkload(w *manifest.Workload, m *workloadMetrics) {
+	name := string(w.Name)
+	t.workloads[name] = t.group(w.Upstreams, m)
 	if !w.Sharded() {
-		t.groups[groupKey{workload: name}] = t.group(w.Upstreams)
+		t.groups[groupKey{workload: name}] = t.group(w.Upstreams, m)
 		return
 	}
 	for shard, us := range w.Replicas {
-		t.groups[groupKey{name, shard}] = t.group(us)
+		t.groups[groupKey{name, shard}] = t.group(us, m)
 	}
 }
 
 // group returns the group of the upstreams listed.
-func (t *table) group(us []*gen.Upstream) *group {
-	g := &group{}
+func (t *table) group(us []*gen.Upstream, m *workloadMetrics) *group {
+	g := &group{metrics: m}
 	for _, u := range us {
 		if s := t.servers[u.Address]; s != nil {
 			g.servers = append(g.servers, s)
@@ -212,8 +214,7 @@
 		limit := s.entry.ConnectionLimit
 		s.mu.Unlock()
 		s.pool.setMost(connbudget.Connections(limit, vms, s.address, c.o.VM, members))
-		open, _, _ := s.pool.counts()
-		c.metrics.connections.WithLabelValues(s.address).Set(float64(open))
+		c.metrics.connections.WithLabelValues(s.address).Set(float64(s.pool.size()))
 	}
 }
 
@@ -255,7 +256,7 @@
 		if rand.Float64() < warmChance && s.verdict(now) != drainVerdict {
 			s.pool.warm()
 		}
-		if c.rules.drain && c.probeDue(s, now, members) {
+		if c.probeDue(s, now, members) {
 			c.probeInBackground(ctx, s)
 		}
 	}
@@ -281,6 +282,7 @@
 	Limit       int     `json:"limit"`
 	LatencyMs   float64 `json:"latency_ms"`
 	Suspect     bool    `json:"suspect"`
+	Doubted     bool    `json:"doubted"`
 	Shedding    bool    `json:"shedding"`
 	Connections int     `json:"connections"`
 	Share       int     `json:"share"`
@@ -300,7 +302,6 @@
 
 // state returns what the status shows of the upstream.
 func (s *server) state(now time.Duration) State {
-	open, _, most := s.pool.counts()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return State{
@@ -312,10 +313,11 @@
 		Outstanding: s.speed.Outstanding,
 		Limit:       s.limit.Value(),
 		LatencyMs:   s.speed.Latency(now) / float64(time.Millisecond),
-		Suspect:     s.speed.Suspect(now),
+		Suspect:     s.speed.Suspect(),
+		Doubted:     s.lease.Doubted(),
 		Shedding:    s.speed.Shedding(now),
-		Connections: open,
-		Share:       most,
+		Connections: s.pool.size(),
+		Share:       int(s.pool.share.Load()),
 	}
 }
 
@@ -325,6 +327,8 @@
 	ErrNoReplica = errors.New("upstream: no replica")
 	// ErrDraining: every upstream left to try is draining.
 	ErrDraining = errors.New("upstream: every replica is draining")
+	// ErrNoShare: this VM holds no connection to any upstream left to try.
+	ErrNoShare = errors.New("upstream: no connection share")
 	// ErrLimited: every upstream left to try is at its concurrency limit.
 	ErrLimited = errors.New("upstream: every replica is at its limit")
 )
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -15,11 +15,13 @@
 	"go.opentelemetry.io/otel/propagation"
 )
 
-// mostStale is how many connections may be found closed before an attempt gives up.
-const mostStale = 3
+// mostTries is how often an attempt may find its connection closed or its lease
+// expired, before its first byte, until it gives up.
+const mostTries = 3
 
 var (
 	errSpent    = errors.New("upstream: ticket was used before")
+	errCheck    = errors.New("upstream: check before sending failed")
 	errTooLate  = errors.New("upstream: deadline passed before sending")
 	errLease    = errors.New("upstream: lease expired before sending")
 	errNotRun   = errors.New("upstream refused before it ran anything")
@@ -40,6 +42,7 @@
 		ctx, cancel = context.WithDeadline(ctx, a.Deadline)
 		defer cancel()
 	}
+	ctx, span := startSpan(ctx, s, &a)
 	r := c.attempt(ctx, s, &a)
 	now := c.o.Now()
 	r.Address = s.address
@@ -49,61 +52,63 @@
 		learned = failedConnect
 	}
 	s.learn(now, learned, r.Latency, r.RetryAfter)
-	c.metrics.attempts.WithLabelValues(a.Workload, r.Class.String()).Inc()
-	c.metrics.seconds.WithLabelValues(a.Workload).Observe(r.Latency.Seconds())
+	t.metrics.count(r.Class, r.Latency)
+	endSpan(span, &r)
 	return r
 }
 
-// errConnect marks an attempt that failed for want of a connection.
-var errConnect = errors.New("upstream: no connection")
-
 // attempt renews the lease where needed, takes a connection and sends.
 func (c *Client) attempt(ctx context.Context, s *server, a *Attempt) Result {
-	if c.rules.drain {
+	r := Result{Class: NotSent, Err: errNoWrite}
+	for range mostTries {
 		if err := c.ensureLease(ctx, s); err != nil {
 			return Result{Class: NotSent, Err: err}
 		}
-	}
-	for range mostStale {
 		cn, err := s.pool.get(ctx)
 		if err != nil {
-			if ctx.Err() == nil {
-				err = fmt.Errorf("%w: %w", errConnect, err)
-			}
 			return Result{Class: NotSent, Err: err}
 		}
-		r := c.send(ctx, s, cn, a)
+		if !c.leased(s) {
+			// It expired while the attempt waited for a connection.
+			s.pool.put(cn)
+			r.Err = errLease
+			continue
+		}
+		r = c.send(ctx, s, cn, a)
 		if !errors.Is(r.Err, errNoWrite) {
 			return r
 		}
 	}
-	return Result{Class: NotSent, Err: errNoWrite}
+	return r
+}
+
+// leased reports whether the lease allows new work.
+func (c *Client) leased(s *server) bool {
+	return !c.rules.drain || s.verdict(c.o.Now()) == readyVerdict
 }
 
 // send makes the attempt on one connection and gives the connection back.
 func (c *Client) send(ctx context.Context, s *server, cn *conn, a *Attempt) Result {
 	req := c.request(ctx, s, a)
-	cn.sock.arm(func() error { return c.gate(ctx, s) })
+	cn.sock.arm(func() error { return c.gate(ctx, s, a) })
 	resp, err := cn.RoundTrip(req)
 	if err != nil {
 		wrote, read, _ := cn.sock.seal()
-		cn.Close()
-		return lostResult(ctx, err, wrote, read)
+		return s.lost(ctx, cn, err, wrote, read)
 	}
 	body, err := readBody(resp, maxReplyBody)
 	received := c.o.Now()
 	_, _, sent := cn.sock.seal()
 	if err != nil {
-		cn.Close()
-		return lostResult(ctx, err, true, true)
+		return s.lost(ctx, cn, err, true, true)
 	}
 	if c.rules.echo && resp.Header.Get(headerRequestID) != a.RequestID {
-		cn.Close()
+		cn.drop()
 		return Result{Class: Garbled, Status: resp.StatusCode, Err: errEcho}
 	}
 	r := c.classify(a, resp, body)
 	if r.Class == Garbled {
-		cn.Close()
+		cn.drop()
 		return r
 	}
 	s.pool.put(cn)
@@ -112,24 +117,33 @@
 }
 
 // gate is asked right before the first byte is written.
-func (c *Client) gate(ctx context.Context, s *server) error {
+func (c *Client) gate(ctx context.Context, s *server, a *Attempt) error {
 	if err := ctx.Err(); err != nil {
 		return err
 	}
 	if d, ok := ctx.Deadline(); ok && !time.Now().Before(d) {
 		return errTooLate
 	}
-	if !c.rules.drain {
-		return nil
+	if !c.leased(s) {
+		return errLease
 	}
-	switch s.verdict(c.o.Now()) {
-	case drainVerdict:
-		return ErrDraining
-	case readyVerdict:
+	if a.Check == nil {
 		return nil
-	default:
-		return errLease
 	}
+	if err := a.Check(); err != nil {
+		return fmt.Errorf("%w: %w", errCheck, err)
+	}
+	return nil
+}
+
+// lost drops a connection that brought no whole reply, and classifies the attempt.
+func (s *server) lost(ctx context.Context, cn *conn, err error, wrote, read bool) Result {
+	cn.drop()
+	r := lostResult(ctx, err, wrote, read)
+	if r.Class == Canceled || r.Class == TimedOut {
+		s.pool.replace()
+	}
+	return r
 }
 
 // lostResult classifies an attempt that got no whole reply.
@@ -152,7 +166,7 @@
 
 // gateRefused reports whether it was this VM that did not want to send.
 func gateRefused(ctx context.Context, err error) bool {
-	return ctx.Err() != nil || errors.Is(err, errTooLate) || errors.Is(err, ErrDraining) || errors.Is(err, errLease)
+	return ctx.Err() != nil || errors.Is(err, errTooLate) || errors.Is(err, errLease) || errors.Is(err, errCheck)
 }
 
 // classify says what a whole reply means.
--- a/internal/upstream/metrics.go
+++ b/internal/upstream/metrics.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -48,6 +50,30 @@
 	return m, nil
 }
 
+// classes is the number of classes.
+const classes = int(Failed) + 1
+
+// workloadMetrics holds the metrics of one workload, looked up once.
+type workloadMetrics struct {
+	attempts [classes]prometheus.Counter
+	seconds  prometheus.Observer
+}
+
+// forWorkload looks the metrics of a workload up.
+func (m *metrics) forWorkload(name string) *workloadMetrics {
+	w := &workloadMetrics{seconds: m.seconds.WithLabelValues(name)}
+	for i := range w.attempts {
+		w.attempts[i] = m.attempts.WithLabelValues(name, Class(i).String())
+	}
+	return w
+}
+
+// count counts one attempt.
+func (w *workloadMetrics) count(class Class, latency time.Duration) {
+	w.attempts[class].Inc()
+	w.seconds.Observe(latency.Seconds())
+}
+
 // String names the class in metrics and logs.
 func (c Class) String() string {
 	names := [...]string{"ok", "shed", "not_sent", "lost", "timed_out", "canceled", "garbled", "failed"}
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -15,6 +15,7 @@
 // given back by Cancel.
 type Ticket struct {
 	server   *server
+	metrics  *workloadMetrics
 	pickedAt time.Duration
 	spent    atomic.Bool
 }
@@ -46,7 +47,7 @@
 			return nil, c.refuse(w, err)
 		}
 		if s.take(c.rules) {
-			return &Ticket{server: s, pickedAt: now}, nil
+			return &Ticket{server: s, metrics: g.metrics, pickedAt: now}, nil
 		}
 		tried[n] = s
 	}
@@ -61,6 +62,8 @@
 		reason = "draining"
 	case errors.Is(err, ErrLimited):
 		reason = "limited"
+	case errors.Is(err, ErrNoShare):
+		reason = "no_share"
 	}
 	c.metrics.refusals.WithLabelValues(string(w.Name), reason).Inc()
 	return err
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,12 +26,13 @@
 	mostWaiters        = 1024
 	warmConnections    = 2
 	idleConnectionLife = 5 * time.Minute
+	peakLife           = 30 * time.Second
 )
 
 // Errors of taking a connection. After each no byte has been sent.
 var (
-	errNoShare  = errors.New("upstream: this VM has no connection share")
 	errPoolFull = errors.New("upstream: too many attempts wait for a connection")
+	errConnect  = errors.New("upstream: no connection")
 )
 
 // conn is one HTTP/1.1 connection: net/http speaks on it and never replays a
@@ -41,6 +43,10 @@
 	idleSince time.Duration
 }
 
+// drop closes the connection. What its close has to say is of no use: the
+// connection is not used again.
+func (c *conn) drop() { _ = c.Close() }
+
 // sockKey carries, in the context of a dial, the place where the socket is put.
 type sockKey struct{}
 
@@ -98,6 +104,8 @@
 	now       func() time.Duration
 	dialed    func(error)
 
+	share atomic.Int64 // equal to most, read without the lock
+
 	mu       sync.Mutex // guards the fields below
 	most     int
 	open     int // connections open or being dialed
@@ -105,6 +113,7 @@
 	idle     []*conn
 	waiters  []*waiter
 	peak     int // most connections in use of late
+	peakAt   time.Duration
 	failedAt time.Duration
 	failed   bool
 }
@@ -130,13 +139,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.most <= 0 {
-		return nil, errNoShare
+		return nil, ErrNoShare
 	}
 	for n := len(p.idle); n > 0; n = len(p.idle) {
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
 		if !c.sock.dead() {
-			p.peak = max(p.peak, p.open-p.dialing-len(p.idle))
+			p.used(p.open - p.dialing - len(p.idle))
 			return c, nil
 		}
 	}
@@ -144,13 +153,31 @@
 		return nil, errPoolFull
 	}
 	p.waiters = append(p.waiters, w)
-	p.peak = min(max(p.peak, p.open-p.dialing+len(p.waiters)), p.most)
+	p.used(p.open - p.dialing + len(p.waiters))
 	if p.open < p.most && p.dialing < len(p.waiters) {
 		p.startDial()
 	}
 	return nil, nil
 }
 
+// used records how many connections are wanted. The lock is held.
+func (p *pool) used(n int) {
+	now := p.now()
+	if n >= p.peak || now-p.peakAt > peakLife {
+		p.peak, p.peakAt = min(n, p.most), now
+	}
+}
+
+// replace dials in place of a connection that was dropped while its upstream was
+// well, so that the next request does not wait for one.
+func (p *pool) replace() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open < min(max(p.peak, warmConnections), p.most) {
+		p.startDial()
+	}
+}
+
 // leave takes w out of the queue; a connection that it already got goes back.
 func (p *pool) leave(w *waiter) {
 	p.mu.Lock()
@@ -171,11 +198,11 @@
 // put gives a connection back. One above the share, or of no more use, is closed.
 func (p *pool) put(c *conn) {
 	if c.Available() == 0 {
-		c.Close()
+		c.drop()
 		return
 	}
 	if !p.keep(c) {
-		c.Close()
+		c.drop()
 	}
 }
 
@@ -226,7 +253,7 @@
 		p.failedAt = p.now()
 		p.open--
 		if len(p.waiters) > 0 {
-			p.serve(nil, fmt.Errorf("connect to %s: %w", p.address, err))
+			p.serve(nil, fmt.Errorf("%w to %s: %w", errConnect, p.address, err))
 		}
 		p.mu.Unlock()
 		return
@@ -269,6 +296,7 @@
 func (p *pool) setMost(most int) {
 	p.mu.Lock()
 	p.most = most
+	p.share.Store(int64(most))
 	var extra []*conn
 	for p.open-len(extra) > most && len(p.idle) > 0 {
 		extra = append(extra, p.idle[0])
@@ -280,10 +308,10 @@
 	}
 	p.mu.Unlock()
 	for _, c := range extra {
-		c.Close()
+		c.drop()
 	}
 	for _, w := range refused {
-		w.err = errNoShare
+		w.err = ErrNoShare
 		close(w.ready)
 	}
 }
@@ -303,17 +331,16 @@
 	for len(p.idle) > 0 && p.open-len(old) > warmConnections && now-p.idle[0].idleSince > idleConnectionLife {
 		old = append(old, p.idle[0])
 		p.idle = p.idle[1:]
-		p.peak = min(p.peak, p.open-len(old))
 	}
 	p.mu.Unlock()
 	for _, c := range old {
-		c.Close()
+		c.drop()
 	}
 }
 
-// counts returns the connections open, those idle among them, and the share.
-func (p *pool) counts() (open, idle, most int) {
+// size returns how many connections are open or being dialed.
+func (p *pool) size() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.open, len(p.idle), p.most
+	return p.open
 }
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -37,6 +37,9 @@
 
 // ensureLease waits for a probe where the lease has expired.
 func (c *Client) ensureLease(ctx context.Context, s *server) error {
+	if !c.rules.drain {
+		return nil
+	}
 	switch s.verdict(c.o.Now()) {
 	case drain.Ready:
 		return nil
@@ -69,14 +72,26 @@
 	path := probePath(s.entry)
 	go func() {
 		call.err = c.sendProbe(s, path)
-		s.mu.Lock()
-		s.probe = nil
-		s.mu.Unlock()
+		s.probed(c.o.Now(), call.err)
 		close(call.done)
 	}()
 	return call
 }
 
+// probed ends a probe and records what it says of the replica.
+func (s *server) probed(now time.Duration, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.probe = nil
+	switch {
+	case err == nil || errors.Is(err, ErrDraining):
+		s.speed.Probed(now)
+	case errors.Is(err, errBusy) || errors.Is(err, ErrNoShare):
+	default:
+		s.speed.Failed(now)
+	}
+}
+
 // probePath returns the request path of an upstream's workload.
 func probePath(u *gen.Upstream) string {
 	if len(u.Shards) > 0 {
@@ -85,8 +100,12 @@
 	return "/request/" + string(u.Workload)
 }
 
-// errProbe refuses a reply to a probe that proves nothing.
-var errProbe = errors.New("reply to a probe proves nothing")
+var (
+	// errProbe refuses a reply to a probe that proves nothing.
+	errProbe = errors.New("reply to a probe proves nothing")
+	// errBusy ends a probe for which no connection became free.
+	errBusy = errors.New("no connection became free")
+)
 
 // sendProbe asks the upstream on the path of real requests whether it drains.
 func (c *Client) sendProbe(s *server, path string) error {
@@ -108,6 +127,9 @@
 func (c *Client) tryProbe(ctx context.Context, s *server, path string) error {
 	id := uuid.NewString()
 	cn, err := s.pool.get(ctx)
+	if err != nil && ctx.Err() != nil {
+		return fmt.Errorf("%w: %w", errBusy, err)
+	}
 	if err != nil {
 		return err
 	}
@@ -117,18 +139,18 @@
 	resp, err := cn.RoundTrip(req)
 	if err != nil {
 		cn.sock.seal()
-		cn.Close()
+		cn.drop()
 		return err
 	}
 	_, err = readBody(resp, maxProbeBody)
 	received := c.o.Now()
 	_, _, sent := cn.sock.seal()
 	if err != nil {
-		cn.Close()
+		cn.drop()
 		return err
 	}
 	if echo := resp.Header.Get(headerRequestID); c.rules.echo && echo != "" && echo != id {
-		cn.Close()
+		cn.drop()
 		return errEcho
 	}
 	s.pool.put(cn)
@@ -177,17 +199,28 @@
 	}
 }
 
-// probeDue reports whether this VM should probe the upstream now, unasked: an idle
-// one where it probes for all VMs, or one that it holds for draining.
+// probeDue reports whether this VM should probe the upstream now, unasked: one
+// that failed here, one that is held for draining here, or any idle one where this
+// VM probes for all.
 func (c *Client) probeDue(s *server, now time.Duration, members []string) bool {
 	s.mu.Lock()
-	due := s.probe == nil && now-s.probedAt >= ownInterval && s.lease.Left(now) < ownInterval
-	lost := s.lease.Marked() && now-s.probedAt >= markedInterval+rand.N(markedInterval)
-	s.mu.Unlock()
-	if !due {
+	defer s.mu.Unlock()
+	if s.probe != nil || s.pool.share.Load() == 0 {
 		return false
 	}
-	return lost || connbudget.First(s.address, members) == c.o.VM
+	since := now - s.probedAt
+	switch {
+	case s.speed.ProbeDue(now):
+		return true
+	case !c.rules.drain:
+		return false
+	case s.lease.Marked() || s.lease.Doubted():
+		if since >= markedInterval+rand.N(markedInterval) {
+			return true
+		}
+	}
+	idle := since >= ownInterval && s.lease.Left(now) < ownInterval
+	return idle && connbudget.First(s.address, members) == c.o.VM
 }
 
 // probeInBackground starts a probe unless too many are under way.
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -65,10 +65,16 @@
 	if rules.drain && s.lease.Verdict(now) == drain.Draining {
 		return offer{refusal: ErrDraining}
 	}
-	if rules.limits && !s.limit.Allows(s.speed.Outstanding) {
+	if !rules.baseline && !s.limit.Allows(s.speed.Outstanding) {
 		return offer{refusal: ErrLimited}
 	}
-	suspect := s.speed.Suspect(now)
+	if s.pool.share.Load() == 0 {
+		return offer{refusal: ErrNoShare}
+	}
+	if rules.baseline {
+		return offer{}
+	}
+	suspect := s.speed.Suspect() || s.lease.Doubted()
 	if hedge && (suspect || s.speed.Shedding(now)) {
 		return offer{refusal: ErrLimited}
 	}
@@ -83,7 +89,7 @@
 func (s *server) take(rules rules) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if rules.limits && !s.limit.Allows(s.speed.Outstanding) {
+	if !rules.baseline && !s.limit.Allows(s.speed.Outstanding) {
 		return false
 	}
 	s.speed.Outstanding++
@@ -109,7 +115,7 @@
 	switch class {
 	case OK:
 		s.speed.Answered(now, latency)
-		s.limit.Done(now, latency, inFlight, s.entry.ConnectionLimit)
+		s.limit.Done(now, latency, inFlight, queueFactor*int(s.pool.share.Load()))
 		s.latencies.add(now, latency)
 	case Shed:
 		s.speed.Shed(now, retryAfter)
@@ -118,13 +124,27 @@
 		s.speed.Failed(now)
 		s.limit.Lost(now)
 	case TimedOut:
+		s.censored(now, latency)
 		s.timedOut(now, latency)
 	case Canceled:
+		s.censored(now, latency)
 		s.speed.Unanswered(now, latency)
 	case NotSent:
 	}
 }
 
+// queueFactor bounds the limit by the connection share: one request may wait in
+// this VM for each one under way.
+const queueFactor = 2
+
+// censored counts an attempt given up after waited as a latency, for it would have
+// taken longer. One given up early says nothing on the tail. The lock is held.
+func (s *server) censored(now, waited time.Duration) {
+	if float64(waited) > s.speed.Latency(now) {
+		s.latencies.add(now, waited)
+	}
+}
+
 // slowFactor is the ratio to the expected latency from which a timeout speaks
 // against the replica and not against the deadline.
 const slowFactor = 2
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -221,7 +221,7 @@
 	It("drops the connection after a crossed reply", func() {
 		f.answer(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(headerRequestID, "other") })
 		Expect(try(context.Background(), c, m, order()).Class).To(Equal(Garbled))
-		Eventually(func() int { open, _, _ := c.current.Load().servers[f.address()].pool.counts(); return open }).Should(BeZero())
+		Eventually(c.current.Load().servers[f.address()].pool.size).Should(BeZero())
 	})
 
 	It("says what may have run when an attempt is cancelled or late", func() {
