Ask the claim right before the first byte of a single request

Cause: the claim was checked before a replica was dialed or probed; a freeze there let a request go out after its claim had ended. Ruled out: a second check after Do began, which still leaves the dial between. Conclusion: the window between check and write is the write itself.

--- a/internal/single/single.go
+++ b/internal/single/single.go
@@ -30,6 +30,9 @@
 	comeBack = time.Second
 )
 
+// errClaimEnded says that a claim ended before the request was written.
+var errClaimEnded = errors.New("the claim on the key has ended")
+
 // Request is one request of a caller.
 type Request struct {
 	// ID is unique for each request; ids of attempts start with it.
@@ -90,7 +93,7 @@
 	if r.Poison.Crashes(q.Fingerprint) {
 		return outcome.Unknown(outcome.CrashSuspected, "requests like this one crashed upstreams", comeBack)
 	}
-	return r.attempts(ctx, q, maxAttempts, alwaysValid)
+	return r.attempts(ctx, q, nil)
 }
 
 // runOnce runs a request that is not idempotent. It goes on when the caller hangs
@@ -130,20 +133,24 @@
 	if r.Poison.Crashes(q.Fingerprint) {
 		return outcome.NotRun(outcome.CrashSuspected, "requests like this one crashed upstreams; the key is closed", comeBack)
 	}
-	return r.attempts(ctx, q, maxAttempts, func() bool { return h.StillValid(clock.Boot()) })
+	return r.attempts(ctx, q, func() error {
+		if !h.StillValid(clock.Boot()) {
+			return errClaimEnded
+		}
+		return nil
+	})
 }
 
-func alwaysValid() bool { return true }
-
 // attempts makes attempts until one may have run, where the request is not
-// idempotent, or until one is answered, where it is.
-func (r *Runner) attempts(ctx context.Context, q Request, most int, valid func() bool) outcome.Outcome {
+// idempotent, or until one is answered, where it is. The check, where there is one,
+// is asked right before the first byte of each.
+func (r *Runner) attempts(ctx context.Context, q Request, check func() error) outcome.Outcome {
 	var cost outcome.Cost
 	var excluded []string
 	last := outcome.NotRun(outcome.NoUpstream, "no upstream is eligible", comeBack)
 	ran := false
-	for try := range most {
-		if ctx.Err() != nil || !valid() {
+	for try := range maxAttempts {
+		if ctx.Err() != nil {
 			break
 		}
 		t, err := r.Upstream.Pick(q.Workload, "", excluded, false)
@@ -152,7 +159,7 @@
 			break
 		}
 		excluded = append(excluded, t.Address())
-		res := r.send(ctx, q, t, try, valid)
+		res := r.send(ctx, q, t, try, check)
 		count(&cost, res.Class)
 		last = judge(res)
 		ran = ran || res.Class.MayHaveRun()
@@ -190,13 +197,9 @@
 	}
 }
 
-func (r *Runner) send(ctx context.Context, q Request, t Ticket, try int, valid func() bool) upstream.Result {
+func (r *Runner) send(ctx context.Context, q Request, t Ticket, try int, check func() error) upstream.Result {
 	ctx, span := otel.Tracer("sardinespindle/single").Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
-	if !valid() {
-		t.Cancel()
-		return upstream.Result{Class: upstream.NotSent, Err: errors.New("claim no longer valid")}
-	}
 	id := fmt.Sprintf("%s-%d", q.ID, try)
 	res := r.Upstream.Do(ctx, t, upstream.Attempt{
 		Kind:           upstream.Single,
@@ -205,6 +208,7 @@
 		Deadline:       q.Deadline,
 		Body:           q.Body,
 		IdempotencyKey: q.Key,
+		Check:          check,
 	})
 	span.SetAttributes(attribute.String("upstream", t.Address()), attribute.Int("class", int(res.Class)))
 	if res.Class == upstream.Lost {
