--- /dev/null
+++ b/internal/peer/hostile_test.go
@@ -0,0 +1,256 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinespindle/sardinespindle/internal/peer"
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/peer"
+	"github.com/sardinespindle/sardinespindle/schema/gen/platform"
+)
+
+// knock opens a WebSocket to a node from an IP number.
+func knock(v *vm, fromIP string) (*websocket.Conn, error) {
+	d := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(fromIP)}}
+	client := &http.Client{Transport: &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true}}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	ws, _, err := websocket.Dial(ctx, "ws://"+v.address+peer.Path, &websocket.DialOptions{HTTPClient: client})
+	return ws, err
+}
+
+func raw(ws *websocket.Conn, b []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	return ws.Write(ctx, websocket.MessageBinary, b)
+}
+
+func marshal(m any) []byte {
+	b, err := cbor.Marshal(m)
+	Expect(err).NotTo(HaveOccurred())
+	return b
+}
+
+func helloAs(name string) *gen.Message {
+	return &gen.Message{Hello: &gen.Hello{Name: name, Zone: "z0", Incarnation: name + "-evil"}}
+}
+
+// ended waits until the node has closed the connection.
+func ended(ws *websocket.Conn) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for {
+		if _, _, err := ws.Read(ctx); err != nil {
+			Expect(ctx.Err()).NotTo(HaveOccurred(), "the connection is still open")
+			return
+		}
+	}
+}
+
+// counted sums a counter of a node over its labels that contain a text.
+func counted(v *vm, metric, label string) (sum float64) {
+	families, err := v.registry.Gather()
+	Expect(err).NotTo(HaveOccurred())
+	for _, f := range families {
+		if f.GetName() != metric {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			if strings.Contains(m.String(), label) {
+				sum += m.GetCounter().GetValue()
+			}
+		}
+	}
+	return sum
+}
+
+var _ = Describe("a hostile peer", func() {
+	const evilIP = "127.0.9.9"
+	var f *fleet
+	BeforeEach(func() {
+		f = newFleet(4)
+		f.vms[0].Facts().Put("drain/start", "1", time.Minute)
+		Eventually(func() int { return f.reached("drain/start", "1") }, "5s", "5ms").Should(Equal(4))
+	})
+	AfterEach(func() {
+		f.vms[1].Facts().Put("drain/end", "1", time.Minute)
+		Eventually(func() int { return f.reached("drain/end", "1") }, "5s", "5ms").Should(Equal(4), "others are harmed")
+	})
+
+	DescribeTable("is cut off and counted for", func(reason string, messages func() [][]byte) {
+		ws, err := knock(f.vms[0], evilIP)
+		Expect(err).NotTo(HaveOccurred())
+		for _, b := range messages() {
+			if raw(ws, b) != nil {
+				break
+			}
+		}
+		ended(ws)
+		Expect(counted(f.vms[0], "spindle_peer_cut_total", reason)).To(BeNumerically(">=", 1))
+	},
+		Entry("no CBOR first", "garbage", func() [][]byte { return [][]byte{{0xff, 1, 2}} }),
+		Entry("no hello first", "garbage", func() [][]byte { return [][]byte{marshal(&gen.Message{Digest: &gen.Digest{}})} }),
+		Entry("a hello of a listed VM from elsewhere", "identity", func() [][]byte { return [][]byte{marshal(helloAs("vm2"))} }),
+		Entry("a hello of the node itself", "identity", func() [][]byte { return [][]byte{marshal(helloAs("vm0"))} }),
+		Entry("a hello that is too long", "hello", func() [][]byte { return [][]byte{marshal(helloAs(strings.Repeat("x", 5000)))} }),
+		Entry("random bytes after its hello", "garbage", func() [][]byte {
+			r := rand.New(rand.NewPCG(uint64(testkit.Seed()), 1))
+			b := make([]byte, 300)
+			for i := range b {
+				b[i] = byte(r.Uint32())
+			}
+			return [][]byte{marshal(helloAs("evil")), b}
+		}),
+		Entry("two fields set", "garbage", func() [][]byte {
+			return [][]byte{marshal(helloAs("evil")), marshal(&gen.Message{Digest: &gen.Digest{}, Facts: &gen.Facts{}})}
+		}),
+		Entry("no field set", "garbage", func() [][]byte {
+			return [][]byte{marshal(helloAs("evil")), marshal(&gen.Message{Id: 7})}
+		}),
+		Entry("a second hello", "garbage", func() [][]byte { return [][]byte{marshal(helloAs("evil")), marshal(helloAs("evil"))} }),
+		Entry("too many facts in a message", "garbage", func() [][]byte {
+			return [][]byte{marshal(helloAs("evil")), marshal(&gen.Message{Facts: &gen.Facts{Facts: make([]gen.Fact, 2000)}})}
+		}),
+		Entry("a message that is too large", "garbage", func() [][]byte {
+			return [][]byte{marshal(helloAs("evil")), marshal(&gen.Message{PartReply: &gen.PartReply{Body: strings.Repeat("x", 2_000_000)}})}
+		}),
+		Entry("too many messages", "flood", func() [][]byte {
+			m := marshal(&gen.Message{Vote: &gen.Vote{}, Id: 2})
+			out := [][]byte{marshal(helloAs("evil"))}
+			for range 60_000 {
+				out = append(out, m)
+			}
+			return out
+		}),
+	)
+
+	It("is refused for a while, by IP number and by name", func() {
+		for _, first := range [][]byte{{0xff}, marshal(helloAs("evil"))} {
+			ws, err := knock(f.vms[0], evilIP)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(raw(ws, first)).To(Succeed())
+			_ = raw(ws, []byte{0xff})
+			ended(ws)
+			time.Sleep(1100 * time.Millisecond) // the first penalty of the IP number
+		}
+		ws, err := knock(f.vms[0], evilIP)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(raw(ws, []byte{0xff})).To(Succeed())
+		ended(ws)
+		_, err = knock(f.vms[0], evilIP)
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("cannot fill a node's store or forge its facts", func() {
+		ws, err := knock(f.vms[0], evilIP)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(raw(ws, marshal(helloAs("evil")))).To(Succeed())
+		forged := []gen.Fact{{Key: "vm/vm0", Origin: f.vms[0].Facts().Origin(), Version: 99, Value: "leaving", TtlMs: 60_000}}
+		Expect(raw(ws, marshal(&gen.Message{Facts: &gen.Facts{Facts: forged}}))).To(Succeed())
+		for i := range 100 {
+			var fs []gen.Fact
+			for k := range 100 {
+				fs = append(fs, gen.Fact{Key: fmt.Sprint("alive/", i, "/", k), Origin: "evil/1", Version: 1, TtlMs: 60_000})
+			}
+			Expect(raw(ws, marshal(&gen.Message{Facts: &gen.Facts{Facts: fs}}))).To(Succeed())
+		}
+		Consistently(func() int { return f.vms[0].Facts().Len() }, "500ms", "50ms").Should(BeNumerically("<", 1100))
+		Expect(f.vms[0].Facts().List("vm/vm0")).To(BeEmpty())
+	})
+})
+
+var _ = Describe("a connection", func() {
+	It("is refused where the address belongs to another VM", func() {
+		f := newFleet(3)
+		vms := []platform.VM{
+			{Name: "vm0", Zone: "z0", PeerAddress: f.vms[0].address, State: "live"},
+			{Name: "vm1", Zone: "z1", PeerAddress: f.vms[2].address, State: "live"},
+		}
+		other := f.start(5, "1")
+		f.vms = append(f.vms, other)
+		other.SetVMs(vms)
+		_, err := other.Call(context.Background(), "vm1", &gen.Message{Part: &gen.PartRequest{}})
+		Expect(err).To(MatchError(ContainSubstring("not who it says")))
+	})
+
+	It("to a VM that takes nothing is dropped; calls to others go on", func() {
+		f := newFleet(3)
+		for _, v := range f.vms {
+			v.Handle(func(_ context.Context, from string, m *gen.Message) *gen.Message {
+				if m.Part == nil {
+					return nil
+				}
+				return &gen.Message{PartReply: &gen.PartReply{Found: true, Body: from + m.Part.Digest}}
+			})
+		}
+		call := func(to string) (*gen.Message, error) {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			return f.vms[0].Call(ctx, to, &gen.Message{Part: &gen.PartRequest{Digest: "d"}})
+		}
+		Expect(call("vm1")).To(HaveField("PartReply.Body", "vm0d"))
+		f.setCut(f.vms[0], f.vms[1], true)
+		start := time.Now()
+		_, err := call("vm1")
+		Expect(err).To(HaveOccurred())
+		Expect(time.Since(start)).To(BeNumerically("<", 4*time.Second))
+		Expect(call("vm2")).To(HaveField("PartReply.Body", "vm0d"))
+		f.setCut(f.vms[0], f.vms[1], false)
+		Eventually(func() error { _, err := call("vm1"); return err }, "5s", "50ms").Should(Succeed())
+	})
+
+	It("gives each caller its own reply", func() {
+		f := newFleet(2)
+		f.vms[1].Handle(func(_ context.Context, _ string, m *gen.Message) *gen.Message {
+			time.Sleep(rand.N(3 * time.Millisecond))
+			return &gen.Message{PartReply: &gen.PartReply{Found: true, Body: m.Part.Digest}}
+		})
+		results := make(chan error, 50)
+		for i := range cap(results) {
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				want := fmt.Sprint(i)
+				r, err := f.vms[0].Call(ctx, "vm1", &gen.Message{Part: &gen.PartRequest{Digest: want}})
+				if err == nil && r.PartReply.Body != want {
+					err = fmt.Errorf("got %s, want %s", r.PartReply.Body, want)
+				}
+				results <- err
+			}()
+		}
+		for range cap(results) {
+			Expect(<-results).To(Succeed())
+		}
+	})
+})
+
+var _ = Describe("a VM that restarts", func() {
+	It("learns the facts again and its old words do not come back", func() {
+		f := newFleet(5)
+		f.vms[0].Facts().Put("head", "7 abc", time.Minute)
+		Eventually(func() int { return f.reached("head", "7 abc") }, "5s", "5ms").Should(Equal(5))
+		f.vms[4].stop()
+		f.vms[4] = f.start(4, "2")
+		f.list()
+		Eventually(func() int { return f.reached("head", "7 abc") }, "8s", "10ms").Should(Equal(5))
+		Eventually(func() string {
+			for _, m := range f.vms[0].Roster() {
+				if m.Name == "vm4" {
+					return m.Incarnation
+				}
+			}
+			return ""
+		}, "5s", "10ms").Should(Equal("vm4-2"))
+	})
+})
--- a/internal/policy/roster/roles.go
+++ b/internal/policy/roster/roles.go
@@ -55,12 +55,36 @@
 // Neighbours returns the members that a VM exchanges facts with: some in its zone
 // and some across zones.
 func Neighbours(members []Member, self, zone string) []Member {
-	near := filter(members, func(m Member) bool { return m.Name != self && m.State != Removed && m.Zone == zone })
-	far := filter(members, func(m Member) bool { return m.Name != self && m.State != Removed && m.Zone != zone })
-	near = Rank(near, "neighbour/"+self)
-	far = Rank(far, "neighbour/"+self)
-	chosen := slices.Clone(near[:min(NeighboursInZone, len(near))])
-	return append(chosen, far[:min(NeighboursAcross, len(far))]...)
+	var near, far nearest
+	for _, m := range members {
+		switch {
+		case m.Name == self || m.State == Removed:
+		case m.Zone == zone:
+			near.offer(m, "neighbour/"+self, NeighboursInZone)
+		default:
+			far.offer(m, "neighbour/"+self, NeighboursAcross)
+		}
+	}
+	return append(near.members, far.members...)
+}
+
+// nearest keeps the members of the highest scores, without sorting all.
+type nearest struct {
+	members []Member
+	scores  []uint64
+}
+
+func (n *nearest) offer(m Member, key string, k int) {
+	s := score(key, m.Name)
+	i, _ := slices.BinarySearchFunc(n.scores, s, func(a, b uint64) int { return cmp.Compare(b, a) })
+	if i >= k {
+		return
+	}
+	n.members = slices.Insert(n.members, i, m)
+	n.scores = slices.Insert(n.scores, i, s)
+	if len(n.members) > k {
+		n.members, n.scores = n.members[:k], n.scores[:k]
+	}
 }
 
 // takeOverStep is the time between two candidates stepping in for a missing relay,
