Hold a suspected request to one run at a time, also within a VM

Cause: the fuzz of crashing requests found three crashes where one attempt ran before the first crash was known: a VM that had the fleet's permission gave it to a second caller of its own. Change: a run is reserved on the VM before the fleet is asked, and is given back where the fleet does not permit it. Ruled out: leaving the VM's own runs out of the count so that a search over many shards is not held up by itself; the search asks once a loss, so it is not. Conclusion: crashes stay at the larger of 2 and the attempts that were under way before the first crash was known; one more for each side of a cut without majority.

--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -86,6 +86,23 @@
 	proven   bool
 }
 
+// left is how long a run may still be under way.
+func (r recent) left(now time.Duration) time.Duration {
+	if r.running == 0 {
+		return 0
+	}
+	return r.started + policy.RunLease - now
+}
+
+func (r recent) start(now time.Duration) recent {
+	if r.left(now) <= 0 {
+		r.running = 0
+	}
+	r.started = now
+	r.running++
+	return r
+}
+
 func (r recent) end() recent {
 	r.running = max(r.running-1, 0)
 	return r
@@ -148,8 +165,13 @@
 	return g.ask(fingerprint)
 }
 
-// ask asks the fleet whether a suspected request may run here.
+// ask asks the fleet whether a suspected request may run here. It may not while
+// another run of it is under way on this VM.
 func (g *Guard) ask(fingerprint string) (time.Duration, bool) {
+	if !g.reserve(fingerprint) {
+		g.events.WithLabelValues("not_permitted").Inc()
+		return comeBack, true
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	store := g.fleet.Facts()
@@ -159,9 +181,9 @@
 	record := g.record(fingerprint)
 	if record.Permit(g.now(), store.Origin(), acks, guards) {
 		g.events.WithLabelValues("permitted").Inc()
-		g.started(fingerprint, g.now())
 		return 0, false
 	}
+	g.ended(fingerprint)
 	g.withdraw(fingerprint)
 	g.events.WithLabelValues("not_permitted").Inc()
 	verdict, retryAfter := record.Judge(g.now())
@@ -236,12 +258,21 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	r, _ := sh.recent.Get(fingerprint)
-	if now-r.started > policy.RunLease {
-		r.running = 0
+	sh.recent.Add(fingerprint, r.start(now))
+}
+
+// reserve is started, but only where nothing else runs the fingerprint here.
+func (g *Guard) reserve(fingerprint string) bool {
+	now := g.now()
+	sh := g.shard(fingerprint)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	r, _ := sh.recent.Get(fingerprint)
+	if r.left(now) > 0 {
+		return false
 	}
-	r.started = now
-	r.running++
-	sh.recent.Add(fingerprint, r)
+	sh.recent.Add(fingerprint, r.start(now))
+	return true
 }
 
 // ended notes the end of a run by a loss and reports whether the fingerprint was
@@ -267,7 +298,7 @@
 	sh.mu.Lock()
 	r, _ := sh.recent.Get(fingerprint)
 	sh.mu.Unlock()
-	if left := r.started + policy.RunLease - g.now(); r.running > 0 && left > 0 {
+	if left := r.left(g.now()); left > 0 {
 		g.fleet.Facts().Put(prefix+fingerprint+"/"+run, "", left)
 	}
 }
