Wait in runs and the demonstration until VMs vote

Cause: a VM that just started abstains from votes on orders born within its skew. Change: runs begin their load, and the demonstration its order, 5 s after readiness.

--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -32,6 +32,9 @@
 	maxVMs   = 20
 )
 
+// voteAfter is how long after its start a VM votes on orders born from then on.
+const voteAfter = 5 * time.Second
+
 const (
 	readyTimeout = 20 * time.Second
 	readyPoll    = 50 * time.Millisecond
--- a/internal/bench/demo.go
+++ b/internal/bench/demo.go
@@ -24,6 +24,7 @@
 	out    io.Writer
 	c      *Cluster
 	client *Client
+	ready  time.Time
 	failed []string
 }
 
@@ -37,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	d := &demo{out: out, c: c, client: NewClient()}
+	d := &demo{out: out, c: c, client: NewClient(), ready: time.Now()}
 	d.printf("%d VMs, %d upstreams, generation %d in force, ready after %v", len(c.VMs), len(c.Deployment.Upstreams), c.Generation, time.Since(begin).Round(time.Millisecond))
 	d.parts(ctx)
 	d.returns(ctx)
@@ -132,6 +133,8 @@
 }
 
 func (d *demo) order(ctx context.Context) {
+	d.printf("VMs that just started abstain from votes on orders, since they may have forgotten; waiting %v", voteAfter)
+	time.Sleep(time.Until(d.ready.Add(voteAfter)))
 	d.printf("a workshop orders quills, and sends the same order again through another VM:")
 	r := order("workshops", "order-desk", 3*time.Second)
 	first := d.send(ctx, 0, r)
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -83,6 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
+	time.Sleep(voteAfter)
 	s := &stage{Cluster: c, b: newBalancer(c.VMs, o.Seed), j: newRecorder(), index: map[string]int{}}
 	m, err := s.perform(ctx, e, o)
 	if err = errors.Join(err, c.Close()); err != nil {
