Let relays connect from the address by which a VM is listed

Change: the relay from VM I to VM J connects from the address under which J's list holds I. Ruled out: a switch in the daemon.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -227,7 +227,7 @@
 				_, _ = c.Write([]byte("x"))
 			}
 		}()
-		r, err := newRelay(GinkgoT().Context(), "127.0.0.1:0", l.Addr().String())
+		r, err := newRelay(GinkgoT().Context(), "127.0.0.1:0", l.Addr().String(), "127.0.0.2")
 		Expect(err).NotTo(HaveOccurred())
 		defer r.close()
 		read := func() (net.Conn, error) {
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -132,7 +132,11 @@
 }
 
 func (c *Cluster) address(third, fourth, port int) string {
-	return fmt.Sprintf("127.%d.%d.%d:%d", c.net, third, fourth, port)
+	return fmt.Sprintf("%s:%d", c.ip(third, fourth), port)
+}
+
+func (c *Cluster) ip(third, fourth int) string {
+	return fmt.Sprintf("127.%d.%d.%d", c.net, third, fourth)
 }
 
 func (c *Cluster) startUpstreams(ctx context.Context) error {
--- a/internal/bench/relay.go
+++ b/internal/bench/relay.go
@@ -13,6 +13,7 @@
 // guards its state.
 type relay struct {
 	target string
+	dialer net.Dialer
 	listen net.Listener
 	bytes  atomic.Int64 // passed on in both directions
 	mu     sync.Mutex
@@ -20,14 +21,15 @@
 	conns  map[net.Conn]bool
 }
 
-// newRelay listens on an address and passes connections on to target.
-func newRelay(ctx context.Context, address, target string) (*relay, error) {
+// newRelay listens on an address and passes connections on to target, from the IP
+// number by which the target's VM knows the other.
+func newRelay(ctx context.Context, address, target, from string) (*relay, error) {
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
-	r := &relay{target: target, listen: l, conns: map[net.Conn]bool{}}
+	r := &relay{target: target, dialer: net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}, listen: l, conns: map[net.Conn]bool{}}
 	go r.accept()
 	return r, nil
 }
@@ -48,7 +50,7 @@
 	if !r.keep(in) {
 		return
 	}
-	out, err := net.Dial("tcp", r.target) //nolint:noctx // loopback, refused at once
+	out, err := r.dialer.Dial("tcp", r.target) //nolint:noctx // loopback, refused at once
 	if err != nil {
 		return
 	}
--- a/internal/bench/vms.go
+++ b/internal/bench/vms.go
@@ -60,7 +60,7 @@
 		if i == j {
 			continue
 		}
-		r, err := newRelay(ctx, c.address(linkNet+i, j+1, peerPort), vm.Peers)
+		r, err := newRelay(ctx, c.address(linkNet+i, j+1, peerPort), vm.Peers, c.ip(linkNet+j, i+1))
 		if err != nil {
 			return err
 		}
