Ask the fleet about lost sub-requests beside the search

Cause: Crashed and Crashes ask other VMs and take up to 100 ms; the search's loop waited for them and could miss its deadline. A search was given up as a whole when one retry was not permitted, although other shards had replied. Change: losses are told and permission asked in a goroutine; the shard waits, the search goes on; the outcome waits for the reports, at most until the deadline, so that a resend meets them. Outcome.Cost is filled in for admission. Ruled out: cancelling the other shards at the second loss, which turns the loss of two upstreams at once into an error for every search in flight.

--- a/internal/gather/engine.go
+++ b/internal/gather/engine.go
@@ -21,7 +21,7 @@
 const (
 	maxWorkloads = 4096
 	maxShards    = 32_768
-	maxReports   = 4096
+	maxCrashes   = 4096
 	// oneCrash is the time in which losses of like requests at one upstream are one
 	// crash, which cuts all its connections at once.
 	oneCrash = 100 * time.Millisecond
@@ -46,7 +46,7 @@
 	metrics  *metrics
 	budgets  *sharded.Map[string, budget]
 	memories *sharded.Map[shardKey, memory]
-	reports  *sharded.Map[reportKey, time.Duration] // last report by fingerprint and upstream
+	crashes  *sharded.Map[reportKey, time.Duration] // last report by fingerprint and upstream
 }
 
 // mode says which mechanisms are on.
@@ -94,7 +94,7 @@
 		},
 		budgets:  sharded.New[string, budget](maxWorkloads),
 		memories: sharded.New[shardKey, memory](maxShards),
-		reports:  sharded.New[reportKey, time.Duration](maxReports),
+		crashes:  sharded.New[reportKey, time.Duration](maxCrashes),
 	}
 }
 
@@ -122,7 +122,7 @@
 // firstReport reports whether a loss is the first of its crash that this VM sees.
 func (e *Engine) firstReport(fingerprint, address string) bool {
 	now, first := e.now(), false
-	e.reports.Do(reportKey{fingerprint, address}, func(last *time.Duration) {
+	e.crashes.Do(reportKey{fingerprint, address}, func(last *time.Duration) {
 		first = *last == 0 || now-*last >= oneCrash
 		*last = now
 	})
--- a/internal/gather/failure_test.go
+++ b/internal/gather/failure_test.go
@@ -18,11 +18,22 @@
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/upstream"
 )
 
-// crashes is a record of lost connections that refuses after limit of them.
-type crashes struct{ limit, seen atomic.Int64 }
+// crashes is a record of lost connections that refuses after limit of them and takes
+// its time.
+type crashes struct {
+	limit, seen atomic.Int64
+	delay       time.Duration
+}
 
-func (c *crashes) Crashes(string) bool    { return c.seen.Load() >= c.limit.Load() }
-func (c *crashes) Crashed(string, string) { c.seen.Add(1) }
+func (c *crashes) Crashes(string) bool {
+	time.Sleep(c.delay)
+	return c.seen.Load() >= c.limit.Load()
+}
+
+func (c *crashes) Crashed(string, string) {
+	time.Sleep(c.delay)
+	c.seen.Add(1)
+}
 
 var _ = Describe("Search under failure", func() {
 	v6 := gen.Snapshot{Index: 6, Map: 1}
@@ -74,6 +85,20 @@
 		Expect(f.total()).To(Equal(2))
 	})
 
+	It("answers with what others gave where no retry of a lost sub-request is permitted", func() {
+		w := workload(map[int][]string{1: names("s", 5)})
+		f := newFake(w, holder(7, v5))
+		f.serve[address("s1", 0)] = ends(upstream.Lost)
+		for limit, missing := range map[int64][]string{1: {"s1"}, 2: {}} {
+			p := &crashes{delay: 20 * time.Millisecond}
+			p.limit.Store(limit)
+			out := engine(f, p).Search(ctx, search(w, partial, 0, time.Second))
+			Expect(out.Kind).To(Equal(caller.OutcomeAnswered))
+			Expect(out.Coverage.Missing).To(Equal(missing))
+			Expect(p.seen.Load()).To(Equal(int64(1)))
+		}
+	})
+
 	It("keeps retries within their budget while every upstream sheds", func() {
 		w := workload(map[int][]string{1: names("s", 20)})
 		f := newFake(w, ends(upstream.Shed))
--- a/internal/gather/finish.go
+++ b/internal/gather/finish.go
@@ -18,7 +18,8 @@
 	// minComeBack and comeBackSpread bound the time after which a caller may come back.
 	minComeBack    = 200 * time.Millisecond
 	comeBackSpread = 300 * time.Millisecond
-	crashComeBack  = 30 * time.Second
+	// crashComeBack is when to come back with a request that is held to crash upstreams.
+	crashComeBack = 10 * time.Second
 )
 
 func crashSuspected() outcome.Outcome {
@@ -33,7 +34,7 @@
 
 // nothingSent is the outcome where no replica could be picked.
 func (q *query) nothingSent() outcome.Outcome {
-	if q.shed {
+	if q.cost.Shed > 0 {
 		return outcome.NotRun(outcome.Overloaded, "every upstream refused", q.comeBack())
 	}
 	return outcome.NotRun(outcome.NoUpstream, "no upstream takes new work", q.comeBack())
@@ -42,12 +43,10 @@
 func (q *query) decide() (outcome.Outcome, bool) {
 	now := time.Now()
 	s := q.state(now)
-	switch answer.Decide(s) {
-	case answer.Give, answer.Refuse:
-		return q.finish(s.TimeUp), true
-	default:
+	if answer.Decide(s) == answer.Wait {
 		return outcome.Outcome{}, false
 	}
+	return q.finish(s.TimeUp), true
 }
 
 func (q *query) state(now time.Time) answer.State {
@@ -95,10 +94,14 @@
 		Trade: q.s.Grant.Trade, Minimum: q.s.Grant.MinimumCoverage,
 		Total: cov.ShardsTotal, Covered: cov.ShardsCovered, TimeUp: true,
 	})
-	out := outcome.Outcome{Kind: caller.OutcomeAnswered}
-	if verdict == answer.Give {
+	var out outcome.Outcome
+	switch {
+	case verdict == answer.Give:
+		out.Kind = caller.OutcomeAnswered
 		out.Documents = q.merge.Top(id, q.s.Query.Limit)
-	} else {
+	case q.suspected():
+		out = crashSuspected()
+	default:
 		out = outcome.Unknown(outcome.CoverageTooLow, tooLow(cov), q.comeBack())
 	}
 	out.Snapshot = &caller.Snapshot{Index: id.Index, Map: id.Map}
@@ -145,6 +148,8 @@
 	switch {
 	case !q.ran && q.inflight == 0:
 		return q.nothingSent()
+	case q.suspected():
+		return crashSuspected()
 	case q.replied:
 		return q.unfinished(outcome.CoverageUnknown, "no reply is a whole part of a known partition map")
 	case timeUp:
--- a/internal/gather/fuzz_test.go
+++ b/internal/gather/fuzz_test.go
@@ -182,8 +182,11 @@
 // fuzz runs random searches while replicas change, and returns what was wrong.
 func fuzz(t *rapid.T, off ...settings.ExperimentDisableElem) []string {
 	m := newModel(map[int][]string{1: {"a", "b", "c"}, 2: {"a", "b1", "b2", "c"}})
+	p := &crashes{delay: 5 * time.Millisecond}
+	p.limit.Store(2)
 	e := gather.New(gather.Options{
 		Upstream:   gather.From(m.fake()),
+		Poison:     p,
 		Mechanisms: mechanism.New(&settings.Experiment{Disable: off}),
 	})
 	addresses := make([]string, 0, len(m.replicas))
@@ -194,6 +197,7 @@
 	var wrong []string
 	t.Repeat(map[string]func(*rapid.T){
 		"index": func(t *rapid.T) {
+			p.seen.Store(0) // suspicions expire
 			addr := rapid.SampledFrom(addresses).Draw(t, "replica")
 			id := gen.Snapshot{
 				Index: rapid.IntRange(1, 4).Draw(t, "index"),
@@ -224,6 +228,7 @@
 			for _, addr := range addresses {
 				m.change(addr, func(r *replica) { *r = replica{shard: r.shard, holds: []gen.Snapshot{id}, mood: fine} })
 			}
+			p.seen.Store(0)
 			wrong = append(wrong, m.heals(e)...)
 		},
 		"search": func(t *rapid.T) {
--- a/internal/gather/handle.go
+++ b/internal/gather/handle.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/sardinespindle/sardinespindle/internal/outcome"
 	"github.com/sardinespindle/sardinespindle/internal/policy/coverage"
 	"github.com/sardinespindle/sardinespindle/internal/policy/retry"
 	"github.com/sardinespindle/sardinespindle/internal/policy/snapshot"
@@ -12,25 +11,35 @@
 	upstreamgen "github.com/sardinespindle/sardinespindle/schema/gen/upstream"
 )
 
-// handle takes in the end of one attempt. It returns an outcome where the search
-// must end at once.
-func (q *query) handle(ev event) (outcome.Outcome, bool) {
+// handle takes in the end of one attempt.
+func (q *query) handle(ev event) {
 	sh := ev.shard
 	q.inflight--
 	if ev.attempt.dropped {
 		q.dropped--
 	}
 	sh.flying = slices.DeleteFunc(sh.flying, func(a *attempt) bool { return a == ev.attempt })
-	q.ran = q.ran || ev.result.Class.MayHaveRun()
-	q.after = max(q.after, ev.result.RetryAfter)
-	if ev.result.Class != upstream.OK {
-		return q.failed(sh, ev.attempt, ev.result.Class)
+	q.account(ev.result)
+	switch {
+	case ev.result.Class != upstream.OK:
+		q.failed(sh, ev.attempt, ev.result.Class)
+	case !q.genuine(sh, ev.attempt, ev.result.Reply):
+		q.failed(sh, ev.attempt, upstream.Garbled)
+	default:
+		q.reply(sh, ev.attempt, ev.result.Reply)
 	}
-	if !q.genuine(sh, ev.attempt, ev.result.Reply) {
-		return q.failed(sh, ev.attempt, upstream.Garbled)
+}
+
+// account counts what an attempt cost.
+func (q *query) account(r upstream.Result) {
+	q.ran = q.ran || r.Class.MayHaveRun()
+	q.after = max(q.after, r.RetryAfter)
+	if r.Class != upstream.NotSent {
+		q.cost.Sent++
+	}
+	if r.Class == upstream.Shed {
+		q.cost.Shed++
 	}
-	q.reply(sh, ev.attempt, ev.result.Reply)
-	return outcome.Outcome{}, false
 }
 
 // genuine reports whether a reply belongs to the attempt.
@@ -130,36 +139,23 @@
 }
 
 // failed decides what follows an attempt that gave no usable reply.
-func (q *query) failed(sh *shard, at *attempt, c upstream.Class) (outcome.Outcome, bool) {
-	q.shed = q.shed || c == upstream.Shed
+func (q *query) failed(sh *shard, at *attempt, c upstream.Class) {
 	if c != upstream.Shed {
 		sh.barred = append(sh.barred, at.address)
 	}
-	if c == upstream.Lost && q.lost(at) {
-		return crashSuspected(), true
+	if c == upstream.Lost {
+		q.losses++
 	}
 	q.touch(sh)
-	if sh.class != dead || !sh.planned {
-		return outcome.Outcome{}, false
+	if sh.class == dead && sh.planned {
+		q.retry(sh, c)
 	}
-	q.retry(sh, c)
-	if sh.class == dead && q.retarget() {
-		q.reaskMissing()
+	if c == upstream.Lost {
+		q.lost(sh, at)
 	}
-	return outcome.Outcome{}, false
-}
-
-// lost notes a lost connection; true where the request is now refused everywhere.
-func (q *query) lost(at *attempt) bool {
-	q.losses++
-	if !q.e.mode.poison {
-		return false
-	}
-	if q.e.firstReport(q.s.Fingerprint, at.address) {
-		q.e.log.Warn("connection lost while a request ran", "workload", q.workload, "address", at.address)
-		q.e.poison.Crashed(q.s.Fingerprint, at.id)
+	if sh.class == dead && sh.planned && q.retarget() {
+		q.reaskMissing()
 	}
-	return q.e.poison.Crashes(q.s.Fingerprint)
 }
 
 func (q *query) retry(sh *shard, c upstream.Class) {
@@ -171,6 +167,11 @@
 	if q.losses > 0 {
 		q.lossTry++
 	}
+	if c == upstream.Lost && q.e.mode.poison {
+		sh.asking = true // the retry waits for permission
+		q.touch(sh)
+		return
+	}
 	if q.launch(sh, q.want()) {
 		q.e.metrics.count(q.workload, kindRetried, 1)
 	}
--- a/internal/gather/query.go
+++ b/internal/gather/query.go
@@ -40,7 +40,12 @@
 	merge     coverage.Merge
 	counts    [classes]int // shards of the plan by class
 
-	events   chan event
+	events  chan event
+	reports chan report
+	// reporting counts reports of losses under way.
+	reporting int
+	denied    bool // the fleet did not permit a retry
+
 	timer    *time.Timer
 	wake     time.Time
 	inflight int
@@ -48,7 +53,7 @@
 	attempts int
 	ran      bool // an attempt may have run
 	replied  bool // a reply of a snapshot arrived
-	shed     bool
+	cost     outcome.Cost
 	losses   int
 	lossTry  int           // retries since the first loss
 	after    time.Duration // longest Retry-After that an upstream asked for
@@ -79,6 +84,7 @@
 	pickAt   time.Time     // zero where no pick is due
 	picks    int
 	hedged   bool // a hedge was sent, or will not be
+	asking   bool // its retry waits for permission
 	given    bool // given up: nothing more is sent
 	retries  int
 	reasks   int
@@ -119,6 +125,7 @@
 	q.ctx, q.cancel = context.WithCancel(ctx)
 	q.choose()
 	q.shards = make(map[string]*shard, len(q.pmap.Shards))
+	q.reports = make(chan report, maxReports)
 	q.events = make(chan event, len(q.pmap.Shards))
 	q.setPlan()
 	q.timer = time.NewTimer(left)
@@ -136,9 +143,18 @@
 	m.count(q.workload, kindCancelled, q.inflight-q.dropped)
 }
 
+// run runs the search and adds what it cost.
 func (q *query) run() outcome.Outcome {
+	out := q.loop()
+	q.awaitReports()
+	q.cost.Sent += q.inflight
+	out.Cost = q.cost
+	return out
+}
+
+func (q *query) loop() outcome.Outcome {
 	q.launchAll()
-	if q.inflight == 0 && q.counts[covered] == 0 {
+	if q.inflight == 0 {
 		return q.nothingSent()
 	}
 	for {
@@ -148,9 +164,9 @@
 		q.arm()
 		select {
 		case ev := <-q.events:
-			if out, done := q.handle(ev); done {
-				return out
-			}
+			q.handle(ev)
+		case r := <-q.reports:
+			q.reported(r)
 		case <-q.timer.C:
 			q.wake = time.Time{}
 			q.fire(time.Now())
@@ -192,7 +208,7 @@
 	switch {
 	case q.merge.Has(q.target, sh.name):
 		return covered
-	case len(sh.flying) > 0 || !sh.pickAt.IsZero():
+	case len(sh.flying) > 0 || sh.asking || !sh.pickAt.IsZero():
 		return open
 	default:
 		return dead
--- a/internal/gather/send.go
+++ b/internal/gather/send.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -16,8 +18,9 @@
 )
 
 const (
-	// pickBackoff is the wait before a failed pick is tried again; it doubles.
-	pickBackoff = 5 * time.Millisecond
+	// pickBackoff is the wait before a failed pick is tried again; it doubles a few times.
+	pickBackoff  = 2 * time.Millisecond
+	maxDoublings = 2
 	// maxPicks is the most picks of one shard that may fail in a row.
 	maxPicks = 3
 	// maxReasks is the most times a shard is asked again for another snapshot.
@@ -82,7 +85,7 @@
 		t, err = q.e.up.Pick(q.s.Workload, sh.name, sh.barred, false)
 	}
 	if err != nil {
-		q.pickLater(sh)
+		q.pickLater(sh, err)
 		return false
 	}
 	sh.picks = 0
@@ -90,13 +93,23 @@
 	return true
 }
 
-func (q *query) pickLater(sh *shard) {
+// pickLater plans the next pick of a shard. A replica at its limit is waited for as
+// long as there is time; where there is none at all, a few picks later replicas that
+// were tried are taken again.
+func (q *query) pickLater(sh *shard, err error) {
 	sh.picks++
-	sh.given = sh.picks > maxPicks
-	if !sh.given {
-		sh.pickAt = time.Now().Add(pickBackoff << (sh.picks - 1))
-		q.wakeAt(sh.pickAt)
+	if errors.Is(err, upstream.ErrLimited) {
+		if sh.picks == 1 {
+			q.cost.Shed++
+		}
+	} else if len(sh.tried) == 0 || sh.picks > maxPicks {
+		sh.given = true
+		q.touch(sh)
+		return
 	}
+	wait := pickBackoff << min(sh.picks-1, maxDoublings)
+	sh.pickAt = time.Now().Add(wait + rand.N(pickBackoff))
+	q.wakeAt(sh.pickAt)
 	q.touch(sh)
 }
 
