Spend hedges on the slowest sub-requests

A trial log of slow searches showed: a quantile that was not known yet (a new VM), one inflated by few samples (102 ms for shard s03), and an empty hedge budget, since 5% of sub-requests pass a p95 and 3% may be hedged. Change: a hedge is due the later the emptier its bucket is; once 3/4 of the shards have replied, twice their time bounds the others' quantile; an early partial answer counts from the sending of the hedge; a full bucket at start. Ruled out: first come, first served at the p95 (the tokens go to sub-requests that are about to end); a larger budget.

--- a/internal/gather/failure_test.go
+++ b/internal/gather/failure_test.go
@@ -60,6 +60,15 @@
 		Expect(goleak.Find(before)).To(Succeed())
 	})
 
+	It("hedges by the time of the other shards where no quantile is known", func() {
+		w := workload(map[int][]string{1: names("s", 10)})
+		f := newFake(w, holder(7, v5))
+		f.serve[address("s3", 0)] = hang
+		out := engine(f, nil).Search(ctx, search(w, complete, 0, 5*time.Second))
+		Expect(out.Kind).To(Equal(caller.OutcomeAnswered))
+		Expect(f.total()).To(Equal(11))
+	})
+
 	It("sends one retry at most and no hedge after a connection was lost", func() {
 		w := workload(map[int][]string{1: names("s", 10)})
 		f := newFake(w, ends(upstream.Lost))
--- a/internal/gather/finish.go
+++ b/internal/gather/finish.go
@@ -7,14 +7,13 @@
 
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
 	"github.com/sardinespindle/sardinespindle/internal/policy/answer"
+	"github.com/sardinespindle/sardinespindle/internal/policy/hedge"
 	"github.com/sardinespindle/sardinespindle/internal/policy/snapshot"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
 	manifestgen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
 )
 
 const (
-	// lateFactor times a shard's high quantile is when nearly all replies have come.
-	lateFactor = 4
 	// minComeBack and comeBackSpread bound the time after which a caller may come back.
 	minComeBack    = 200 * time.Millisecond
 	comeBackSpread = 300 * time.Millisecond
@@ -64,17 +63,17 @@
 	return s
 }
 
-// late reports whether each open shard is past the time in which nearly all replies
-// come, with its hedge out; else it wakes the search when that may be so.
+// late reports whether each open shard is past the time in which nearly all hedges
+// are answered; else it wakes the search when that may be so.
 func (q *query) late(now time.Time) bool {
 	for _, sh := range q.plan {
 		if sh.class != open {
 			continue
 		}
-		if sh.delay == 0 || sh.started.IsZero() || !sh.hedged {
+		if !sh.hedged {
 			return false
 		}
-		if at := sh.started.Add(lateFactor * sh.delay); now.Before(at) {
+		if at := hedge.LateAt(sh.hedgedAt, sh.quantile); now.Before(at) {
 			q.wakeAt(at)
 			return false
 		}
--- a/internal/gather/handle.go
+++ b/internal/gather/handle.go
@@ -64,6 +64,7 @@
 	q.touch(sh)
 	if sh.planned && sh.class == covered {
 		q.drop(sh)
+		q.judgeBySiblings()
 		return
 	}
 	if !q.hasTarget || r.Snapshot != q.target {
--- a/internal/gather/query.go
+++ b/internal/gather/query.go
@@ -29,6 +29,7 @@
 	workload string
 	ctx      context.Context
 	cancel   context.CancelFunc
+	begun    time.Time
 	answerBy time.Time
 	body     []byte
 
@@ -48,6 +49,8 @@
 
 	timer    *time.Timer
 	wake     time.Time
+	judged   bool    // the open shards were judged by their siblings
+	fill     float64 // of the hedges' bucket, when last seen
 	inflight int
 	dropped  int // of those in flight, cancelled already
 	attempts int
@@ -79,8 +82,9 @@
 	barred   []string // replicas not to be tried again
 	flying   []*attempt
 	started  time.Time
-	delay    time.Duration // high quantile of latency; 0 where not known
+	quantile time.Duration // a high quantile of its latency; 0 where not known
 	hedgeAt  time.Time     // zero where no hedge is due
+	hedgedAt time.Time     // when the hedge was sent or given up
 	pickAt   time.Time     // zero where no pick is due
 	picks    int
 	hedged   bool // a hedge was sent, or will not be
@@ -119,7 +123,7 @@
 	now := time.Now()
 	left := s.Deadline.Sub(now)
 	q := &query{
-		e: e, s: s, workload: string(s.Workload.Name), body: body,
+		e: e, s: s, workload: string(s.Workload.Name), body: body, begun: now,
 		answerBy: s.Deadline.Add(-min(maxReserve, left/reserveShare)),
 	}
 	q.ctx, q.cancel = context.WithCancel(ctx)
--- a/internal/gather/send.go
+++ b/internal/gather/send.go
@@ -25,8 +25,10 @@
 	maxPicks = 3
 	// maxReasks is the most times a shard is asked again for another snapshot.
 	maxReasks = 2
-	// maxHedgeTries is how often a hedge that is due may find no token or no replica.
+	// maxHedgeTries is how often a hedge that is due may find no other replica.
 	maxHedgeTries = 3
+	// hedgePolls is how often in a quantile a hedge that is due asks for a token.
+	hedgePolls = 4
 	// maxAttempts is the most attempts of one shard in one search.
 	maxAttempts = 1 + 1 + retry.PerShard + maxReasks
 )
@@ -36,6 +38,7 @@
 	cursor := 0
 	q.e.budgets.Do(q.workload, func(b *budget) {
 		b.hedge.Earn(len(q.plan), q.s.Grant.HedgePercent)
+		q.fill = b.hedge.Fill()
 		b.cursor++
 		cursor = b.cursor
 	})
@@ -140,15 +143,33 @@
 	if q.e.mode.baseline {
 		return
 	}
-	delay, ok := hedge.Delay(q.e.up.HedgeDelay(q.workload, sh.name))
+	quantile, ok := q.e.up.HedgeDelay(q.workload, sh.name)
 	if !ok {
 		return
 	}
-	sh.delay = delay
-	sh.hedgeAt = sh.started.Add(delay)
+	sh.quantile = quantile
+	sh.hedgeAt = sh.started.Add(hedge.Delay(quantile, q.fill))
 	q.wakeAt(sh.hedgeAt)
 }
 
+// judgeBySiblings plans hedges by the time that most shards of this search took. It
+// does so once.
+func (q *query) judgeBySiblings() {
+	if q.judged || q.e.mode.baseline || !hedge.Quorum(q.counts[covered], len(q.plan)) {
+		return
+	}
+	q.judged = true
+	quorum := time.Since(q.begun)
+	for _, sh := range q.plan {
+		if sh.class != open || sh.started.IsZero() || sh.hedged {
+			continue
+		}
+		sh.quantile = hedge.Judge(sh.quantile, quorum)
+		sh.hedgeAt = sh.started.Add(hedge.Delay(sh.quantile, q.fill))
+		q.wakeAt(sh.hedgeAt)
+	}
+}
+
 // do runs in the attempt's own goroutine.
 func (q *query) do(ctx context.Context, sh *shard, at *attempt, t Ticket) {
 	defer at.cancel()
@@ -239,33 +260,32 @@
 	if !allowed || len(sh.flying) != 1 || len(sh.tried) >= maxAttempts {
 		return
 	}
-	t, ok := q.hedgeTicket(sh)
-	if !ok {
-		sh.hedgeTries++
-		sh.hedged = sh.hedgeTries == maxHedgeTries
-		sh.hedgeAt = now.Add(sh.delay)
+	if due := sh.started.Add(hedge.Delay(sh.quantile, q.fill)); now.Before(due) {
+		sh.hedgeAt = due
 		return
 	}
-	sh.hedged = true
-	q.e.metrics.count(q.workload, kindHedged, 1)
-	q.send(sh, t, q.want(), true)
-}
-
-// hedgeTicket pays for a hedge and picks another replica; false where either fails.
-func (q *query) hedgeTicket(sh *shard) (Ticket, bool) {
 	if !q.payHedge() {
-		return nil, false
+		sh.hedgeAt = now.Add(sh.quantile / hedgePolls)
+		return
 	}
 	t, err := q.e.up.Pick(q.s.Workload, sh.name, sh.tried, true)
 	if err != nil {
 		q.refundHedge()
-		return nil, false
+		sh.hedgeTries++
+		sh.hedged, sh.hedgedAt = sh.hedgeTries == maxHedgeTries, now
+		sh.hedgeAt = now.Add(sh.quantile)
+		return
 	}
-	return t, true
+	sh.hedged, sh.hedgedAt = true, now
+	q.e.metrics.count(q.workload, kindHedged, 1)
+	q.send(sh, t, q.want(), true)
 }
 
 func (q *query) payHedge() (paid bool) {
-	q.e.budgets.Do(q.workload, func(b *budget) { paid = b.hedge.Take() })
+	q.e.budgets.Do(q.workload, func(b *budget) {
+		paid = b.hedge.Take()
+		q.fill = b.hedge.Fill()
+	})
 	return paid
 }
 
--- a/internal/policy/hedge/hedge_test.go
+++ b/internal/policy/hedge/hedge_test.go
@@ -17,6 +17,10 @@
 	It("pays for the given share of sub-requests and a small burst", func() {
 		var b hedge.Bucket
 		taken := 0
+		for ; b.Take(); taken++ {
+		}
+		Expect(taken).To(Equal(hedge.Burst))
+		taken = 0
 		const searches, fanOut, share = 1000, 20, 3.0
 		for range searches {
 			b.Earn(fanOut, share)
@@ -25,10 +29,25 @@
 			}
 		}
 		Expect(taken).To(BeNumerically("~", searches*fanOut*share/100, 1))
-		b.Earn(1_000_000, share)
-		for taken = 0; b.Take(); taken++ {
-		}
-		Expect(taken).To(Equal(hedge.Burst))
+	})
+})
+
+var _ = Describe("Delay", func() {
+	It("grows as the budget runs out", func() {
+		Expect(hedge.Delay(10*time.Millisecond, 1)).To(Equal(10 * time.Millisecond))
+		Expect(hedge.Delay(10*time.Millisecond, 0.5)).To(Equal(20 * time.Millisecond))
+		Expect(hedge.Delay(0, 1)).To(Equal(hedge.MinDelay))
+	})
+})
+
+var _ = Describe("Judge", func() {
+	It("mends a quantile that is unknown or too long by the siblings' time", func() {
+		Expect(hedge.Judge(0, 12*time.Millisecond)).To(Equal(24 * time.Millisecond))
+		Expect(hedge.Judge(100*time.Millisecond, 12*time.Millisecond)).To(Equal(24 * time.Millisecond))
+		Expect(hedge.Judge(15*time.Millisecond, 12*time.Millisecond)).To(Equal(15 * time.Millisecond))
+		Expect(hedge.Quorum(14, 20)).To(BeFalse())
+		Expect(hedge.Quorum(15, 20)).To(BeTrue())
+		Expect(hedge.Quorum(2, 2)).To(BeFalse())
 	})
 })
 
