--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 	PATH=$(TOOLS):$$PATH bash schema/generate.sh
 
 generate-check: generate
-	git diff --exit-code -- schema/gen
+	git diff --exit-code -- schema/gen docs/operators
 
 libc-check: build
 	ldd $(BIN)/sardinespindle | grep libc.so
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -74,6 +74,9 @@
 		return nil, err
 	}
 	d.connect()
+	if d.mechanisms.Baseline() || len(s.Experiment.Disable) > 0 {
+		l.Warn("guarantees are turned off for an experiment", "policy", s.Experiment.Policy, "disable", s.Experiment.Disable)
+	}
 	return d, nil
 }
 
@@ -88,6 +91,7 @@
 		d.callers.HTTPServer(string(d.s.Listen.Callers)),
 	}
 	for _, server := range servers {
+		server.ErrorLog = d.log.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel})
 		if err := listen(server, failed); err != nil {
 			return err
 		}
