--- a/internal/gather/send.go
+++ b/internal/gather/send.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -16,8 +18,9 @@
 )
 
 const (
-	// pickBackoff is the wait before a failed pick is tried again; it doubles.
-	pickBackoff = 5 * time.Millisecond
+	// pickBackoff is the wait before a failed pick is tried again; it doubles a few times.
+	pickBackoff  = 2 * time.Millisecond
+	maxDoublings = 2
 	// maxPicks is the most picks of one shard that may fail in a row.
 	maxPicks = 3
 	// maxReasks is the most times a shard is asked again for another snapshot.
@@ -30,19 +33,39 @@
 
 // launchAll sends the first attempt of each shard.
 func (q *query) launchAll() {
-	scout := -1
+	cursor := 0
 	q.e.budgets.Do(q.workload, func(b *budget) {
 		b.hedge.Earn(len(q.plan), q.s.Grant.HedgePercent)
 		b.cursor++
-		scout = b.cursor % len(q.plan)
+		cursor = b.cursor
 	})
 	for i, sh := range q.plan {
 		want := q.want()
-		if i == scout {
-			want = nil
+		if i == cursor%len(q.plan) {
+			want = nil // learns of a newer snapshot
 		}
 		q.launch(sh, want)
 	}
+	q.exploreMap(cursor)
+}
+
+// exploreMap asks one shard that only the newest partition map has, so that a
+// repartition is found out. The search does not wait for it.
+func (q *query) exploreMap(cursor int) {
+	newest := q.s.Workload.Newest
+	if !q.hasTarget || newest == q.pmap || q.e.mode.baseline {
+		return
+	}
+	sh := q.shard(string(newest.Shards[cursor%len(newest.Shards)].Name))
+	if sh.planned || !q.payHedge() {
+		return
+	}
+	t, err := q.e.up.Pick(q.s.Workload, sh.name, nil, true)
+	if err != nil {
+		q.refundHedge()
+		return
+	}
+	q.send(sh, t, nil, true)
 }
 
 // want is the snapshot that an attempt asks for; nil for the newest.
@@ -62,7 +85,7 @@
 		t, err = q.e.up.Pick(q.s.Workload, sh.name, sh.barred, false)
 	}
 	if err != nil {
-		q.pickLater(sh)
+		q.pickLater(sh, err)
 		return false
 	}
 	sh.picks = 0
@@ -70,13 +93,23 @@
 	return true
 }
 
-func (q *query) pickLater(sh *shard) {
+// pickLater plans the next pick of a shard. A replica at its limit is waited for as
+// long as there is time; where there is none at all, a few picks later replicas that
+// were tried are taken again.
+func (q *query) pickLater(sh *shard, err error) {
 	sh.picks++
-	sh.given = sh.picks > maxPicks
-	if !sh.given {
-		sh.pickAt = time.Now().Add(pickBackoff << (sh.picks - 1))
-		q.wakeAt(sh.pickAt)
+	if errors.Is(err, upstream.ErrLimited) {
+		if sh.picks == 1 {
+			q.cost.Shed++
+		}
+	} else if len(sh.tried) == 0 || sh.picks > maxPicks {
+		sh.given = true
+		q.touch(sh)
+		return
 	}
+	wait := pickBackoff << min(sh.picks-1, maxDoublings)
+	sh.pickAt = time.Now().Add(wait + rand.N(pickBackoff))
+	q.wakeAt(sh.pickAt)
 	q.touch(sh)
 }
 
@@ -220,15 +253,22 @@
 
 // hedgeTicket pays for a hedge and picks another replica; false where either fails.
 func (q *query) hedgeTicket(sh *shard) (Ticket, bool) {
-	paid := false
-	q.e.budgets.Do(q.workload, func(b *budget) { paid = b.hedge.Take() })
-	if !paid {
+	if !q.payHedge() {
 		return nil, false
 	}
 	t, err := q.e.up.Pick(q.s.Workload, sh.name, sh.tried, true)
 	if err != nil {
-		q.e.budgets.Do(q.workload, func(b *budget) { b.hedge.GiveBack() })
+		q.refundHedge()
 		return nil, false
 	}
 	return t, true
 }
+
+func (q *query) payHedge() (paid bool) {
+	q.e.budgets.Do(q.workload, func(b *budget) { paid = b.hedge.Take() })
+	return paid
+}
+
+func (q *query) refundHedge() {
+	q.e.budgets.Do(q.workload, func(b *budget) { b.hedge.GiveBack() })
+}
