Test lease, pool and refusals against breaking connections

Cause: the lease, the connection share and the truth of NotSent must hold while connections break, clocks jump and shares change. Change: tests over a loopback upstream; surplus connections are counted when chosen for closing, since concurrent returns closed all four where three were over the share. Ruled out: a fake that does not read its body; net/http's server sees no cancellation before the body is read, and the handler hung. Conclusion: an attempt that ran was never classed NotSent or Shed in 960 attempts.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -109,6 +109,7 @@
 	mu       sync.Mutex // guards the fields below
 	most     int
 	open     int // connections open or being dialed
+	surplus  int // connections among them about to be closed
 	dialing  int
 	idle     []*conn
 	waiters  []*waiter
@@ -211,7 +212,11 @@
 func (p *pool) keep(c *conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open > p.most || c.sock.dead() {
+	if c.sock.dead() {
+		return false
+	}
+	if p.open-p.surplus > p.most {
+		p.part(c)
 		return false
 	}
 	if len(p.waiters) > 0 {
@@ -223,6 +228,12 @@
 	return true
 }
 
+// part marks a connection that is about to be closed. The lock is held.
+func (p *pool) part(c *conn) {
+	c.sock.surplus = true
+	p.surplus++
+}
+
 // serve hands a connection or an error to the first waiter. The lock is held.
 func (p *pool) serve(c *conn, err error) {
 	w := p.waiters[0]
@@ -260,7 +271,7 @@
 	}
 	p.mu.Unlock()
 	if !p.watch(s) {
-		p.gone()
+		p.gone(s)
 	}
 	p.put(&conn{ClientConn: cc, sock: s})
 }
@@ -269,15 +280,19 @@
 func (p *pool) watch(s *sock) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.onClose = p.gone
+	s.onClose = func() { p.gone(s) }
 	return !s.closed
 }
 
 // gone counts a connection that has ended, and replaces it where one is needed.
-func (p *pool) gone() {
+func (p *pool) gone(s *sock) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
+	if s.surplus {
+		s.surplus = false
+		p.surplus--
+	}
 	live := p.idle[:0]
 	for _, c := range p.idle {
 		if !c.sock.dead() {
@@ -298,7 +313,8 @@
 	p.most = most
 	p.share.Store(int64(most))
 	var extra []*conn
-	for p.open-len(extra) > most && len(p.idle) > 0 {
+	for p.open-p.surplus > most && len(p.idle) > 0 {
+		p.part(p.idle[0])
 		extra = append(extra, p.idle[0])
 		p.idle = p.idle[1:]
 	}
@@ -328,7 +344,8 @@
 		}
 	}
 	var old []*conn
-	for len(p.idle) > 0 && p.open-len(old) > warmConnections && now-p.idle[0].idleSince > idleConnectionLife {
+	for len(p.idle) > 0 && p.open-p.surplus > warmConnections && now-p.idle[0].idleSince > idleConnectionLife {
+		p.part(p.idle[0])
 		old = append(old, p.idle[0])
 		p.idle = p.idle[1:]
 	}
--- /dev/null
+++ b/internal/upstream/pool_test.go
@@ -0,0 +1,173 @@
+package upstream
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/sardinespindle/sardinespindle/internal/manifest"
+	"github.com/sardinespindle/sardinespindle/internal/mechanism"
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
+	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
+)
+
+var _ = Describe("Connections", func() {
+	var f *fake
+	var m *manifest.Manifest
+	bg := context.Background()
+	noLimits := mechanism.New(&settings.Experiment{Policy: settings.ExperimentPolicyBaseline})
+
+	BeforeEach(func() {
+		f = newFake()
+		m = model(entry(f.address()))
+	})
+
+	It("stay within the share, also under the baseline policy", func() {
+		c := newClient(Options{Mechanisms: noLimits, VMs: func() int { return 16 }}, m) // a share of three
+		f.answer(func(w http.ResponseWriter, r *http.Request) {
+			Expect(f.conns.Load()).To(BeNumerically("<=", 3))
+			time.Sleep(time.Millisecond)
+			f.empty(w, r)
+		})
+		var wg sync.WaitGroup
+		for range 40 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				Expect(try(bg, c, m, search()).Class).To(Equal(OK))
+			})
+		}
+		wg.Wait()
+		Expect(f.posts.Load()).To(BeEquivalentTo(40))
+		Expect(c.States()[0].Connections).To(Equal(3))
+	})
+
+	It("above a share that shrinks are closed at once when idle, and after use otherwise", func() {
+		vms := atomic.Int64{}
+		vms.Store(10)
+		c := newClient(Options{Mechanisms: noLimits, VMs: func() int { return int(vms.Load()) }}, m)
+		release := make(chan struct{})
+		f.answer(func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-release:
+			case <-r.Context().Done():
+			}
+			f.empty(w, r)
+		})
+		var wg sync.WaitGroup
+		for range 4 {
+			wg.Go(func() { try(bg, c, m, search()) })
+		}
+		Eventually(f.posts.Load).Should(BeEquivalentTo(4))
+		vms.Store(40)
+		c.setShares(c.current.Load())
+		close(release)
+		wg.Wait()
+		Eventually(f.conns.Load).Should(BeEquivalentTo(1))
+		vms.Store(100)
+		c.setShares(c.current.Load())
+		Eventually(f.conns.Load).Should(BeZero())
+		_, err := c.Pick(m.Workloads[wlSearch], "s0", nil, false)
+		Expect(err).To(MatchError(ErrNoShare))
+	})
+
+	It("are replaced when a cancelled attempt has cost one, and when the upstream closed them", func() {
+		c := newClient(Options{}, m)
+		Expect(try(bg, c, m, search()).Class).To(Equal(OK))
+		ctx, cancel := context.WithCancel(bg)
+		f.answer(func(_ http.ResponseWriter, r *http.Request) { cancel(); <-r.Context().Done() })
+		Expect(try(ctx, c, m, search()).Class).To(Equal(Canceled))
+		Eventually(f.conns.Load).Should(BeEquivalentTo(1))
+		f.answer(f.empty)
+		for range 20 {
+			f.CloseClientConnections()
+			Expect(try(bg, c, m, search()).Class).To(Or(Equal(OK), Equal(Lost)))
+		}
+	})
+
+	It("end with the address that leaves the manifest, but not the request in flight", func() {
+		c := newClient(Options{}, m)
+		arrived, release := make(chan struct{}), make(chan struct{})
+		f.answer(func(w http.ResponseWriter, r *http.Request) { close(arrived); <-release; f.empty(w, r) })
+		result := make(chan Result)
+		go func() { result <- try(bg, c, m, search()) }()
+		<-arrived
+		c.Apply(model())
+		close(release)
+		Expect((<-result).Class).To(Equal(OK))
+		Eventually(f.conns.Load).Should(BeZero())
+		_, err := c.Pick(m.Workloads[wlSearch], "s0", nil, false)
+		Expect(err).To(MatchError(ErrNoReplica))
+	})
+
+	It("never make a refusal of an attempt that ran, and leak nothing, whatever breaks", func() {
+		quiet := goleak.IgnoreCurrent()
+		f := newFake()
+		m := model(entry(f.address()))
+		vms := atomic.Int64{}
+		vms.Store(16)
+		c, err := New(Options{VM: "vm-1", Zone: "a", Mechanisms: noLimits, VMs: func() int { return int(vms.Load()) }})
+		Expect(err).NotTo(HaveOccurred())
+		c.Apply(m)
+		var ran sync.Map
+		f.answer(func(w http.ResponseWriter, r *http.Request) {
+			ran.Store(r.Header.Get(headerRequestID), true)
+			switch rand.IntN(6) {
+			case 0:
+				hijack(w).Close()
+			case 1:
+				time.Sleep(time.Duration(rand.IntN(4)) * time.Millisecond)
+				f.empty(w, r)
+			case 2:
+				w.Header().Set("Connection", "close")
+				f.empty(w, r)
+			default:
+				f.empty(w, r)
+			}
+		})
+		var classes [classes]atomic.Int64
+		var wg sync.WaitGroup
+		for g := range 16 {
+			r := rand.New(rand.NewPCG(uint64(testkit.Seed()), uint64(g)))
+			wg.Go(func() {
+				defer GinkgoRecover()
+				for range 60 {
+					a := search()
+					a.Deadline = time.Now().Add(time.Duration(r.IntN(8000)) * time.Microsecond)
+					ctx, cancel := context.WithCancel(bg)
+					timer := time.AfterFunc(time.Duration(r.IntN(8000))*time.Microsecond, cancel)
+					got := try(ctx, c, m, a)
+					timer.Stop()
+					cancel()
+					classes[got.Class].Add(1)
+					_, didRun := ran.Load(a.RequestID)
+					if didRun {
+						Expect(got.Class.MayHaveRun()).To(BeTrue(), "%v: %v", got.Class, got.Err)
+					}
+					if r.IntN(20) == 0 {
+						vms.Store(int64(8 + r.IntN(40)))
+						c.apply.Lock()
+						c.setShares(c.current.Load())
+						c.apply.Unlock()
+					}
+				}
+			})
+		}
+		wg.Wait()
+		for i := range classes {
+			GinkgoWriter.Printf("%v %d\n", Class(i), classes[i].Load())
+		}
+		Expect(classes[OK].Load()).To(BeNumerically(">", 0))
+		Expect(c.States()[0].Outstanding).To(BeZero())
+		c.Close()
+		f.Close()
+		Eventually(c.current.Load().servers[f.address()].pool.size, "3s").Should(BeZero())
+		Eventually(func() error { return goleak.Find(quiet) }, "3s").Should(Succeed())
+	})
+})
--- a/internal/upstream/sock.go
+++ b/internal/upstream/sock.go
@@ -16,6 +16,8 @@
 	net.Conn
 	now  func() time.Duration
 	once sync.Once
+	// surplus is guarded by the pool: the connection is about to be closed.
+	surplus bool
 
 	mu      sync.Mutex // guards the fields below
 	onClose func()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -68,6 +69,7 @@
 		return
 	}
 	f.posts.Add(1)
+	_, _ = io.Copy(io.Discard, r.Body) // net/http's server sees a cancellation only after the body
 	(*f.handle.Load())(w, r)
 }
 
