--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -25,11 +25,9 @@
 	pingInterval = time.Second
 	pingTimeout  = 1500 * time.Millisecond
 	silenceLimit = 3 * time.Second
-	// A peer that sends faster than this is cut off.
-	messageRate  = rate.Limit(10_000)
-	messageBurst = 20_000
-	byteRate     = rate.Limit(8 << 20)
-	byteBurst    = 32 << 20
+	// digestRate bounds the digests of one peer that are answered.
+	digestRate  = rate.Limit(4)
+	digestBurst = 4
 )
 
 // Reasons why a connection ends, as counted.
@@ -68,6 +66,8 @@
 	slots    chan struct{}
 	messages *rate.Limiter
 	bytes    *rate.Limiter
+	gossip   *rate.Limiter
+	digests  *rate.Limiter
 	done     chan struct{}
 	once     sync.Once
 
@@ -87,8 +87,10 @@
 		node: n, ws: s.Conn, lastPing: s.lastPing, peer: h.Name, inc: h.Incarnation, dialed: dialed,
 		out:      make(chan []byte, queueMessages),
 		slots:    make(chan struct{}, maxHandling),
-		messages: rate.NewLimiter(messageRate, messageBurst),
-		bytes:    rate.NewLimiter(byteRate, byteBurst),
+		messages: n.limits.Messages.limiter(),
+		bytes:    n.limits.Bytes.limiter(),
+		gossip:   n.limits.Gossip.limiter(),
+		digests:  rate.NewLimiter(digestRate, digestBurst),
 		done:     make(chan struct{}),
 		pending:  map[int]chan *gen.Message{},
 		next:     2,
@@ -268,6 +270,9 @@
 	if err != nil || typ != websocket.MessageBinary || m.Hello != nil {
 		return nil, cutGarbage
 	}
+	if (m.Facts != nil || m.Digest != nil) && !c.gossip.AllowN(now, len(b)) {
+		return nil, cutFlood
+	}
 	c.node.metrics.messages.WithLabelValues("in", kind(m)).Inc()
 	return m, ""
 }
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -221,6 +221,10 @@
 // is a neighbour from now on.
 func (n *Node) repair(c *conn, m *gen.Digest) {
 	c.gossipUntil.Store(int64(n.now() + gossipLife))
+	if !c.digests.Allow() {
+		n.metrics.dropped.WithLabelValues("digest").Inc()
+		return
+	}
 	missing := n.facts.Missing(digestFromWire(m))
 	rand.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
 	chosen, _ := rules.Select(missing, pushFacts, repairBytes)
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -50,6 +50,8 @@
 	// Accept says whether a connection from a remote IP number may come in; nil for
 	// any.
 	Accept func(remoteIP string) bool
+	// Limits bound what one peer may send; DefaultLimits if nil.
+	Limits *Limits
 }
 
 // Handler answers a request of another VM, or returns nil where the message is not
@@ -58,6 +60,7 @@
 
 // Node is this VM among the others.
 type Node struct {
+	limits     Limits
 	name       string
 	zone       string
 	inc        string
@@ -110,8 +113,12 @@
 	if o.Accept == nil {
 		o.Accept = func(string) bool { return true }
 	}
+	if o.Limits == nil {
+		o.Limits = &DefaultLimits
+	}
 	n := &Node{
-		name: o.Name, zone: o.Zone, inc: o.Incarnation, started: o.Started,
+		limits: *o.Limits,
+		name:   o.Name, zone: o.Zone, inc: o.Incarnation, started: o.Started,
 		generation: o.Generation, now: o.Now, accept: o.Accept, log: o.Log,
 		metrics: newMetrics(o.Registerer),
 		facts: facts.New(facts.Options{
@@ -203,7 +210,7 @@
 	}
 	n.rosterMu.Lock()
 	defer n.rosterMu.Unlock()
-	n.roster.Leaves(name, inc[1:])
+	n.roster.Leaves(name, inc[1:], f.Expires)
 }
 
 func (n *Node) member(name string) (roster.Member, bool) {
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -14,7 +14,9 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/time/rate"
 
+	"github.com/sardinespindle/sardinespindle/internal/clock"
 	"github.com/sardinespindle/sardinespindle/internal/facts"
 	policy "github.com/sardinespindle/sardinespindle/internal/policy/poison"
 	"github.com/sardinespindle/sardinespindle/internal/policy/roster"
@@ -27,6 +29,10 @@
 	recentPerShard  = 512
 	// askTimeout bounds how long the fleet is waited for.
 	askTimeout = 50 * time.Millisecond
+	// spreadRate and spreadBurst bound the spreads, as when an upstream is lost that
+	// many requests were running on.
+	spreadRate  = rate.Limit(20)
+	spreadBurst = 40
 	// comeBack is when to come back for a request that another VM may be running.
 	comeBack = time.Second
 )
@@ -53,8 +59,9 @@
 // Options configure a Guard.
 type Options struct {
 	// VM is this VM's name.
-	VM         string
-	Fleet      Fleet
+	VM    string
+	Fleet Fleet
+	// Now reads a clock that runs through a suspended process; clock.Boot if nil.
 	Now        func() time.Duration
 	Off        bool // Off turns the mechanism off, for experiments.
 	Registerer prometheus.Registerer
@@ -67,6 +74,7 @@
 	now    func() time.Duration
 	off    bool
 	shards [shards]shard
+	budget *rate.Limiter
 	events *prometheus.CounterVec
 }
 
@@ -110,7 +118,11 @@
 
 // New returns a Guard that follows the fleet's facts.
 func New(o Options) *Guard {
+	if o.Now == nil {
+		o.Now = clock.Boot
+	}
 	g := &Guard{vm: o.VM, fleet: o.Fleet, now: o.Now, off: o.Off}
+	g.budget = rate.NewLimiter(spreadRate, spreadBurst)
 	for i := range g.shards {
 		g.shards[i].records = mustLRU[*policy.Record](recordsPerShard)
 		g.shards[i].recent = mustLRU[recent](recentPerShard)
@@ -218,9 +230,14 @@
 }
 
 // spread states a fact to the fingerprint's guards. It returns how many of them have
-// it, this VM included where it is one, and how many there are.
+// it, this VM included where it is one, and how many there are. Out of budget it
+// leaves the fact to the gossip, and nobody has acknowledged it.
 func (g *Guard) spread(ctx context.Context, fingerprint string, f facts.Fact) (acks, guards int) {
 	names := roster.Guards(g.fleet.Roster(), fingerprint, policy.Guards)
+	if !g.budget.AllowN(time.Unix(0, int64(g.now())), 1) {
+		g.events.WithLabelValues("out_of_budget").Inc()
+		return 0, len(names)
+	}
 	others := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == g.vm })
 	return g.fleet.SpreadTo(ctx, f, others) + len(names) - len(others), len(names)
 }
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -41,6 +41,8 @@
 	i     int
 	store *facts.Store
 	hooks []func(facts.Fact)
+	// spreads counts the spreads that this VM began.
+	spreads int
 }
 
 func newWorld(n int) *world {
@@ -90,6 +92,7 @@
 
 func (v *modelVM) SpreadTo(_ context.Context, f facts.Fact, vms []string) int {
 	acks := 0
+	v.spreads++
 	for _, to := range v.w.vms {
 		if !slices.Contains(vms, name(to.i)) || !v.w.reach(v.i, to.i) {
 			continue
@@ -270,3 +273,23 @@
 		Expect(refused).To(BeFalse())
 	})
 })
+
+var _ = Describe("a lost upstream that many requests ran on", func() {
+	It("costs a bounded number of spreads, and its requests run only as permitted", func() {
+		w := newWorld(5)
+		v := w.vms[0]
+		for i := range 500 {
+			v.Crashed(context.Background(), fmt.Sprint("innocent", i), "r")
+		}
+		Expect(v.spreads).To(BeNumerically("<", 100))
+		_, refused := v.Refused("innocent499")
+		Expect(refused).To(BeTrue())
+	})
+
+	It("is judged by the machine's clock where no other is given", func() {
+		v := newWorld(2).vms[0]
+		g := poison.New(poison.Options{VM: "vm0", Fleet: v})
+		_, refused := g.Refused(fp)
+		Expect(refused).To(BeFalse())
+	})
+})
--- a/internal/policy/roster/roster.go
+++ b/internal/policy/roster/roster.go
@@ -77,8 +77,9 @@
 	removed time.Duration
 	// heard is when the VM last said hello.
 	heard time.Duration
-	// leaves names the incarnation that said it leaves.
-	leaves string
+	// leaves names the incarnation that said it leaves, and until when that holds.
+	leaves      string
+	leavesUntil time.Duration
 	// leavingListed says that the platform lists the VM as leaving.
 	leavingListed bool
 }
@@ -134,10 +135,10 @@
 	e.born = now - h.Uptime
 }
 
-// Leaves takes a VM's word that its incarnation leaves.
-func (r *Roster) Leaves(name, incarnation string) {
+// Leaves takes a VM's word that its incarnation leaves, which holds for a while.
+func (r *Roster) Leaves(name, incarnation string, until time.Duration) {
 	if e, ok := r.entries[name]; ok {
-		e.leaves = incarnation
+		e.leaves, e.leavesUntil = incarnation, until
 		r.version++
 	}
 }
@@ -208,8 +209,14 @@
 	switch {
 	case !e.Listed && e.removed > e.Since:
 		m.State = Removed
-	case e.leavingListed, e.leaves != "" && e.leaves == e.Incarnation:
+	case e.leavingListed, e.saysLeaving(now):
 		m.State = Leaving
 	}
 	return m
 }
+
+// saysLeaving reports whether the VM's word that it leaves holds: a later
+// incarnation is not bound by it.
+func (e *entry) saysLeaving(now time.Duration) bool {
+	return e.leavesUntil > now && (e.Incarnation == "" || e.leaves == e.Incarnation)
+}
