--- a/internal/claims/claim.go
+++ b/internal/claims/claim.go
@@ -207,7 +207,7 @@
 	for _, g := range guards {
 		go func() { replies <- reply{g, a.c.ask(ctx, g, &claim)} }()
 	}
-	for b.Result() == once.Pending {
+	for b.Result() == once.Open {
 		got := <-replies
 		if got.vote == nil {
 			b.Miss(got.guard)
--- a/internal/policy/once/ballot.go
+++ b/internal/policy/once/ballot.go
@@ -5,8 +5,8 @@
 
 // Results of a round.
 const (
-	// Pending: more votes are needed and may still come.
-	Pending Result = iota
+	// Open: more votes are needed and may still come.
+	Open Result = iota
 	// Won: a quorum granted its votes.
 	Won
 	// Lost: a quorum can't be reached; the votes are given back.
@@ -73,17 +73,17 @@
 	case b.count[Recorded] > 0 && (all || b.outcome != ""):
 		return Known
 	case b.count[Recorded] > 0:
-		return Pending
+		return Open
 	case b.count[Mismatch] > 0 && all:
 		return Reused
 	case b.count[Mismatch] > 0:
-		return Pending
+		return Open
 	case b.granted >= b.Need():
 		return Won
 	case all:
 		return Lost
 	}
-	return Pending
+	return Open
 }
 
 // Outcome returns the recorded outcome of a round that is Known.
--- a/internal/policy/once/guard.go
+++ b/internal/policy/once/guard.go
@@ -42,7 +42,10 @@
 }
 
 type entry struct {
-	key         string
+	key string
+	// whole says that the guard would know of any vote on the key. An entry that
+	// only notes a release or a record of a key born too early is not whole.
+	whole       bool
 	born        time.Time
 	fingerprint string
 	holder      string
@@ -93,6 +96,9 @@
 	if e == nil {
 		return g.first(c)
 	}
+	if !e.whole {
+		return Vote{Verdict: Abstained}
+	}
 	return e.claim(c)
 }
 
@@ -227,7 +233,7 @@
 }
 
 func (g *Guard) add(key string, born time.Time) *entry {
-	e := &entry{key: key, born: born}
+	e := &entry{key: key, born: born, whole: g.Remembers(born)}
 	g.entries[key] = e
 	heap.Push(&g.queue, e)
 	return e
