Measure the claims: cost by fleet size, orders during cuts and replacements

Cause: no figure said what a claim costs or which orders a fault refuses. Change: internal/slopes measures claims for n VMs in one process, and plays cuts and rolling replacements on the policies; internal/claims is tested with calls that are lost, late and cut, and with VMs that restart. Ruled out: a figure of latency over a network: the calls are function calls here.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -145,15 +145,19 @@
 	c.viewMu.Lock()
 	defer c.viewMu.Unlock()
 	c.view.Observe(now, names)
-	if now.Sub(c.seen) >= time.Minute {
-		c.view.Forget(now.Add(-viewKeep))
-		c.seen = now
-	}
+	c.seen = now
 	return names
 }
 
 // members returns how many VMs may have voted on a key born at the given time.
 func (c *Claims) members(born time.Time) (int, bool) {
+	now := c.now()
+	c.viewMu.Lock()
+	fresh := now.Sub(c.seen) < observeEvery
+	c.viewMu.Unlock()
+	if !fresh {
+		c.observe()
+	}
 	c.viewMu.Lock()
 	defer c.viewMu.Unlock()
 	n, ok := c.view.Members(born.Add(-c.o.Params.ListLag))
@@ -162,6 +166,9 @@
 
 func (c *Claims) expire() {
 	now := c.now()
+	c.viewMu.Lock()
+	c.view.Forget(now.Add(-viewKeep))
+	c.viewMu.Unlock()
 	for i := range c.shards {
 		s := &c.shards[i]
 		s.mu.Lock()
--- /dev/null
+++ b/internal/claims/fleet_test.go
@@ -0,0 +1,140 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sardinespindle/sardinespindle/internal/clock"
+	"github.com/sardinespindle/sardinespindle/internal/mechanism"
+	"github.com/sardinespindle/sardinespindle/schema/gen/peer"
+)
+
+var errCut = errors.New("link cut")
+
+// fleet is VMs in one process, joined by calls that can be cut, lost and late.
+type fleet struct {
+	mu    sync.Mutex
+	nodes map[string]*Claims
+	names []Member
+	side  map[string]int // VMs of different sides don't reach each other
+	loss  float64        // share of calls lost on the way there, and again on the way back
+	delay time.Duration
+	calls atomic.Int64
+	off   mechanism.Set
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{nodes: map[string]*Claims{}, side: map[string]int{}}
+	for i := range n {
+		f.names = append(f.names, Member{fmt.Sprint("vm", i)})
+	}
+	for _, m := range f.names {
+		f.start(m.Name, time.Now().Add(-time.Minute))
+	}
+	return f
+}
+
+// start puts a fresh process in a VM's place; the former one is forgotten.
+func (f *fleet) start(name string, started time.Time) *Claims {
+	c := New(Options{
+		VM: name, Incarnation: uuid.NewString(), Started: started, Mechanisms: f.off,
+		Generation: func() int { return 1 },
+		Roster: func() []Member {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.names
+		},
+		Call: func(ctx context.Context, vm string, m *peer.Message) (*peer.Message, error) {
+			return f.call(ctx, name, vm, m)
+		},
+	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[name] = c
+	return c
+}
+
+func (f *fleet) node(i int) *Claims {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[f.names[i].Name]
+}
+
+func (f *fleet) split(sides ...int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, m := range f.names {
+		f.side[m.Name] = sides[i]
+	}
+}
+
+func (f *fleet) call(ctx context.Context, from, to string, m *peer.Message) (*peer.Message, error) {
+	f.calls.Add(1)
+	f.mu.Lock()
+	node, cut := f.nodes[to], f.side[from] != f.side[to]
+	f.mu.Unlock()
+	if cut || node == nil {
+		return nil, errCut
+	}
+	if f.delay > 0 {
+		if m.Claim != nil && rand.Float64() < f.loss { // a claim that arrives long after its round
+			time.AfterFunc(rand.N(10*f.delay), func() { node.Handle(context.Background(), from, m) })
+		}
+		time.Sleep(rand.N(f.delay))
+	}
+	if rand.Float64() < f.loss {
+		return nil, errCut
+	}
+	r := node.Handle(ctx, from, m)
+	if rand.Float64() < f.loss {
+		return nil, errCut
+	}
+	return r, ctx.Err()
+}
+
+func newKey() string { return "till-1/" + uuid.Must(uuid.NewV7()).String() }
+
+func request(key string) Request {
+	return Request{Key: key, Fingerprint: "f", Window: time.Minute}
+}
+
+func within(d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	time.AfterFunc(d, cancel)
+	return ctx
+}
+
+// upstream runs every request that a hold lets through.
+type upstream struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (u *upstream) run(key string) string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.runs[key]++
+	return fmt.Sprintf(`{"run":%d}`, u.runs[key])
+}
+
+// order claims a key and runs it where the claim is won.
+func order(c *Claims, u *upstream, key string, deadline time.Duration) Decision {
+	ctx := within(deadline)
+	d := c.Claim(ctx, request(key))
+	if d.Verdict != Won {
+		return d
+	}
+	if !d.Hold.StillValid(clock.Boot()) {
+		d.Hold.Release(ctx)
+		return d
+	}
+	d.Outcome = u.run(key)
+	_ = d.Hold.Record(ctx, d.Outcome)
+	return d
+}
--- /dev/null
+++ b/internal/slopes/claims_test.go
@@ -0,0 +1,51 @@
+package slopes
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
+)
+
+func TestSlopes(t *testing.T) { testkit.Run(t, "slopes") }
+
+var _ = Describe("Claims", func() {
+	It("costs messages in proportion to the fleet", func() {
+		for _, n := range []int{5, 10, 20, 50, 100, 200} {
+			r, err := Claims(n, 1)
+			Expect(err).NotTo(HaveOccurred())
+			fmt.Fprintf(GinkgoWriter, "%+v\n", r)
+			Expect(r.Messages).To(BeNumerically("<=", 2*n))
+		}
+	})
+
+	DescribeTable("accept orders on a side that holds a quorum, and on no other", func(n, larger int, accepted float64) {
+		r := ClaimsCut(n, larger, 500, 1)
+		fmt.Fprintf(GinkgoWriter, "%+v\n", r)
+		Expect(r.Twice).To(BeZero())
+		Expect(r.QuorumLarger).To(Equal(accepted))
+		Expect(r.QuorumSmaller).To(BeZero())
+	},
+		Entry("one of three zones cut off", 14, 9, 1.0), Entry("a larger cut", 14, 8, 0.0),
+		Entry("one of four zones cut off", 20, 15, 1.0), Entry("a bare quorum", 20, 12, 1.0),
+		Entry("eleven to nine", 20, 11, 0.0), Entry("halves", 20, 10, 0.0),
+	)
+
+	DescribeTable("go on while the fleet is replaced", func(every time.Duration, renamed bool, accepted float64) {
+		r := ClaimsRolling(20, every, renamed, 1)
+		fmt.Fprintf(GinkgoWriter, "%+v\n", r)
+		Expect(r.Twice).To(BeZero())
+		Expect(r.Accepted).To(BeNumerically(">=", accepted))
+	},
+		Entry("a VM a second, same names", time.Second, false, 0.9),
+		Entry("a VM each 2 s, same names", 2*time.Second, false, 0.9),
+		Entry("a VM each 2 s, new names", 2*time.Second, true, 0.0),
+		Entry("a VM each 5 s, new names", 5*time.Second, true, 0.9),
+		Entry("a VM each 10 s, new names", 10*time.Second, true, 0.9),
+		Entry("a VM each 30 s, new names", 30*time.Second, true, 0.9),
+	)
+})
