Work out the size to come from measured slopes

Cause: the users ask for a page that gives each role's cost at 2,100 VMs. Change: slopes of manifest, search decisions and one sub-request over HTTP; a command that measures all; arithmetic whose output is the page's tables, held by a test. Ruled out: figures typed into the page.

--- a/cmd/sardinespindle/main.go
+++ b/cmd/sardinespindle/main.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
+	"runtime/pprof"
 	"syscall"
 	"time"
 
@@ -23,18 +25,26 @@
 	app := kingpin.New("sardinespindle", "Query tier over many shards: the daemon of one VM.")
 	path := app.Flag("settings", "Settings file in TOML.").Required().String()
 	check := app.Flag("check", "Check the settings file and exit.").Bool()
+	profile := app.Flag("cpuprofile", "Directory to write a CPU profile to.").Hidden().Envar("SPINDLE_CPUPROFILE").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	if err := run(*path, *check); err != nil {
+	if err := run(*path, *check, *profile); err != nil {
 		fmt.Fprintln(os.Stderr, "sardinespindle:", err)
 		os.Exit(1)
 	}
 }
 
-func run(path string, check bool) error {
+func run(path string, check bool, profile string) error {
 	s, err := settings.Load(path)
 	if err != nil || check {
 		return err
 	}
+	if profile != "" {
+		stop, err := startProfile(filepath.Join(profile, s.Name+".prof"))
+		if err != nil {
+			return err
+		}
+		defer stop()
+	}
 	l, err := telemetry.Logger(os.Stderr, s.Log, s.Name)
 	if err != nil {
 		return err
@@ -56,3 +66,19 @@
 	defer cancel()
 	return flush(fctx)
 }
+
+// startProfile profiles the process until the function returned is called.
+func startProfile(file string) (func(), error) {
+	f, err := os.Create(file)
+	if err != nil {
+		return nil, fmt.Errorf("profile: %w", err)
+	}
+	if err := pprof.StartCPUProfile(f); err != nil {
+		f.Close()
+		return nil, fmt.Errorf("profile: %w", err)
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		f.Close()
+	}, nil
+}
--- a/cmd/spindlebench/main.go
+++ b/cmd/spindlebench/main.go
@@ -31,6 +31,7 @@
 	addList(app)
 	addReport(app)
 	addManifest(app)
+	addSlopes(ctx, app)
 	addStandin(ctx, app)
 	_, err := app.Parse(args)
 	return err
--- a/cmd/spindlebench/slopes.go
+++ b/cmd/spindlebench/slopes.go
@@ -22,8 +22,9 @@
 )
 
 const (
-	fleetTime      = 10 * time.Second
-	searchesFanOut = 2_000
+	fleetTime       = 10 * time.Second
+	searchesFanOut  = 2_000
+	subrequestsPath = 20_000
 )
 
 // addSlopes adds the command that measures what the capacity page rests on.
@@ -53,6 +54,11 @@
 		}
 		s.Gather = append(s.Gather, r)
 	}
+	var err error
+	s.Path, err = slopes.Path(subrequestsPath)
+	if err != nil {
+		return s, err
+	}
 	for _, n := range manifestSizes {
 		r, err := slopes.Manifest(n)
 		if err != nil {
--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,35 @@
+package capacity_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinespindle/sardinespindle/internal/capacity"
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
+)
+
+func TestCapacity(t *testing.T) { testkit.Run(t, "capacity") }
+
+var _ = Describe("the capacity page", func() {
+	It("shows the tables that follow from the slopes", func() {
+		s, err := capacity.Load("../../docs/slopes.json")
+		Expect(err).NotTo(HaveOccurred())
+		page, err := os.ReadFile("../../docs/CAPACITY.md")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(strings.Contains(string(page), capacity.Tables(s))).To(BeTrue(), "run `spindlebench capacity`")
+	})
+
+	It("says plainly which roles today's code could not carry", func() {
+		s, err := capacity.Load("../../docs/slopes.json")
+		Expect(err).NotTo(HaveOccurred())
+		for _, r := range capacity.Planned(s) {
+			if r.Role != "neighbour (facts)" {
+				Expect(r.Fits).NotTo(Equal("**no**"), r.Role)
+			}
+		}
+	})
+})
--- /dev/null
+++ b/internal/capacity/render.go
@@ -0,0 +1,110 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+)
+
+// Marks between which the page is written by this package.
+const (
+	beginMark = "<!-- begin: spindlebench capacity -->"
+	endMark   = "<!-- end: spindlebench capacity -->"
+)
+
+// Load reads measured slopes.
+func Load(file string) (Slopes, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Slopes{}, err
+	}
+	var s Slopes
+	if err := json.Unmarshal(text, &s); err != nil {
+		return Slopes{}, fmt.Errorf("%s: %w", file, err)
+	}
+	return s, nil
+}
+
+// Rewrite writes the tables of the page anew.
+func Rewrite(slopesFile, page string) error {
+	s, err := Load(slopesFile)
+	if err != nil {
+		return err
+	}
+	text, err := os.ReadFile(page)
+	if err != nil {
+		return err
+	}
+	before, rest, ok := strings.Cut(string(text), beginMark)
+	_, after, found := strings.Cut(rest, endMark)
+	if !ok || !found {
+		return fmt.Errorf("%s has no marks of generated tables", page)
+	}
+	return os.WriteFile(page, []byte(before+beginMark+"\n"+Tables(s)+endMark+after), 0o644)
+}
+
+// Tables renders every table of the page.
+func Tables(s Slopes) string {
+	var b strings.Builder
+	b.WriteString("\n### Today's code at that size, a VM\n\n")
+	rows(&b, Today(s))
+	b.WriteString("\n### With the mechanisms below, a VM\n\n")
+	rows(&b, Planned(s))
+	b.WriteString("\n### Reads of the platform a second, whole fleet\n\n| source | today's code | planned |\n| --- | --- | --- |\n")
+	var today, planned float64
+	for _, r := range PlatformReads() {
+		fmt.Fprintf(&b, "| %s | %.1f | %.1f |\n", r.Source, r.Today, r.Planned)
+		today += r.Today
+		planned += r.Planned
+	}
+	fmt.Fprintf(&b, "| sum, of %d | %.0f | %.0f |\n", readsBudget, today, planned)
+	measured(&b, s)
+	return b.String()
+}
+
+func rows(b *strings.Builder, rs []Row) {
+	b.WriteString("| role | carried by | cores | memory | bytes a second | within the budget of control |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, r := range rs {
+		fmt.Fprintf(b, "| %s | %s | %s | %s | %s | %s |\n", r.Role, r.Carrier, cores(r.Cores), size(r.Memory), size(r.Bandwidth), r.Fits)
+	}
+}
+
+func cores(c float64) string {
+	if c == 0 {
+		return "—"
+	}
+	return fmt.Sprintf("%.4f", c)
+}
+
+func size(v float64) string {
+	switch {
+	case v == 0:
+		return "—"
+	case v >= 1e6:
+		return fmt.Sprintf("%.1f MB", v/1e6)
+	default:
+		return fmt.Sprintf("%.1f KB", v/1e3)
+	}
+}
+
+// measured renders the slopes themselves.
+func measured(b *strings.Builder, s Slopes) {
+	b.WriteString("\n### Slopes measured\n\n| manifest servers | MB | cold ms | ms after one change | KB fetched after one change | MB held |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, r := range s.Manifest {
+		fmt.Fprintf(b, "| %d | %.2f | %.0f | %.0f | %.0f | %.1f |\n", r.Servers, float64(r.Bytes)/1e6, r.ColdMs, r.ChangeMs, float64(r.DeltaBytes)/1e3, r.Memory/1e6)
+	}
+	b.WriteString("\n| fan-out | µs of CPU a sub-request, decisions and merge | allocations |\n| --- | --- | --- |\n")
+	for _, r := range s.Gather {
+		fmt.Fprintf(b, "| %d | %.1f | %.1f |\n", r.FanOut, r.CPUMicros, r.Allocs)
+	}
+	fmt.Fprintf(b, "\nOne sub-request over HTTP on loopback: %.0f µs of CPU, the stand-in's side included; %.0f µs of time.\n", s.Path.CPUMicros, s.Path.Micros)
+	b.WriteString("\n| VMs | claim ms, median | messages an order | KB an order | bytes a key at a guard |\n| --- | --- | --- | --- | --- |\n")
+	for _, r := range s.Claims {
+		fmt.Fprintf(b, "| %d | %.2f | %.0f | %.1f | %.0f |\n", r.VMs, r.ClaimMillis, r.Messages, r.Bytes/1e3, r.KeyBytes)
+	}
+	b.WriteString("\n| VMs | connections a VM | bytes/s a VM idle | with 10 facts/s | CPU a VM idle | with 10 facts/s | KB a VM | ms to reach all, median | worst | not reached |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, r := range s.Fleet {
+		fmt.Fprintf(b, "| %d | %.1f | %.0f | %.0f | %.4f | %.4f | %.0f | %.0f | %.0f | %d |\n", r.VMs, r.Connections, r.IdleBytes, r.LoadedBytes, r.IdleCPU, r.LoadedCPU, r.Memory/1e3, r.ReachAllMs, r.ReachMaxMs, r.Missed)
+	}
+}
--- a/internal/slopes/manifest.go
+++ b/internal/slopes/manifest.go
@@ -70,7 +70,6 @@
 	return r, nil
 }
 
-
 // published returns the texts of a manifest of n servers; the one at index draining
 // is marked so.
 func published(n, generation, draining int) ([]byte, map[string][]byte, error) {
