Let facts that are restated wait, and compare digests by one sum first

Cause: restated facts (alive, relay) made buckets differ all the time, so digests were answered with whole buckets; a peer that refused this VM was dialed four times a second, with a digest each time. Change: restated kinds wait 150 ms to be pushed, are in no digest and are not repaired; a periodic digest is one sum and only a difference brings the 64; the backoff of dialing ends only after a connection has lasted; each VM is chosen by its predecessor on a ring, so that none hears by repair alone. Ruled out: a digest of fewer buckets, which would repair more facts than differ.

--- a/internal/facts/store.go
+++ b/internal/facts/store.go
@@ -54,7 +54,8 @@
 	facts map[rules.ID]Fact
 	bytes int
 	sum   uint32
-	// counted holds the facts that sum counts: those not yet found expired.
+	// counted holds the facts that sum counts: those neither restated nor found
+	// expired.
 	counted map[rules.ID]bool
 }
 
@@ -174,8 +175,10 @@
 func (sh *shard) hold(f Fact) {
 	sh.facts[f.ID()] = f
 	sh.bytes += f.Size()
-	sh.sum += rules.Hash(f)
-	sh.counted[f.ID()] = true
+	if !rules.Restated(f.Key) {
+		sh.sum += rules.Hash(f)
+		sh.counted[f.ID()] = true
+	}
 }
 
 func (sh *shard) drop(f Fact, has bool) {
@@ -234,25 +237,26 @@
 func (s *Store) List(prefix string) []Fact {
 	var out []Fact
 	for i := range s.shards {
-		out = s.appendLive(out, i, prefix)
+		out = s.appendLive(out, i, func(f Fact) bool { return strings.HasPrefix(f.Key, prefix) })
 	}
 	return out
 }
 
-func (s *Store) appendLive(out []Fact, bucket int, prefix string) []Fact {
+func (s *Store) appendLive(out []Fact, bucket int, want func(Fact) bool) []Fact {
 	now := s.now()
 	sh := &s.shards[bucket]
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	for _, f := range sh.facts {
-		if f.Live(now) && strings.HasPrefix(f.Key, prefix) {
+		if f.Live(now) && want(f) {
 			out = append(out, f)
 		}
 	}
 	return out
 }
 
-// Digest returns the order-independent hash of each bucket.
+// Digest returns the order-independent hash of each bucket, over the facts that are
+// not restated anyway.
 func (s *Store) Digest() []uint32 {
 	out := make([]uint32, rules.Buckets)
 	for i := range s.shards {
@@ -268,7 +272,7 @@
 func (s *Store) Missing(theirs []uint32) []Fact {
 	var out []Fact
 	for _, b := range rules.Differ(s.Digest(), theirs) {
-		out = s.appendLive(out, b, "")
+		out = s.appendLive(out, b, func(f Fact) bool { return !rules.Restated(f.Key) })
 	}
 	return out
 }
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -60,6 +60,7 @@
 	peer   string
 	inc    string
 	dialed bool
+	since  time.Duration
 
 	out      chan []byte
 	outBytes atomic.Int64
@@ -84,7 +85,7 @@
 
 func newConn(n *Node, s socket, h *gen.Hello, dialed bool) *conn {
 	c := &conn{
-		node: n, ws: s.Conn, lastPing: s.lastPing, peer: h.Name, inc: h.Incarnation, dialed: dialed,
+		node: n, ws: s.Conn, lastPing: s.lastPing, peer: h.Name, inc: h.Incarnation, dialed: dialed, since: n.now(),
 		out:      make(chan []byte, queueMessages),
 		slots:    make(chan struct{}, maxHandling),
 		messages: n.limits.Messages.limiter(),
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -18,8 +18,10 @@
 
 // Times and bounds of the exchange of facts.
 const (
-	// pushDelay is the mean time in which facts are gathered into one message.
+	// pushDelay is the mean time in which facts are gathered into one message, and
+	// calmDelay that of facts that their origin restates.
 	pushDelay = 20 * time.Millisecond
+	calmDelay = 150 * time.Millisecond
 	// pushRate and pushBurst bound the bytes pushed to all neighbours together.
 	pushRate  = rate.Limit(16 << 10)
 	pushBurst = 128 << 10
@@ -37,12 +39,33 @@
 	gossipLife = time.Minute
 )
 
-// gossip holds the facts waiting to be pushed.
+// gossip holds the facts waiting to be pushed, in two queues: those that hurry and
+// those that their origin restates.
 type gossip struct {
-	mu      sync.Mutex
+	urgent queue
+	calm   queue
+	budget *rate.Limiter
+}
+
+func (g *gossip) init() {
+	g.urgent.init(pushDelay)
+	g.calm.init(calmDelay)
+	g.budget = rate.NewLimiter(pushRate, pushBurst)
+}
+
+func (g *gossip) queue(key string) *queue {
+	if rules.Restated(key) {
+		return &g.calm
+	}
+	return &g.urgent
+}
+
+// queue holds facts for one delay.
+type queue struct {
+	mu      sync.Mutex // guards waiting
 	waiting map[rules.ID]waiting
+	delay   time.Duration
 	wake    chan struct{}
-	budget  *rate.Limiter
 }
 
 type waiting struct {
@@ -51,62 +74,66 @@
 	known []string
 }
 
-func (g *gossip) init() {
-	g.waiting = map[rules.ID]waiting{}
-	g.wake = make(chan struct{}, 1)
-	g.budget = rate.NewLimiter(pushRate, pushBurst)
+func (q *queue) init(delay time.Duration) {
+	q.waiting = map[rules.ID]waiting{}
+	q.delay = delay
+	q.wake = make(chan struct{}, 1)
 }
 
 // add queues a fact heard from a peer; from is empty for this VM's own.
-func (g *gossip) add(f rules.Fact, from string) {
-	g.mu.Lock()
-	if _, has := g.waiting[f.ID()]; has || len(g.waiting) < maxWaiting {
-		g.waiting[f.ID()] = waiting{f, []string{from}}
+func (q *queue) add(f rules.Fact, from string) {
+	q.mu.Lock()
+	if _, has := q.waiting[f.ID()]; has || len(q.waiting) < maxWaiting {
+		q.waiting[f.ID()] = waiting{f, []string{from}}
 	}
-	g.mu.Unlock()
+	q.mu.Unlock()
+	q.rouse()
+}
+
+func (q *queue) rouse() {
 	select {
-	case g.wake <- struct{}{}:
+	case q.wake <- struct{}{}:
 	default:
 	}
 }
 
 // heardAgain notes that a peer knows a fact that still waits to be pushed.
-func (g *gossip) heardAgain(f rules.Fact, from string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if w, ok := g.waiting[f.ID()]; ok && w.fact.Version == f.Version {
+func (q *queue) heardAgain(f rules.Fact, from string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if w, ok := q.waiting[f.ID()]; ok && w.fact.Version == f.Version {
 		w.known = append(w.known, from)
-		g.waiting[f.ID()] = w
+		q.waiting[f.ID()] = w
 	}
 }
 
 // take removes up to a number of bytes of facts, the most urgent first.
-func (g *gossip) take(maxBytes int) []waiting {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	all := make([]rules.Fact, 0, len(g.waiting))
-	for _, w := range g.waiting {
+func (q *queue) take(maxBytes int) []waiting {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	all := make([]rules.Fact, 0, len(q.waiting))
+	for _, w := range q.waiting {
 		all = append(all, w.fact)
 	}
 	chosen, _ := rules.Select(all, pushFacts, maxBytes)
 	out := make([]waiting, len(chosen))
 	for i, f := range chosen {
-		out[i] = g.waiting[f.ID()]
-		delete(g.waiting, f.ID())
+		out[i] = q.waiting[f.ID()]
+		delete(q.waiting, f.ID())
 	}
 	return out
 }
 
-func (g *gossip) empty() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.waiting) == 0
+func (q *queue) empty() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiting) == 0
 }
 
 // own queues a fact stated by this VM.
 func (n *Node) own(f facts.Fact) {
 	if f.Origin == n.facts.Origin() {
-		n.gossip.add(f, "")
+		n.gossip.queue(f.Key).add(f, "")
 	}
 }
 
@@ -114,49 +141,42 @@
 func (n *Node) learn(from string, m *gen.Facts) {
 	for _, f := range fromWire(n.now(), m) {
 		if n.facts.Merge([]facts.Fact{f}) > 0 {
-			n.gossip.add(f, from)
+			n.gossip.queue(f.Key).add(f, from)
 		} else {
-			n.gossip.heardAgain(f, from)
+			n.gossip.queue(f.Key).heardAgain(f, from)
 		}
 	}
 }
 
-func (n *Node) pushLoop(ctx context.Context) {
+func (n *Node) pushLoop(ctx context.Context, q *queue) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-n.gossip.wake:
+		case <-q.wake:
 		}
-		if !sleep(ctx, pushDelay/2+rand.N(pushDelay)) {
+		if !sleep(ctx, q.delay/2+rand.N(q.delay)) {
 			return
 		}
-		n.push()
-		if !n.gossip.empty() {
-			n.wakePush()
+		n.push(q)
+		if !q.empty() {
+			q.rouse()
 		}
 	}
 }
 
-func (n *Node) wakePush() {
-	select {
-	case n.gossip.wake <- struct{}{}:
-	default:
-	}
-}
-
 // push sends waiting facts to the neighbours that this VM chose, within the budget
 // of bytes. A VM that nobody chose hears by the digests it sends.
-func (n *Node) push() {
+func (n *Node) push(q *queue) {
 	now := n.now()
 	targets := slices.DeleteFunc(n.gossipConns(), func(c *conn) bool { return !c.chosen(now) })
 	if len(targets) == 0 {
-		n.gossip.take(pushBurst)
+		q.take(pushBurst)
 		return
 	}
 	wall := time.Now()
 	share := int(n.gossip.budget.TokensAt(wall)) / len(targets)
-	batch := n.gossip.take(share)
+	batch := q.take(share)
 	size := 0
 	for _, c := range targets {
 		size += n.pushTo(c, batch)
@@ -206,18 +226,20 @@
 		}
 		n.facts.Sweep()
 		if conns := n.gossipConns(); len(conns) > 0 {
-			n.sendDigest(conns[rand.IntN(len(conns))])
+			sums := n.facts.Digest()
+			n.sendDigest(conns[rand.IntN(len(conns))], []uint32{rules.Root(sums)})
 		}
 	}
 }
 
-func (n *Node) sendDigest(c *conn) {
-	if err := c.send(&gen.Message{Digest: digestToWire(n.facts.Digest())}); err != nil {
+func (n *Node) sendDigest(c *conn, sums []uint32) {
+	if err := c.send(&gen.Message{Digest: digestToWire(sums)}); err != nil {
 		n.log.Debug("digest not sent", "peer", c.peer, "err", err)
 	}
 }
 
-// repair answers a digest with the facts of the buckets that differ. The sender
+// repair answers a digest: one of a single sum, where it differs, with a digest of
+// all buckets, and such a one with the facts of the buckets that differ. The sender
 // is a neighbour from now on.
 func (n *Node) repair(c *conn, m *gen.Digest) {
 	c.gossipUntil.Store(int64(n.now() + gossipLife))
@@ -225,7 +247,14 @@
 		n.metrics.dropped.WithLabelValues("digest").Inc()
 		return
 	}
-	missing := n.facts.Missing(digestFromWire(m))
+	theirs := digestFromWire(m)
+	if len(theirs) == 1 {
+		if mine := n.facts.Digest(); rules.Root(mine) != theirs[0] {
+			n.sendDigest(c, mine)
+		}
+		return
+	}
+	missing := n.facts.Missing(theirs)
 	rand.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
 	chosen, _ := rules.Select(missing, pushFacts, repairBytes)
 	n.sendFacts(c, chosen)
--- a/internal/peer/neighbours.go
+++ b/internal/peer/neighbours.go
@@ -72,7 +72,9 @@
 	for _, m := range wanted {
 		if c := n.table.get(m.Name); c != nil {
 			n.befriend(c, now)
-			delete(retry, m.Name)
+			if now-c.since > redialMax {
+				delete(retry, m.Name)
+			}
 			continue
 		}
 		b := retry[m.Name]
@@ -112,7 +114,7 @@
 func (n *Node) befriend(c *conn, now time.Duration) {
 	c.chosenUntil.Store(int64(now + chosenLife))
 	if old := c.gossipUntil.Swap(int64(now + gossipLife)); time.Duration(old) <= now {
-		n.sendDigest(c)
+		n.sendDigest(c, n.facts.Digest())
 	}
 	c.touch()
 }
--- a/internal/policy/facts/facts.go
+++ b/internal/policy/facts/facts.go
@@ -127,6 +127,16 @@
 	return d.Sum64()
 }
 
+// Root returns one sum for a whole digest.
+func Root(sums []uint32) uint32 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range sums {
+		_, _ = d.Write([]byte{byte(s), byte(s >> 8), byte(s >> 16), byte(s >> 24)})
+	}
+	return uint32(d.Sum64())
+}
+
 // Differ returns the buckets whose digests differ.
 func Differ(mine, theirs []uint32) []int {
 	var out []int
@@ -150,6 +160,16 @@
 	return len(urgency)
 }
 
+// restated lists the kinds whose origins state them again every few seconds.
+var restated = []string{"alive", "relay"}
+
+// Restated reports whether a fact's origin states it again soon. Such facts are not
+// repaired and their pushes may wait: a lost one is made good by the next.
+func Restated(key string) bool {
+	kind, _, _ := strings.Cut(key, "/")
+	return slices.Contains(restated, kind)
+}
+
 // Select chooses what to send within a number of facts and bytes: the most
 // urgent kinds first, then those with the longest life left. The rest is
 // returned for later.
--- a/internal/policy/roster/roles.go
+++ b/internal/policy/roster/roles.go
@@ -11,7 +11,10 @@
 // Neighbour counts: the degree of a VM does not grow with the fleet.
 const (
 	NeighboursInZone = 4
-	NeighboursAcross = 3
+	NeighboursAcross = 2
+	neighboursRing   = 1
+	// MaxNeighbours bounds the neighbours that one VM chooses.
+	MaxNeighbours = NeighboursInZone + NeighboursAcross + neighboursRing
 )
 
 // Rank orders members for a key by rendezvous hashing: each VM that sees the same
@@ -52,20 +55,44 @@
 	return names
 }
 
-// Neighbours returns the members that a VM exchanges facts with: some in its zone
-// and some across zones.
+// Neighbours returns the members that a VM exchanges facts with: the next one on a
+// ring, so that each VM is chosen by one at least, some in its zone and some across
+// zones.
 func Neighbours(members []Member, self, zone string) []Member {
 	var near, far nearest
+	next := successor(members, self)
 	for _, m := range members {
 		switch {
-		case m.Name == self || m.State == Removed:
+		case m.Name == self || m.State == Removed || m.Name == next.Name:
 		case m.Zone == zone:
 			near.offer(m, "neighbour/"+self, NeighboursInZone)
 		default:
 			far.offer(m, "neighbour/"+self, NeighboursAcross)
 		}
 	}
-	return append(near.members, far.members...)
+	chosen := slices.Concat(near.members, far.members)
+	if next.Name != "" {
+		chosen = append(chosen, next)
+	}
+	return chosen
+}
+
+// successor returns the member that follows a VM on the ring of all names' hashes.
+func successor(members []Member, self string) Member {
+	const ring = "ring"
+	own := score(ring, self)
+	var next Member
+	var distance uint64
+	for _, m := range members {
+		if m.Name == self || m.State == Removed {
+			continue
+		}
+		// The subtraction wraps around the ring.
+		if d := score(ring, m.Name) - own; next.Name == "" || d < distance {
+			next, distance = m, d
+		}
+	}
+	return next
 }
 
 // nearest keeps the members of the highest scores, without sorting all.
--- a/internal/policy/roster/roster_test.go
+++ b/internal/policy/roster/roster_test.go
@@ -101,10 +101,12 @@
 	DescribeTable("connect the fleet with a constant degree", func(n, zones int) {
 		all := members(n, zones)
 		edges := map[string][]string{}
+		chosenBy := map[string]int{}
 		for _, m := range all {
 			chosen := roster.Neighbours(all, m.Name, m.Zone)
-			Expect(len(chosen)).To(BeNumerically("<=", roster.NeighboursInZone+roster.NeighboursAcross))
+			Expect(len(chosen)).To(BeNumerically("<=", roster.MaxNeighbours))
 			for _, c := range chosen {
+				chosenBy[c.Name]++
 				edges[m.Name] = append(edges[m.Name], c.Name)
 				edges[c.Name] = append(edges[c.Name], m.Name)
 			}
@@ -121,6 +123,7 @@
 			}
 		}
 		Expect(seen).To(HaveLen(n))
+		Expect(chosenBy).To(HaveLen(n), "somebody is chosen by nobody")
 		Expect(most).To(BeNumerically("<", 32))
 	},
 		Entry("14 VMs in 3 zones", 14, 3), Entry("20 VMs in 4 zones", 20, 4),
--- a/internal/slopes/fleet.go
+++ b/internal/slopes/fleet.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"runtime"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,7 @@
 	// factsPerSecond are stated in the whole fleet in the loaded half.
 	factsPerSecond = 10
 	factTTL        = 30 * time.Second
+	restatedBytes  = 100
 	settleTime     = 2 * time.Second
 	settleLimit    = 60 * time.Second
 	// maxNodes keeps the loopback addresses and open files within bounds.
@@ -47,6 +49,8 @@
 	// Share of one core.
 	IdleCPU   float64 `json:"idle_cpu_per_vm"`
 	LoadedCPU float64 `json:"loaded_cpu_per_vm"`
+	// Bytes sent a second where each VM restates one fact of 100 bytes each second.
+	RestatedBytes float64 `json:"restated_bytes_per_vm_second"`
 	// Memory in use.
 	Memory float64 `json:"memory_bytes_per_vm"`
 	// Time from stating a fact until it is known to half of the VMs and to all.
@@ -81,6 +85,7 @@
 	rng := rand.New(rand.NewPCG(seed, uint64(n)))
 	loaded := f.measure(func() { r.Facts = f.load(d/2, rng) })
 	r.LoadedBytes, r.LoadedCPU = loaded.bytes, loaded.cpu
+	r.RestatedBytes = f.measure(func() { f.restate(d / 2) }).bytes
 	r.Memory = (memory() - before) / float64(n)
 	f.reach(&r)
 	r.SpreadMs = f.spread(rng)
@@ -250,6 +255,17 @@
 	return count
 }
 
+// restate lets each VM state one fact a second.
+func (f *testFleet) restate(d time.Duration) {
+	value := strings.Repeat("x", restatedBytes)
+	start := time.Now()
+	for i := 0; time.Since(start) < d; i++ {
+		node := f.nodes[i%len(f.nodes)]
+		node.Facts().Put(fmt.Sprintf("alive/vm%d", i%len(f.nodes)), value, factTTL)
+		time.Sleep(time.Second / time.Duration(len(f.nodes)))
+	}
+}
+
 func (f *testFleet) arrived(fact facts.Fact) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
