--- a/internal/slopes/fleet.go
+++ b/internal/slopes/fleet.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"runtime"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,7 @@
 	// factsPerSecond are stated in the whole fleet in the loaded half.
 	factsPerSecond = 10
 	factTTL        = 30 * time.Second
+	restatedBytes  = 100
 	settleTime     = 2 * time.Second
 	settleLimit    = 60 * time.Second
 	// maxNodes keeps the loopback addresses and open files within bounds.
@@ -47,6 +49,10 @@
 	// Share of one core.
 	IdleCPU   float64 `json:"idle_cpu_per_vm"`
 	LoadedCPU float64 `json:"loaded_cpu_per_vm"`
+	// Bytes sent a second where each VM restates one fact of 100 bytes each second.
+	RestatedBytes float64 `json:"restated_bytes_per_vm_second"`
+	// RestatedFresh is the share of those that is known in one of the last versions.
+	RestatedFresh float64 `json:"restated_fresh"`
 	// Memory in use.
 	Memory float64 `json:"memory_bytes_per_vm"`
 	// Time from stating a fact until it is known to half of the VMs and to all.
@@ -81,6 +87,8 @@
 	rng := rand.New(rand.NewPCG(seed, uint64(n)))
 	loaded := f.measure(func() { r.Facts = f.load(d/2, rng) })
 	r.LoadedBytes, r.LoadedCPU = loaded.bytes, loaded.cpu
+	r.RestatedBytes = f.measure(func() { f.restate(d / 2) }).bytes
+	r.RestatedFresh = f.fresh()
 	r.Memory = (memory() - before) / float64(n)
 	f.reach(&r)
 	r.SpreadMs = f.spread(rng)
@@ -250,6 +258,32 @@
 	return count
 }
 
+// restate lets each VM state one fact a second.
+func (f *testFleet) restate(d time.Duration) {
+	value := strings.Repeat("x", restatedBytes)
+	start := time.Now()
+	for i := 0; time.Since(start) < d; i++ {
+		node := f.nodes[i%len(f.nodes)]
+		node.Facts().Put(fmt.Sprintf("alive/vm%d", i%len(f.nodes)), value, factTTL)
+		time.Sleep(time.Second / time.Duration(len(f.nodes)))
+	}
+}
+
+// fresh returns the share of restated facts that are known in one of their last two
+// versions.
+func (f *testFleet) fresh() float64 {
+	const lately = factTTL - 1700*time.Millisecond
+	count := 0
+	for _, n := range f.nodes {
+		for _, fact := range n.Facts().List("alive/") {
+			if fact.Expires-clock.Boot() > lately {
+				count++
+			}
+		}
+	}
+	return float64(count) / float64(len(f.nodes)*len(f.nodes))
+}
+
 func (f *testFleet) arrived(fact facts.Fact) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
