Show the spans of a trace as a tree

Cause: traces could be exported and not be read without a collector. Change: spindlectl trace new and trace show. Ruled out: a collector of our own. Conclusion: one file a VM is enough to read a request's hops.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -92,8 +92,8 @@
 	return max(a+b*x, ys[len(ys)-1])
 }
 
-func fleetSize(r slopes.FleetResult) float64       { return float64(r.VMs) }
-func claimsSize(r slopes.ClaimsResult) float64     { return float64(r.VMs) }
+func fleetSize(r slopes.FleetResult) float64   { return float64(r.VMs) }
+func claimsSize(r slopes.ClaimsResult) float64 { return float64(r.VMs) }
 
 func last[T any](s []T) T { return s[len(s)-1] }
 
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -44,7 +44,7 @@
 	c.statusCommand(app, run)
 	c.explainCommand(app, run)
 	c.queryCommand(app, run)
-	c.traceCommand(app, run)
+	c.traceCommands(app, run)
 	for _, a := range args {
 		if a == "--help" || a == "--help-long" || a == "--help-man" {
 			app.Usage(args)
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -77,4 +79,21 @@
 		Expect(err).To(MatchError(ContainSubstring("not_run")))
 		Expect(out).To(ContainSubstring("overloaded"))
 	})
+
+	It("shows the spans of one trace as a tree, whatever their order", func() {
+		at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		span := func(trace, id, parent, name string, ms int) string {
+			return fmt.Sprintf(`{"Name":%q,"SpanContext":{"TraceID":%q,"SpanID":%q},"Parent":{"SpanID":%q},"StartTime":%q,"EndTime":%q,"Attributes":[{"Key":"shard","Value":{"Type":"STRING","Value":"s01"}}]}`,
+				name, trace, id, parent, at.Add(time.Duration(ms)*time.Millisecond).Format(time.RFC3339Nano), at.Add(time.Duration(ms+5)*time.Millisecond).Format(time.RFC3339Nano))
+		}
+		file := filepath.Join(GinkgoT().TempDir(), "vm-01.out")
+		text := span("t1", "b", "a", "subrequest", 2) + "\n" + span("t2", "x", "", "other", 0) + span("t1", "a", "", "caller request", 0)
+		Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+		out, err := run("trace", "show", "t1", file)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(out).To(MatchRegexp(`caller request .*\n  subrequest +2.0ms +5.0ms +shard=s01`))
+		Expect(out).NotTo(ContainSubstring("other"))
+		_, err = run("trace", "show", "t3", file)
+		Expect(err).To(HaveOccurred())
+	})
 })
--- a/internal/ctl/vm.go
+++ b/internal/ctl/vm.go
@@ -12,7 +12,6 @@
 	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/google/uuid"
 
 	"github.com/sardinespindle/sardinespindle/internal/admin"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
@@ -157,18 +156,6 @@
 	return nil
 }
 
-// traceCommand prints a new trace context, so that a request can be found again in
-// the collector of traces.
-func (c *command) traceCommand(app *kingpin.Application, run map[string]func(context.Context) error) {
-	cmd := app.Command("trace", "Print a new sampled traceparent header for a request whose spans are to be found.")
-	run[cmd.FullCommand()] = func(context.Context) error {
-		id := uuid.New()
-		span := uuid.New()
-		header := fmt.Sprintf("00-%x-%x-01", id[:], span[:8])
-		return c.print(map[string]string{"traceparent": header}, table{head: []string{"TRACEPARENT"}, rows: [][]string{{header}}})
-	}
-}
-
 // call sends one request to a VM and decodes its JSON reply, whatever its status.
 func (c *command) call(ctx context.Context, method, url string, header http.Header, body, into any) error {
 	encoded, err := json.Marshal(body)
