Run chaos as actors that work at once, and cross replies with their ids

Cause: one fault at a time left most combinations untried; a crossed reply of a single workload kept the right id, which no VM could tell. Change: five actors break VMs, links, upstreams, platform and manifest side by side; a crossed reply carries the id of the request that it belongs to; results count keyed requests that were answered in the end. Ruled out: counting refused orders as violations; they are an availability measure.

--- a/cmd/spindlebench/experiment.go
+++ b/cmd/spindlebench/experiment.go
@@ -55,6 +55,9 @@
 			r.P50Ms, r.P99Ms, r.P999Ms, r.CoverageMean, r.ExtraLoad, r.Goodput, r.Violations)
 		fmt.Printf("  a VM: %.3f cores, peak %.1f MB, %.1f KB/s to and from other VMs; platform: %d reads in the busiest second; %d probes, %d canceled, %d shed\n",
 			r.VM.Cores, r.VM.PeakMB, r.VM.PeerKBps, r.PlatformReads, r.Upstreams.Probes, r.Upstreams.Canceled, r.Upstreams.Shed)
+		if r.Keys > 0 {
+			fmt.Printf("  %d of %d non-idempotent requests answered in the end\n", r.KeysAnswered, r.Keys)
+		}
 		for reason, n := range r.Reasons {
 			fmt.Printf("  %d %s\n", n, reason)
 		}
--- a/internal/bench/chaos.go
+++ b/internal/bench/chaos.go
@@ -5,36 +5,77 @@
 	"math/rand/v2"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/sardinespindle/sardinespindle/internal/standin"
 )
 
-// chaosEach is the mean time between two faults.
+// chaosEach is the mean time between two faults of one actor.
 const chaosEach = 400 * time.Millisecond
 
 // step is one fault of the chaos experiment.
-type step func(ctx context.Context, s *stage, rng *rand.Rand) error
+type step func(ctx context.Context, rng *rand.Rand) error
 
-// chaos draws faults at random. A fault that takes time is over before the next begins,
-// but for those of upstreams and of the platform, which last until the next of their kind.
+// chaos draws faults at random. Five actors work at the same time: two on VMs, each on
+// half of them, one on links, one on upstreams and one on platform and manifest.
 func chaos(ctx context.Context, s *stage, rng *rand.Rand, d time.Duration) error {
-	steps := []step{
-		chaosUpstreams, chaosUpstreams, chaosUpstreams,
-		chaosIndex, chaosMap, chaosCommit, chaosPause, chaosKill, chaosStop, chaosSplit, chaosPlatform,
+	half := len(s.VMs) / 2
+	actors := [][]step{
+		s.vmSteps(s.VMs[:half]),
+		s.vmSteps(s.VMs[half:]),
+		{s.chaosSplit},
+		{s.chaosUpstreams, s.chaosUpstreams, s.chaosIndex, s.chaosMap},
+		{s.chaosCommit, s.chaosCommit, s.chaosPlatform},
+	}
+	group, actCtx := errgroup.WithContext(ctx)
+	for _, steps := range actors {
+		own := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
+		group.Go(func() error { return act(actCtx, steps, own, d) })
+	}
+	err := group.Wait()
+	s.outage(standin.Up)
+	if err != nil {
+		return err
 	}
+	return s.Do(ctx, standin.Command{Behaviour: &standin.Behaviour{}})
+}
+
+// act takes steps at random times until the time is up.
+func act(ctx context.Context, steps []step, rng *rand.Rand, d time.Duration) error {
 	for begin := time.Now(); time.Since(begin) < d; {
-		if err := steps[rng.IntN(len(steps))](ctx, s, rng); err != nil {
+		time.Sleep(time.Duration(rng.ExpFloat64() * float64(chaosEach)))
+		if err := steps[rng.IntN(len(steps))](ctx, rng); err != nil {
 			return err
 		}
-		time.Sleep(time.Duration(rng.ExpFloat64() * float64(chaosEach)))
 	}
-	s.outage(standin.Up)
-	return s.Do(ctx, standin.Command{Behaviour: &standin.Behaviour{}})
+	return nil
 }
 
-func someVM(s *stage, rng *rand.Rand) *VM { return s.VMs[rng.IntN(len(s.VMs))] }
+// vmSteps are the faults of some VMs: freezes, kills and planned stops.
+func (s *stage) vmSteps(vms []*VM) []step {
+	some := func(rng *rand.Rand) *VM { return vms[rng.IntN(len(vms))] }
+	pause := func(_ context.Context, rng *rand.Rand) error {
+		return s.pauseVM(some(rng), time.Duration(200+rng.IntN(2800))*time.Millisecond)
+	}
+	kill := func(ctx context.Context, rng *rand.Rand) error {
+		vm := some(rng)
+		if err := s.killVM(vm); err != nil {
+			return err
+		}
+		return s.startVM(ctx, vm)
+	}
+	stop := func(ctx context.Context, rng *rand.Rand) error {
+		vm := some(rng)
+		if err := s.stopVM(vm); err != nil {
+			return err
+		}
+		return s.startVM(ctx, vm)
+	}
+	return []step{pause, pause, kill, stop}
+}
 
 // chaosUpstreams breaks one replica of some shards, and heals the others.
-func chaosUpstreams(ctx context.Context, s *stage, rng *rand.Rand) error {
+func (s *stage) chaosUpstreams(ctx context.Context, rng *rand.Rand) error {
 	kinds := []standin.Behaviour{
 		{Down: true},
 		{Hang: true},
@@ -56,43 +97,28 @@
 			return err
 		}
 	}
+	time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond)
 	return nil
 }
 
-func chaosIndex(ctx context.Context, s *stage, rng *rand.Rand) error {
-	w := s.Deployment.Maps[rng.IntN(len(s.Deployment.Maps))].Workload
-	return s.advance(ctx, string(w), time.Second)
+func (s *stage) chaosIndex(ctx context.Context, rng *rand.Rand) error {
+	w := s.workloads[rng.IntN(len(s.workloads))]
+	return s.advance(ctx, w, time.Second)
 }
 
-func chaosMap(ctx context.Context, s *stage, rng *rand.Rand) error {
+func (s *stage) chaosMap(ctx context.Context, rng *rand.Rand) error {
 	hows := []string{splitShard, mergeShard, moveRange}
 	w := leadsOf(s.Deployment.Name).search
 	return s.repartition(ctx, w, hows[rng.IntN(len(hows))], rng.IntN(16), time.Second)
 }
 
-func chaosCommit(_ context.Context, s *stage, _ *rand.Rand) error { return s.commit() }
-
-func chaosPause(_ context.Context, s *stage, rng *rand.Rand) error {
-	return s.pauseVM(someVM(s, rng), time.Duration(200+rng.IntN(2800))*time.Millisecond)
-}
-
-func chaosKill(ctx context.Context, s *stage, rng *rand.Rand) error {
-	vm := someVM(s, rng)
-	if err := s.killVM(vm); err != nil {
-		return err
-	}
-	return s.startVM(ctx, vm)
-}
-
-func chaosStop(ctx context.Context, s *stage, rng *rand.Rand) error {
-	vm := someVM(s, rng)
-	if err := s.stopVM(vm); err != nil {
-		return err
-	}
-	return s.startVM(ctx, vm)
+func (s *stage) chaosCommit(context.Context, *rand.Rand) error {
+	time.Sleep(time.Second)
+	return s.commit()
 }
 
-func chaosSplit(_ context.Context, s *stage, rng *rand.Rand) error {
+func (s *stage) chaosSplit(_ context.Context, rng *rand.Rand) error {
+	time.Sleep(time.Duration(rng.IntN(2000)) * time.Millisecond)
 	n := 1 + rng.IntN(len(s.VMs)-1)
 	s.split(n, true)
 	time.Sleep(time.Duration(500+rng.IntN(2500)) * time.Millisecond)
@@ -100,9 +126,12 @@
 	return nil
 }
 
-// chaosPlatform toggles an outage; a VM that starts meanwhile learns from its peers.
-func chaosPlatform(_ context.Context, s *stage, rng *rand.Rand) error {
-	modes := []standin.Mode{standin.Up, standin.Up, standin.Down, standin.Frozen, standin.Older}
+// chaosPlatform makes the platform fail for a while; a VM that starts meanwhile learns
+// from its peers.
+func (s *stage) chaosPlatform(_ context.Context, rng *rand.Rand) error {
+	modes := []standin.Mode{standin.Down, standin.Frozen, standin.Older}
 	s.outage(modes[rng.IntN(len(modes))])
+	time.Sleep(time.Duration(500+rng.IntN(2500)) * time.Millisecond)
+	s.outage(standin.Up)
 	return nil
 }
--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -12,16 +13,34 @@
 	"github.com/sardinespindle/sardinespindle/schema/gen/manifest"
 )
 
-// stage is a running cluster under load; an experiment's script acts on it.
+// stage is a running cluster under load; an experiment's script acts on it. One lock
+// guards the deployment, the generation and the index versions.
 type stage struct {
 	*Cluster
-	b     *balancer
-	j     *recorder
-	index map[string]int // newest index version by workload
+	b         *balancer
+	j         *recorder
+	workloads []string // sharded ones
+	mu        sync.Mutex
+	index     map[string]int // newest index version by workload
+}
+
+func newStage(c *Cluster, seed uint64) *stage {
+	s := &stage{Cluster: c, b: newBalancer(c.VMs, seed), j: newRecorder(), index: map[string]int{}}
+	for _, m := range c.Deployment.Maps {
+		s.workloads = append(s.workloads, string(m.Workload))
+	}
+	return s
 }
 
 // commit publishes the deployment as the next generation and notes when.
 func (s *stage) commit() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.commitLocked()
+}
+
+// commitLocked commits. The lock is held.
+func (s *stage) commitLocked() error {
 	if err := s.Commit(); err != nil {
 		return err
 	}
@@ -123,8 +142,11 @@
 
 // advance makes a workload's upstreams go to the next index version, one by one.
 func (s *stage) advance(ctx context.Context, workload string, over time.Duration) error {
+	s.mu.Lock()
 	s.index[workload] = max(s.index[workload], 1) + 1
-	return s.Do(ctx, standin.Command{Workload: workload, Index: s.index[workload], SpreadMs: int(over.Milliseconds())})
+	next := s.index[workload]
+	s.mu.Unlock()
+	return s.Do(ctx, standin.Command{Workload: workload, Index: next, SpreadMs: int(over.Milliseconds())})
 }
 
 // Repartition kinds.
@@ -137,9 +159,12 @@
 // repartition commits a new partition map, then makes the upstreams go to it, one by
 // one. Upstreams keep serving the shards of the older map too.
 func (s *stage) repartition(ctx context.Context, workload, how string, at int, over time.Duration) error {
+	s.mu.Lock()
 	next, shards := s.Deployment.Repartition(workload, how, at)
 	s.Deployment.Maps = append(s.Deployment.Maps, next)
-	if err := s.commit(); err != nil {
+	err := s.commitLocked()
+	s.mu.Unlock()
+	if err != nil {
 		return err
 	}
 	return s.Do(ctx, standin.Command{Workload: workload, Map: &next, Shards: shards, SpreadMs: int(over.Milliseconds())})
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -35,6 +35,10 @@
 	Unknown  int `json:"unknown"`
 	Rejected int `json:"rejected"`
 	NoReply  int `json:"no_reply"`
+	// Keys are the non-idempotent requests, each with its resends; KeysAnswered those
+	// whose caller got an answer in the end.
+	Keys         int `json:"keys"`
+	KeysAnswered int `json:"keys_answered"`
 	// Unsent requests found the bench itself at its bound.
 	Unsent int `json:"unsent"`
 	// Latencies of answered requests, from the time due.
@@ -115,7 +119,7 @@
 
 func (t *tally) add(s *Seen) {
 	t.requests++
-	if s.Reply == nil || s.Reply.Outcome != caller.OutcomeAnswered {
+	if !answeredBy(s) {
 		return
 	}
 	t.latencies = append(t.latencies, float64(s.End.Sub(s.Due).Microseconds())/1000)
@@ -124,6 +128,10 @@
 	}
 }
 
+func answeredBy(s *Seen) bool {
+	return s.Reply != nil && s.Reply.Outcome == caller.OutcomeAnswered
+}
+
 func quantile(sorted []float64, q float64) float64 {
 	if len(sorted) == 0 {
 		return 0
@@ -169,10 +177,14 @@
 	}
 	all := &tally{}
 	groups := map[string]*tally{}
+	keys := map[string]bool{}
 	needed, inTime := 0, 0
 	for i := range m.seen {
 		s := &m.seen[i]
 		r.count(s)
+		if s.Request.Key != "" {
+			keys[s.Request.Key] = keys[s.Request.Key] || answeredBy(s)
+		}
 		all.add(s)
 		k := s.Request.Workload + "/" + s.Request.Caller
 		if groups[k] == nil {
@@ -180,10 +192,16 @@
 		}
 		groups[k].add(s)
 		needed += m.needed(s)
-		if s.Reply != nil && s.Reply.Outcome == caller.OutcomeAnswered && s.End.Sub(s.Due) <= s.Request.Deadline+lateSlack {
+		if answeredBy(s) && s.End.Sub(s.Due) <= s.Request.Deadline+lateSlack {
 			inTime++
 		}
 	}
+	r.Keys = len(keys)
+	for _, ok := range keys {
+		if ok {
+			r.KeysAnswered++
+		}
+	}
 	g := all.group("", "")
 	r.P50Ms, r.P99Ms, r.P999Ms, r.CoverageMean = g.P50Ms, g.P99Ms, g.P999Ms, g.CoverageMean
 	if needed > 0 {
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -84,8 +84,7 @@
 		return nil, err
 	}
 	time.Sleep(voteAfter)
-	s := &stage{Cluster: c, b: newBalancer(c.VMs, o.Seed), j: newRecorder(), index: map[string]int{}}
-	m, err := s.perform(ctx, e, o)
+	m, err := newStage(c, o.Seed).perform(ctx, e, o)
 	if err = errors.Join(err, c.Close()); err != nil {
 		return nil, fmt.Errorf("%s: %w", e.Name, err)
 	}
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -215,7 +215,7 @@
 // send writes a reply, spoilt where the behaviour says so.
 func (u *Upstream) send(w http.ResponseWriter, r *http.Request, s state, body []byte) {
 	w.Header().Set("Content-Type", "application/json")
-	old := u.swapLast(body)
+	old := u.swapLast(&lastReply{id: r.Header.Get("Spindle-Request-Id"), body: body})
 	if s.spoil {
 		switch s.ReplyFault {
 		case Truncated:
@@ -224,7 +224,8 @@
 			panic(http.ErrAbortHandler)
 		case Crossed:
 			if old != nil {
-				body = old
+				w.Header().Set("Spindle-Request-Id", old.id)
+				body = old.body
 			}
 		case Late:
 			ms, _ := strconv.Atoi(r.Header.Get("Spindle-Deadline-Ms"))
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -43,7 +43,7 @@
 	maps      map[int]manifest.PartitionMap
 	snapshots []upstream.Snapshot // newest last
 	shards    []manifest.Name
-	last      []byte // last whole reply, for crossed ones
+	last      *lastReply // for crossed ones
 	runs      int
 }
 
@@ -217,11 +217,17 @@
 	return strconv.Itoa(u.runs)
 }
 
+// lastReply is a whole reply and the id of its request.
+type lastReply struct {
+	id   string
+	body []byte
+}
+
 // swapLast keeps a whole reply and returns the one kept before.
-func (u *Upstream) swapLast(b []byte) []byte {
+func (u *Upstream) swapLast(r *lastReply) *lastReply {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	old := u.last
-	u.last = b
+	u.last = r
 	return old
 }
