Keep long requests in flight during rolling restarts

Cause: with graceful shutdown off the experiment counted 0 violations: requests of 20 ms were seldom in flight at a stop. Change: single requests take 400 ms in rolling-restart. Ruled out: a checker that misses cuts (its unit test counts them).

--- a/internal/bench/experiments.go
+++ b/internal/bench/experiments.go
@@ -175,7 +175,14 @@
 	return nil
 }
 
+// longServiceMs keeps single requests in flight while their VM is being stopped.
+const longServiceMs = 400
+
 func rollingRestart(ctx context.Context, s *stage, _ *rand.Rand, _ time.Duration) error {
+	long := standin.Command{Workload: leadsOf(s.Deployment.Name).single, Behaviour: &standin.Behaviour{ServiceMs: longServiceMs}}
+	if err := s.Do(ctx, long); err != nil {
+		return err
+	}
 	for _, vm := range s.VMs {
 		if err := s.stopVM(vm); err != nil {
 			return err
