Hedge at the 98th percentile and remember latency as a geometric mean

Cause: with 1 in 100 sub-requests 20 times slower and one replica 10 times, hedges after the 95th percentile used the 3 % budget up on ordinary replies, and cancelled attempts kept the slow replica's estimate near the hedge delay, so it was picked on. Change: delay is the lesser of the 98th percentile and three medians of the shard's fastest replica; an attempt given up counts twice its time; the estimate is a geometric mean, from the first byte; idle upstreams are no longer probed unasked.

--- a/internal/policy/replica/replica.go
+++ b/internal/policy/replica/replica.go
@@ -12,8 +12,12 @@
 const (
 	// latencyWindow is the time after which a latency sample has lost most of its weight.
 	latencyWindow = 2 * time.Second
-	// leastWeight is the least weight of a new latency sample.
+	// leastWeight and mostWeight bound the weight of a new latency sample.
 	leastWeight = 0.1
+	mostWeight  = 0.3
+	// censoredFactor is the ratio of the latency expected of an attempt that was
+	// given up to the time it had taken by then.
+	censoredFactor = 2
 	// forgetAfter is the time without samples in which the latency estimate halves.
 	forgetAfter = 5 * time.Second
 	// unknownLatency is assumed of a replica without samples.
@@ -45,16 +49,16 @@
 type State struct {
 	Outstanding int
 
-	since     time.Duration
-	sampled   bool
-	latency   float64 // estimate at sampledAt, in nanoseconds
-	sampledAt time.Duration
-	load      float64
-	loadAt    time.Duration
-	failures  int
-	suspect   bool
-	probeAt   time.Duration
-	shedUntil time.Duration
+	since      time.Duration
+	sampled    bool
+	logLatency float64 // estimate at sampledAt: logarithm of nanoseconds
+	sampledAt  time.Duration
+	load       float64
+	loadAt     time.Duration
+	failures   int
+	suspect    bool
+	probeAt    time.Duration
+	shedUntil  time.Duration
 }
 
 // New returns the state of a replica first seen at now. A replica that was there
@@ -87,7 +91,7 @@
 // latency would have been longer. It only raises the estimate.
 func (s *State) Unanswered(now, waited time.Duration) {
 	if float64(waited) > s.Latency(now) {
-		s.sample(now, waited)
+		s.sample(now, censoredFactor*waited)
 	}
 }
 
@@ -126,7 +130,7 @@
 		return float64(unknownLatency)
 	}
 	idle := float64(now-s.sampledAt) / float64(forgetAfter)
-	return s.latency * math.Exp2(-idle)
+	return math.Exp(s.logLatency) * math.Exp2(-idle)
 }
 
 // Cost returns the expected cost of one more attempt at now, in nanoseconds; slots
@@ -152,14 +156,16 @@
 	return s.load * max(left, 0)
 }
 
-// sample moves the latency estimate; the longer ago the last sample, the more a new one counts.
+// sample moves the latency estimate; the longer ago the last sample, the more a
+// new one counts. It is a geometric mean, which one straggler moves little while a
+// replica that is always slow shows after a few samples.
 func (s *State) sample(now, latency time.Duration) {
 	weight := 1.0
 	if s.sampled {
 		gap := float64(now-s.sampledAt) / float64(latencyWindow)
-		weight = max(leastWeight, 1-math.Exp(-gap))
+		weight = min(max(leastWeight, 1-math.Exp(-gap)), mostWeight)
 	}
-	s.latency += weight * (float64(latency) - s.latency)
+	s.logLatency += weight * (math.Log(float64(max(latency, 1))) - s.logLatency)
 	s.sampled, s.sampledAt = true, now
 }
 
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -43,7 +43,7 @@
 		defer cancel()
 	}
 	ctx, span := startSpan(ctx, s, &a)
-	r := c.attempt(ctx, s, &a)
+	r, sentAt := c.attempt(ctx, s, &a)
 	now := c.o.Now()
 	r.Address = s.address
 	r.Latency = now - t.pickedAt
@@ -51,22 +51,23 @@
 	if errors.Is(r.Err, errConnect) {
 		learned = failedConnect
 	}
-	s.learn(now, learned, r.Latency, r.RetryAfter)
+	s.learn(now, learned, now-sentAt, r.Latency, r.RetryAfter)
 	t.metrics.count(r.Class, r.Latency)
 	endSpan(span, &r)
 	return r
 }
 
-// attempt renews the lease where needed, takes a connection and sends.
-func (c *Client) attempt(ctx context.Context, s *server, a *Attempt) Result {
-	r := Result{Class: NotSent, Err: errNoWrite}
+// attempt renews the lease where needed, takes a connection and sends. It also
+// returns when it sent, where it did.
+func (c *Client) attempt(ctx context.Context, s *server, a *Attempt) (r Result, sentAt time.Duration) {
+	r = Result{Class: NotSent, Err: errNoWrite}
 	for range mostTries {
 		if err := c.ensureLease(ctx, s); err != nil {
-			return Result{Class: NotSent, Err: err}
+			return Result{Class: NotSent, Err: err}, 0
 		}
 		cn, err := s.pool.get(ctx)
 		if err != nil {
-			return Result{Class: NotSent, Err: err}
+			return Result{Class: NotSent, Err: err}, 0
 		}
 		if !c.leased(s) {
 			// It expired while the attempt waited for a connection.
@@ -74,12 +75,12 @@
 			r.Err = errLease
 			continue
 		}
-		r = c.send(ctx, s, cn, a)
+		r, sentAt = c.send(ctx, s, cn, a)
 		if !errors.Is(r.Err, errNoWrite) {
-			return r
+			return r, sentAt
 		}
 	}
-	return r
+	return r, 0
 }
 
 // leased reports whether the lease allows new work.
@@ -87,33 +88,34 @@
 	return !c.rules.drain || s.verdict(c.o.Now()) == readyVerdict
 }
 
-// send makes the attempt on one connection and gives the connection back.
-func (c *Client) send(ctx context.Context, s *server, cn *conn, a *Attempt) Result {
+// send makes the attempt on one connection and gives the connection back. It also
+// returns when it sent.
+func (c *Client) send(ctx context.Context, s *server, cn *conn, a *Attempt) (Result, time.Duration) {
 	req := c.request(ctx, s, a)
 	cn.sock.arm(func() error { return c.gate(ctx, s, a) })
 	resp, err := cn.RoundTrip(req)
 	if err != nil {
-		wrote, read, _ := cn.sock.seal()
-		return s.lost(ctx, cn, err, wrote, read)
+		wrote, read, sent := cn.sock.seal()
+		return s.lost(ctx, cn, err, wrote, read), sent
 	}
 	body, err := readBody(resp, maxReplyBody)
 	received := c.o.Now()
 	_, _, sent := cn.sock.seal()
 	if err != nil {
-		return s.lost(ctx, cn, err, true, true)
+		return s.lost(ctx, cn, err, true, true), sent
 	}
 	if c.rules.echo && resp.Header.Get(headerRequestID) != a.RequestID {
 		cn.drop()
-		return Result{Class: Garbled, Status: resp.StatusCode, Err: errEcho}
+		return Result{Class: Garbled, Status: resp.StatusCode, Err: errEcho}, sent
 	}
 	r := c.classify(a, resp, body)
 	if r.Class == Garbled {
 		cn.drop()
-		return r
+		return r, sent
 	}
 	s.pool.put(cn)
 	c.observe(s, resp, sent, received)
-	return r
+	return r, sent
 }
 
 // gate is asked right before the first byte is written.
--- a/internal/upstream/drain_test.go
+++ b/internal/upstream/drain_test.go
@@ -83,7 +83,8 @@
 		Expect(err).NotTo(HaveOccurred())
 		z.jump(3 * time.Second)
 		a := search()
-		Expect(c.send(bg, s, cn, &a).Class).To(Equal(NotSent))
+		r, _ := c.send(bg, s, cn, &a)
+		Expect(r.Class).To(Equal(NotSent))
 		Expect(f.posts.Load()).To(BeEquivalentTo(1))
 	})
 
--- a/internal/upstream/latency.go
+++ b/internal/upstream/latency.go
@@ -3,7 +3,12 @@
 import "time"
 
 const (
-	hedgeQuantile = 0.95
+	// hedgeQuantile leaves the usual hedge budget of a few percent for the attempts
+	// that are truly late.
+	hedgeQuantile = 0.98
+	// hedgeMedians bounds the hedge delay where stragglers are so many that they
+	// reach into the quantile.
+	hedgeMedians  = 3
 	hedgeSamples  = 20
 	hedgeCache    = 250 * time.Millisecond
 	latencyMedian = 0.5
@@ -24,29 +29,34 @@
 func (c *Client) HedgeDelay(workload, shard string) (time.Duration, bool) {
 	t := c.current.Load()
 	now := c.o.Now()
-	if d := t.groups[groupKey{workload, shard}].cachedDelay(now, fastestQuantile); d.known {
+	if d := t.groups[groupKey{workload, shard}].cachedDelay(now, fastestDelay); d.known {
 		return d.delay, true
 	}
-	d := t.workloads[workload].cachedDelay(now, pooledQuantile)
+	d := t.workloads[workload].cachedDelay(now, pooledDelay)
 	return d.delay, d.known
 }
 
 // cachedDelay returns the group's delay, computed anew where it is old.
-func (g *group) cachedDelay(now time.Duration, compute func([]*server, time.Duration, float64) (time.Duration, bool)) hedgeDelay {
+func (g *group) cachedDelay(now time.Duration, compute func([]*server, time.Duration) (time.Duration, bool)) hedgeDelay {
 	if g == nil {
 		return hedgeDelay{}
 	}
 	if d := g.hedge.Load(); d != nil && now-d.at < hedgeCache {
 		return *d
 	}
-	delay, known := compute(g.servers, now, hedgeQuantile)
+	delay, known := compute(g.servers, now)
 	d := &hedgeDelay{at: now, delay: delay, known: known}
 	g.hedge.Store(d)
 	return *d
 }
 
-// fastestQuantile returns the least quantile of the servers with enough samples.
-func fastestQuantile(servers []*server, now time.Duration, q float64) (time.Duration, bool) {
+// hedgeAfter returns the time after which an attempt with such latencies is late.
+func hedgeAfter(counts *[histogramBuckets]uint32, n uint32) time.Duration {
+	return min(quantile(counts, n, hedgeQuantile), hedgeMedians*quantile(counts, n, latencyMedian))
+}
+
+// fastestDelay returns the least delay of the servers with enough samples.
+func fastestDelay(servers []*server, now time.Duration) (time.Duration, bool) {
 	var least time.Duration
 	for _, s := range servers {
 		var counts [histogramBuckets]uint32
@@ -54,7 +64,7 @@
 		if n < hedgeSamples {
 			continue
 		}
-		d := quantile(&counts, n, q)
+		d := hedgeAfter(&counts, n)
 		if least == 0 || d < least {
 			least = d
 		}
@@ -62,17 +72,21 @@
 	return least, least > 0
 }
 
-// pooledQuantile returns the quantile of all servers' samples together.
-func pooledQuantile(servers []*server, now time.Duration, q float64) (time.Duration, bool) {
-	var counts [histogramBuckets]uint32
-	var n uint32
-	for _, s := range servers {
-		n += s.addLatencies(now, &counts)
-	}
+// pooledDelay returns the delay by all servers' samples together.
+func pooledDelay(servers []*server, now time.Duration) (time.Duration, bool) {
+	counts, n := pooled(servers, now)
 	if n < hedgeSamples {
 		return 0, false
 	}
-	return quantile(&counts, n, q), true
+	return hedgeAfter(&counts, n), true
+}
+
+// pooled returns the servers' recent latencies together, and how many they are.
+func pooled(servers []*server, now time.Duration) (counts [histogramBuckets]uint32, n uint32) {
+	for _, s := range servers {
+		n += s.addLatencies(now, &counts)
+	}
+	return counts, n
 }
 
 // addLatencies adds the server's recent latencies to counts.
@@ -89,8 +103,9 @@
 	if g == nil {
 		return 0, 0
 	}
-	now := c.o.Now()
-	p50, _ = pooledQuantile(g.servers, now, latencyMedian)
-	p99, _ = pooledQuantile(g.servers, now, latencyTail)
-	return p50, p99
+	counts, n := pooled(g.servers, c.o.Now())
+	if n == 0 {
+		return 0, 0
+	}
+	return quantile(&counts, n, latencyMedian), quantile(&counts, n, latencyTail)
 }
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -200,8 +200,9 @@
 }
 
 // probeDue reports whether this VM should probe the upstream now, unasked: one
-// that failed here, one that is held for draining here, or any idle one where this
-// VM probes for all.
+// that failed here, or one that is held for draining, which one VM asks often for
+// all and the others seldom, should that VM's report be lost. An upstream without
+// traffic is not probed: the first request to it asks.
 func (c *Client) probeDue(s *server, now time.Duration, members []string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -214,13 +215,12 @@
 		return true
 	case !c.rules.drain:
 		return false
-	case s.lease.Marked() || s.lease.Doubted():
-		if since >= markedInterval+rand.N(markedInterval) {
-			return true
-		}
+	case !s.lease.Marked() && !s.lease.Doubted():
+		return false
+	case since >= markedInterval+rand.N(markedInterval):
+		return true
 	}
-	idle := since >= ownInterval && s.lease.Left(now) < ownInterval
-	return idle && connbudget.First(s.address, members) == c.o.VM
+	return since >= ownInterval && connbudget.First(s.address, members) == c.o.VM
 }
 
 // probeInBackground starts a probe unless too many are under way.
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -106,8 +106,9 @@
 // failedConnect is the class of an attempt that got no connection, for learning only.
 const failedConnect Class = -1
 
-// learn returns the slot and records what became of an attempt.
-func (s *server) learn(now time.Duration, class Class, latency, retryAfter time.Duration) {
+// learn returns the slot and records what became of an attempt: latency counts from
+// the first byte, whole from the picking of the replica.
+func (s *server) learn(now time.Duration, class Class, latency, whole, retryAfter time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	inFlight := s.speed.Outstanding
@@ -116,7 +117,7 @@
 	case OK:
 		s.speed.Answered(now, latency)
 		s.limit.Done(now, latency, inFlight, queueFactor*int(s.pool.share.Load()))
-		s.latencies.add(now, latency)
+		s.latencies.add(now, whole)
 	case Shed:
 		s.speed.Shed(now, retryAfter)
 		s.limit.Shed(now)
@@ -124,10 +125,10 @@
 		s.speed.Failed(now)
 		s.limit.Lost(now)
 	case TimedOut:
-		s.censored(now, latency)
+		s.censored(now, whole)
 		s.timedOut(now, latency)
 	case Canceled:
-		s.censored(now, latency)
+		s.censored(now, whole)
 		s.speed.Unanswered(now, latency)
 	case NotSent:
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -279,3 +279,48 @@
 		Expect(try(context.Background(), off, m, order()).Class).To(Equal(OK))
 	})
 })
+
+var _ = Describe("HedgeDelay", func() {
+	const ms = time.Millisecond
+	var c *Client
+	var one, two *server
+	BeforeEach(func() {
+		c = newClient(Options{}, model(entry("127.0.0.1:1"), entry("127.0.0.1:2")))
+		one, two = c.current.Load().servers["127.0.0.1:1"], c.current.Load().servers["127.0.0.1:2"]
+	})
+	answered := func(s *server, n int, latency time.Duration) {
+		for range n {
+			s.take(c.rules)
+			s.learn(c.o.Now(), OK, latency, latency, 0)
+		}
+	}
+
+	It("is unknown without samples, and not dragged along by a slow replica", func() {
+		_, known := c.HedgeDelay(wlSearch, "s0")
+		Expect(known).To(BeFalse())
+		answered(one, 100, 10*ms)
+		answered(two, 100, 100*ms)
+		c.current.Load().groups[groupKey{wlSearch, "s0"}].hedge.Store(nil)
+		d, known := c.HedgeDelay(wlSearch, "s0")
+		Expect(known).To(BeTrue())
+		Expect(d).To(BeNumerically("~", 10*ms, ms))
+	})
+
+	It("stays near the median where stragglers reach into the quantile", func() {
+		answered(one, 90, 10*ms)
+		answered(one, 10, 200*ms)
+		d, _ := c.HedgeDelay(wlSearch, "s0")
+		Expect(d).To(BeNumerically("~", 30*ms, 3*ms))
+	})
+
+	It("does not fall because the late attempts are cancelled", func() {
+		// 95 of 100 take 10 ms, the others 100 ms; a hedge answers those after 25 ms.
+		answered(one, 950, 10*ms)
+		for range 50 {
+			one.take(c.rules)
+			one.learn(c.o.Now(), Canceled, 25*ms, 25*ms, 0)
+		}
+		d, _ := c.HedgeDelay(wlSearch, "s0")
+		Expect(d).To(BeNumerically(">", 20*ms))
+	})
+})
