--- a/internal/gather/finish.go
+++ b/internal/gather/finish.go
@@ -7,18 +7,18 @@
 
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
 	"github.com/sardinespindle/sardinespindle/internal/policy/answer"
+	"github.com/sardinespindle/sardinespindle/internal/policy/hedge"
 	"github.com/sardinespindle/sardinespindle/internal/policy/snapshot"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
 	manifestgen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
 )
 
 const (
-	// lateFactor times a shard's high quantile is when nearly all replies have come.
-	lateFactor = 4
 	// minComeBack and comeBackSpread bound the time after which a caller may come back.
 	minComeBack    = 200 * time.Millisecond
 	comeBackSpread = 300 * time.Millisecond
-	crashComeBack  = 30 * time.Second
+	// crashComeBack is when to come back with a request that is held to crash upstreams.
+	crashComeBack = 10 * time.Second
 )
 
 func crashSuspected() outcome.Outcome {
@@ -33,7 +33,7 @@
 
 // nothingSent is the outcome where no replica could be picked.
 func (q *query) nothingSent() outcome.Outcome {
-	if q.shed {
+	if q.cost.Shed > 0 {
 		return outcome.NotRun(outcome.Overloaded, "every upstream refused", q.comeBack())
 	}
 	return outcome.NotRun(outcome.NoUpstream, "no upstream takes new work", q.comeBack())
@@ -42,12 +42,10 @@
 func (q *query) decide() (outcome.Outcome, bool) {
 	now := time.Now()
 	s := q.state(now)
-	switch answer.Decide(s) {
-	case answer.Give, answer.Refuse:
-		return q.finish(s.TimeUp), true
-	default:
+	if answer.Decide(s) == answer.Wait {
 		return outcome.Outcome{}, false
 	}
+	return q.finish(s.TimeUp), true
 }
 
 func (q *query) state(now time.Time) answer.State {
@@ -65,17 +63,17 @@
 	return s
 }
 
-// late reports whether each open shard is past the time in which nearly all replies
-// come, with its hedge out; else it wakes the search when that may be so.
+// late reports whether each open shard is past the time in which nearly all hedges
+// are answered; else it wakes the search when that may be so.
 func (q *query) late(now time.Time) bool {
 	for _, sh := range q.plan {
 		if sh.class != open {
 			continue
 		}
-		if sh.delay == 0 || sh.started.IsZero() || !sh.hedged {
+		if !sh.hedged {
 			return false
 		}
-		if at := sh.started.Add(lateFactor * sh.delay); now.Before(at) {
+		if at := hedge.LateAt(sh.hedgedAt, sh.quantile); now.Before(at) {
 			q.wakeAt(at)
 			return false
 		}
@@ -95,10 +93,14 @@
 		Trade: q.s.Grant.Trade, Minimum: q.s.Grant.MinimumCoverage,
 		Total: cov.ShardsTotal, Covered: cov.ShardsCovered, TimeUp: true,
 	})
-	out := outcome.Outcome{Kind: caller.OutcomeAnswered}
-	if verdict == answer.Give {
+	var out outcome.Outcome
+	switch {
+	case verdict == answer.Give:
+		out.Kind = caller.OutcomeAnswered
 		out.Documents = q.merge.Top(id, q.s.Query.Limit)
-	} else {
+	case q.suspected():
+		out = crashSuspected()
+	default:
 		out = outcome.Unknown(outcome.CoverageTooLow, tooLow(cov), q.comeBack())
 	}
 	out.Snapshot = &caller.Snapshot{Index: id.Index, Map: id.Map}
@@ -145,6 +147,8 @@
 	switch {
 	case !q.ran && q.inflight == 0:
 		return q.nothingSent()
+	case q.suspected():
+		return crashSuspected()
 	case q.replied:
 		return q.unfinished(outcome.CoverageUnknown, "no reply is a whole part of a known partition map")
 	case timeUp:
--- a/internal/gather/query.go
+++ b/internal/gather/query.go
@@ -29,6 +29,7 @@
 	workload string
 	ctx      context.Context
 	cancel   context.CancelFunc
+	begun    time.Time
 	answerBy time.Time
 	body     []byte
 
@@ -40,15 +41,22 @@
 	merge     coverage.Merge
 	counts    [classes]int // shards of the plan by class
 
-	events   chan event
+	events  chan event
+	reports chan report
+	// reporting counts reports of losses under way.
+	reporting int
+	denied    bool // the fleet did not permit a retry
+
 	timer    *time.Timer
 	wake     time.Time
+	judged   bool    // the open shards were judged by their siblings
+	fill     float64 // of the hedges' bucket, when last seen
 	inflight int
 	dropped  int // of those in flight, cancelled already
 	attempts int
 	ran      bool // an attempt may have run
 	replied  bool // a reply of a snapshot arrived
-	shed     bool
+	cost     outcome.Cost
 	losses   int
 	lossTry  int           // retries since the first loss
 	after    time.Duration // longest Retry-After that an upstream asked for
@@ -74,11 +82,13 @@
 	barred   []string // replicas not to be tried again
 	flying   []*attempt
 	started  time.Time
-	delay    time.Duration // high quantile of latency; 0 where not known
+	quantile time.Duration // a high quantile of its latency; 0 where not known
 	hedgeAt  time.Time     // zero where no hedge is due
+	hedgedAt time.Time     // when the hedge was sent or given up
 	pickAt   time.Time     // zero where no pick is due
 	picks    int
 	hedged   bool // a hedge was sent, or will not be
+	asking   bool // its retry waits for permission
 	given    bool // given up: nothing more is sent
 	retries  int
 	reasks   int
@@ -113,12 +123,13 @@
 	now := time.Now()
 	left := s.Deadline.Sub(now)
 	q := &query{
-		e: e, s: s, workload: string(s.Workload.Name), body: body,
+		e: e, s: s, workload: string(s.Workload.Name), body: body, begun: now,
 		answerBy: s.Deadline.Add(-min(maxReserve, left/reserveShare)),
 	}
 	q.ctx, q.cancel = context.WithCancel(ctx)
 	q.choose()
 	q.shards = make(map[string]*shard, len(q.pmap.Shards))
+	q.reports = make(chan report, maxReports)
 	q.events = make(chan event, len(q.pmap.Shards))
 	q.setPlan()
 	q.timer = time.NewTimer(left)
@@ -136,9 +147,18 @@
 	m.count(q.workload, kindCancelled, q.inflight-q.dropped)
 }
 
+// run runs the search and adds what it cost.
 func (q *query) run() outcome.Outcome {
+	out := q.loop()
+	q.awaitReports()
+	q.cost.Sent += q.inflight
+	out.Cost = q.cost
+	return out
+}
+
+func (q *query) loop() outcome.Outcome {
 	q.launchAll()
-	if q.inflight == 0 && q.counts[covered] == 0 {
+	if q.inflight == 0 {
 		return q.nothingSent()
 	}
 	for {
@@ -148,9 +168,9 @@
 		q.arm()
 		select {
 		case ev := <-q.events:
-			if out, done := q.handle(ev); done {
-				return out
-			}
+			q.handle(ev)
+		case r := <-q.reports:
+			q.reported(r)
 		case <-q.timer.C:
 			q.wake = time.Time{}
 			q.fire(time.Now())
@@ -192,7 +212,7 @@
 	switch {
 	case q.merge.Has(q.target, sh.name):
 		return covered
-	case len(sh.flying) > 0 || !sh.pickAt.IsZero():
+	case len(sh.flying) > 0 || sh.asking || !sh.pickAt.IsZero():
 		return open
 	default:
 		return dead
--- a/internal/gather/send.go
+++ b/internal/gather/send.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -16,33 +18,57 @@
 )
 
 const (
-	// pickBackoff is the wait before a failed pick is tried again; it doubles.
-	pickBackoff = 5 * time.Millisecond
+	// pickBackoff is the wait before a failed pick is tried again; it doubles a few times.
+	pickBackoff  = 2 * time.Millisecond
+	maxDoublings = 2
 	// maxPicks is the most picks of one shard that may fail in a row.
 	maxPicks = 3
 	// maxReasks is the most times a shard is asked again for another snapshot.
 	maxReasks = 2
-	// maxHedgeTries is how often a hedge that is due may find no token or no replica.
+	// maxHedgeTries is how often a hedge that is due may find no other replica.
 	maxHedgeTries = 3
+	// hedgePolls is how often in a quantile a hedge that is due asks for a token.
+	hedgePolls = 4
 	// maxAttempts is the most attempts of one shard in one search.
 	maxAttempts = 1 + 1 + retry.PerShard + maxReasks
 )
 
 // launchAll sends the first attempt of each shard.
 func (q *query) launchAll() {
-	scout := -1
+	cursor := 0
 	q.e.budgets.Do(q.workload, func(b *budget) {
 		b.hedge.Earn(len(q.plan), q.s.Grant.HedgePercent)
+		q.fill = b.hedge.Fill()
 		b.cursor++
-		scout = b.cursor % len(q.plan)
+		cursor = b.cursor
 	})
 	for i, sh := range q.plan {
 		want := q.want()
-		if i == scout {
-			want = nil
+		if i == cursor%len(q.plan) {
+			want = nil // learns of a newer snapshot
 		}
 		q.launch(sh, want)
 	}
+	q.exploreMap(cursor)
+}
+
+// exploreMap asks one shard that only the newest partition map has, so that a
+// repartition is found out. The search does not wait for it.
+func (q *query) exploreMap(cursor int) {
+	newest := q.s.Workload.Newest
+	if !q.hasTarget || newest == q.pmap || q.e.mode.baseline {
+		return
+	}
+	sh := q.shard(string(newest.Shards[cursor%len(newest.Shards)].Name))
+	if sh.planned || !q.payHedge() {
+		return
+	}
+	t, err := q.e.up.Pick(q.s.Workload, sh.name, nil, true)
+	if err != nil {
+		q.refundHedge()
+		return
+	}
+	q.send(sh, t, nil, true)
 }
 
 // want is the snapshot that an attempt asks for; nil for the newest.
@@ -62,7 +88,7 @@
 		t, err = q.e.up.Pick(q.s.Workload, sh.name, sh.barred, false)
 	}
 	if err != nil {
-		q.pickLater(sh)
+		q.pickLater(sh, err)
 		return false
 	}
 	sh.picks = 0
@@ -70,13 +96,23 @@
 	return true
 }
 
-func (q *query) pickLater(sh *shard) {
+// pickLater plans the next pick of a shard. A replica at its limit is waited for as
+// long as there is time; where there is none at all, a few picks later replicas that
+// were tried are taken again.
+func (q *query) pickLater(sh *shard, err error) {
 	sh.picks++
-	sh.given = sh.picks > maxPicks
-	if !sh.given {
-		sh.pickAt = time.Now().Add(pickBackoff << (sh.picks - 1))
-		q.wakeAt(sh.pickAt)
+	if errors.Is(err, upstream.ErrLimited) {
+		if sh.picks == 1 {
+			q.cost.Shed++
+		}
+	} else if len(sh.tried) == 0 || sh.picks > maxPicks {
+		sh.given = true
+		q.touch(sh)
+		return
 	}
+	wait := pickBackoff << min(sh.picks-1, maxDoublings)
+	sh.pickAt = time.Now().Add(wait + rand.N(pickBackoff))
+	q.wakeAt(sh.pickAt)
 	q.touch(sh)
 }
 
@@ -107,15 +143,33 @@
 	if q.e.mode.baseline {
 		return
 	}
-	delay, ok := hedge.Delay(q.e.up.HedgeDelay(q.workload, sh.name))
+	quantile, ok := q.e.up.HedgeDelay(q.workload, sh.name)
 	if !ok {
 		return
 	}
-	sh.delay = delay
-	sh.hedgeAt = sh.started.Add(delay)
+	sh.quantile = quantile
+	sh.hedgeAt = sh.started.Add(hedge.Delay(quantile, q.fill))
 	q.wakeAt(sh.hedgeAt)
 }
 
+// judgeBySiblings plans hedges by the time that most shards of this search took. It
+// does so once.
+func (q *query) judgeBySiblings() {
+	if q.judged || q.e.mode.baseline || !hedge.Quorum(q.counts[covered], len(q.plan)) {
+		return
+	}
+	q.judged = true
+	quorum := time.Since(q.begun)
+	for _, sh := range q.plan {
+		if sh.class != open || sh.started.IsZero() || sh.hedged {
+			continue
+		}
+		sh.quantile = hedge.Judge(sh.quantile, quorum)
+		sh.hedgeAt = sh.started.Add(hedge.Delay(sh.quantile, q.fill))
+		q.wakeAt(sh.hedgeAt)
+	}
+}
+
 // do runs in the attempt's own goroutine.
 func (q *query) do(ctx context.Context, sh *shard, at *attempt, t Ticket) {
 	defer at.cancel()
@@ -206,29 +260,35 @@
 	if !allowed || len(sh.flying) != 1 || len(sh.tried) >= maxAttempts {
 		return
 	}
-	t, ok := q.hedgeTicket(sh)
-	if !ok {
+	if due := sh.started.Add(hedge.Delay(sh.quantile, q.fill)); now.Before(due) {
+		sh.hedgeAt = due
+		return
+	}
+	if !q.payHedge() {
+		sh.hedgeAt = now.Add(sh.quantile / hedgePolls)
+		return
+	}
+	t, err := q.e.up.Pick(q.s.Workload, sh.name, sh.tried, true)
+	if err != nil {
+		q.refundHedge()
 		sh.hedgeTries++
-		sh.hedged = sh.hedgeTries == maxHedgeTries
-		sh.hedgeAt = now.Add(sh.delay)
+		sh.hedged, sh.hedgedAt = sh.hedgeTries == maxHedgeTries, now
+		sh.hedgeAt = now.Add(sh.quantile)
 		return
 	}
-	sh.hedged = true
+	sh.hedged, sh.hedgedAt = true, now
 	q.e.metrics.count(q.workload, kindHedged, 1)
 	q.send(sh, t, q.want(), true)
 }
 
-// hedgeTicket pays for a hedge and picks another replica; false where either fails.
-func (q *query) hedgeTicket(sh *shard) (Ticket, bool) {
-	paid := false
-	q.e.budgets.Do(q.workload, func(b *budget) { paid = b.hedge.Take() })
-	if !paid {
-		return nil, false
-	}
-	t, err := q.e.up.Pick(q.s.Workload, sh.name, sh.tried, true)
-	if err != nil {
-		q.e.budgets.Do(q.workload, func(b *budget) { b.hedge.GiveBack() })
-		return nil, false
-	}
-	return t, true
+func (q *query) payHedge() (paid bool) {
+	q.e.budgets.Do(q.workload, func(b *budget) {
+		paid = b.hedge.Take()
+		q.fill = b.hedge.Fill()
+	})
+	return paid
+}
+
+func (q *query) refundHedge() {
+	q.e.budgets.Do(q.workload, func(b *budget) { b.hedge.GiveBack() })
 }
--- /dev/null
+++ b/internal/policy/hedge/hedge_test.go
@@ -0,0 +1,61 @@
+package hedge_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinespindle/sardinespindle/internal/policy/hedge"
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
+)
+
+func TestHedge(t *testing.T) { testkit.Run(t, "hedge") }
+
+var _ = Describe("Bucket", func() {
+	It("pays for the given share of sub-requests and a small burst", func() {
+		var b hedge.Bucket
+		taken := 0
+		for ; b.Take(); taken++ {
+		}
+		Expect(taken).To(Equal(hedge.Burst))
+		taken = 0
+		const searches, fanOut, share = 1000, 20, 3.0
+		for range searches {
+			b.Earn(fanOut, share)
+			for b.Take() {
+				taken++
+			}
+		}
+		Expect(taken).To(BeNumerically("~", searches*fanOut*share/100, 1))
+	})
+})
+
+var _ = Describe("Delay", func() {
+	It("grows as the budget runs out", func() {
+		Expect(hedge.Delay(10*time.Millisecond, 1)).To(Equal(10 * time.Millisecond))
+		Expect(hedge.Delay(10*time.Millisecond, 0.5)).To(Equal(20 * time.Millisecond))
+		Expect(hedge.Delay(0, 1)).To(Equal(hedge.MinDelay))
+	})
+})
+
+var _ = Describe("Judge", func() {
+	It("mends a quantile that is unknown or too long by the siblings' time", func() {
+		Expect(hedge.Judge(0, 12*time.Millisecond)).To(Equal(24 * time.Millisecond))
+		Expect(hedge.Judge(100*time.Millisecond, 12*time.Millisecond)).To(Equal(24 * time.Millisecond))
+		Expect(hedge.Judge(15*time.Millisecond, 12*time.Millisecond)).To(Equal(15 * time.Millisecond))
+		Expect(hedge.Quorum(14, 20)).To(BeFalse())
+		Expect(hedge.Quorum(15, 20)).To(BeTrue())
+		Expect(hedge.Quorum(2, 2)).To(BeFalse())
+	})
+})
+
+var _ = Describe("Allowed", func() {
+	It("sends no hedge twice, after a loss or when time is up", func() {
+		Expect(hedge.Allowed(hedge.Shard{Left: time.Second})).To(BeTrue())
+		Expect(hedge.Allowed(hedge.Shard{Left: time.Second, Hedged: true})).To(BeFalse())
+		Expect(hedge.Allowed(hedge.Shard{Left: time.Second, Losses: 1})).To(BeFalse())
+		Expect(hedge.Allowed(hedge.Shard{})).To(BeFalse())
+	})
+})
--- a/internal/policy/roster/roster_test.go
+++ b/internal/policy/roster/roster_test.go
@@ -75,12 +75,25 @@
 		r := roster.New()
 		r.List(0, []roster.Listed{{Name: "a"}})
 		r.Hello(0, roster.Hello{Name: "a", Incarnation: "2"})
-		r.Leaves("a", "1")
+		r.Leaves("a", "1", time.Minute)
 		m, _ := r.Get(0, "a")
 		Expect(m.State).To(Equal(roster.Live))
-		r.Leaves("a", "2")
+		r.Leaves("a", "2", time.Minute)
 		m, _ = r.Get(0, "a")
 		Expect(m.State).To(Equal(roster.Leaving))
+		r.Hello(0, roster.Hello{Name: "a", Incarnation: "3"})
+		m, _ = r.Get(0, "a")
+		Expect(m.State).To(Equal(roster.Live))
+	})
+
+	It("believes a leaving word before any hello, for its time", func() {
+		r := roster.New()
+		r.List(0, []roster.Listed{{Name: "a"}})
+		r.Leaves("a", "1", time.Minute)
+		m, _ := r.Get(0, "a")
+		Expect(m.State).To(Equal(roster.Leaving))
+		m, _ = r.Get(time.Minute, "a")
+		Expect(m.State).To(Equal(roster.Live))
 	})
 })
 
@@ -88,10 +101,12 @@
 	DescribeTable("connect the fleet with a constant degree", func(n, zones int) {
 		all := members(n, zones)
 		edges := map[string][]string{}
+		chosenBy := map[string]int{}
 		for _, m := range all {
 			chosen := roster.Neighbours(all, m.Name, m.Zone)
-			Expect(len(chosen)).To(BeNumerically("<=", roster.NeighboursInZone+roster.NeighboursAcross))
+			Expect(len(chosen)).To(BeNumerically("<=", roster.MaxNeighbours))
 			for _, c := range chosen {
+				chosenBy[c.Name]++
 				edges[m.Name] = append(edges[m.Name], c.Name)
 				edges[c.Name] = append(edges[c.Name], m.Name)
 			}
@@ -108,6 +123,7 @@
 			}
 		}
 		Expect(seen).To(HaveLen(n))
+		Expect(chosenBy).To(HaveLen(n), "somebody is chosen by nobody")
 		Expect(most).To(BeNumerically("<", 32))
 	},
 		Entry("14 VMs in 3 zones", 14, 3), Entry("20 VMs in 4 zones", 20, 4),
