--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -25,11 +25,9 @@
 	pingInterval = time.Second
 	pingTimeout  = 1500 * time.Millisecond
 	silenceLimit = 3 * time.Second
-	// A peer that sends faster than this is cut off.
-	messageRate  = rate.Limit(10_000)
-	messageBurst = 20_000
-	byteRate     = rate.Limit(8 << 20)
-	byteBurst    = 32 << 20
+	// digestRate bounds the digests of one peer that are answered.
+	digestRate  = rate.Limit(4)
+	digestBurst = 4
 )
 
 // Reasons why a connection ends, as counted.
@@ -62,19 +60,23 @@
 	peer   string
 	inc    string
 	dialed bool
+	since  time.Duration
 
 	out      chan []byte
 	outBytes atomic.Int64
 	slots    chan struct{}
 	messages *rate.Limiter
 	bytes    *rate.Limiter
+	gossip   *rate.Limiter
+	digests  *rate.Limiter
 	done     chan struct{}
 	once     sync.Once
 
-	// lastUse, lastPing and gossipUntil are on the node's clock.
+	// lastUse, lastPing, gossipUntil and chosenUntil are on the node's clock.
 	lastUse     atomic.Int64
 	lastPing    *atomic.Int64
 	gossipUntil atomic.Int64
+	chosenUntil atomic.Int64
 
 	mu      sync.Mutex // guards next and pending
 	next    int
@@ -83,11 +85,13 @@
 
 func newConn(n *Node, s socket, h *gen.Hello, dialed bool) *conn {
 	c := &conn{
-		node: n, ws: s.Conn, lastPing: s.lastPing, peer: h.Name, inc: h.Incarnation, dialed: dialed,
+		node: n, ws: s.Conn, lastPing: s.lastPing, peer: h.Name, inc: h.Incarnation, dialed: dialed, since: n.now(),
 		out:      make(chan []byte, queueMessages),
 		slots:    make(chan struct{}, maxHandling),
-		messages: rate.NewLimiter(messageRate, messageBurst),
-		bytes:    rate.NewLimiter(byteRate, byteBurst),
+		messages: n.limits.Messages.limiter(),
+		bytes:    n.limits.Bytes.limiter(),
+		gossip:   n.limits.Gossip.limiter(),
+		digests:  rate.NewLimiter(digestRate, digestBurst),
 		done:     make(chan struct{}),
 		pending:  map[int]chan *gen.Message{},
 		next:     2,
@@ -112,6 +116,9 @@
 
 func (c *conn) gossips(now time.Duration) bool { return time.Duration(c.gossipUntil.Load()) > now }
 
+// chosen reports whether the peer is a neighbour that this side chose.
+func (c *conn) chosen(now time.Duration) bool { return time.Duration(c.chosenUntil.Load()) > now }
+
 // run serves the connection until it ends.
 func (c *conn) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -264,6 +271,9 @@
 	if err != nil || typ != websocket.MessageBinary || m.Hello != nil {
 		return nil, cutGarbage
 	}
+	if (m.Facts != nil || m.Digest != nil) && !c.gossip.AllowN(now, len(b)) {
+		return nil, cutFlood
+	}
 	c.node.metrics.messages.WithLabelValues("in", kind(m)).Inc()
 	return m, ""
 }
