--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -25,9 +25,12 @@
 	pingInterval = time.Second
 	pingTimeout  = 1500 * time.Millisecond
 	silenceLimit = 3 * time.Second
-	// digestRate bounds the digests of one peer that are answered.
+	// digestRate and spreadRate bound the digests and spreads of one peer that are
+	// answered.
 	digestRate  = rate.Limit(4)
 	digestBurst = 4
+	spreadRate  = rate.Limit(100)
+	spreadBurst = 200
 )
 
 // Reasons why a connection ends, as counted.
@@ -69,6 +72,7 @@
 	bytes    *rate.Limiter
 	gossip   *rate.Limiter
 	digests  *rate.Limiter
+	spreads  *rate.Limiter
 	done     chan struct{}
 	once     sync.Once
 
@@ -92,6 +96,7 @@
 		bytes:    n.limits.Bytes.limiter(),
 		gossip:   n.limits.Gossip.limiter(),
 		digests:  rate.NewLimiter(digestRate, digestBurst),
+		spreads:  rate.NewLimiter(spreadRate, spreadBurst),
 		done:     make(chan struct{}),
 		pending:  map[int]chan *gen.Message{},
 		next:     2,
@@ -286,6 +291,8 @@
 		c.node.repair(c, m.Digest)
 	case m.Facts != nil && m.Id == 0:
 		c.node.learn(c.peer, m.Facts)
+	case m.Facts != nil && !c.spreads.Allow():
+		c.node.metrics.dropped.WithLabelValues("spread").Inc()
 	default:
 		c.handle(ctx, m)
 	}
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -106,7 +106,7 @@
 func (q *queue) heardAgain(f rules.Fact, from string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if w, ok := q.waiting[f.ID()]; ok && w.fact.Version == f.Version {
+	if w, ok := q.waiting[f.ID()]; ok && w.fact.Version == f.Version && !slices.Contains(w.known, from) {
 		w.known = append(w.known, from)
 		q.waiting[f.ID()] = w
 	}
@@ -311,6 +311,10 @@
 
 // acknowledge merges a spread fact and answers with what is known under its prefix.
 func (n *Node) acknowledge(from string, m *gen.Facts) *gen.Message {
+	if len(m.Facts) != 1 {
+		n.metrics.dropped.WithLabelValues("spread").Inc()
+		return nil
+	}
 	n.learn(from, m)
 	n.handlersMu.RLock()
 	hooks := n.onSpread
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -310,11 +310,12 @@
 	n.heard(h)
 	gauge := n.metrics.connections.WithLabelValues(c.direction())
 	gauge.Inc()
-	n.conns.Go(func() {
+	go func() {
+		defer n.table.serving.Done()
 		defer gauge.Dec()
 		defer n.table.remove(c)
 		c.run(n.base)
-	})
+	}()
 	return c, nil
 }
 
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -75,7 +75,6 @@
 
 	base   context.Context
 	cancel context.CancelFunc
-	conns  sync.WaitGroup
 
 	table     table
 	penalties penalties
@@ -282,5 +281,5 @@
 	for _, c := range n.table.shut() {
 		c.close(cutStop)
 	}
-	n.conns.Wait()
+	n.table.serving.Wait()
 }
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -24,6 +24,9 @@
 	dialed   int
 	accepted int
 	closed   bool
+	// serving counts the connections that are served; it rises under mu and only
+	// while closed is false.
+	serving sync.WaitGroup
 }
 
 func (t *table) init() { t.byPeer = map[string][]*conn{} }
@@ -54,6 +57,7 @@
 	}
 	t.byPeer[c.peer] = append(t.byPeer[c.peer], c)
 	t.count(c, 1)
+	t.serving.Add(1)
 	return victims, true
 }
 
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -85,37 +85,6 @@
 	recent *lru.Cache[string, recent]
 }
 
-// recent is what this VM did with a fingerprint. Runs that ended without a word are
-// forgotten with the lease.
-type recent struct {
-	started  time.Duration
-	running  int
-	answered time.Duration
-	proven   bool
-}
-
-// left is how long a run may still be under way.
-func (r recent) left(now time.Duration) time.Duration {
-	if r.running == 0 {
-		return 0
-	}
-	return r.started + policy.RunLease - now
-}
-
-func (r recent) start(now time.Duration) recent {
-	if r.left(now) <= 0 {
-		r.running = 0
-	}
-	r.started = now
-	r.running++
-	return r
-}
-
-func (r recent) end() recent {
-	r.running = max(r.running-1, 0)
-	return r
-}
-
 // New returns a Guard that follows the fleet's facts.
 func New(o Options) *Guard {
 	if o.Now == nil {
@@ -177,6 +146,13 @@
 	return g.ask(fingerprint)
 }
 
+// Suspected reports whether a request has a suspicion that does not refuse it yet. A
+// search that is permitted to run it had better try one shard before the others.
+func (g *Guard) Suspected(fingerprint string) bool {
+	verdict, _ := g.record(fingerprint).Judge(g.now())
+	return !g.off && verdict == policy.Ask
+}
+
 // ask asks the fleet whether a suspected request may run here. It may not while
 // another run of it is under way on this VM.
 func (g *Guard) ask(fingerprint string) (time.Duration, bool) {
@@ -269,40 +245,6 @@
 	g.events.WithLabelValues("cleared").Inc()
 }
 
-// started notes that this VM may be running a fingerprint.
-func (g *Guard) started(fingerprint string, now time.Duration) {
-	sh := g.shard(fingerprint)
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	r, _ := sh.recent.Get(fingerprint)
-	sh.recent.Add(fingerprint, r.start(now))
-}
-
-// reserve is started, but only where nothing else runs the fingerprint here.
-func (g *Guard) reserve(fingerprint string) bool {
-	now := g.now()
-	sh := g.shard(fingerprint)
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	r, _ := sh.recent.Get(fingerprint)
-	if r.left(now) > 0 {
-		return false
-	}
-	sh.recent.Add(fingerprint, r.start(now))
-	return true
-}
-
-// ended notes the end of a run by a loss and reports whether the fingerprint was
-// proven before.
-func (g *Guard) ended(fingerprint string) bool {
-	sh := g.shard(fingerprint)
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	r, _ := sh.recent.Get(fingerprint)
-	sh.recent.Add(fingerprint, r.end())
-	return policy.Proven(g.now(), r.answered, r.proven)
-}
-
 // asked is called with each fact that another VM spreads, before it is
 // acknowledged: where this VM may be running the fingerprint, it says so.
 func (g *Guard) asked(f facts.Fact) {
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -68,12 +68,14 @@
 
 // gossip lets each VM hear what the others on its side know.
 func (w *world) gossip() {
-	for range 2 {
-		for i, a := range w.vms {
-			for j, b := range w.vms {
-				if i != j && w.reach(i, j) {
-					a.store.Merge(b.store.List(""))
-				}
+	known := make([][]facts.Fact, len(w.vms))
+	for i, v := range w.vms {
+		known[i] = v.store.List("")
+	}
+	for i, v := range w.vms {
+		for j, fs := range known {
+			if i != j && w.reach(i, j) {
+				v.store.Merge(fs)
 			}
 		}
 	}
@@ -263,6 +265,7 @@
 	It("runs again a moment after another VM was running it", func() {
 		w := newWorld(3)
 		w.vms[0].Crashed(context.Background(), fp, "r1")
+		Expect(w.vms[1].Suspected(fp)).To(BeTrue())
 		_, refused := w.vms[1].Refused(fp)
 		Expect(refused).To(BeFalse())
 		after, refused := w.vms[2].Refused(fp)
