Show goodput by the second

Cause: one figure over an overload hides whether the system recovers. Change: results hold the offered load and the goodput of each second, with a plot.

--- a/internal/bench/client.go
+++ b/internal/bench/client.go
@@ -38,7 +38,9 @@
 	// Due is when the attempt should have been sent, Sent when it was, End when its
 	// reply was whole.
 	Due, Sent, End time.Time
-	Status         int
+	// Offset is when the attempt was due after the start of the load.
+	Offset time.Duration
+	Status int
 	// Reply is nil where no whole reply came.
 	Reply *caller.Reply
 	Err   error
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -42,6 +42,7 @@
 	balancer *balancer
 	d        *Deployment
 	seed     uint64
+	begin    time.Time
 	mu       sync.Mutex
 	seen     []Seen
 	dropped  int
@@ -55,6 +56,7 @@
 
 // run sends the streams' requests until ctx ends, then waits for those in flight.
 func (l *load) run(ctx context.Context, streams []Stream) {
+	l.begin = time.Now()
 	var wg sync.WaitGroup
 	for _, s := range streams {
 		wg.Go(func() { l.stream(ctx, s) })
@@ -190,6 +192,7 @@
 		}
 	}
 	s.Due = due
+	s.Offset = due.Sub(l.begin)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.seen = append(l.seen, s)
--- a/internal/bench/plots.go
+++ b/internal/bench/plots.go
@@ -45,6 +45,9 @@
 			return err
 		}
 	}
+	if err := plotTimeline(filepath.Join(dir, timelineFile), results); err != nil {
+		return err
+	}
 	for _, g := range results[0].Groups {
 		if err := plotCDF(filepath.Join(dir, cdfFile(g)), g, results); err != nil {
 			return err
@@ -53,6 +56,32 @@
 	return nil
 }
 
+const timelineFile = "timeline.png"
+
+func plotTimeline(file string, results []*Result) error {
+	p := plot.New()
+	p.Title.Text = "answers in time, each second"
+	p.X.Label.Text = "s"
+	p.Y.Min = 0
+	for i, r := range results {
+		if len(r.Timeline) == 0 {
+			continue
+		}
+		xy := make(plotter.XYs, len(r.Timeline))
+		for sec, n := range r.Timeline {
+			xy[sec] = plotter.XY{X: float64(sec), Y: n}
+		}
+		line, err := plotter.NewLine(xy)
+		if err != nil {
+			return fmt.Errorf("plot timeline: %w", err)
+		}
+		line.Color = plotColors[i%len(plotColors)]
+		p.Add(line)
+		p.Legend.Add(r.Policy, line)
+	}
+	return save(p, file)
+}
+
 func cdfFile(g Group) string { return fmt.Sprintf("cdf-%s-%s.png", g.Workload, g.Caller) }
 
 func plotBars(file, title string, results []*Result, value func(*Result) float64) error {
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -93,6 +93,7 @@
 	for _, g := range first.Groups {
 		put("![%s, %s](%s)", g.Workload, g.Caller, filepath.Join(rel, cdfFile(g)))
 	}
+	put("![answers in time, each second](%s)", filepath.Join(rel, timelineFile))
 	for _, b := range bars {
 		put("![%s](%s)", b.title, filepath.Join(rel, b.file+".png"))
 	}
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -49,7 +49,10 @@
 	// ExtraLoad is sub-requests received by upstreams by those needed; 1 is none extra.
 	ExtraLoad float64 `json:"extra_load"`
 	// Goodput is requests answered in time, each second.
-	Goodput    float64        `json:"goodput"`
+	Goodput float64 `json:"goodput"`
+	// Timeline is the goodput of each second under load, and Offered the requests due.
+	Timeline   []float64      `json:"timeline"`
+	Offered    []float64      `json:"offered"`
 	Violations int            `json:"violations"`
 	Breakdown  map[Kind]int   `json:"breakdown"`
 	Examples   []string       `json:"examples"`
@@ -82,6 +85,7 @@
 	counts  standin.Counts
 	verdict *Verdict
 	took    time.Duration
+	rounds  int
 	reads   int
 	usage   Usage
 	shards  map[string]int
@@ -92,6 +96,7 @@
 	m.seen = append(m.seen, o.seen...)
 	m.dropped += o.dropped
 	m.took += o.took
+	m.rounds += o.rounds
 	m.reads = max(m.reads, o.reads)
 	a, b := &m.counts, o.counts
 	a.Received += b.Received
@@ -194,7 +199,9 @@
 		needed += m.needed(s)
 		if answeredBy(s) && s.End.Sub(s.Due) <= s.Request.Deadline+lateSlack {
 			inTime++
+			r.Timeline = tick(r.Timeline, s.Offset, m.rounds)
 		}
+		r.Offered = tick(r.Offered, s.Offset, m.rounds)
 	}
 	r.Keys = len(keys)
 	for _, ok := range keys {
@@ -215,6 +222,16 @@
 	return r
 }
 
+// tick counts one event in its second, as the mean over the rounds.
+func tick(line []float64, at time.Duration, rounds int) []float64 {
+	sec := int(at / time.Second)
+	for len(line) <= sec {
+		line = append(line, 0)
+	}
+	line[sec] += 1 / float64(max(1, rounds))
+	return line
+}
+
 // needed is the sub-requests that an attempt needs at least.
 func (m *measure) needed(s *Seen) int {
 	if !s.Request.Sharded || s.Refused {
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -129,7 +129,7 @@
 	}
 	seen, dropped := l.taken()
 	busiest, _ := s.Platform.Reads()
-	m := &measure{seen: seen, dropped: dropped, counts: log.Counts, took: took, reads: busiest, usage: used, shards: map[string]int{}}
+	m := &measure{seen: seen, dropped: dropped, counts: log.Counts, took: took, rounds: 1, reads: busiest, usage: used, shards: map[string]int{}}
 	s.j.do(func(j *Journal) {
 		m.verdict = Check(Evidence{Seen: seen, Log: log, Journal: *j, Maps: s.Deployment.Maps})
 	})
