Hedge late attempts of idempotent single requests

Change: a second attempt after the workload's high quantile, within the grant's budget, at another upstream; the loser is cancelled. Never for orders. Ruled out: hedging orders, which may run once only. Conclusion: orders keep their straggler; an upstream's own deduplication by the passed-on key could change that.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -180,13 +180,14 @@
 
 func (s *Server) request(r *http.Request, c *call, in *input) outcome.Outcome {
 	return s.o.Runner.Run(r.Context(), single.Request{
-		ID:          c.id,
-		Fingerprint: in.fingerprint,
-		Workload:    in.workload,
-		Caller:      c.caller,
-		Body:        in.body,
-		Key:         in.key,
-		First:       in.first,
-		Deadline:    in.deadline,
+		ID:           c.id,
+		Fingerprint:  in.fingerprint,
+		Workload:     in.workload,
+		Caller:       c.caller,
+		Body:         in.body,
+		Key:          in.key,
+		HedgePercent: in.grant.HedgePercent,
+		First:        in.first,
+		Deadline:     in.deadline,
 	})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -191,6 +191,11 @@
 
 // newRunner returns the runner of single workloads over the wired parts.
 func (d *Daemon) newRunner() callers.Runner {
-	r := &single.Runner{Upstream: singleUpstream{d.upstreams}, Claims: d.claims, Poison: suspects{d}}
+	r := single.New(single.Options{
+		Upstream: singleUpstream{d.upstreams},
+		Claims:   d.claims,
+		Poison:   suspects{d},
+		NoHedge:  d.mechanisms.Baseline(),
+	})
 	return provenRun{d: d, runner: r}
 }
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -193,6 +193,10 @@
 	return t, nil
 }
 
+func (u singleUpstream) HedgeDelay(workload, shard string) (time.Duration, bool) {
+	return u.c.HedgeDelay(workload, shard)
+}
+
 func (u singleUpstream) Do(ctx context.Context, t single.Ticket, a upstream.Attempt) upstream.Result {
 	own, ok := t.(*upstream.Ticket)
 	if !ok {
--- a/internal/single/single.go
+++ b/internal/single/single.go
@@ -1,6 +1,7 @@
 // Package single runs a request to a single workload. An idempotent request may be
 // tried again at another upstream; any other wins its key's claim first and is
-// written at most once. It holds no state and no lock of its own.
+// written at most once. The hedge budgets are kept a workload apart, each under its
+// own lock.
 package single
 
 import (
@@ -17,6 +18,8 @@
 	"github.com/sardinespindle/sardinespindle/internal/clock"
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/policy/hedge"
+	"github.com/sardinespindle/sardinespindle/internal/sharded"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
 )
@@ -44,6 +47,8 @@
 	Body        []byte
 	// Key is the idempotency key, empty for none.
 	Key string
+	// HedgePercent is the share of extra attempts allowed, in percent.
+	HedgePercent float64
 	// First says that the caller marked the attempt as its first.
 	First    bool
 	Deadline time.Time
@@ -59,6 +64,8 @@
 type Upstream interface {
 	Pick(w *manifest.Workload, shard string, exclude []string, hedge bool) (Ticket, error)
 	Do(ctx context.Context, t Ticket, a upstream.Attempt) upstream.Result
+	// HedgeDelay returns when an attempt is late; false where that is not known.
+	HedgeDelay(workload, shard string) (time.Duration, bool)
 }
 
 // Claims wins idempotency keys.
@@ -72,11 +79,27 @@
 	Crashed(fingerprint, requestID string)
 }
 
-// Runner runs requests.
-type Runner struct {
+// maxWorkloads bounds the workloads whose hedge budget is kept.
+const maxWorkloads = 4096
+
+// Options configures a Runner.
+type Options struct {
 	Upstream Upstream
 	Claims   Claims
 	Poison   Poison
+	// NoHedge turns hedging off.
+	NoHedge bool
+}
+
+// Runner runs requests.
+type Runner struct {
+	o       Options
+	budgets *sharded.Map[string, hedge.Bucket]
+}
+
+// New returns a Runner.
+func New(o Options) *Runner {
+	return &Runner{o: o, budgets: sharded.New[string, hedge.Bucket](maxWorkloads)}
 }
 
 // Run runs a request and returns its final outcome.
@@ -90,7 +113,7 @@
 func (r *Runner) runIdempotent(ctx context.Context, q Request) outcome.Outcome {
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
-	if r.Poison.Crashes(q.Fingerprint) {
+	if r.o.Poison.Crashes(q.Fingerprint) {
 		return outcome.Unknown(outcome.CrashSuspected, "requests like this one crashed upstreams", comeBack)
 	}
 	return r.attempts(ctx, q, nil)
@@ -118,7 +141,7 @@
 func (r *Runner) claim(ctx context.Context, q Request) claims.Decision {
 	ctx, span := otel.Tracer("sardinespindle/single").Start(ctx, "claim")
 	defer span.End()
-	d := r.Claims.Claim(ctx, claims.Request{
+	d := r.o.Claims.Claim(ctx, claims.Request{
 		Key:         q.Caller + "/" + q.Key,
 		Fingerprint: q.Fingerprint,
 		Window:      q.Workload.ResendWindow(),
@@ -130,7 +153,7 @@
 // runHeld runs a request whose key this VM holds. A refusal is final for the key,
 // since it is recorded: the key never runs after it.
 func (r *Runner) runHeld(ctx context.Context, q Request, h *claims.Hold) outcome.Outcome {
-	if r.Poison.Crashes(q.Fingerprint) {
+	if r.o.Poison.Crashes(q.Fingerprint) {
 		return outcome.NotRun(outcome.CrashSuspected, "requests like this one crashed upstreams; the key is closed", comeBack)
 	}
 	return r.attempts(ctx, q, func() error {
@@ -145,42 +168,38 @@
 // idempotent, or until one is answered, where it is. The check, where there is one,
 // is asked right before the first byte of each.
 func (r *Runner) attempts(ctx context.Context, q Request, check func() error) outcome.Outcome {
-	var cost outcome.Cost
-	var excluded []string
+	tr := &tries{}
 	last := outcome.NotRun(outcome.NoUpstream, "no upstream is eligible", comeBack)
-	ran := false
-	for try := range maxAttempts {
+	for range maxAttempts {
 		if ctx.Err() != nil {
 			break
 		}
-		t, err := r.Upstream.Pick(q.Workload, "", excluded, false)
+		t, err := r.o.Upstream.Pick(q.Workload, "", tr.excluded, false)
 		if err != nil {
-			cost.Shed++
+			tr.cost.Shed++
 			break
 		}
-		excluded = append(excluded, t.Address())
-		res := r.send(ctx, q, t, try, check)
-		count(&cost, res.Class)
+		res := r.attempt(ctx, q, t, tr, check)
 		last = judge(res)
-		ran = ran || res.Class.MayHaveRun()
 		if res.Class == upstream.OK || !r.again(q, res.Class) {
 			break
 		}
 	}
-	if ran && last.Kind == caller.OutcomeNotRun {
+	if tr.ran && last.Kind == caller.OutcomeNotRun {
 		last = outcome.Unknown(last.Reason, last.Detail, last.RetryAfter)
 	}
-	last.Cost = cost
+	last.Cost = tr.cost
 	return last
 }
 
-func count(c *outcome.Cost, class upstream.Class) {
-	if class != upstream.NotSent {
-		c.Sent++
-	}
-	if class == upstream.Shed {
-		c.Shed++
+// attempt makes one attempt, hedged where the request is idempotent.
+func (r *Runner) attempt(ctx context.Context, q Request, t Ticket, tr *tries, check func() error) upstream.Result {
+	if q.Workload.Idempotent {
+		return r.race(ctx, q, t, tr)
 	}
+	res := r.send(ctx, q, t, tr.next(t), check)
+	tr.count(res)
+	return res
 }
 
 // again reports whether another attempt may follow one of this class.
@@ -189,7 +208,7 @@
 	case upstream.Shed, upstream.NotSent:
 		return true
 	case upstream.Lost:
-		return q.Workload.Idempotent && !r.Poison.Crashes(q.Fingerprint)
+		return q.Workload.Idempotent && !r.o.Poison.Crashes(q.Fingerprint)
 	case upstream.Garbled, upstream.Failed:
 		return q.Workload.Idempotent
 	default:
@@ -201,7 +220,7 @@
 	ctx, span := otel.Tracer("sardinespindle/single").Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	id := fmt.Sprintf("%s-%d", q.ID, try)
-	res := r.Upstream.Do(ctx, t, upstream.Attempt{
+	res := r.o.Upstream.Do(ctx, t, upstream.Attempt{
 		Kind:           upstream.Single,
 		Workload:       string(q.Workload.Name),
 		RequestID:      id,
@@ -212,7 +231,7 @@
 	})
 	span.SetAttributes(attribute.String("upstream", t.Address()), attribute.Int("class", int(res.Class)))
 	if res.Class == upstream.Lost {
-		r.Poison.Crashed(q.Fingerprint, id)
+		r.o.Poison.Crashed(q.Fingerprint, id)
 	}
 	return res
 }
--- a/internal/single/single_test.go
+++ b/internal/single/single_test.go
@@ -30,8 +30,11 @@
 	sent    int
 	ran     int
 	during  func()
+	late    time.Duration
 }
 
+func (f *fakeUpstream) HedgeDelay(string, string) (time.Duration, bool) { return f.late, f.late > 0 }
+
 type fakeTicket struct{}
 
 func (fakeTicket) Address() string { return "127.2.0.1:1" }
@@ -101,7 +104,7 @@
 	DescribeTable("runs at most once, whatever becomes of it",
 		func(classes []upstream.Class, want caller.Outcome, ran int) {
 			up := &fakeUpstream{classes: classes}
-			r := &single.Runner{Upstream: up, Claims: guard(), Poison: &fakePoison{most: 2}}
+			r := single.New(single.Options{Upstream: up, Claims: guard(), Poison: &fakePoison{most: 2}})
 			q := request(false)
 			first := r.Run(context.Background(), q)
 			Expect(first.Kind).To(Equal(want))
@@ -124,14 +127,14 @@
 	It("finishes and is recorded when its caller hangs up", func() {
 		ctx, hangUp := context.WithCancel(context.Background())
 		up := &fakeUpstream{classes: []upstream.Class{upstream.OK}, during: hangUp}
-		r := &single.Runner{Upstream: up, Claims: guard(), Poison: &fakePoison{most: 2}}
+		r := single.New(single.Options{Upstream: up, Claims: guard(), Poison: &fakePoison{most: 2}})
 		q := request(false)
 		Expect(r.Run(ctx, q).Kind).To(Equal(caller.OutcomeAnswered))
 		Expect(r.Run(context.Background(), q).Replayed).To(BeTrue())
 	})
 
 	It("is refused with another body under the same key", func() {
-		r := &single.Runner{Upstream: &fakeUpstream{classes: []upstream.Class{upstream.OK}}, Claims: guard(), Poison: &fakePoison{most: 2}}
+		r := single.New(single.Options{Upstream: &fakeUpstream{classes: []upstream.Class{upstream.OK}}, Claims: guard(), Poison: &fakePoison{most: 2}})
 		q := request(false)
 		r.Run(context.Background(), q)
 		q.Fingerprint = "other"
@@ -144,7 +147,7 @@
 var _ = Describe("an idempotent request", func() {
 	It("is tried again elsewhere, but costs a crashing request one retry at most", func() {
 		up := &fakeUpstream{classes: []upstream.Class{upstream.Lost, upstream.Lost, upstream.Lost, upstream.OK}}
-		r := &single.Runner{Upstream: up, Claims: guard(), Poison: &fakePoison{most: 2}}
+		r := single.New(single.Options{Upstream: up, Claims: guard(), Poison: &fakePoison{most: 2}})
 		o := r.Run(context.Background(), request(true))
 		Expect(o.Kind).To(Equal(caller.OutcomeUnknown))
 		Expect(up.ran).To(Equal(2))
@@ -154,7 +157,7 @@
 
 	It("never says not_run after an attempt that may have run", func() {
 		up := &fakeUpstream{classes: []upstream.Class{upstream.Failed, upstream.Shed}}
-		r := &single.Runner{Upstream: up, Claims: guard(), Poison: &fakePoison{most: 2}}
+		r := single.New(single.Options{Upstream: up, Claims: guard(), Poison: &fakePoison{most: 2}})
 		Expect(r.Run(context.Background(), request(true)).Kind).To(Equal(caller.OutcomeUnknown))
 	})
 })
