Count given-up attempts by the median, and hold limits to the unloaded latency

Change: an attempt given up after the median counts as a latency; limits follow the unloaded latency, which falls at once and doubles in 20 s; latency alone cuts no limit below two; no hedge goes to a replica that reports a queue. Ruled out: a base by average (drifts with the queue).

--- a/internal/policy/limit/limit.go
+++ b/internal/policy/limit/limit.go
@@ -4,11 +4,16 @@
 // owner.
 package limit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// floor is the least limit: one request in flight.
 	floor = 1.0
+	// slowFloor is the least limit by latency alone, which may have other causes than a queue.
+	slowFloor = 2.0
 	// startPerSlot is the first limit, per slot of the replica.
 	startPerSlot = 2.0
 	// startMinimum is the first limit of a replica with few slots.
@@ -17,20 +22,24 @@
 	shedFactor = 0.7
 	// slowFactor cuts the limit when the replica queues.
 	slowFactor = 0.9
-	// slowRatio is the ratio of recent to usual latency that shows queueing.
+	// slowRatio is the ratio of recent to unloaded latency that shows queueing.
 	slowRatio = 3.0
+	// baseDoubles is the time in which the estimate of the unloaded latency doubles
+	// while every reply takes longer.
+	baseDoubles = 20 * time.Second
 	// cutInterval is the least time between two cuts.
 	cutInterval = 100 * time.Millisecond
-	// recentWeight and usualWeight are weights of a new sample in the averages.
+	// recentWeight and baseWeight are weights of a new sample, the latter of one below the base.
 	recentWeight = 0.2
-	usualWeight  = 0.005
+	baseWeight   = 0.2
 )
 
 // Limit is the concurrency limit of one replica.
 type Limit struct {
 	value   float64
 	recent  float64 // average latency of late, in nanoseconds
-	usual   float64 // average latency over a longer time, in nanoseconds
+	base    float64 // latency without a queue, in nanoseconds
+	doneAt  time.Duration
 	cutAt   time.Duration
 	everCut bool
 }
@@ -49,22 +58,22 @@
 func (l *Limit) Value() int { return int(l.value) }
 
 // Shed records that the replica refused a request at now.
-func (l *Limit) Shed(now time.Duration) { l.cut(now, shedFactor) }
+func (l *Limit) Shed(now time.Duration) { l.cut(now, shedFactor, floor) }
 
 // Lost records that a request was lost or timed out at now.
-func (l *Limit) Lost(now time.Duration) { l.cut(now, shedFactor) }
+func (l *Limit) Lost(now time.Duration) { l.cut(now, shedFactor, floor) }
 
 // Done records a reply at now after latency, sent while inFlight requests were
 // running, this one included. most is the largest useful limit.
 func (l *Limit) Done(now, latency time.Duration, inFlight, most int) {
 	sample := float64(latency)
-	if l.usual == 0 {
-		l.usual, l.recent = sample, sample
+	if l.base == 0 {
+		l.base, l.recent, l.doneAt = sample, sample, now
 	}
 	l.recent += recentWeight * (sample - l.recent)
-	l.usual += usualWeight * (sample - l.usual)
-	if l.recent > slowRatio*l.usual {
-		l.cut(now, slowFactor)
+	l.follow(now, sample)
+	if l.recent > slowRatio*l.base {
+		l.cut(now, slowFactor, min(slowFloor, l.value))
 		return
 	}
 	if inFlight*2 >= l.Value() {
@@ -72,11 +81,20 @@
 	}
 }
 
-// cut lowers the limit, at most once an interval.
-func (l *Limit) cut(now time.Duration, factor float64) {
+// follow moves the base down with short replies, and up with time.
+func (l *Limit) follow(now time.Duration, sample float64) {
+	l.base *= math.Exp2(float64(now-l.doneAt) / float64(baseDoubles))
+	l.doneAt = now
+	if sample < l.base {
+		l.base += baseWeight * (sample - l.base)
+	}
+}
+
+// cut lowers the limit, at most once an interval, and not below least.
+func (l *Limit) cut(now time.Duration, factor, least float64) {
 	if l.everCut && now-l.cutAt < cutInterval {
 		return
 	}
 	l.everCut, l.cutAt = true, now
-	l.value = max(floor, l.value*factor)
+	l.value = max(least, l.value*factor)
 }
--- a/internal/policy/replica/replica.go
+++ b/internal/policy/replica/replica.go
@@ -26,6 +26,8 @@
 	loadAge = 500 * time.Millisecond
 	// loadWeight is the weight of a fresh reported load against an own outstanding request.
 	loadWeight = 0.5
+	// queueLoad is the reported load from which a replica counts as queueing.
+	queueLoad = 1.25
 	// otherZone is the cost of leaving the VM's own availability zone, besides the
 	// latency, which is measured.
 	otherZone = time.Millisecond
@@ -124,6 +126,9 @@
 // Shedding reports whether the replica shed lately.
 func (s *State) Shedding(now time.Duration) bool { return now < s.shedUntil }
 
+// Queueing reports whether the replica said lately that more than its slots are taken.
+func (s *State) Queueing(now time.Duration) bool { return s.freshLoad(now) > queueLoad }
+
 // Latency returns the latency expected at now, in nanoseconds.
 func (s *State) Latency(now time.Duration) float64 {
 	if !s.sampled {
--- a/internal/upstream/histogram.go
+++ b/internal/upstream/histogram.go
@@ -51,10 +51,20 @@
 	return h.curN + h.oldN
 }
 
+// median returns the median of the counts; 0 where there are none.
+func (h *histogram) median(now time.Duration) time.Duration {
+	var counts [histogramBuckets]uint32
+	n := h.addTo(now, &counts)
+	return quantile(&counts, n, latencyMedian)
+}
+
 // quantile returns the upper edge of the bucket that holds quantile q of n counts.
 func quantile(counts *[histogramBuckets]uint32, n uint32, q float64) time.Duration {
 	rank := uint32(math.Ceil(q * float64(n)))
 	var seen uint32
+	if n == 0 {
+		return 0
+	}
 	for i, c := range counts {
 		seen += c
 		if seen >= rank {
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -75,7 +75,7 @@
 		return offer{}
 	}
 	suspect := s.speed.Suspect() || s.lease.Doubted()
-	if hedge && (suspect || s.speed.Shedding(now)) {
+	if hedge && (suspect || s.speed.Shedding(now) || s.speed.Queueing(now)) {
 		return offer{refusal: ErrLimited}
 	}
 	cost := s.speed.Cost(now, max(s.entry.Slots, 1), s.sameZone)
@@ -141,7 +141,7 @@
 // censored counts an attempt given up after waited as a latency, for it would have
 // taken longer. One given up early says nothing on the tail. The lock is held.
 func (s *server) censored(now, waited time.Duration) {
-	if float64(waited) > s.speed.Latency(now) {
+	if waited > s.latencies.median(now) {
 		s.latencies.add(now, waited)
 	}
 }
