Read the boot clock through the C library; hedge with few samples

A workload with under 20 samples was never hedged. Change: clock_gettime of the C library, which needs no system call; with 3 to 19 samples a hedge is due after 4 medians. A cached offset to Go's monotonic clock: wrong after a suspension, which is what the clock is for.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -2,17 +2,27 @@
 // is suspended, so that a lease is seen as expired at once after a freeze.
 package clock
 
-import (
-	"time"
+/*
+#include <time.h>
 
-	"golang.org/x/sys/unix"
-)
+static long long boot_nanos(void) {
+	struct timespec ts;
+	if (clock_gettime(CLOCK_BOOTTIME, &ts) != 0) {
+		return -1;
+	}
+	return (long long)ts.tv_sec * 1000000000LL + ts.tv_nsec;
+}
+*/
+import "C"
+
+import "time"
 
-// Boot returns the time since boot, including time suspended.
+// Boot returns the time since boot, including time suspended. It is read on each hot
+// path, and the C library reads it without a system call.
 func Boot() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		panic("clock: CLOCK_BOOTTIME unavailable: " + err.Error())
+	n := C.boot_nanos()
+	if n < 0 {
+		panic("clock: CLOCK_BOOTTIME unavailable")
 	}
-	return time.Duration(ts.Nano())
+	return time.Duration(n)
 }
--- a/internal/upstream/latency.go
+++ b/internal/upstream/latency.go
@@ -8,8 +8,11 @@
 	hedgeQuantile = 0.98
 	// hedgeMedians bounds the hedge delay where stragglers are so many that they
 	// reach into the quantile.
-	hedgeMedians  = 3
-	hedgeSamples  = 20
+	hedgeMedians = 3
+	hedgeSamples = 20
+	// Of fewSamples or more, but too few for a quantile, fewMedians medians are used.
+	fewSamples    = 3
+	fewMedians    = 4
 	hedgeCache    = 250 * time.Millisecond
 	latencyMedian = 0.5
 	latencyTail   = 0.99
@@ -75,10 +78,14 @@
 // pooledDelay returns the delay by all servers' samples together.
 func pooledDelay(servers []*server, now time.Duration) (time.Duration, bool) {
 	counts, n := pooled(servers, now)
-	if n < hedgeSamples {
+	switch {
+	case n < fewSamples:
 		return 0, false
+	case n < hedgeSamples:
+		return fewMedians * quantile(&counts, n, latencyMedian), true
+	default:
+		return hedgeAfter(&counts, n), true
 	}
-	return hedgeAfter(&counts, n), true
 }
 
 // pooled returns the servers' recent latencies together, and how many they are.
