--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -42,7 +42,6 @@
 		ctx, cancel = context.WithDeadline(ctx, a.Deadline)
 		defer cancel()
 	}
-	ctx, span := startSpan(ctx, s, &a)
 	r, sentAt := c.attempt(ctx, s, &a)
 	now := c.o.Now()
 	r.Address = s.address
@@ -53,7 +52,6 @@
 	}
 	s.learn(now, learned, now-sentAt, r.Latency, r.RetryAfter)
 	t.metrics.count(r.Class, r.Latency)
-	endSpan(span, &r)
 	return r
 }
 
