Ask few shards again when upstreams are ahead of the manifest

Change: while no part of a known map is there, two shards are asked again as pilots and the others wait; a part brings them all back, and when the pilots end without one the search ends with coverage_unknown. Tests of both. Ruled out: no second attempt at all, which loses the answer where only the replicas asked first are ahead.

--- a/internal/gather/failure_test.go
+++ b/internal/gather/failure_test.go
@@ -159,11 +159,23 @@
 	})
 
 	It("gives an error where the partition map of the replies is unknown", func() {
-		w := workload(map[int][]string{1: names("s", 5)})
-		out := engine(newFake(w, holder(7, gen.Snapshot{Index: 6, Map: 9})), nil).
-			Search(ctx, search(w, partial, 0, time.Second))
+		const shards, askedAgain = 20, 4
+		w := workload(map[int][]string{1: names("s", shards)})
+		f := newFake(w, holder(7, gen.Snapshot{Index: 6, Map: 9}))
+		out := engine(f, nil).Search(ctx, search(w, partial, 0, time.Second))
 		Expect(out.Kind).To(Equal(caller.OutcomeUnknown))
 		Expect(out.Reason).To(Equal(outcome.CoverageUnknown))
+		Expect(f.total()).To(BeNumerically("<=", shards+askedAgain))
+	})
+
+	It("finds the other replicas where those asked first are ahead of the manifest", func() {
+		w := workload(map[int][]string{1: names("s", 20)})
+		f := newFake(w, holder(7, v5))
+		for shard := range w.Replicas {
+			f.serve[address(shard, 0)] = holder(7, gen.Snapshot{Index: 6, Map: 9})
+		}
+		out := engine(f, nil).Search(ctx, search(w, complete, 0, time.Second))
+		Expect(out.Kind).To(Equal(caller.OutcomeAnswered))
 	})
 
 	It("moves on to a newer index version and partition map without a gap", func() {
--- a/internal/gather/handle.go
+++ b/internal/gather/handle.go
@@ -28,6 +28,9 @@
 	default:
 		q.reply(sh, at, at.result.Reply)
 	}
+	if q.parked > 0 && q.parked == q.counts[open] {
+		q.unpark(false) // no pilot brought a part
+	}
 }
 
 // account counts what an attempt cost.
@@ -66,19 +69,56 @@
 	if sh.planned && sh.class == covered {
 		q.drop(sh)
 		q.judgeBySiblings()
+		q.unpark(true)
 		return
 	}
 	if !q.hasTarget || r.Snapshot != q.target {
 		if q.retarget() {
+			q.unpark(true)
 			q.reaskMissing()
 			return
 		}
 	}
-	if sh.planned && sh.class == dead {
+	if sh.planned && sh.class == dead && !q.park(sh, r.Snapshot) {
 		q.reask(sh)
 	}
 }
 
+// park leaves a shard be that serves a partition map which this VM does not know,
+// while no part is there: when upstreams are ahead of the manifest in force, asking
+// them all again is load for nothing. A few are asked again, to find out.
+func (q *query) park(sh *shard, id snapshot.ID) bool {
+	if q.s.Workload.Maps[id.Map] != nil || q.merge.Count(q.target) > 0 {
+		return false
+	}
+	q.pilots++
+	if q.pilots <= maxPilots {
+		return false
+	}
+	sh.parked = true
+	q.parked++
+	q.touch(sh)
+	return true
+}
+
+// unpark asks the parked shards again where a part of a known map has come, and gives
+// them up where none will.
+func (q *query) unpark(again bool) {
+	if q.parked == 0 {
+		return
+	}
+	q.parked = 0
+	for _, sh := range q.shards {
+		if !sh.parked {
+			continue
+		}
+		sh.parked = false
+		sh.given = sh.given || !again
+		q.touch(sh)
+	}
+	q.reaskMissing()
+}
+
 // learn remembers which snapshot the replica serves and judges whether the reply is
 // its shard's whole part.
 func (q *query) learn(sh *shard, at *attempt, r *upstreamgen.Reply) coverage.Verdict {
@@ -152,6 +192,7 @@
 		q.lost(sh, at)
 	}
 	if sh.class == dead && sh.planned && q.retarget() {
+		q.unpark(true)
 		q.reaskMissing()
 	}
 }
--- a/internal/gather/query.go
+++ b/internal/gather/query.go
@@ -67,6 +67,8 @@
 	ran      bool // an attempt may have run
 	replied  bool // a reply of a snapshot arrived
 	good     int  // good replies
+	pilots   int  // replies of an unknown map, no part being there
+	parked   int  // shards that wait for a part of a known map
 	cost     outcome.Cost
 	losses   int
 	lossTry  int           // retries since the first loss
@@ -100,6 +102,7 @@
 	picks    int
 	hedged   bool // a hedge was sent, or will not be
 	asking   bool // its retry waits for permission
+	parked   bool // it waits for a part of a known map
 	given    bool // given up: nothing more is sent
 	retries  int
 	reasks   int
@@ -238,7 +241,7 @@
 	switch {
 	case q.merge.Has(q.target, sh.name):
 		return covered
-	case len(sh.flying) > 0 || sh.asking || !sh.pickAt.IsZero():
+	case len(sh.flying) > 0 || sh.asking || sh.parked || !sh.pickAt.IsZero():
 		return open
 	default:
 		return dead
--- a/internal/gather/send.go
+++ b/internal/gather/send.go
@@ -29,6 +29,8 @@
 	maxHedgeTries = 3
 	// hedgePolls is how often in a quantile a hedge that is due asks for a token.
 	hedgePolls = 4
+	// maxPilots is the most shards asked again while every reply names an unknown map.
+	maxPilots = 2
 	// maxAttempts is the most attempts of one shard in one search.
 	maxAttempts = 1 + 1 + retry.PerShard + maxReasks
 )
