Hold an unserved request not against its upstream

Cause: an upstream that no longer holds a shard answers 404, which marked it suspect and cut its limit while partition maps changed. Change: a 4xx to a search leaves speed and limit as they are; hedge refusals have an error and a metric label of their own. Ruled out: taking it for an answer, since its latency says nothing on a search.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -329,6 +329,9 @@
 	ErrDraining = errors.New("upstream: every replica is draining")
 	// ErrNoShare: this VM holds no connection to any upstream left to try.
 	ErrNoShare = errors.New("upstream: no connection share")
+	// ErrUnfit: every upstream left to try is suspect, sheds or queues, so that no
+	// hedge may go there.
+	ErrUnfit = errors.New("upstream: no replica fit for a hedge")
 	// ErrLimited: every upstream left to try is at its concurrency limit.
 	ErrLimited = errors.New("upstream: every replica is at its limit")
 )
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -46,15 +46,23 @@
 	now := c.o.Now()
 	r.Address = s.address
 	r.Latency = now - t.pickedAt
-	learned := r.Class
-	if errors.Is(r.Err, errConnect) {
-		learned = failedConnect
-	}
-	s.learn(now, learned, now-sentAt, r.Latency, r.RetryAfter)
+	s.learn(now, learnedClass(&r), now-sentAt, r.Latency, r.RetryAfter)
 	t.metrics.count(r.Class, r.Latency)
 	return r
 }
 
+// learnedClass returns the class by which the replica is judged.
+func learnedClass(r *Result) Class {
+	switch {
+	case errors.Is(r.Err, errConnect):
+		return failedConnect
+	case r.Class == Failed && r.Status/100 == 4:
+		return refused
+	default:
+		return r.Class
+	}
+}
+
 // attempt renews the lease where needed, takes a connection and sends. It also
 // returns when it sent, where it did.
 func (c *Client) attempt(ctx context.Context, s *server, a *Attempt) (r Result, sentAt time.Duration) {
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -62,6 +62,8 @@
 		reason = "draining"
 	case errors.Is(err, ErrLimited):
 		reason = "limited"
+	case errors.Is(err, ErrUnfit):
+		reason = "unfit"
 	case errors.Is(err, ErrNoShare):
 		reason = "no_share"
 	}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -18,6 +18,23 @@
 	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
 )
 
+var _ = Describe("Learning", func() {
+	It("holds no request that an upstream does not serve against it", func() {
+		f := newFake()
+		m := model(entry(f.address()))
+		c := newClient(Options{}, m)
+		f.answer(func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "shard not held", http.StatusNotFound) })
+		before := c.States()[0].Limit
+		Expect(try(context.Background(), c, m, search()).Class).To(Equal(Failed))
+		Expect(c.States()[0]).To(And(HaveField("Suspect", false), HaveField("Limit", before), HaveField("Outstanding", 0)))
+		f.answer(func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "broken", http.StatusInternalServerError) })
+		Expect(try(context.Background(), c, m, search()).Class).To(Equal(Failed))
+		Expect(c.States()[0].Suspect).To(BeTrue())
+		_, err := c.Pick(m.Workloads[wlSearch], "s0", nil, true)
+		Expect(err).To(MatchError(ErrUnfit))
+	})
+})
+
 var _ = Describe("Connections", func() {
 	var f *fake
 	var m *manifest.Manifest
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -76,7 +76,7 @@
 	}
 	suspect := s.speed.Suspect() || s.lease.Doubted()
 	if hedge && (suspect || s.speed.Shedding(now) || s.speed.Queueing(now)) {
-		return offer{refusal: ErrLimited}
+		return offer{refusal: ErrUnfit}
 	}
 	cost := s.speed.Cost(now, max(s.entry.Slots, 1), s.sameZone)
 	if rules.drain && s.lease.Verdict(now) == drain.Expired {
@@ -103,8 +103,14 @@
 	s.speed.Outstanding--
 }
 
-// failedConnect is the class of an attempt that got no connection, for learning only.
-const failedConnect Class = -1
+// Classes for learning only.
+const (
+	// failedConnect: the attempt got no connection.
+	failedConnect Class = -1 - iota
+	// refused: the upstream is well but does not serve the request, as one that
+	// does not hold the shard any more.
+	refused
+)
 
 // learn returns the slot and records what became of an attempt: latency counts from
 // the first byte, whole from the picking of the replica.
@@ -130,7 +136,7 @@
 	case Canceled:
 		s.censored(now, whole)
 		s.speed.Unanswered(now, latency)
-	case NotSent:
+	case NotSent, refused:
 	}
 }
 
