Let callers ask again in an overload, and compare the answers to one key

Cause: an overload without resends cannot show whether it lasts after its cause. Change: searches of the overload are sent up to three times, each under a nonce of its own; different answers to one key count as a violation; the idle experiment reads no status, which cost more than what it measured.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -118,6 +118,13 @@
 			[]Seen{ordered(now.Add(-10*time.Millisecond), caller.OutcomeUnknown), ordered(now, caller.OutcomeNotRun)}, ran(now.Add(time.Second))),
 	)
 
+	It("counts answers to one key that differ", func() {
+		a, b := ordered(now, caller.OutcomeAnswered), ordered(now, caller.OutcomeAnswered)
+		b.Reply.Result = `{"nonce":"n1","run":"2"}`
+		got := check(Evidence{Seen: []Seen{a, b}, Log: standin.Log{Runs: []standin.Run{ran(now)}}})
+		Expect(got).To(Equal(map[Kind]int{AnswersDiffer: 1}))
+	})
+
 	It("counts a request cut off at a planned stop, but not one lost to a kill", func() {
 		s := answered(d)
 		s.Reply = nil
--- a/internal/bench/check.go
+++ b/internal/bench/check.go
@@ -25,6 +25,7 @@
 	NotRunButRan     Kind = "not_run_but_ran"
 	AnsweredNotRun   Kind = "answered_but_not_run"
 	RanTwice         Kind = "ran_twice"
+	AnswersDiffer    Kind = "answers_differ"
 	WorkAfterDrain   Kind = "work_after_drain"
 	ConnectionLimit  Kind = "connection_limit"
 	CutOff           Kind = "cut_off"
@@ -111,6 +112,7 @@
 		c.one(&e.Seen[i])
 	}
 	c.keys()
+	c.answers()
 	c.upstreams()
 	c.manifests()
 	return c.v
--- a/internal/bench/check_runs.go
+++ b/internal/bench/check_runs.go
@@ -44,6 +44,22 @@
 	}
 }
 
+// answers checks that every answer to a key is the same.
+func (c *checker) answers() {
+	for key, tries := range c.tries {
+		first := ""
+		for _, s := range tries {
+			if !answeredBy(&s) || s.Reply.Result == first {
+				continue
+			}
+			if first != "" {
+				c.v.add(AnswersDiffer, 1, "key %s: %q and %q", key, first, s.Reply.Result)
+			}
+			first = s.Reply.Result
+		}
+	}
+}
+
 // notRun checks a refusal against the runs of its key: a run is consistent with it
 // only where a later attempt was sent after the refusal and before the run.
 func (c *checker) notRun(refusal Seen, runs []standin.Run) {
--- a/internal/bench/experiments.go
+++ b/internal/bench/experiments.go
@@ -16,6 +16,8 @@
 	Streams func(deployment string) []Stream
 	// Alone leaves the usual load out.
 	Alone bool
+	// Quiet leaves the VMs' status unread, since reading it costs them.
+	Quiet bool
 	// Script acts on the cluster while the load runs; nil for none.
 	Script func(ctx context.Context, s *stage, rng *rand.Rand, d time.Duration) error
 }
@@ -59,10 +61,10 @@
 // Experiments lists all experiments.
 func Experiments() []Experiment {
 	return []Experiment{
-		{Name: "idle", About: "no load, no fault: what control costs", Alone: true},
+		{Name: "idle", About: "no load, no fault: what control costs", Alone: true, Quiet: true},
 		{Name: "steady", About: "ordinary load, no fault"},
 		{Name: "straggler", About: "1 in 100 sub-requests takes 20 times as long, one replica always 10 times", Script: straggler},
-		{Name: "overload", About: "twice the capacity for the middle half of the time", Alone: true, Script: overload, Streams: overloadStreams},
+		{Name: "overload", About: "twice the capacity for the middle half of the time; callers ask again", Alone: true, Script: overload, Streams: overloadStreams},
 		{Name: "drain", About: "replicas leave in turn; their health endpoints lie", Script: drain},
 		{Name: "partition", About: "half of the VMs lose the others and the platform, while the manifest changes", Script: partition},
 		{Name: "rolling-restart", About: "each VM in turn is stopped as planned and replaced", Script: rollingRestart},
@@ -103,8 +105,8 @@
 func overloadStreams(deployment string) []Stream {
 	l := leadsOf(deployment)
 	return []Stream{
-		{Caller: l.first, Workload: l.search, Rate: 60},
-		{Caller: l.second, Workload: l.search, Rate: 40},
+		{Caller: l.first, Workload: l.search, Rate: 60, Again: true},
+		{Caller: l.second, Workload: l.search, Rate: 40, Again: true},
 	}
 }
 
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 	Rate float64
 	// Crash makes each request crash the upstream that runs it.
 	Crash bool
+	// Again makes the caller ask again where a search was not answered.
+	Again bool
 	// Twice sends each request through two VMs at the same time.
 	Twice bool
 }
@@ -29,6 +32,7 @@
 const (
 	maxOutstanding = 4096
 	maxAttempts    = 6
+	searchAttempts = 3
 	resendLimit    = time.Second
 	resendLeast    = 100 * time.Millisecond
 	searchLimit    = 10
@@ -87,7 +91,7 @@
 		at := due
 		l.wg.Go(func() {
 			defer func() { <-l.room }()
-			l.resend(r, at, s.Twice)
+			l.resend(r, at, s)
 		})
 	}
 }
@@ -143,18 +147,29 @@
 	panic(fmt.Sprintf("bench: no grant of %s for %s", workload, who))
 }
 
-// resend sends a request, and a keyed or crashing one again until it has an answer.
-func (l *load) resend(r Request, due time.Time, twice bool) {
+// attempts is how often a caller of the stream sends a request without an answer.
+func (s Stream) attempts(r Request) int {
+	switch {
+	case r.Key != "" || s.Crash:
+		return maxAttempts
+	case s.Again:
+		return searchAttempts
+	}
+	return 1
+}
+
+// resend sends a request, and again while it has no answer and its caller goes on.
+func (l *load) resend(r Request, due time.Time, st Stream) {
 	if r.Key == newKey {
 		r.Key = uuid.Must(uuid.NewV7()).String()
 	}
-	again := r.Key != "" || containsCrash(r)
-	if twice {
-		l.wg.Go(func() { l.attempt(r, due) })
+	if st.Twice {
+		at := due
+		l.wg.Go(func() { l.attempt(r, at) })
 	}
-	for range maxAttempts {
+	for n := st.attempts(r); n > 0; n-- {
 		s := l.attempt(r, due)
-		if !again || done(s) {
+		if done(s) || n == 1 {
 			return
 		}
 		wait := resendLeast
@@ -163,9 +178,21 @@
 		}
 		time.Sleep(min(wait, resendLimit))
 		due = time.Now()
+		if st.Again {
+			r = r.renewed()
+		}
 	}
 }
 
+// renewed is the same search under a fresh nonce, so that the runs of each attempt can
+// be told apart.
+func (r Request) renewed() Request {
+	n := nonce()
+	r.Query = strings.Replace(r.Query, nonceWord(r.Nonce), nonceWord(n), 1)
+	r.Nonce = n
+	return r
+}
+
 func containsCrash(r Request) bool { return crashWord(r) != "" }
 
 func done(s Seen) bool {
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -110,6 +110,9 @@
 	begin := time.Now()
 	loading.Go(func() { l.run(loadCtx, streams) })
 	for _, vm := range s.VMs {
+		if e.Quiet {
+			break
+		}
 		sampling.Go(func() { s.sample(sampleCtx, vm) })
 	}
 	err := s.script(ctx, e, o)
