--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -25,9 +25,12 @@
 	pingInterval = time.Second
 	pingTimeout  = 1500 * time.Millisecond
 	silenceLimit = 3 * time.Second
-	// digestRate bounds the digests of one peer that are answered.
+	// digestRate and spreadRate bound the digests and spreads of one peer that are
+	// answered.
 	digestRate  = rate.Limit(4)
 	digestBurst = 4
+	spreadRate  = rate.Limit(100)
+	spreadBurst = 200
 )
 
 // Reasons why a connection ends, as counted.
@@ -60,6 +63,7 @@
 	peer   string
 	inc    string
 	dialed bool
+	since  time.Duration
 
 	out      chan []byte
 	outBytes atomic.Int64
@@ -68,6 +72,7 @@
 	bytes    *rate.Limiter
 	gossip   *rate.Limiter
 	digests  *rate.Limiter
+	spreads  *rate.Limiter
 	done     chan struct{}
 	once     sync.Once
 
@@ -84,13 +89,14 @@
 
 func newConn(n *Node, s socket, h *gen.Hello, dialed bool) *conn {
 	c := &conn{
-		node: n, ws: s.Conn, lastPing: s.lastPing, peer: h.Name, inc: h.Incarnation, dialed: dialed,
+		node: n, ws: s.Conn, lastPing: s.lastPing, peer: h.Name, inc: h.Incarnation, dialed: dialed, since: n.now(),
 		out:      make(chan []byte, queueMessages),
 		slots:    make(chan struct{}, maxHandling),
 		messages: n.limits.Messages.limiter(),
 		bytes:    n.limits.Bytes.limiter(),
 		gossip:   n.limits.Gossip.limiter(),
 		digests:  rate.NewLimiter(digestRate, digestBurst),
+		spreads:  rate.NewLimiter(spreadRate, spreadBurst),
 		done:     make(chan struct{}),
 		pending:  map[int]chan *gen.Message{},
 		next:     2,
@@ -285,6 +291,8 @@
 		c.node.repair(c, m.Digest)
 	case m.Facts != nil && m.Id == 0:
 		c.node.learn(c.peer, m.Facts)
+	case m.Facts != nil && !c.spreads.Allow():
+		c.node.metrics.dropped.WithLabelValues("spread").Inc()
 	default:
 		c.handle(ctx, m)
 	}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -75,7 +75,6 @@
 
 	base   context.Context
 	cancel context.CancelFunc
-	conns  sync.WaitGroup
 
 	table     table
 	penalties penalties
@@ -268,7 +267,8 @@
 	n.running.Store(true)
 	wg.Go(func() { n.watchClock(ctx) })
 	wg.Go(func() { n.keepNeighbours(ctx) })
-	wg.Go(func() { n.pushLoop(ctx) })
+	wg.Go(func() { n.pushLoop(ctx, &n.gossip.urgent) })
+	wg.Go(func() { n.pushLoop(ctx, &n.gossip.calm) })
 	wg.Go(func() { n.digestLoop(ctx) })
 	<-ctx.Done()
 	wg.Wait()
@@ -281,5 +281,5 @@
 	for _, c := range n.table.shut() {
 		c.close(cutStop)
 	}
-	n.conns.Wait()
+	n.table.serving.Wait()
 }
--- a/internal/policy/replica/replica.go
+++ b/internal/policy/replica/replica.go
@@ -12,8 +12,12 @@
 const (
 	// latencyWindow is the time after which a latency sample has lost most of its weight.
 	latencyWindow = 2 * time.Second
-	// leastWeight is the least weight of a new latency sample.
+	// leastWeight and mostWeight bound the weight of a new latency sample.
 	leastWeight = 0.1
+	mostWeight  = 0.3
+	// censoredFactor is the ratio of the latency expected of an attempt that was
+	// given up to the time it had taken by then.
+	censoredFactor = 2
 	// forgetAfter is the time without samples in which the latency estimate halves.
 	forgetAfter = 5 * time.Second
 	// unknownLatency is assumed of a replica without samples.
@@ -22,6 +26,8 @@
 	loadAge = 500 * time.Millisecond
 	// loadWeight is the weight of a fresh reported load against an own outstanding request.
 	loadWeight = 0.5
+	// queueLoad is the reported load from which a replica counts as queueing.
+	queueLoad = 1.25
 	// otherZone is the cost of leaving the VM's own availability zone, besides the
 	// latency, which is measured.
 	otherZone = time.Millisecond
@@ -45,16 +51,16 @@
 type State struct {
 	Outstanding int
 
-	since     time.Duration
-	sampled   bool
-	latency   float64 // estimate at sampledAt, in nanoseconds
-	sampledAt time.Duration
-	load      float64
-	loadAt    time.Duration
-	failures  int
-	suspect   bool
-	probeAt   time.Duration
-	shedUntil time.Duration
+	since      time.Duration
+	sampled    bool
+	logLatency float64 // estimate at sampledAt: logarithm of nanoseconds
+	sampledAt  time.Duration
+	load       float64
+	loadAt     time.Duration
+	failures   int
+	suspect    bool
+	probeAt    time.Duration
+	shedUntil  time.Duration
 }
 
 // New returns the state of a replica first seen at now. A replica that was there
@@ -87,7 +93,7 @@
 // latency would have been longer. It only raises the estimate.
 func (s *State) Unanswered(now, waited time.Duration) {
 	if float64(waited) > s.Latency(now) {
-		s.sample(now, waited)
+		s.sample(now, censoredFactor*waited)
 	}
 }
 
@@ -120,13 +126,16 @@
 // Shedding reports whether the replica shed lately.
 func (s *State) Shedding(now time.Duration) bool { return now < s.shedUntil }
 
+// Queueing reports whether the replica said lately that more than its slots are taken.
+func (s *State) Queueing(now time.Duration) bool { return s.freshLoad(now) > queueLoad }
+
 // Latency returns the latency expected at now, in nanoseconds.
 func (s *State) Latency(now time.Duration) float64 {
 	if !s.sampled {
 		return float64(unknownLatency)
 	}
 	idle := float64(now-s.sampledAt) / float64(forgetAfter)
-	return s.latency * math.Exp2(-idle)
+	return math.Exp(s.logLatency) * math.Exp2(-idle)
 }
 
 // Cost returns the expected cost of one more attempt at now, in nanoseconds; slots
@@ -152,14 +161,16 @@
 	return s.load * max(left, 0)
 }
 
-// sample moves the latency estimate; the longer ago the last sample, the more a new one counts.
+// sample moves the latency estimate; the longer ago the last sample, the more a
+// new one counts. It is a geometric mean, which one straggler moves little while a
+// replica that is always slow shows after a few samples.
 func (s *State) sample(now, latency time.Duration) {
 	weight := 1.0
 	if s.sampled {
 		gap := float64(now-s.sampledAt) / float64(latencyWindow)
-		weight = max(leastWeight, 1-math.Exp(-gap))
+		weight = min(max(leastWeight, 1-math.Exp(-gap)), mostWeight)
 	}
-	s.latency += weight * (float64(latency) - s.latency)
+	s.logLatency += weight * (math.Log(float64(max(latency, 1))) - s.logLatency)
 	s.sampled, s.sampledAt = true, now
 }
 
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -75,7 +75,7 @@
 		return offer{}
 	}
 	suspect := s.speed.Suspect() || s.lease.Doubted()
-	if hedge && (suspect || s.speed.Shedding(now)) {
+	if hedge && (suspect || s.speed.Shedding(now) || s.speed.Queueing(now)) {
 		return offer{refusal: ErrLimited}
 	}
 	cost := s.speed.Cost(now, max(s.entry.Slots, 1), s.sameZone)
@@ -106,8 +106,9 @@
 // failedConnect is the class of an attempt that got no connection, for learning only.
 const failedConnect Class = -1
 
-// learn returns the slot and records what became of an attempt.
-func (s *server) learn(now time.Duration, class Class, latency, retryAfter time.Duration) {
+// learn returns the slot and records what became of an attempt: latency counts from
+// the first byte, whole from the picking of the replica.
+func (s *server) learn(now time.Duration, class Class, latency, whole, retryAfter time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	inFlight := s.speed.Outstanding
@@ -116,7 +117,7 @@
 	case OK:
 		s.speed.Answered(now, latency)
 		s.limit.Done(now, latency, inFlight, queueFactor*int(s.pool.share.Load()))
-		s.latencies.add(now, latency)
+		s.latencies.add(now, whole)
 	case Shed:
 		s.speed.Shed(now, retryAfter)
 		s.limit.Shed(now)
@@ -124,10 +125,10 @@
 		s.speed.Failed(now)
 		s.limit.Lost(now)
 	case TimedOut:
-		s.censored(now, latency)
+		s.censored(now, whole)
 		s.timedOut(now, latency)
 	case Canceled:
-		s.censored(now, latency)
+		s.censored(now, whole)
 		s.speed.Unanswered(now, latency)
 	case NotSent:
 	}
@@ -140,7 +141,7 @@
 // censored counts an attempt given up after waited as a latency, for it would have
 // taken longer. One given up early says nothing on the tail. The lock is held.
 func (s *server) censored(now, waited time.Duration) {
-	if float64(waited) > s.speed.Latency(now) {
+	if waited > s.latencies.median(now) {
 		s.latencies.add(now, waited)
 	}
 }
