Merge the best documents from sorted parts

Cause: Top sorted every document of every part, 3200 at fan-out 320, for ten. Change: a heap over the parts, each best first (sorted where it is not), until the limit is reached. BenchmarkGather asks for complete answers: on a busy machine a partial one was given early and failed the benchmark once. Ruled out: a bounded insertion list, which needs another way for large limits.

--- a/internal/gather/bench_test.go
+++ b/internal/gather/bench_test.go
@@ -44,7 +44,7 @@
 				up.docs = append(up.docs, gen.Document{Id: fmt.Sprint(i), Score: float64(-i)})
 			}
 			e := gather.New(gather.Options{Upstream: gather.From(up)})
-			s := search(w, partial, 0, time.Hour)
+			s := search(w, complete, 0, time.Hour)
 			b.ReportAllocs()
 			for b.Loop() {
 				if out := e.Search(context.Background(), s); !out.Coverage.Complete {
--- a/internal/policy/coverage/top.go
+++ b/internal/policy/coverage/top.go
@@ -16,43 +16,76 @@
 	if s == nil || limit <= 0 {
 		return []caller.Document{}
 	}
-	all := s.all()
-	slices.SortFunc(all, func(a, b *upstream.Document) int {
-		if c := cmp.Compare(b.Score, a.Score); c != 0 {
-			return c
+	h, n := s.lists()
+	size := min(limit, n)
+	top := make([]caller.Document, 0, size)
+	taken := make(map[string]struct{}, size)
+	for len(h) > 0 && len(top) < limit {
+		d := &h[0][0]
+		if _, twice := taken[d.Id]; !twice {
+			taken[d.Id] = struct{}{}
+			top = append(top, caller.Document{Id: d.Id, Score: d.Score, Body: d.Body})
 		}
-		return cmp.Compare(a.Id, b.Id)
-	})
-	return firstUnique(all, limit)
+		h = h.pop()
+	}
+	return top
 }
 
-func (s *set) all() []*upstream.Document {
-	n := 0
-	for _, p := range s.parts {
-		n += len(p.Documents)
-	}
-	all := make([]*upstream.Document, 0, n)
+// lists returns a heap of each part's documents, best first, and how many there are.
+func (s *set) lists() (h lists, n int) {
+	h = make(lists, 0, len(s.parts))
 	for _, p := range s.parts {
-		for i := range p.Documents {
-			all = append(all, &p.Documents[i])
+		docs := p.Documents
+		if len(docs) == 0 {
+			continue
+		}
+		if !slices.IsSortedFunc(docs, compareDocuments) {
+			docs = slices.SortedFunc(slices.Values(docs), compareDocuments)
 		}
+		h = append(h, docs)
+		n += len(docs)
 	}
-	return all
+	for i := len(h)/2 - 1; i >= 0; i-- {
+		h.sink(i)
+	}
+	return h, n
 }
 
-func firstUnique(sorted []*upstream.Document, limit int) []caller.Document {
-	size := min(limit, len(sorted))
-	top := make([]caller.Document, 0, size)
-	taken := make(map[string]struct{}, size)
-	for _, d := range sorted {
-		if len(top) == limit {
-			break
+// lists is a heap of non-empty lists of documents; the best first document is on top.
+type lists [][]upstream.Document
+
+// pop drops the best document.
+func (h lists) pop() lists {
+	if h[0] = h[0][1:]; len(h[0]) == 0 {
+		last := len(h) - 1
+		h[0] = h[last]
+		h = h[:last]
+	}
+	h.sink(0)
+	return h
+}
+
+// sink moves the list at i down to its place.
+func (h lists) sink(i int) {
+	for {
+		least := i
+		for c := 2*i + 1; c <= 2*i+2 && c < len(h); c++ {
+			if compareDocuments(h[c][0], h[least][0]) < 0 {
+				least = c
+			}
 		}
-		if _, twice := taken[d.Id]; twice {
-			continue
+		if least == i {
+			return
 		}
-		taken[d.Id] = struct{}{}
-		top = append(top, caller.Document{Id: d.Id, Score: d.Score, Body: d.Body})
+		h[i], h[least] = h[least], h[i]
+		i = least
 	}
-	return top
+}
+
+// compareDocuments orders documents best first, by id where scores are equal.
+func compareDocuments(a, b upstream.Document) int {
+	if c := cmp.Compare(b.Score, a.Score); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Id, b.Id)
 }
