--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -223,6 +223,8 @@
 	p.s.sample.Shed += l.Shed
 	if l.Good {
 		p.s.sample.Finished++
+	} else {
+		p.s.sample.Failed++
 	}
 }
 
