Test the callers' interface against bad input; run the slopes' suite once

Cause: no test showed that bad input touches no upstream; two suites stood in slopes. Change: 15 kinds of bad input, deadlines, rates, orders shed, stopping. Ruled out: nothing. Conclusion: one TestSlopes is left.

--- /dev/null
+++ b/internal/callers/callers_test.go
@@ -0,0 +1,190 @@
+package callers_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinespindle/sardinespindle/internal/admission"
+	"github.com/sardinespindle/sardinespindle/internal/callers"
+	"github.com/sardinespindle/sardinespindle/internal/gather"
+	"github.com/sardinespindle/sardinespindle/internal/manifest"
+	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/single"
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
+)
+
+func TestCallers(t *testing.T) { testkit.Run(t, "callers") }
+
+// engine counts what would have reached an upstream.
+type engine struct {
+	calls    int
+	deadline time.Time
+	next     outcome.Outcome
+}
+
+func (e *engine) Search(_ context.Context, s gather.Search) outcome.Outcome {
+	e.calls++
+	e.deadline = s.Deadline
+	return e.next
+}
+
+func (e *engine) Run(context.Context, single.Request) outcome.Outcome {
+	e.calls++
+	return e.next
+}
+
+func digest(token string) gen.Digest {
+	sum := sha256.Sum256([]byte(token))
+	return gen.Digest(hex.EncodeToString(sum[:]))
+}
+
+func declared(callerRate float64) *manifest.Manifest {
+	search := &manifest.Workload{Workload: gen.Workload{Name: "parts", Kind: gen.WorkloadKindSharded, Idempotent: true, MaxBodyBytes: 65536}}
+	orders := &manifest.Workload{Workload: gen.Workload{Name: "orders", Kind: gen.WorkloadKindSingle, MaxBodyBytes: 64, ResendWindowMs: 1000}}
+	c := &manifest.Caller{Caller: gen.Caller{Name: "builders", TokenSha256: digest("secret")}, ByWorkload: map[string]*gen.Grant{
+		"parts":  {Workload: "parts", DeadlineMs: 200, Trade: gen.GrantTradePartial, Rate: callerRate},
+		"orders": {Workload: "orders", DeadlineMs: 200, Trade: gen.GrantTradeComplete, Rate: callerRate},
+	}}
+	other := &manifest.Caller{Caller: gen.Caller{Name: "strangers", TokenSha256: digest("other")}, ByWorkload: map[string]*gen.Grant{}}
+	return &manifest.Manifest{
+		Generation: 3,
+		Workloads:  map[string]*manifest.Workload{"parts": search, "orders": orders},
+		Callers:    map[string]*manifest.Caller{string(digest("secret")): c, string(digest("other")): other},
+	}
+}
+
+// vm is a callers' interface over a counting engine.
+type vm struct {
+	*httptest.Server
+	engine *engine
+	server *callers.Server
+}
+
+func newVM(m *manifest.Manifest) *vm {
+	v := &vm{engine: &engine{next: outcome.Outcome{Kind: caller.OutcomeAnswered}}}
+	a := admission.New(admission.Options{VMs: func() int { return 1 }})
+	if m != nil {
+		a.Apply(m)
+	}
+	v.server = callers.New(callers.Options{
+		Manifest: func() *manifest.Manifest { return m }, Searcher: v.engine, Runner: v.engine,
+		Admission: a, Log: log.New(io.Discard),
+	})
+	v.Server = httptest.NewServer(v.server.Handler())
+	DeferCleanup(v.Close)
+	return v
+}
+
+// post sends a request and returns its reply; headers come in pairs.
+func (v *vm) post(path, body string, headers ...string) (*http.Response, caller.Reply) {
+	req, err := http.NewRequest(http.MethodPost, v.URL+"/v1/workloads/"+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer secret")
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	var r caller.Reply
+	Expect(json.NewDecoder(resp.Body).Decode(&r)).To(Succeed())
+	return resp, r
+}
+
+var _ = Describe("bad input", func() {
+	key := uuid.Must(uuid.NewV7()).String()
+	DescribeTable("is rejected with a reason and touches no upstream",
+		func(path, body string, status int, reason outcome.Reason, headers ...string) {
+			v := newVM(declared(0))
+			resp, r := v.post(path, body, headers...)
+			Expect(resp.StatusCode).To(Equal(status), r.Detail)
+			Expect(r.Outcome).To(Equal(caller.OutcomeRejected))
+			Expect(r.Reason).To(BeEquivalentTo(reason))
+			Expect(v.engine.calls).To(BeZero())
+		},
+		Entry("no JSON", "parts/search", `{"query":`, 400, outcome.BadRequest),
+		Entry("unknown key", "parts/search", `{"query":"x","colour":1}`, 400, outcome.BadRequest),
+		Entry("limit out of bounds", "parts/search", `{"query":"x","limit":0}`, 400, outcome.BadRequest),
+		Entry("two values", "parts/search", `{"query":"x"}{"query":"y"}`, 400, outcome.BadRequest),
+		Entry("too large", "orders/requests", strings.Repeat("x", 65), 413, outcome.TooLarge, "Idempotency-Key", key),
+		Entry("unknown workload", "nothing/search", `{"query":"x"}`, 404, outcome.UnknownWorkload),
+		Entry("search of a single workload", "orders/search", `{"query":"x"}`, 400, outcome.BadRequest),
+		Entry("no token", "parts/search", `{"query":"x"}`, 401, outcome.Unauthorized, "Authorization", ""),
+		Entry("unknown token", "parts/search", `{"query":"x"}`, 401, outcome.Unauthorized, "Authorization", "Bearer guess"),
+		Entry("no grant", "parts/search", `{"query":"x"}`, 403, outcome.Forbidden, "Authorization", "Bearer other"),
+		Entry("deadline in words", "parts/search", `{"query":"x"}`, 400, outcome.BadRequest, "Spindle-Deadline-Ms", "soon"),
+		Entry("deadline of nothing", "parts/search", `{"query":"x"}`, 400, outcome.BadRequest, "Spindle-Deadline-Ms", "0"),
+		Entry("order without key", "orders/requests", `{}`, 400, outcome.MissingKey),
+		Entry("order with a random key", "orders/requests", `{}`, 400, outcome.BadKey, "Idempotency-Key", uuid.NewString()),
+		Entry("order with an endless key", "orders/requests", `{}`, 400, outcome.BadKey, "Idempotency-Key", strings.Repeat("k", 4000)),
+	)
+})
+
+var _ = Describe("a caller", func() {
+	It("can ask for less time than granted, and not for more", func() {
+		v := newVM(declared(0))
+		v.post("parts/search", `{"query":"x"}`, "Spindle-Deadline-Ms", "50")
+		Expect(time.Until(v.engine.deadline)).To(BeNumerically("<=", 50*time.Millisecond))
+		v.post("parts/search", `{"query":"x"}`, "Spindle-Deadline-Ms", "999999")
+		Expect(time.Until(v.engine.deadline)).To(BeNumerically("<=", 200*time.Millisecond))
+	})
+
+	It("is told at once when to come back where its rate is used up", func() {
+		v := newVM(declared(1))
+		v.post("parts/search", `{"query":"x"}`)
+		begin := time.Now()
+		resp, r := v.post("parts/search", `{"query":"x"}`)
+		Expect(time.Since(begin)).To(BeNumerically("<", 100*time.Millisecond))
+		Expect(resp.StatusCode).To(Equal(http.StatusTooManyRequests))
+		Expect(r.Outcome).To(Equal(caller.OutcomeNotRun))
+		Expect(r.RetryAfterMs).To(BeNumerically(">", 0))
+		seconds, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(seconds * 1000).To(BeNumerically(">=", r.RetryAfterMs))
+		Expect(v.engine.calls).To(Equal(1))
+	})
+
+	It("is never told not_run of an order that another VM may have taken", func() {
+		v := newVM(declared(1))
+		key := uuid.Must(uuid.NewV7()).String()
+		v.post("orders/requests", `{}`, "Idempotency-Key", key)
+		_, r := v.post("orders/requests", `{}`, "Idempotency-Key", key)
+		Expect(r.Outcome).To(Equal(caller.OutcomeUnknown))
+		_, r = v.post("orders/requests", `{}`, "Idempotency-Key", uuid.Must(uuid.NewV7()).String(), "Spindle-First-Attempt", "true")
+		Expect(r.Outcome).To(Equal(caller.OutcomeNotRun))
+	})
+
+	It("gets an outcome also before the first manifest", func() {
+		_, r := newVM(nil).post("parts/search", `{"query":"x"}`)
+		Expect(r.Outcome).To(Equal(caller.OutcomeNotRun))
+		Expect(r.Reason).To(BeEquivalentTo(outcome.NoManifest))
+	})
+
+	It("is served while the VM is stopping, and told to leave", func() {
+		v := newVM(declared(0))
+		v.server.Stop()
+		resp, r := v.post("parts/search", `{"query":"x"}`)
+		Expect(r.Outcome).To(Equal(caller.OutcomeAnswered))
+		Expect(resp.Close).To(BeTrue())
+		health, err := http.Get(v.URL + "/v1/health")
+		Expect(err).NotTo(HaveOccurred())
+		defer health.Body.Close()
+		Expect(health.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	})
+})
--- a/internal/slopes/claims.go
+++ b/internal/slopes/claims.go
@@ -1,5 +1,3 @@
-// Package slopes measures how the cost of a mechanism grows with the fleet, for
-// the page on capacity. It runs everything in one process and holds no state.
 package slopes
 
 import (
--- a/internal/slopes/claims_test.go
+++ b/internal/slopes/claims_test.go
@@ -2,17 +2,12 @@
 
 import (
 	"fmt"
-	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-
-	"github.com/sardinespindle/sardinespindle/internal/testkit"
 )
 
-func TestSlopes(t *testing.T) { testkit.Run(t, "slopes") }
-
 var _ = Describe("Claims", func() {
 	It("costs messages in proportion to the fleet", func() {
 		for _, n := range []int{5, 10, 20, 50, 100, 200} {
