Let newcomers vote on keys only once a quorum counts them

Cause: a cut with the platform on one side: the platform replaces the VMs of the other side, whose list is stale. Both sides then hold a majority of what they know, and a fresh key runs twice. The starting rule, floor((n+d)/2)+1 of the VMs listed, bounds d by the list's lag, which no one bounds. Change: a process votes after a quorum of voters has acknowledged it (peer.Join), on keys born after that; votes carry the names that the guard counts, and a claimant needs more than half of their union; a VM gone without a word counts for an hour, one that says that it leaves (Claims.Leave) no longer; a guard whose list is older than 55 minutes votes no more. Drift falls from 2 to 1. Ruled out: counting the VMs listed lately: it accepted both sides of such a cut. Counts in place of names: guards may know different newcomers.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -26,8 +26,10 @@
 	// viewLimit bounds the VMs remembered.
 	viewLimit = 1 << 16
 	// viewKeep is the longest resend window of a manifest, and the list's lag.
-	viewKeep     = 24*time.Hour + 10*time.Minute
+	viewKeep     = 26 * time.Hour
 	observeEvery = time.Second
+	// joinEvery is the pause between two rounds of admission.
+	joinEvery = 200 * time.Millisecond
 	// lookupLimit bounds the lookups that wait at the same time.
 	lookupLimit = 1024
 )
@@ -46,6 +48,9 @@
 	// Roster returns every VM that may run: listed live, listed leaving, and heard
 	// of from peers. Empty while nothing is known.
 	Roster func() []Member
+	// ListAge returns the age of the newest VM list that this VM knows of, by a
+	// clock that runs through a freeze; nil for always fresh.
+	ListAge func() time.Duration
 	// Generation returns the manifest generation in force.
 	Generation func() int
 	Mechanisms mechanism.Set
@@ -69,7 +74,11 @@
 	attempt atomic.Uint64
 	waiting atomic.Int64
 	pushing atomic.Int64
-	metrics metrics
+	// admitted says that this VM votes; left says that it votes no more.
+	admitted atomic.Bool
+	left     atomic.Bool
+	started  time.Duration
+	metrics  metrics
 }
 
 // shard holds the guard's memory of a part of the keys, and this VM's own holds.
@@ -90,10 +99,13 @@
 	if o.Boot == nil {
 		o.Boot = clock.Boot
 	}
+	if o.ListAge == nil {
+		o.ListAge = func() time.Duration { return 0 }
+	}
 	if o.Log == nil {
 		o.Log = log.Default()
 	}
-	c := &Claims{o: o, view: once.NewView(viewLimit)}
+	c := &Claims{o: o, view: once.NewView(o.Params, viewLimit), started: o.Boot()}
 	for i := range c.shards {
 		c.shards[i].guard = once.NewGuard(o.Params, wall(o.Started))
 		c.shards[i].live = make(map[string]*Hold)
@@ -102,8 +114,14 @@
 	return c
 }
 
-// Run keeps the record of VMs seen and forgets expired keys until ctx ends.
+// Run makes this VM a voter, keeps the record of VMs seen and forgets expired
+// keys until ctx ends.
 func (c *Claims) Run(ctx context.Context) {
+	for !c.join(ctx) {
+		if !sleep(ctx, joinEvery) {
+			return
+		}
+	}
 	tick := time.NewTicker(observeEvery)
 	defer tick.Stop()
 	for {
@@ -149,19 +167,32 @@
 	return names
 }
 
-// members returns how many VMs may have voted on a key born at the given time.
-func (c *Claims) members(born time.Time) (int, bool) {
-	now := c.now()
+// members returns the VMs that may vote, or may have voted, on a key born at the
+// given time.
+func (c *Claims) members(born time.Time) ([]string, bool) {
+	c.refresh()
 	c.viewMu.Lock()
-	fresh := now.Sub(c.seen) < observeEvery
+	defer c.viewMu.Unlock()
+	names, ok := c.view.Members(born)
+	return names, ok && len(names) > 0
+}
+
+// present returns the VMs that may vote on keys yet to be born.
+func (c *Claims) present() []string {
+	c.refresh()
+	c.viewMu.Lock()
+	defer c.viewMu.Unlock()
+	return c.view.Present(c.now())
+}
+
+// refresh observes the roster unless that was done lately.
+func (c *Claims) refresh() {
+	c.viewMu.Lock()
+	fresh := c.now().Sub(c.seen) < observeEvery
 	c.viewMu.Unlock()
 	if !fresh {
 		c.observe()
 	}
-	c.viewMu.Lock()
-	defer c.viewMu.Unlock()
-	n, ok := c.view.Members(born.Add(-c.o.Params.ListLag))
-	return n, ok && n > 0
 }
 
 func (c *Claims) expire() {
--- a/internal/claims/fleet_test.go
+++ b/internal/claims/fleet_test.go
@@ -37,9 +37,20 @@
 	for _, m := range f.names {
 		f.start(m.Name, time.Now().Add(-time.Minute))
 	}
+	f.admit()
 	return f
 }
 
+// admit makes all VMs voters, as if a minute ago.
+func (f *fleet) admit() {
+	for _, c := range f.nodes {
+		now := c.o.Now
+		c.o.Now = func() time.Time { return now().Add(-time.Minute) }
+		c.join(context.Background())
+		c.o.Now = now
+	}
+}
+
 // start puts a fresh process in a VM's place; the former one is forgotten.
 func (f *fleet) start(name string, started time.Time) *Claims {
 	c := New(Options{
--- a/internal/claims/handle.go
+++ b/internal/claims/handle.go
@@ -22,6 +22,8 @@
 		reply = c.handleRelease(m.Release)
 	case m.Record != nil:
 		reply = c.handleRecord(m.Record)
+	case m.Join != nil:
+		reply = c.handleJoin(m.Join)
 	case m.Lookup != nil:
 		reply = c.handleLookup(ctx, m.Lookup)
 	}
@@ -37,9 +39,9 @@
 		return nil
 	}
 	members, ok := c.members(born)
-	v := once.Vote{Verdict: once.Abstained}
-	if ok {
-		v = c.vote(m, born)
+	v := c.vote(m, born, ok)
+	if v.Verdict != once.Granted {
+		members = nil
 	}
 	c.metrics.votes.WithLabelValues(string(v.Verdict)).Inc()
 	return &peer.Message{Vote: &peer.Vote{
@@ -47,17 +49,17 @@
 	}}
 }
 
-func (c *Claims) vote(m *peer.Claim, born time.Time) once.Vote {
+func (c *Claims) vote(m *peer.Claim, born time.Time, counts bool) once.Vote {
 	claim := once.Claim{
 		Key: m.Key, Fingerprint: m.Fingerprint, Claimant: m.Claimant, Born: born,
 		Window: time.Duration(m.WindowMs) * time.Millisecond, Generation: m.Generation,
 	}
-	generation := c.o.Generation()
+	standing := once.Standing{Generation: c.o.Generation(), Votes: counts && c.Votes()}
 	now := c.now()
 	s := c.shard(m.Key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.guard.Claim(now, claim, generation)
+	return s.guard.Claim(now, claim, standing)
 }
 
 func (c *Claims) handleRelease(m *peer.Release) *peer.Message {
--- a/internal/claims/hold.go
+++ b/internal/claims/hold.go
@@ -163,7 +163,7 @@
 		copied := *m
 		r, err := c.o.Call(ctx, vm, &copied)
 		if err == nil {
-			return r != nil && r.Found != nil && r.Found.Known
+			return r != nil && (r.Joined != nil || r.Found != nil && r.Found.Known)
 		}
 		if !sleep(ctx, jitter(try)) {
 			return false
--- a/internal/policy/once/ballot.go
+++ b/internal/policy/once/ballot.go
@@ -20,7 +20,7 @@
 // Ballot counts the votes of one round of one claimant.
 type Ballot struct {
 	drift   int
-	members int
+	members map[string]bool
 	asked   int
 	voted   map[string]bool
 	granted int
@@ -30,17 +30,19 @@
 }
 
 // NewBallot returns the empty count of a round in which asked guards are asked
-// and the claimant's own view counts members VMs for the key.
-func NewBallot(p Params, members, asked int) *Ballot {
-	return &Ballot{
-		drift: p.Drift, members: members, asked: asked,
+// and the claimant's own view counts the given members for the key.
+func NewBallot(p Params, members []string, asked int) *Ballot {
+	b := &Ballot{
+		drift: p.Drift, members: make(map[string]bool), asked: asked,
 		voted: make(map[string]bool), count: make(map[Verdict]int), holders: make(map[string]int),
 	}
+	b.know(members)
+	return b
 }
 
-// Add counts a guard's vote once. Members is the number of VMs in the guard's
-// view for the key: a claimant younger than the key does not know who has left.
-func (b *Ballot) Add(guard string, v Vote, members int) {
+// Add counts a guard's vote once. Members are those that the guard counts for the
+// key: the claimant may not know who joined lately, or left since the key's birth.
+func (b *Ballot) Add(guard string, v Vote, members []string) {
 	if b.voted[guard] {
 		return
 	}
@@ -49,7 +51,7 @@
 	switch v.Verdict {
 	case Granted:
 		b.granted++
-		b.members = max(b.members, members)
+		b.know(members)
 	case Held:
 		b.holders[v.Holder]++
 	case Recorded:
@@ -63,7 +65,13 @@
 func (b *Ballot) Miss(guard string) { b.voted[guard] = true }
 
 // Need returns the votes needed.
-func (b *Ballot) Need() int { return Quorum(b.members, b.drift) }
+func (b *Ballot) Need() int { return Quorum(len(b.members), b.drift) }
+
+func (b *Ballot) know(members []string) {
+	for _, m := range members {
+		b.members[m] = true
+	}
+}
 
 // Result returns how the round stands. A round is lost only once every guard
 // has answered or failed to: any one of them may know the outcome.
--- a/internal/policy/once/guard.go
+++ b/internal/policy/once/guard.go
@@ -41,6 +41,14 @@
 	Outcome string
 }
 
+// Standing is what a guard knows of itself when it decides on a vote.
+type Standing struct {
+	// Generation of the manifest in force.
+	Generation int
+	// Votes says that the guard is admitted and its VM list is not too old.
+	Votes bool
+}
+
 type entry struct {
 	key string
 	// whole says that the guard would know of any vote on the key. An entry that
@@ -78,7 +86,7 @@
 func (g *Guard) Len() int { return len(g.entries) }
 
 // Claim decides on a vote.
-func (g *Guard) Claim(now time.Time, c Claim, generation int) Vote {
+func (g *Guard) Claim(now time.Time, c Claim, s Standing) Vote {
 	now = g.advance(now)
 	e := g.entries[c.Key]
 	if e != nil && e.recorded && e.fingerprint == c.Fingerprint {
@@ -87,10 +95,10 @@
 	if now.After(c.Born.Add(c.Window)) {
 		return Vote{Verdict: Expired}
 	}
-	if c.Born.After(now.Add(g.p.FutureSkew)) {
+	if !s.Votes || g.tooYoung(c.Born) || c.Born.After(now.Add(g.p.FutureSkew)) {
 		return Vote{Verdict: Abstained}
 	}
-	if c.Generation < generation {
+	if c.Generation < s.Generation {
 		return Vote{Verdict: StaleGeneration}
 	}
 	if e == nil {
@@ -135,15 +143,25 @@
 	return Vote{Verdict: Granted}
 }
 
+// Admit notes that the guard was admitted as a voter: it votes on keys born later.
+// What was voted on earlier keys, those that admitted it may not know.
+func (g *Guard) Admit(now time.Time) {
+	if now.After(g.started) {
+		g.started = now
+	}
+}
+
 // Remembers reports whether the guard would know of any vote that it, or an
-// earlier process in its place, gave on a key born at the given time. An earlier
-// process voted no earlier than FutureSkew before the birth by its own clock,
-// which may differ from this one's by ClockSkew.
+// earlier process in its place, gave on a key born at the given time.
 func (g *Guard) Remembers(born time.Time) bool {
-	if !born.After(g.forgot) {
-		return false
-	}
-	return !g.started.Add(g.p.FutureSkew + g.p.ClockSkew).After(born)
+	return born.After(g.forgot) && !g.tooYoung(born)
+}
+
+// tooYoung reports whether votes may have been given on a key before the guard
+// was there. A vote is given no earlier than FutureSkew before the key's birth
+// by the voter's clock, which may differ from this one's by ClockSkew.
+func (g *Guard) tooYoung(born time.Time) bool {
+	return g.started.Add(g.p.FutureSkew + g.p.ClockSkew).After(born)
 }
 
 // Release takes a vote back and remembers that the claimant is done, so that a
--- a/internal/policy/once/once.go
+++ b/internal/policy/once/once.go
@@ -20,10 +20,19 @@
 	FutureSkew time.Duration
 	// ClockSkew bounds the difference between the clocks of any two VMs.
 	ClockSkew time.Duration
-	// Drift bounds how many running VMs one VM's view of the fleet may miss.
+	// Drift is how many voters may be unknown to all guards of a quorum: processes
+	// that run on under a name that the platform gave to another.
 	Drift int
-	// ListLag is how long a VM may run on after it left the VM list.
-	ListLag time.Duration
+	// Linger is how long a VM that vanished without a word still counts as a voter.
+	Linger time.Duration
+	// MaxListAge is the age of the VM list from which a guard votes no more. It is
+	// less than Linger, so that a guard cut off from the platform has stopped voting
+	// before the others stop counting it.
+	MaxListAge time.Duration
+	// BootWait is how long VMs that meet no quorum of voters wait before they vote
+	// by agreement of all of them. MaxListAge excludes a former fleet that runs on
+	// unseen; 0 lets a new fleet start at once.
+	BootWait time.Duration
 	// Keep is the least time for which a key is remembered after its birth.
 	Keep time.Duration
 	// MaxKeys bounds the keys one guard table remembers.
@@ -39,8 +48,9 @@
 	return Params{
 		FutureSkew:  2 * time.Second,
 		ClockSkew:   2 * time.Second,
-		Drift:       2,
-		ListLag:     time.Minute,
+		Drift:       1,
+		Linger:      time.Hour,
+		MaxListAge:  55 * time.Minute,
 		Keep:        10 * time.Minute,
 		MaxKeys:     1024,
 		MaxBytes:    256 << 10,
@@ -75,7 +85,6 @@
 	return time.UnixMilli(ms), nil
 }
 
-// Quorum returns the votes needed so that any two quorums share a guard. The
-// view counts n VMs and misses at most drift of the VMs that may vote, so the
-// result is more than half of those.
+// Quorum returns the votes needed so that any two quorums share a guard: more than
+// half of the n voters known and the drift voters not known.
 func Quorum(n, drift int) int { return (n+drift)/2 + 1 }
--- a/internal/slopes/availability.go
+++ b/internal/slopes/availability.go
@@ -30,6 +30,8 @@
 	Every time.Duration
 	// Renamed says that a newcomer has a name of its own.
 	Renamed bool
+	// Graceful says that a VM tells the others that it leaves.
+	Graceful bool
 	// Orders sent with fresh keys, and the share accepted.
 	Orders   int
 	Accepted float64
@@ -70,7 +72,7 @@
 }
 
 func (m *claimModel) start(name string) *guardVM {
-	return &guardVM{name: name, guard: once.NewGuard(m.p, m.now), view: once.NewView(1 << 16)}
+	return &guardVM{name: name, guard: once.NewGuard(m.p, m.now), view: once.NewView(m.p, 1<<16)}
 }
 
 // observe lets every VM see the whole list.
@@ -84,9 +86,24 @@
 	}
 }
 
-func (m *claimModel) members(v *guardVM, born time.Time) int {
-	n, _ := v.view.Members(born.Add(-m.p.ListLag))
-	return n
+func (m *claimModel) members(v *guardVM, born time.Time) []string {
+	names, _ := v.view.Members(born)
+	return names
+}
+
+// replace ends a VM, with a word of leaving or without, and admits another.
+func (m *claimModel) replace(i int, name string, graceful bool) {
+	old := m.vms[i]
+	m.vms[i] = m.start(name)
+	known := old.view.Present(m.now)
+	m.vms[i].view.Observe(m.now, append(known, name))
+	m.vms[i].guard.Admit(m.now)
+	for _, v := range m.vms {
+		v.view.Join(m.now, name, name)
+		if graceful && name != old.name {
+			v.view.Leave(m.now, old.name, "")
+		}
+	}
 }
 
 // claim is one round through a VM; where it wins, the outcome is recorded.
@@ -100,7 +117,7 @@
 			continue
 		}
 		c := once.Claim{Key: key, Fingerprint: "f", Claimant: claimant, Born: born, Window: resendWindow}
-		b.Add(v.name, v.guard.Claim(m.now, c, 0), m.members(v, born))
+		b.Add(v.name, v.guard.Claim(m.now, c, once.Standing{Votes: true}), m.members(v, born))
 	}
 	for _, v := range m.vms {
 		switch {
@@ -156,10 +173,10 @@
 
 // ClaimsRolling measures fresh orders, and resends at the end, while each of n
 // VMs is replaced in turn by a process that remembers nothing.
-func ClaimsRolling(n int, every time.Duration, renamed bool, seed uint64) RollingResult {
+func ClaimsRolling(n int, every time.Duration, renamed, graceful bool, seed uint64) RollingResult {
 	m := newClaimModel(n)
 	rng := rand.New(rand.NewPCG(seed, uint64(n)))
-	r := RollingResult{VMs: n, Every: every, Renamed: renamed}
+	r := RollingResult{VMs: n, Every: every, Renamed: renamed, Graceful: graceful}
 	type order struct {
 		key  string
 		born time.Time
@@ -170,9 +187,7 @@
 		if renamed {
 			name = fmt.Sprintf("new%d", i)
 		}
-		m.vms[i] = m.start(name)
-		m.observe()
-		m.vms[i].view.Observe(m.now, []string{name})
+		m.replace(i, name, graceful)
 		for end := m.now.Add(every); m.now.Before(end); m.now = m.now.Add(orderEvery) {
 			m.observe()
 			o := order{"till/" + keyAt(m.now, r.Orders), m.now}
--- a/internal/slopes/claims.go
+++ b/internal/slopes/claims.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"runtime"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,7 @@
 	// outcomeBytes is the size of a recorded reply.
 	outcomeBytes = 256
 	percentile99 = 99
+	admitTime    = time.Minute
 )
 
 // ClaimsResult is the cost of claiming, recording and replaying keys.
@@ -51,6 +53,9 @@
 		return ClaimsResult{}, fmt.Errorf("slope of claims: %d VMs", n)
 	}
 	f := newClaimFleet(n)
+	if err := f.admit(context.Background()); err != nil {
+		return ClaimsResult{}, err
+	}
 	rng := rand.New(rand.NewPCG(seed, uint64(n)))
 	took := make([]time.Duration, 0, claimsMeasured)
 	for range claimsMeasured {
@@ -100,6 +105,30 @@
 	return f
 }
 
+// admit runs every VM until it votes and the skews have passed, then stops it.
+func (f *claimFleet) admit(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, admitTime)
+	defer cancel()
+	var ready sync.WaitGroup
+	for _, c := range f.nodes {
+		ready.Go(func() {
+			for !c.Votes() && ctx.Err() == nil {
+				time.Sleep(time.Millisecond)
+			}
+		})
+		go c.Run(ctx)
+	}
+	ready.Wait()
+	if ctx.Err() != nil {
+		return fmt.Errorf("admit VMs: %w", ctx.Err())
+	}
+	p := once.Defaults()
+	time.Sleep(p.FutureSkew + p.ClockSkew)
+	f.messages.Store(0)
+	f.bytes.Store(0)
+	return nil
+}
+
 func (f *claimFleet) call(ctx context.Context, vm string, m *peer.Message) (*peer.Message, error) {
 	f.pending.Add(1)
 	defer f.pending.Add(-1)
@@ -156,7 +185,7 @@
 			Key: "till/" + keyAt(now, i), Fingerprint: string(make([]byte, 64)),
 			Claimant: fmt.Sprintf("vm1/incarnation-of-36-characters-length-/%d", i), Born: now, Window: time.Minute,
 		}
-		if v := g.Claim(now, c, 0); v.Verdict != once.Granted {
+		if v := g.Claim(now, c, once.Standing{Votes: true}); v.Verdict != once.Granted {
 			return 0, fmt.Errorf("store key %d: %s", i, v.Verdict)
 		}
 		g.Record(now, c.Key, c.Claimant, c.Fingerprint, string(make([]byte, outcomeBytes)), now)
--- a/schema/gen/peer/peer.go
+++ b/schema/gen/peer/peer.go
@@ -85,6 +85,27 @@
 	Zone string `json:"zone" toml:"zone" cbor:"zone"`
 }
 
+// Makes a VM known as a voter on claims, or says that it votes no more.
+type Join struct {
+	// Incarnation of the VM.
+	Incarnation string `json:"incarnation" toml:"incarnation" cbor:"incarnation"`
+
+	// Whether the VM has stopped voting for good.
+	Leaving bool `json:"leaving" toml:"leaving" cbor:"leaving"`
+
+	// Name of the VM.
+	Name string `json:"name" toml:"name" cbor:"name"`
+}
+
+// Reply to a join.
+type Joined struct {
+	// VMs that the replying VM counts as possible voters.
+	Members []string `json:"members" toml:"members" cbor:"members"`
+
+	// Whether the replying VM votes on claims.
+	Votes bool `json:"votes" toml:"votes" cbor:"votes"`
+}
+
 // Asks a claimant for the outcome of a key it holds.
 type Lookup struct {
 	// Hash of workload and body.
@@ -118,6 +139,12 @@
 	// Pairs a reply with its request; 0 for a message without reply.
 	Id int `json:"id" toml:"id" cbor:"id"`
 
+	// Join corresponds to the JSON schema field "join".
+	Join *Join `json:"join,omitempty,omitzero" toml:"join,omitempty" cbor:"join,omitempty"`
+
+	// Joined corresponds to the JSON schema field "joined".
+	Joined *Joined `json:"joined,omitempty,omitzero" toml:"joined,omitempty" cbor:"joined,omitempty"`
+
 	// Lookup corresponds to the JSON schema field "lookup".
 	Lookup *Lookup `json:"lookup,omitempty,omitzero" toml:"lookup,omitempty" cbor:"lookup,omitempty"`
 
@@ -181,9 +208,9 @@
 	// Claimant that holds the vote.
 	Holder string `json:"holder,omitempty,omitzero" toml:"holder,omitempty" cbor:"holder,omitempty"`
 
-	// VMs that the guard saw listed at any time since the key's birth, where the
-	// verdict is granted.
-	Members int `json:"members,omitempty,omitzero" toml:"members,omitempty" cbor:"members,omitempty"`
+	// VMs that the guard counts as possible voters on the key, where the verdict is
+	// granted.
+	Members []string `json:"members,omitempty,omitzero" toml:"members,omitempty" cbor:"members,omitempty"`
 
 	// Recorded reply as JSON, where the verdict is recorded.
 	Outcome string `json:"outcome,omitempty,omitzero" toml:"outcome,omitempty" cbor:"outcome,omitempty"`
