--- a/cmd/sardinespindle/main.go
+++ b/cmd/sardinespindle/main.go
@@ -2,15 +2,83 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime/pprof"
+	"syscall"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/sardinespindle/sardinespindle/internal/daemon"
+	"github.com/sardinespindle/sardinespindle/internal/settings"
+	"github.com/sardinespindle/sardinespindle/internal/telemetry"
 )
 
+// traceFlush bounds the export of the last spans.
+const traceFlush = 2 * time.Second
+
 func main() {
-	app := kingpin.New("sardinespindle", "Query tier over many shards.")
+	app := kingpin.New("sardinespindle", "Query tier over many shards: the daemon of one VM.")
 	path := app.Flag("settings", "Settings file in TOML.").Required().String()
+	check := app.Flag("check", "Check the settings file and exit.").Bool()
+	profile := app.Flag("cpuprofile", "Directory to write a CPU profile to.").Hidden().Envar("SPINDLE_CPUPROFILE").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	fmt.Fprintln(os.Stderr, "settings:", *path)
+	if err := run(*path, *check, *profile); err != nil {
+		fmt.Fprintln(os.Stderr, "sardinespindle:", err)
+		os.Exit(1)
+	}
+}
+
+func run(path string, check bool, profile string) error {
+	s, err := settings.Load(path)
+	if err != nil || check {
+		return err
+	}
+	if profile != "" {
+		stop, err := startProfile(filepath.Join(profile, s.Name+".prof"))
+		if err != nil {
+			return err
+		}
+		defer stop()
+	}
+	l, err := telemetry.Logger(os.Stderr, s.Log, s.Name)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	flush, err := telemetry.Traces(ctx, s.Trace, s.Name, s.Zone)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(s, l)
+	if err != nil {
+		return err
+	}
+	if err := d.Run(ctx); err != nil {
+		return err
+	}
+	fctx, cancel := context.WithTimeout(context.Background(), traceFlush)
+	defer cancel()
+	return flush(fctx)
+}
+
+// startProfile profiles the process until the function returned is called.
+func startProfile(file string) (func(), error) {
+	f, err := os.Create(file)
+	if err != nil {
+		return nil, fmt.Errorf("profile: %w", err)
+	}
+	if err := pprof.StartCPUProfile(f); err != nil {
+		f.Close()
+		return nil, fmt.Errorf("profile: %w", err)
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		f.Close()
+	}, nil
 }
