--- a/internal/single/single_test.go
+++ b/internal/single/single_test.go
@@ -72,6 +72,7 @@
 func guard() *claims.Claims {
 	params := once.Defaults()
 	params.Drift = 0
+	params.FutureSkew, params.ClockSkew = 0, 0 // one clock: the VM may vote at once
 	var c *claims.Claims
 	c = claims.New(claims.Options{
 		VM:          "vm-01",
@@ -84,6 +85,11 @@
 		Generation: func() int { return 1 },
 		Params:     params,
 	})
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	go c.Run(ctx)
+	Eventually(c.Votes).WithPolling(time.Millisecond).Should(BeTrue())
+	time.Sleep(2 * time.Millisecond) // a key's birth is cut to whole milliseconds
 	return c
 }
 
