--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -97,7 +97,12 @@
 	return max(a+b*x, ys[len(ys)-1])
 }
 
-func fleetSize(r slopes.FleetResult) float64   { return float64(r.VMs) }
+// doublings is the size of a fleet as gossip sees it: its degree is constant, and the
+// hops grow with each doubling.
+func doublings(vms int) float64 { return math.Log2(float64(vms)) }
+
+func fleetSize(r slopes.FleetResult) float64 { return doublings(r.VMs) }
+
 func claimsSize(r slopes.ClaimsResult) float64 { return float64(r.VMs) }
 
 func last[T any](s []T) T { return s[len(s)-1] }
