Tell peers of the second digest of a torn generation

Cause: two VMs that read different commits of generation 6: the first head travelled as a fact, the second did not (not newer), so one VM put it in force and one did not. Change: the second digest is told once. Ruled out: telling of every digest (two VMs would answer each other for ever).

--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -79,6 +79,7 @@
 	mu       sync.Mutex
 	gate     generation.Gate
 	newest   generation.Head
+	toldTorn int // last torn generation that the others were told of
 	texts    map[string][]byte
 	fetching map[generation.Head]bool
 	refused  map[generation.Head]bool
@@ -215,8 +216,8 @@
 	if verdict != generation.Newer {
 		return false
 	}
-	torn, newest := k.hear(h)
-	if newest {
+	torn, news := k.hear(h)
+	if news {
 		k.announce(h)
 	}
 	if torn && !k.o.Unchecked {
@@ -226,17 +227,22 @@
 	return k.startFetch(h)
 }
 
-// hear notes a head. It reports whether its generation is torn, and whether it is
-// the newest heard of.
-func (k *Keeper) hear(h generation.Head) (torn, newest bool) {
+// hear notes a head. It reports whether its generation is torn, and whether the
+// others are to be told: of the newest head, and once of the second digest of a torn
+// generation, since they may have heard of the first only.
+func (k *Keeper) hear(h generation.Head) (torn, news bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	torn = k.gate.Hear(clock.Boot(), h)
-	newest = h.Generation > k.newest.Generation
-	if newest {
+	if h.Generation > k.newest.Generation {
 		k.newest = h
+		return torn, true
 	}
-	return torn, newest
+	if torn && h.Generation > k.toldTorn && h != k.newest {
+		k.toldTorn = h.Generation
+		return torn, true
+	}
+	return torn, false
 }
 
 func (k *Keeper) startFetch(h generation.Head) bool {
