--- a/internal/policy/once/faults_test.go
+++ b/internal/policy/once/faults_test.go
@@ -7,6 +7,31 @@
 	"time"
 )
 
+// weakening names a rule that the model leaves out.
+type weakening string
+
+const (
+	sound           weakening = ""
+	naive           weakening = "no claim at all"
+	ownView         weakening = "a quorum of the voters that the claimant knows"
+	unadmitted      weakening = "newcomers that vote before they are counted"
+	oldKeys         weakening = "a newcomer that votes on keys born before its admission"
+	bootAtOnce      weakening = "a new fleet that votes while the former one does"
+	oldLists        weakening = "guards that vote however old their list is"
+	noAbstention    weakening = "a restarted guard that votes on older keys"
+	listedNow       weakening = "a quorum of the VMs listed now"
+	releaseSent     weakening = "votes given back after sending"
+	reusedID        weakening = "a claimant id used for a second round"
+	voteTwice       weakening = "a guard counted once for each answer"
+	noQuorumNotRun  weakening = "not run said of an unmarked attempt without a quorum"
+	releasedNotRun  weakening = "not run said of an unmarked attempt after a release"
+	forgetful       weakening = "a key forgotten, then claimed with a longer window"
+	skewedVMs       weakening = "VM clocks further apart than the bound"
+	futureKeys      weakening = "keys from the future accepted"
+	notesAsMemory   weakening = "a noted release taken for memory of the key"
+	noReleaseMemory weakening = "no memory of released claimants"
+)
+
 // aheadOfBound is how far keys from the future are accepted where that rule is left out.
 const aheadOfBound = 20 * time.Second
 
