Write each attempt of a run to a file

Cause: a summary hides which requests were slow, and when. Change: run writes requests-POLICY.csv beside the results.

--- /dev/null
+++ b/internal/bench/requests.go
@@ -0,0 +1,56 @@
+package bench
+
+import (
+	"encoding/csv"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+)
+
+// requestsFile lists every attempt of a run under one policy.
+func requestsFile(dir, policy string) string {
+	return filepath.Join(dir, "requests-"+policy+".csv")
+}
+
+// writeRequests writes one line an attempt, to look into what a summary hides.
+func writeRequests(file string, seen []Seen) (err error) {
+	f, err := os.Create(file)
+	if err != nil {
+		return fmt.Errorf("requests: %w", err)
+	}
+	defer func() {
+		if e := f.Close(); err == nil {
+			err = e
+		}
+	}()
+	w := csv.NewWriter(f)
+	_ = w.Write([]string{"due_s", "workload", "caller", "vm", "latency_ms", "outcome", "reason", "covered", "result"})
+	for i := range seen {
+		_ = w.Write(row(&seen[i]))
+	}
+	w.Flush()
+	if err := w.Error(); err != nil {
+		return fmt.Errorf("requests: %w", err)
+	}
+	return nil
+}
+
+func row(s *Seen) []string {
+	outcome, reason, covered, result := "no_reply", "", "", ""
+	if s.Err != nil {
+		reason = s.Err.Error()
+	}
+	if s.Reply != nil {
+		outcome, reason, result = string(s.Reply.Outcome), s.Reply.Reason, s.Reply.Result
+	}
+	if s.Reply != nil && s.Reply.Coverage != nil {
+		covered = strconv.Itoa(s.Reply.Coverage.ShardsCovered)
+	}
+	return []string{
+		strconv.FormatFloat(s.Offset.Seconds(), 'f', 3, 64),
+		s.Request.Workload, s.Request.Caller, s.VM,
+		strconv.FormatFloat(s.End.Sub(s.Due).Seconds()*1000, 'f', 3, 64),
+		outcome, reason, covered, result,
+	}
+}
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -74,7 +74,15 @@
 	for _, policy := range order {
 		results = append(results, byPolicy[policy].result(o, policy))
 	}
-	return results, write(o.Out, results)
+	if err := write(o.Out, results); err != nil {
+		return nil, err
+	}
+	for policy, m := range byPolicy {
+		if err := writeRequests(requestsFile(o.Out, policy), m.seen); err != nil {
+			return nil, err
+		}
+	}
+	return results, nil
 }
 
 // runOnce runs an experiment on a fresh cluster and checks what came of it.
