Weigh leased replicas first where they are idle

Cause: with 16 VMs most pairs see less than one request in 2 s, so a query of 20 shards nearly always paid a probe's round trip. Change: a replica whose lease expired is weighed only where every leased one is busy or costs twice as much; the latency estimate halves in 10 s in place of 5.

--- a/internal/policy/replica/replica.go
+++ b/internal/policy/replica/replica.go
@@ -19,7 +19,7 @@
 	// given up to the time it had taken by then.
 	censoredFactor = 2
 	// forgetAfter is the time without samples in which the latency estimate halves.
-	forgetAfter = 5 * time.Second
+	forgetAfter = 10 * time.Second
 	// unknownLatency is assumed of a replica without samples.
 	unknownLatency = 5 * time.Millisecond
 	// loadAge is the time in which a reported load loses its weight.
@@ -43,6 +43,8 @@
 	// shedFirst is how long a replica counts as shedding without a Retry-After; shedMost bounds one.
 	shedFirst = 200 * time.Millisecond
 	shedMost  = 2 * time.Second
+	// probeFactor is how much more a replica may cost that needs no probe first.
+	probeFactor = 2.0
 	// sharpness is the power by which a higher cost makes a choice less likely.
 	sharpness = 3.0
 )
@@ -197,6 +199,10 @@
 	return len(costs) - 1
 }
 
+// WorthProbe reports whether replicas that need a probe first should be weighed
+// against those that do not, given the least cost of each.
+func WorthProbe(ready, unready float64) bool { return ready > probeFactor*unready }
+
 // likelihood weighs a cost against the least one: 1 for the least, less for the others.
 func likelihood(cost, least float64) float64 {
 	return math.Pow(least/max(cost, 1), sharpness)
--- a/internal/upstream/drain_test.go
+++ b/internal/upstream/drain_test.go
@@ -136,6 +136,43 @@
 		Expect(f.probes.Load()).To(BeEquivalentTo(2))
 	})
 
+	It("keeps to the replica with a lease while that is idle, and to no slow one", func() {
+		other := newFake()
+		m = model(entry(f.address()), entry(other.address()))
+		c = newClient(Options{Now: z.now}, m) // neither replica is new to it
+		held, free := c.current.Load().servers[f.address()], c.current.Load().servers[other.address()]
+		renew := func() {
+			z.jump(3 * time.Second)
+			held.heard(z.now(), z.now(), false)
+		}
+		learn := func(s *server, latency time.Duration) {
+			s.take(c.rules)
+			s.learn(z.now(), OK, latency, latency, 0)
+		}
+		picks := func() (n int) {
+			for range 200 {
+				t, err := c.Pick(m.Workloads[wlSearch], "s0", nil, false)
+				Expect(err).NotTo(HaveOccurred())
+				if t.Address() == other.address() {
+					n++
+				}
+				t.Cancel()
+			}
+			return n
+		}
+		learn(held, 10*time.Millisecond)
+		learn(free, 10*time.Millisecond)
+		renew()
+		Expect(picks()).To(BeZero())
+		held.take(c.rules)
+		Expect(picks()).To(BeNumerically(">", 50))
+		held.giveBack()
+		for range 20 {
+			learn(held, 100*time.Millisecond)
+		}
+		Expect(picks()).To(BeNumerically(">", 150))
+	})
+
 	It("passes by a replica that a peer doubts", func() {
 		other := newFake()
 		m = model(entry(f.address()), entry(other.address()))
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -71,12 +72,42 @@
 	return err
 }
 
-// choose weighs the replicas of a group, two at random where there are many.
+// tier is some of the replicas of a group, with their costs.
+type tier struct {
+	servers [fewReplicas]*server
+	costs   [fewReplicas]float64
+	n       int
+	idle    bool // one of them has no request of this VM and no queue
+}
+
+// add adds a replica where there is room.
+func (t *tier) add(s *server, cost float64) {
+	if t.n < fewReplicas {
+		t.servers[t.n], t.costs[t.n] = s, cost
+		t.n++
+	}
+}
+
+// addAll adds the replicas of another tier.
+func (t *tier) addAll(o *tier) {
+	for i := range o.n {
+		t.add(o.servers[i], o.costs[i])
+	}
+}
+
+// least returns the least cost; infinity where the tier is empty.
+func (t *tier) least() float64 {
+	least := math.Inf(1)
+	for _, c := range t.costs[:t.n] {
+		least = min(least, c)
+	}
+	return least
+}
+
+// choose weighs the replicas of a group: those with a lease come before those that
+// need a probe first, unless they are busy or cost much more, and suspects come last.
 func (c *Client) choose(g *group, now time.Duration, exclude []string, tried []*server, hedge bool) (*server, error) {
-	var buf [2 * fewReplicas]*server
-	good, suspect := buf[:0:fewReplicas], buf[fewReplicas:fewReplicas]
-	var costBuf [2 * fewReplicas]float64
-	goodCost, suspectCost := costBuf[:0:fewReplicas], costBuf[fewReplicas:fewReplicas]
+	var leased, expired, suspect tier
 	refusal := ErrNoReplica
 	start := 0
 	if len(g.servers) > 0 {
@@ -91,20 +122,23 @@
 		switch {
 		case o.refusal != nil:
 			refusal = worse(refusal, o.refusal)
-		case o.suspect && len(suspect) < fewReplicas:
-			suspect, suspectCost = append(suspect, s), append(suspectCost, o.cost)
-		case !o.suspect:
-			good, goodCost = append(good, s), append(goodCost, o.cost)
-		}
-		if len(good) == fewReplicas {
-			break
+		case o.suspect:
+			suspect.add(s, o.cost)
+		case o.leased:
+			leased.add(s, o.cost)
+			leased.idle = leased.idle || o.idle
+		default:
+			expired.add(s, o.cost)
 		}
 	}
+	if !leased.idle || replica.WorthProbe(leased.least(), expired.least()) {
+		leased.addAll(&expired)
+	}
 	switch {
-	case len(good) > 0:
-		return good[c.pickCost(goodCost)], nil
-	case len(suspect) > 0:
-		return suspect[c.pickCost(suspectCost)], nil
+	case leased.n > 0:
+		return leased.servers[c.pickCost(leased.costs[:leased.n])], nil
+	case suspect.n > 0:
+		return suspect.servers[c.pickCost(suspect.costs[:suspect.n])], nil
 	default:
 		return nil, refusal
 	}
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -52,12 +52,11 @@
 type offer struct {
 	refusal error
 	suspect bool
+	leased  bool
+	idle    bool
 	cost    float64
 }
 
-// expiredLeaseCost stands for the probe that an expired lease needs first.
-const expiredLeaseCost = 2 * time.Millisecond
-
 // offer says whether one more attempt may go to this upstream, and at what cost.
 func (s *server) offer(now time.Duration, rules rules, hedge bool) offer {
 	s.mu.Lock()
@@ -78,11 +77,12 @@
 	if hedge && (suspect || s.speed.Shedding(now) || s.speed.Queueing(now)) {
 		return offer{refusal: ErrUnfit}
 	}
-	cost := s.speed.Cost(now, max(s.entry.Slots, 1), s.sameZone)
-	if rules.drain && s.lease.Verdict(now) == drain.Expired {
-		cost += float64(expiredLeaseCost)
+	return offer{
+		suspect: suspect,
+		idle:    s.speed.Outstanding == 0 && !s.speed.Queueing(now),
+		leased:  !rules.drain || s.lease.Verdict(now) == drain.Ready,
+		cost:    s.speed.Cost(now, max(s.entry.Slots, 1), s.sameZone),
 	}
-	return offer{suspect: suspect, cost: cost}
 }
 
 // take takes a concurrency slot; false where the limit is reached meanwhile.
