--- a/internal/policy/once/once_test.go
+++ b/internal/policy/once/once_test.go
@@ -73,7 +73,7 @@
 		Entry(nil, naive, 0), Entry(nil, noQuorumNotRun, 0), Entry(nil, releasedNotRun, 500),
 		Entry(nil, reusedID, 700), Entry(nil, releaseSent, 2900), Entry(nil, notesAsMemory, 300),
 		Entry(nil, forgetful, 2700), Entry(nil, unadmitted, 1100), Entry(nil, oldLists, 3700),
-		Entry(nil, listedNow, 19990), Entry(nil, oldKeys, 19570),
+		Entry(nil, listedNow, 19990), Entry(nil, oldKeys, 19570), Entry(nil, noAbstention, 4200),
 	)
 })
 
