Send a second SIGTERM to each VM that is being stopped

Cause: no process-level run showed that a second signal cuts nothing off. Change: stopVM signals once more after 300 ms. Ruled out: nothing.

--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -50,11 +50,16 @@
 	return nil
 }
 
+// secondSignal is when a VM that is being stopped gets SIGTERM once more.
+const secondSignal = 300 * time.Millisecond
+
 // stopVM stops a VM as planned: the platform lists it as leaving, the balancer lags.
 func (s *stage) stopVM(vm *VM) error {
 	s.PublishVMs(vm)
 	s.b.leave(vm)
 	s.j.do(func(j *Journal) { begin(j.Stops, vm.Name) })
+	again := time.AfterFunc(secondSignal, func() { _ = vm.proc.signal(syscall.SIGTERM) })
+	defer again.Stop()
 	err := vm.proc.stop()
 	s.j.do(func(j *Journal) {
 		end(j.Stops, vm.Name)
