--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -140,8 +140,9 @@
 // Load is what a request cost: the sub-requests sent and those shed.
 type Load struct {
 	Sent, Shed int
-	// Good says that the request ended with an answer.
-	Good bool
+	// Good says that the request ended with an answer, Late that it did not since time
+	// or capacity ran out.
+	Good, Late bool
 }
 
 // Admit decides on a request. Where it is shed, the outcome says so and when to come
@@ -221,9 +222,10 @@
 	}
 	p.s.sample.Sent += l.Sent
 	p.s.sample.Shed += l.Shed
-	if l.Good {
+	switch {
+	case l.Good:
 		p.s.sample.Finished++
-	} else {
+	case l.Late:
 		p.s.sample.Failed++
 	}
 }
--- a/internal/bench/deployment.go
+++ b/internal/bench/deployment.go
@@ -265,3 +265,14 @@
 	}
 	return out
 }
+
+// addressesIn returns the addresses of a zone's upstreams.
+func (d *Deployment) addressesIn(zone string) []string {
+	var out []string
+	for _, u := range d.Upstreams {
+		if string(u.Zone) == zone {
+			out = append(out, u.Address)
+		}
+	}
+	return out
+}
--- a/internal/bench/experiments.go
+++ b/internal/bench/experiments.go
@@ -67,6 +67,7 @@
 		{Name: "overload", About: "twice the capacity for the middle half of the time; callers ask again", Alone: true, Script: overload, Streams: overloadStreams},
 		{Name: "drain", About: "replicas leave in turn; their health endpoints lie", Script: drain},
 		{Name: "partition", About: "half of the VMs lose the others and the platform, while the manifest changes", Script: partition},
+		{Name: "zone-cut", About: "the upstreams of one zone stop answering for the middle half of the time", Script: zoneCut},
 		{Name: "rolling-restart", About: "each VM in turn is stopped as planned and replaced", Script: rollingRestart},
 		{Name: "platform-outage", About: "the platform is down, then frozen, then answers older values; a VM is replaced meanwhile", Script: platformOutage},
 		{Name: "manifest-churn", About: "a commit every 2 s", Script: churn},
@@ -132,6 +133,17 @@
 	return set(overloadServiceMs / 2)
 }
 
+// zoneCut hangs every upstream of the first zone in the middle half of the time.
+func zoneCut(ctx context.Context, s *stage, _ *rand.Rand, d time.Duration) error {
+	addresses := s.Deployment.addressesIn(s.Deployment.Zones[0])
+	time.Sleep(d / 4)
+	if err := s.behave(ctx, standin.Behaviour{Hang: true}, addresses...); err != nil {
+		return err
+	}
+	time.Sleep(d / 2)
+	return s.behave(ctx, standin.Behaviour{}, addresses...)
+}
+
 func straggler(ctx context.Context, s *stage, _ *rand.Rand, _ time.Duration) error {
 	b := standin.Behaviour{StragglerShare: 0.01}
 	if err := s.Do(ctx, standin.Command{Behaviour: &b}); err != nil {
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -153,10 +153,17 @@
 		Sent: o.Cost.Sent,
 		Shed: o.Cost.Shed,
 		Good: o.Kind == caller.OutcomeAnswered,
+		Late: late(o.Reason),
 	})
 	return o
 }
 
+// late reports whether a reason speaks of too little time or capacity, not of a cut
+// fleet, a lost upstream or the request itself.
+func late(r outcome.Reason) bool {
+	return r == outcome.CoverageTooLow || r == outcome.DeadlineExceeded || r == outcome.Overloaded
+}
+
 // shedOutcome says not_run only where no other attempt with the same key may run:
 // another VM may have taken an earlier attempt of a request that is not idempotent.
 func shedOutcome(o outcome.Outcome, in *input) outcome.Outcome {
--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -82,7 +82,7 @@
 // Sample is what one interval saw.
 type Sample struct {
 	// Asked counts requests that arrived, Finished those that ended well, Failed those
-	// let through that did not.
+	// let through that did not for want of capacity.
 	Asked, Finished, Failed int
 	// Sent and Shed count sub-requests sent, and those refused by upstreams or for
 	// want of a free replica.
