--- a/internal/slopes/fleet_test.go
+++ b/internal/slopes/fleet_test.go
@@ -15,6 +15,8 @@
 	"github.com/sardinespindle/sardinespindle/internal/testkit"
 )
 
+func TestSlopes(t *testing.T) { testkit.Run(t, "slopes") }
+
 var _ = Describe("a fleet of 20", func() {
 	It("stays within the budget of a VM", func() {
 		r, err := slopes.Fleet(20, 4*time.Second, uint64(testkit.Seed()))
