Suspect a zone whose upstreams stop answering; wire leave, list age and heads

A VM that was stopped still counted as a voter for an hour, and every VM restated each head. Change: a zone is suspect after four attempts without a reply, and probed; two attempts given up late make a replica suspect. claims.Leave at shutdown, the VM list's age for stale guards, heads told only by those who read the platform.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,6 +42,7 @@
 	started     time.Duration
 	registry    *prometheus.Registry
 	stopping    atomic.Bool
+	listedAt    atomic.Int64 // on the boot clock, when the VM list was last confirmed
 
 	platform  *platform.Client
 	node      *peer.Node
@@ -140,6 +141,12 @@
 		time.Sleep(time.Duration(d.s.Stop.LingerMs) * time.Millisecond)
 	}
 	err := d.closeServers(servers)
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTime)
+	defer cancel()
+	d.claims.Leave(ctx)
+	for _, server := range servers {
+		server.Close()
+	}
 	d.node.Close()
 	d.upstreams.Close()
 	d.platform.Close()
@@ -157,9 +164,6 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		return fmt.Errorf("requests still in flight: %w", err)
 	}
-	for _, server := range servers[:len(servers)-1] {
-		server.Close()
-	}
 	return nil
 }
 
--- a/internal/daemon/vms.go
+++ b/internal/daemon/vms.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/sardinespindle/sardinespindle/internal/clock"
 	"github.com/sardinespindle/sardinespindle/internal/platform"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/platform"
 )
@@ -24,6 +25,7 @@
 			pause(ctx, vmsBackoff/2+rand.N(vmsBackoff))
 			continue
 		}
+		d.listedAt.Store(int64(clock.Boot()))
 		if !changed {
 			continue
 		}
@@ -32,6 +34,12 @@
 	}
 }
 
+// listAge returns how long ago the platform last confirmed the VM list; where it never
+// did, how long the VM has been up.
+func (d *Daemon) listAge() time.Duration {
+	return clock.Boot() - max(time.Duration(d.listedAt.Load()), d.started)
+}
+
 func (d *Daemon) setVMs(text []byte) {
 	var list gen.VMList
 	if err := json.Unmarshal(text, &list); err != nil {
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -27,6 +27,7 @@
 	headerTimeout = 5 * time.Second
 	leavingTTL    = 60 * time.Second
 	drainMargin   = 5 * time.Second
+	leaveTime     = time.Second
 	drainTTL      = 30 * time.Second
 	aliveTTL      = 3 * time.Second
 )
@@ -68,12 +69,14 @@
 		Started:     time.Now(),
 		Call:        d.node.Call,
 		Roster:      d.claimants,
+		ListAge:     d.listAge,
 		Generation:  func() int { n, _ := d.keeper.Head(); return n },
 		Mechanisms:  d.mechanisms,
 		Log:         d.log,
 		Registerer:  d.registry,
 	})
 	d.poison = poison.New(poison.Options{
+		VM:         d.s.Name,
 		Fleet:      d.node,
 		Now:        clock.Boot,
 		Off:        !d.mechanisms.On(settings.ExperimentDisableElemPoison),
--- a/internal/policy/replica/replica.go
+++ b/internal/policy/replica/replica.go
@@ -37,6 +37,8 @@
 	slowStartCost = 8.0
 	// shedCost is the factor on the cost of a replica that shed lately.
 	shedCost = 4.0
+	// mostSilences is how many attempts in a row may be given up late.
+	mostSilences = 2
 	// suspectFirst and suspectMost bound the time to the next probe of a suspect replica.
 	suspectFirst = 200 * time.Millisecond
 	suspectMost  = 5 * time.Second
@@ -60,6 +62,7 @@
 	load       float64
 	loadAt     time.Duration
 	failures   int
+	silences   int // attempts given up late since the last reply
 	suspect    bool
 	probeAt    time.Duration
 	shedUntil  time.Duration
@@ -79,7 +82,7 @@
 	if s.failures > 0 {
 		s.since = now
 	}
-	s.failures, s.suspect = 0, false
+	s.failures, s.silences, s.suspect = 0, 0, false
 	s.sample(now, latency)
 }
 
@@ -92,11 +95,20 @@
 }
 
 // Unanswered records that an attempt was given up after waited, so that its
-// latency would have been longer. It only raises the estimate.
-func (s *State) Unanswered(now, waited time.Duration) {
-	if float64(waited) > s.Latency(now) {
-		s.sample(now, censoredFactor*waited)
+// latency would have been longer. It only raises the estimate, but for the last of
+// mostSilences in a row: a replica that has stopped answering is suspect, also where
+// hedges answer in its place. It reports whether the attempt was given up late.
+func (s *State) Unanswered(now, waited time.Duration) bool {
+	if float64(waited) <= s.Latency(now) {
+		return false
 	}
+	s.sample(now, censoredFactor*waited)
+	s.silences++
+	if s.silences >= mostSilences {
+		s.silences = 0
+		s.Failed(now)
+	}
+	return true
 }
 
 // Failed records a lost connection, a timeout or a failed probe at now: the
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -175,7 +175,7 @@
 
 // offer decides on a head and, where it is new, fetches it in the background.
 func (k *Keeper) offer(ctx context.Context, h generation.Head, text []byte, from string) {
-	if !k.admit(h) {
+	if !k.admit(h, from == "") {
 		return
 	}
 	go func() {
@@ -201,8 +201,10 @@
 	return !k.refused[h] && !k.gate.Torn(h.Generation)
 }
 
-// admit reports whether a head is worth fetching, and marks it as being fetched.
-func (k *Keeper) admit(h generation.Head) bool {
+// admit reports whether a head is worth fetching, and marks it as being fetched. A
+// head that the platform told of is told to the others; one that they told of is not,
+// since facts reach all by themselves.
+func (k *Keeper) admit(h generation.Head, fromPlatform bool) bool {
 	verdict := generation.Decide(k.inForce(), h)
 	if k.o.Unchecked && verdict != generation.Same {
 		verdict = generation.Newer
@@ -217,7 +219,7 @@
 		return false
 	}
 	torn, news := k.hear(h)
-	if news {
+	if news && fromPlatform {
 		k.announce(h)
 	}
 	if torn && !k.o.Unchecked {
@@ -238,7 +240,7 @@
 		k.newest = h
 		return torn, true
 	}
-	if torn && h.Generation > k.toldTorn && h != k.newest {
+	if torn && h.Generation > k.toldTorn {
 		k.toldTorn = h.Generation
 		return torn, true
 	}
--- a/internal/rollout/watch.go
+++ b/internal/rollout/watch.go
@@ -71,15 +71,15 @@
 	k.asked.Store(true)
 }
 
-// refresh restates the newest head so that its fact does not expire, and tries
-// again what could not be fetched.
+// refresh lets a relay restate the newest head so that its fact does not expire, and
+// tries again what could not be fetched.
 func (k *Keeper) refresh(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, jitter(headRefresh))
 		k.mu.Lock()
 		newest := k.newest
 		k.mu.Unlock()
-		if newest.Generation > 0 {
+		if newest.Generation > 0 && k.o.Relay() {
 			k.announce(newest)
 		}
 		if newest.Generation > k.inForce().Generation {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -74,6 +74,7 @@
 	servers   map[string]*server
 	groups    map[groupKey]*group
 	workloads map[string]*group
+	zones     map[string]*zone
 }
 
 // Client sends requests to upstreams. Each upstream's state has its own lock; the
@@ -134,13 +135,14 @@
 		servers:   make(map[string]*server, len(m.Upstreams)),
 		groups:    make(map[groupKey]*group),
 		workloads: make(map[string]*group),
+		zones:     make(map[string]*zone),
 	}
 	for address, u := range m.Upstreams {
 		s := old.servers[address]
 		if s == nil {
 			s = c.newServer(u, len(old.servers) == 0)
 		}
-		s.update(u, string(u.Zone) == c.o.Zone)
+		s.update(u, next.zone(old, string(u.Zone)), string(u.Zone) == c.o.Zone)
 		next.servers[address] = s
 	}
 	for name, w := range m.Workloads {
@@ -156,6 +158,19 @@
 	c.setShares(next)
 }
 
+// zone returns the state of a zone, which is kept from the table before.
+func (t *table) zone(old *table, name string) *zone {
+	z := t.zones[name]
+	if z == nil {
+		z = old.zones[name]
+	}
+	if z == nil {
+		z = &zone{}
+	}
+	t.zones[name] = z
+	return z
+}
+
 // addWorkload adds the groups of one workload.
 func (t *table) addWorkload(w *manifest.Workload, m *workloadMetrics) {
 	name := string(w.Name)
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -85,9 +85,11 @@
 	s.probe = nil
 	switch {
 	case err == nil || errors.Is(err, ErrDraining):
+		s.zone.answered()
 		s.speed.Probed(now)
 	case errors.Is(err, errBusy) || errors.Is(err, ErrNoShare):
 	default:
+		s.zone.failed()
 		s.speed.Failed(now)
 	}
 }
@@ -211,7 +213,7 @@
 	}
 	since := now - s.probedAt
 	switch {
-	case s.speed.ProbeDue(now):
+	case s.speed.ProbeDue(now), s.zone.probeDue(now):
 		return true
 	case !c.rules.drain:
 		return false
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -18,6 +18,7 @@
 	mu        sync.Mutex // guards the fields below
 	entry     *gen.Upstream
 	sameZone  bool
+	zone      *zone
 	speed     replica.State
 	limit     limit.Limit
 	lease     drain.State
@@ -27,10 +28,10 @@
 }
 
 // update takes the upstream's entry of a new manifest.
-func (s *server) update(u *gen.Upstream, sameZone bool) {
+func (s *server) update(u *gen.Upstream, z *zone, sameZone bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.entry, s.sameZone = u, sameZone
+	s.entry, s.zone, s.sameZone = u, z, sameZone
 	s.lease.SetManifest(u.Draining)
 }
 
@@ -73,7 +74,7 @@
 	if rules.baseline {
 		return offer{}
 	}
-	suspect := s.speed.Suspect() || s.lease.Doubted()
+	suspect := s.speed.Suspect() || s.lease.Doubted() || s.zone.suspect()
 	if hedge && (suspect || s.speed.Shedding(now) || s.speed.Queueing(now)) {
 		return offer{refusal: ErrUnfit}
 	}
@@ -121,13 +122,18 @@
 	s.speed.Outstanding--
 	switch class {
 	case OK:
+		s.zone.answered()
 		s.speed.Answered(now, latency)
 		s.limit.Done(now, latency, inFlight, queueFactor*int(s.pool.share.Load()))
 		s.latencies.add(now, whole)
 	case Shed:
 		s.speed.Shed(now, retryAfter)
 		s.limit.Shed(now)
-	case Lost, Garbled, Failed, failedConnect:
+	case Lost, failedConnect:
+		s.zone.failed()
+		s.speed.Failed(now)
+		s.limit.Lost(now)
+	case Garbled, Failed:
 		s.speed.Failed(now)
 		s.limit.Lost(now)
 	case TimedOut:
@@ -135,11 +141,18 @@
 		s.timedOut(now, latency)
 	case Canceled:
 		s.censored(now, whole)
-		s.speed.Unanswered(now, latency)
+		s.unanswered(now, latency)
 	case NotSent, refused:
 	}
 }
 
+// unanswered records an attempt given up after waited. The lock is held.
+func (s *server) unanswered(now, waited time.Duration) {
+	if s.speed.Unanswered(now, waited) {
+		s.zone.failed()
+	}
+}
+
 // queueFactor bounds the limit by the connection share: one request may wait in
 // this VM for each one under way.
 const queueFactor = 2
@@ -159,7 +172,7 @@
 // timedOut records an attempt that reached its deadline. The lock is held.
 func (s *server) timedOut(now, waited time.Duration) {
 	slow := float64(waited) > slowFactor*s.speed.Latency(now)
-	s.speed.Unanswered(now, waited)
+	s.unanswered(now, waited)
 	if slow {
 		s.speed.Failed(now)
 		s.limit.Lost(now)
