--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 export CGO_ENABLED := 1
 
-.PHONY: build demo test tools lint format-check generate generate-check libc-check fuzz clean
+.PHONY: build demo prove test tools lint format-check generate generate-check libc-check fuzz clean
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -16,13 +16,20 @@
 demo: build
 	$(BIN)/spindlebench demo --bin-dir $(BIN)
 
+# Processes under failure, by fixed seed: each must count 0 violations.
+PROVE := order-resend repartition drain platform-outage crashing-request chaos
+prove: build
+	@for e in $(PROVE); do \
+		$(BIN)/spindlebench run --bin-dir $(BIN) --experiment $$e --seed 1 --vms 8 --duration 4s --out out/prove-$$e || exit 1; \
+	done
+
 test:
 	go test -race -count=1 -timeout 20m ./...
 
 # Long random runs under a fresh seed, which is printed.
 fuzz:
 	@seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); echo "seed $$seed"; \
-	SPINDLE_SEED=$$seed go test -count=1 -timeout 60m ./internal/policy/... -args -rapid.checks=5000
+	SPINDLE_SEED=$$seed go test -count=1 -timeout 60m ./internal/policy/... ./internal/facts ./internal/poison -args -rapid.checks=5000
 
 tools: $(TOOLS)/golangci-lint $(TOOLS)/go-jsonschema
 
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,167 @@
+package daemon_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinespindle/sardinespindle/internal/daemon"
+	"github.com/sardinespindle/sardinespindle/internal/manifest"
+	"github.com/sardinespindle/sardinespindle/internal/platform"
+	"github.com/sardinespindle/sardinespindle/internal/settings"
+	"github.com/sardinespindle/sardinespindle/internal/standin"
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
+)
+
+func TestDaemon(t *testing.T) { testkit.Run(t, "daemon") }
+
+const (
+	token  = "secret"
+	linger = 200 * time.Millisecond
+	// slow is how long the upstream takes.
+	slow = 600 * time.Millisecond
+)
+
+// address returns a loopback address that is free now.
+func address() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// publish puts a manifest with one single workload at the upstream on the platform.
+func publish(p *standin.Platform, upstream string) {
+	part := fmt.Sprintf(`{"workloads":[{"name":"news","kind":"single","idempotent":true}],
+		"upstreams":[{"address":%q,"zone":"a","workload":"news","slots":4,"connection_limit":50}],
+		"callers":[{"name":"teachers","token_sha256":%q,"grants":[{"workload":"news","deadline_ms":5000,"trade":"complete"}]}]}`,
+		upstream, manifest.Digest([]byte(token)))
+	digest := manifest.Digest([]byte(part))
+	head, err := json.Marshal(gen.Head{Generation: 1, Parts: []gen.PartRef{{Digest: gen.Digest(digest), Bytes: len(part)}}})
+	Expect(err).NotTo(HaveOccurred())
+	p.Set(platform.PartKey(digest), []byte(part))
+	p.Set(platform.HeadKey, head)
+	p.Set(platform.VMsKey, []byte(`{"vms":[]}`))
+}
+
+// vm is a daemon that runs in this process.
+type vm struct {
+	callers, admin string
+	stop           context.CancelFunc
+	ended          chan error
+}
+
+func start(disable string) *vm {
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Spindle-Request-Id", r.Header.Get("Spindle-Request-Id"))
+		if r.Method == http.MethodPost {
+			_, _ = io.Copy(io.Discard, r.Body)
+			time.Sleep(slow)
+			fmt.Fprint(w, "done")
+		}
+	}))
+	DeferCleanup(up.Close)
+	p := standin.NewPlatform()
+	publish(p, up.Listener.Addr().String())
+	service := httptest.NewServer(p.Handler("vm-01"))
+	DeferCleanup(service.Close)
+	v := &vm{callers: address(), admin: address(), ended: make(chan error, 1)}
+	s, err := settings.Parse(fmt.Appendf(nil, `
+name = "vm-01"
+zone = "a"
+[listen]
+callers = %q
+peers = %q
+admin = %q
+[platform]
+addresses = [%q]
+watch_seconds = 1
+[stop]
+linger_ms = %d
+[experiment]
+disable = [%s]
+`, v.callers, address(), v.admin, service.Listener.Addr().String(), linger.Milliseconds(), disable))
+	Expect(err).NotTo(HaveOccurred())
+	d, err := daemon.New(s, log.New(io.Discard))
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	v.stop = cancel
+	DeferCleanup(cancel)
+	go func() { v.ended <- d.Run(ctx) }()
+	Eventually(func() int { return v.get("/readyz") }, "10s", "20ms").Should(Equal(http.StatusOK))
+	return v
+}
+
+func (v *vm) get(path string) int {
+	resp, err := http.Get("http://" + v.admin + path)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// ask sends a request of a second's work and returns what its caller saw.
+func (v *vm) ask() (caller.Reply, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+v.callers+"/v1/workloads/news/requests", strings.NewReader("{}"))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+token)
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	resp, err := client.Do(req)
+	if err != nil {
+		return caller.Reply{}, err
+	}
+	defer resp.Body.Close()
+	var r caller.Reply
+	return r, json.NewDecoder(resp.Body).Decode(&r)
+}
+
+// stopWithLoad asks, stops the VM while the request runs, asks again while the
+// balancer lags, and returns how many of both were answered.
+func stopWithLoad(v *vm) int {
+	replies := make(chan bool, 2)
+	ask := func() {
+		r, err := v.ask()
+		replies <- err == nil && r.Outcome == caller.OutcomeAnswered
+	}
+	go ask()
+	time.Sleep(slow / 4)
+	v.stop()
+	time.Sleep(linger / 2)
+	go ask()
+	answered := 0
+	for range 2 {
+		if <-replies {
+			answered++
+		}
+	}
+	return answered
+}
+
+var _ = Describe("a daemon that is stopped", func() {
+	It("finishes what runs, serves what still comes, and ends well", func() {
+		v := start("")
+		Expect(stopWithLoad(v)).To(Equal(2))
+		Eventually(v.ended, "10s").Should(Receive(BeNil()))
+	})
+
+	It("cuts requests off only with the mechanism off", func() {
+		v := start(`"graceful"`)
+		Expect(stopWithLoad(v)).To(BeZero())
+		Eventually(v.ended, "10s").Should(Receive())
+	})
+})
