Drop an unused question of the keeper

Cause: read-through: AskedPlatform had no caller. Change: removed. Ruled out: readiness by it, which a VM cut from the platform would lose. Conclusion: behaviour is as before.

--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -74,7 +74,6 @@
 	o       Options
 	builder *manifest.Builder
 	current atomic.Pointer[manifest.Manifest]
-	asked   atomic.Bool
 	metrics metrics
 
 	mu       sync.Mutex
@@ -133,9 +132,6 @@
 	return m.Generation, m.Digest
 }
 
-// AskedPlatform reports whether the platform answered or failed to at least once.
-func (k *Keeper) AskedPlatform() bool { return k.asked.Load() }
-
 func (k *Keeper) inForce() generation.Head {
 	n, digest := k.Head()
 	return generation.Head{Generation: n, Digest: digest}
--- a/internal/rollout/watch.go
+++ b/internal/rollout/watch.go
@@ -68,7 +68,6 @@
 	} else if !errors.Is(err, platform.ErrNotFound) {
 		k.o.Log.Warn("platform not read", "reason", err)
 	}
-	k.asked.Store(true)
 }
 
 // refresh lets a relay restate the newest head so that its fact does not expire, and
