Measure what an idle VM adds to a request

Cause: the target of 1 ms at p99 had no measurement. Change: BenchmarkHop: direct and through the VM, 1,000 requests each in turn. Ruled out: a test with a bound of 10 ms, which is not the target.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -57,28 +58,37 @@
 	p.Set(platform.VMsKey, []byte(`{"vms":[]}`))
 }
 
+// later cleans up at the end of a spec.
+func later(f func()) { DeferCleanup(f) }
+
 // vm is a daemon that runs in this process.
 type vm struct {
 	callers, admin string
+	upstream       string
+	client         *http.Client
 	stop           context.CancelFunc
 	ended          chan error
 }
 
-func start(disable string) *vm {
+func start(cleanup func(func()), disable string, service time.Duration) *vm {
 	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Spindle-Request-Id", r.Header.Get("Spindle-Request-Id"))
 		if r.Method == http.MethodPost {
 			_, _ = io.Copy(io.Discard, r.Body)
-			time.Sleep(slow)
+			time.Sleep(service)
 			fmt.Fprint(w, "done")
 		}
 	}))
-	DeferCleanup(up.Close)
+	cleanup(up.Close)
 	p := standin.NewPlatform()
 	publish(p, up.Listener.Addr().String())
-	service := httptest.NewServer(p.Handler("vm-01"))
-	DeferCleanup(service.Close)
-	v := &vm{callers: address(), admin: address(), ended: make(chan error, 1)}
+	config := httptest.NewServer(p.Handler("vm-01"))
+	cleanup(config.Close)
+	v := &vm{
+		callers: address(), admin: address(), ended: make(chan error, 1),
+		upstream: up.Listener.Addr().String(), client: &http.Client{Transport: &http.Transport{}},
+	}
+	cleanup(v.client.CloseIdleConnections)
 	s, err := settings.Parse(fmt.Appendf(nil, `
 name = "vm-01"
 zone = "a"
@@ -93,13 +103,13 @@
 linger_ms = %d
 [experiment]
 disable = [%s]
-`, v.callers, address(), v.admin, service.Listener.Addr().String(), linger.Milliseconds(), disable))
+`, v.callers, address(), v.admin, config.Listener.Addr().String(), linger.Milliseconds(), disable))
 	Expect(err).NotTo(HaveOccurred())
 	d, err := daemon.New(s, log.New(io.Discard))
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	v.stop = cancel
-	DeferCleanup(cancel)
+	cleanup(cancel)
 	go func() { v.ended <- d.Run(ctx) }()
 	Eventually(func() int { return v.get("/readyz") }, "10s", "20ms").Should(Equal(http.StatusOK))
 	return v
@@ -114,14 +124,23 @@
 	return resp.StatusCode
 }
 
-// ask sends a request of a second's work and returns what its caller saw.
+// direct asks the upstream without the VM.
+func (v *vm) direct() error {
+	resp, err := v.client.Post("http://"+v.upstream+"/request/news", "application/json", strings.NewReader("{}"))
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// ask sends a request and returns what its caller saw.
 func (v *vm) ask() (caller.Reply, error) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+v.callers+"/v1/workloads/news/requests", strings.NewReader("{}"))
 	Expect(err).NotTo(HaveOccurred())
 	req.Header.Set("Authorization", "Bearer "+token)
-	client := &http.Client{Transport: &http.Transport{}}
-	defer client.CloseIdleConnections()
-	resp, err := client.Do(req)
+	resp, err := v.client.Do(req)
 	if err != nil {
 		return caller.Reply{}, err
 	}
@@ -154,14 +173,38 @@
 
 var _ = Describe("a daemon that is stopped", func() {
 	It("finishes what runs, serves what still comes, and ends well", func() {
-		v := start("")
+		v := start(later, "", slow)
 		Expect(stopWithLoad(v)).To(Equal(2))
 		Eventually(v.ended, "10s").Should(Receive(BeNil()))
 	})
 
 	It("cuts requests off only with the mechanism off", func() {
-		v := start(`"graceful"`)
+		v := start(later, `"graceful"`, slow)
 		Expect(stopWithLoad(v)).To(BeZero())
 		Eventually(v.ended, "10s").Should(Receive())
 	})
 })
+
+// BenchmarkHop measures what an idle VM adds to a request to an upstream that replies
+// at once.
+func BenchmarkHop(b *testing.B) {
+	RegisterTestingT(b)
+	v := start(b.Cleanup, "", 0)
+	measure := func(name string, ask func() error) {
+		const asked = 1000
+		took := make([]time.Duration, 0, asked)
+		for range asked {
+			begin := time.Now()
+			Expect(ask()).To(Succeed())
+			took = append(took, time.Since(begin))
+		}
+		slices.Sort(took)
+		b.ReportMetric(float64(took[asked/2].Microseconds()), name+"-p50-us")
+		b.ReportMetric(float64(took[asked*99/100].Microseconds()), name+"-p99-us")
+	}
+	through := func() error { _, err := v.ask(); return err }
+	for b.Loop() {
+		measure("direct", v.direct)
+		measure("vm", through)
+	}
+}
