--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/sardinespindle/sardinespindle/internal/admin"
 	"github.com/sardinespindle/sardinespindle/internal/daemon"
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/platform"
@@ -45,13 +46,13 @@
 }
 
 // publish puts a manifest with one single workload at the upstream on the platform.
-func publish(p *standin.Platform, upstream string) {
+func publish(p *standin.Platform, upstream string, generation int) {
 	part := fmt.Sprintf(`{"workloads":[{"name":"news","kind":"single","idempotent":true}],
 		"upstreams":[{"address":%q,"zone":"a","workload":"news","slots":4,"connection_limit":50}],
 		"callers":[{"name":"teachers","token_sha256":%q,"grants":[{"workload":"news","deadline_ms":5000,"trade":"complete"}]}]}`,
 		upstream, manifest.Digest([]byte(token)))
 	digest := manifest.Digest([]byte(part))
-	head, err := json.Marshal(gen.Head{Generation: 1, Parts: []gen.PartRef{{Digest: gen.Digest(digest), Bytes: len(part)}}})
+	head, err := json.Marshal(gen.Head{Generation: generation, Parts: []gen.PartRef{{Digest: gen.Digest(digest), Bytes: len(part)}}})
 	Expect(err).NotTo(HaveOccurred())
 	p.Set(platform.PartKey(digest), []byte(part))
 	p.Set(platform.HeadKey, head)
@@ -65,6 +66,7 @@
 type vm struct {
 	callers, admin string
 	upstream       string
+	platform       *standin.Platform
 	client         *http.Client
 	stop           context.CancelFunc
 	ended          chan error
@@ -81,12 +83,12 @@
 	}))
 	cleanup(up.Close)
 	p := standin.NewPlatform()
-	publish(p, up.Listener.Addr().String())
+	publish(p, up.Listener.Addr().String(), 1)
 	config := httptest.NewServer(p.Handler("vm-01"))
 	cleanup(config.Close)
 	v := &vm{
 		callers: address(), admin: address(), ended: make(chan error, 1),
-		upstream: up.Listener.Addr().String(), client: &http.Client{Transport: &http.Transport{}},
+		upstream: up.Listener.Addr().String(), platform: p, client: &http.Client{Transport: &http.Transport{}},
 	}
 	cleanup(v.client.CloseIdleConnections)
 	s, err := settings.Parse(fmt.Appendf(nil, `
@@ -124,6 +126,18 @@
 	return resp.StatusCode
 }
 
+// generation returns the manifest generation in force; 0 for none.
+func (v *vm) generation() int {
+	resp, err := http.Get("http://" + v.admin + "/v1/status")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	var s admin.Status
+	Expect(json.NewDecoder(resp.Body).Decode(&s)).To(Succeed())
+	return s.Generation
+}
+
 // direct asks the upstream without the VM.
 func (v *vm) direct() error {
 	resp, err := v.client.Post("http://"+v.upstream+"/request/news", "application/json", strings.NewReader("{}"))
@@ -185,6 +199,14 @@
 	})
 })
 
+var _ = Describe("a daemon that knows of no other VM", func() {
+	It("watches the platform itself", func() {
+		v := start(later, "", 0)
+		publish(v.platform, v.upstream, 2)
+		Eventually(v.generation, "5s", "50ms").Should(Equal(2))
+	})
+})
+
 // BenchmarkHop measures what an idle VM adds to a request to an upstream that replies
 // at once.
 func BenchmarkHop(b *testing.B) {
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -55,7 +55,7 @@
 		InFlight:    d.callers.InFlight(),
 		Generation:  n,
 		HeadDigest:  digest,
-		Relay:       d.node.Relay(),
+		Relay:       d.relay(),
 		Facts:       d.node.Facts().Len(),
 		Upstreams:   d.upstreams.States(),
 	}
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -55,7 +55,7 @@
 	d.keeper = rollout.New(rollout.Options{
 		Peers:      peers{d},
 		Source:     d.platform,
-		Relay:      d.node.Relay,
+		Relay:      d.relay,
 		Wait:       time.Duration(d.s.Platform.WatchSeconds) * time.Second,
 		Apply:      d.apply,
 		Unchecked:  !d.mechanisms.On(settings.ExperimentDisableElemGeneration),
@@ -144,6 +144,10 @@
 // countVMs returns how many VMs may be alive: listed, leaving or lately removed.
 func (d *Daemon) countVMs() int { return max(1, len(d.node.Roster())) }
 
+// relay reports whether this VM watches the platform: by its role, or since it knows of
+// no other VM that could.
+func (d *Daemon) relay() bool { return d.node.Relay() || d.countVMs() == 1 }
+
 func (d *Daemon) memberNames() []string {
 	var names []string
 	for _, m := range d.node.Roster() {
