--- a/internal/bench/experiments.go
+++ b/internal/bench/experiments.go
@@ -66,7 +66,7 @@
 		{Name: "straggler", About: "1 in 100 sub-requests takes 20 times as long, one replica always 10 times", Script: straggler},
 		{Name: "overload", About: "twice the capacity for the middle half of the time; callers ask again", Alone: true, Script: overload, Streams: overloadStreams},
 		{Name: "drain", About: "replicas leave in turn; their health endpoints lie", Script: drain},
-		{Name: "partition", About: "half of the VMs lose the others and the platform, while the manifest changes", Script: partition},
+		{Name: "partition", About: "half of the VMs lose the others and the platform, while the manifest changes and orders are sent twice", Streams: resendStreams, Script: partition},
 		{Name: "zone-cut", About: "the upstreams of one zone stop answering for the middle half of the time", Script: zoneCut},
 		{Name: "rolling-restart", About: "each VM in turn is stopped as planned and replaced", Script: rollingRestart},
 		{Name: "platform-outage", About: "the platform is down, then frozen, then answers older values; a VM is replaced meanwhile", Script: platformOutage},
