Give the config relay its row in the capacity page

Cause: the issue asks for the relay's cost; the page had only its reads. Ruled out: more relays, whose watches count against the platform's budget.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -49,6 +49,7 @@
 	vmEntryBytes   = 110 // of the VM list
 	factBytes      = 150
 	gossipDegree   = 7
+	relayDegree    = 2   // VMs that one VM serves in the relay tree, at most
 	serverEntry    = 117 // bytes of one upstream in the manifest
 	leafServers    = 20  // servers of one part of a part tree
 	treeFanOut     = 64
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -20,6 +20,11 @@
 			Memory:    whole.Memory + float64(whole.Bytes),
 			Bandwidth: changes * float64(whole.DeltaBytes),
 		},
+		{
+			Role: "config relay", Carrier: "`internal/rollout`: two a zone watch the head; the others ask the relay that told of it",
+			Memory:    whole.Memory + float64(whole.Bytes),
+			Bandwidth: changes * float64(whole.DeltaBytes) * vms / (zones * relaysPerZone),
+		},
 		{
 			Role: "VM list reader", Carrier: "every VM watches `vms`",
 			Memory:    vms * vmEntryBytes,
@@ -74,6 +79,11 @@
 			Memory:    held * (whole.Memory / servers),
 			Bandwidth: changes * float64(path),
 		},
+		{
+			Role: "config relay", Carrier: "a relay tree: each VM asks the neighbour that passed the head on, so each serves one other on average, at most two",
+			Memory:    held * (whole.Memory / servers),
+			Bandwidth: changes * float64(path) * (1 + relayDegree),
+		},
 		{
 			Role: "VM list reader", Carrier: "relays watch `vms`; changes travel as facts",
 			Memory:    vms * vmEntryBytes,
