Send the balancer to a new VM only once it is ready

Cause: read-through: /v1/health said 200 as soon as a manifest was in force, though the VM had not asked its peers for a newer one; only /readyz waited for that. Change: the balancer's check follows readiness, with a test that failed to build before. Ruled out: one check for both, since operators' health must not follow the balancer's. Conclusion: a new VM with a stale platform serves no caller before it heard a peer.

--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -74,6 +74,15 @@
 	*httptest.Server
 	engine *engine
 	server *callers.Server
+	ready  bool
+}
+
+// health returns the status that the balancer sees.
+func (v *vm) health() int {
+	resp, err := http.Get(v.URL + "/v1/health")
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	return resp.StatusCode
 }
 
 func newVM(m *manifest.Manifest) *vm {
@@ -83,7 +92,7 @@
 		a.Apply(m)
 	}
 	v.server = callers.New(callers.Options{
-		Manifest: func() *manifest.Manifest { return m }, Searcher: v.engine, Runner: v.engine,
+		Manifest: func() *manifest.Manifest { return m }, Ready: func() bool { return v.ready }, Searcher: v.engine, Runner: v.engine,
 		Admission: a, Log: log.New(io.Discard),
 	})
 	v.Server = httptest.NewServer(v.server.Handler())
@@ -182,9 +191,14 @@
 		resp, r := v.post("parts/search", `{"query":"x"}`)
 		Expect(r.Outcome).To(Equal(caller.OutcomeAnswered))
 		Expect(resp.Close).To(BeTrue())
-		health, err := http.Get(v.URL + "/v1/health")
-		Expect(err).NotTo(HaveOccurred())
-		defer health.Body.Close()
-		Expect(health.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		v.ready = true
+		Expect(v.health()).To(Equal(http.StatusServiceUnavailable))
+	})
+
+	It("is sent to the VM only once it is ready", func() {
+		v := newVM(declared(0))
+		Expect(v.health()).To(Equal(http.StatusServiceUnavailable))
+		v.ready = true
+		Expect(v.health()).To(Equal(http.StatusOK))
 	})
 })
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -45,7 +45,9 @@
 // Options configures a Server.
 type Options struct {
 	// Manifest returns the manifest in force, nil for none.
-	Manifest  func() *manifest.Manifest
+	Manifest func() *manifest.Manifest
+	// Ready reports whether the balancer should send requests here.
+	Ready     func() bool
 	Searcher  Searcher
 	Runner    Runner
 	Admission *admission.Controller
@@ -96,7 +98,7 @@
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
-	if s.stopping.Load() || s.o.Manifest() == nil {
+	if s.stopping.Load() || !s.o.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -107,6 +107,7 @@
 	})
 	d.callers = callers.New(callers.Options{
 		Manifest:   d.keeper.Current,
+		Ready:      d.ready,
 		Searcher:   d.newSearcher(),
 		Runner:     d.newRunner(),
 		Admission:  d.admission,
