--- a/internal/policy/drain/drain_test.go
+++ b/internal/policy/drain/drain_test.go
@@ -128,7 +128,7 @@
 					w.way = append(w.way, message{to: pick(t), sent: w.now, stated: w.now, draining: rapid.Bool().Draw(t, "draining")})
 				},
 				"deliver": w.deliver,
-				"drop": func(t *rapid.T) {
+				"drop": func(*rapid.T) {
 					if len(w.way) == 0 {
 						return
 					}
