Bound a crash's telling once, name the facts of upstreams once

Cause: read-through: the daemon put a timeout of 50 ms around poison.Crashed, which has the same one; drain/ and alive/ stood as text in two files beside their lifetimes in a third place; a benchmark skipped itself where a variable was not set. Change: the guard's own bound alone; four constants in one place; BenchmarkFleet measures 5 VMs where no size is named, and fails on a size it can't read. Ruled out: one file of fact keys for all packages: each kind belongs to its package.

--- a/internal/daemon/evidence.go
+++ b/internal/daemon/evidence.go
@@ -14,24 +14,28 @@
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
 )
 
-// spreadTime bounds how long a crash is told to the other VMs before its request
-// goes on.
-const spreadTime = 50 * time.Millisecond
+// Facts about upstreams, one fact an address.
+const (
+	drainPrefix = "drain/"
+	drainTTL    = 30 * time.Second
+	alivePrefix = "alive/"
+	aliveTTL    = 3 * time.Second
+)
 
 // report tells the other VMs what was seen of an upstream.
 func (d *Daemon) report(e upstream.Evidence) {
 	if e.Draining {
-		d.node.Facts().Put("drain/"+e.Address, "", drainTTL)
+		d.node.Facts().Put(drainPrefix+e.Address, "", drainTTL)
 		return
 	}
-	d.node.Facts().Put("alive/"+e.Address, "", aliveTTL)
+	d.node.Facts().Put(alivePrefix+e.Address, "", aliveTTL)
 }
 
 // learnDrain takes another VM's evidence that an upstream is leaving.
-func (d *Daemon) learnDrain(f facts.Fact) { d.learn(f, "drain/", true, drainTTL) }
+func (d *Daemon) learnDrain(f facts.Fact) { d.learn(f, drainPrefix, true, drainTTL) }
 
 // learnAlive takes another VM's evidence that an upstream is not leaving.
-func (d *Daemon) learnAlive(f facts.Fact) { d.learn(f, "alive/", false, aliveTTL) }
+func (d *Daemon) learnAlive(f facts.Fact) { d.learn(f, alivePrefix, false, aliveTTL) }
 
 func (d *Daemon) learn(f facts.Fact, prefix string, draining bool, ttl time.Duration) {
 	if f.VM() == d.s.Name {
@@ -54,11 +58,9 @@
 }
 
 // Crashed notes that a connection was lost while a request ran, and tells the others
-// before the request goes on.
+// before the request goes on, for a time that the guard bounds.
 func (s suspects) Crashed(fingerprint, requestID string) {
-	ctx, cancel := context.WithTimeout(context.Background(), spreadTime)
-	defer cancel()
-	s.d.poison.Crashed(ctx, fingerprint, requestID)
+	s.d.poison.Crashed(context.Background(), fingerprint, requestID)
 }
 
 // provenSearch tells the fleet of searches that every upstream survived.
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -27,8 +27,6 @@
 	leavingTTL    = 60 * time.Second
 	drainMargin   = 5 * time.Second
 	leaveTime     = time.Second
-	drainTTL      = 30 * time.Second
-	aliveTTL      = 3 * time.Second
 )
 
 // wireFleet makes what talks to the platform and to other VMs.
@@ -124,8 +122,8 @@
 	d.node.Facts().Watch(rollout.HeadFact, func(f facts.Fact) {
 		d.keeper.Hear(context.Background(), f.VM(), f.Value)
 	})
-	d.node.Facts().Watch("drain/", d.learnDrain)
-	d.node.Facts().Watch("alive/", d.learnAlive)
+	d.node.Facts().Watch(drainPrefix, d.learnDrain)
+	d.node.Facts().Watch(alivePrefix, d.learnAlive)
 }
 
 // apply takes a manifest that came into force.
--- a/internal/slopes/fleet_test.go
+++ b/internal/slopes/fleet_test.go
@@ -1,6 +1,7 @@
 package slopes_test
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"strconv"
@@ -27,12 +28,14 @@
 	})
 })
 
-// BenchmarkFleet measures the sizes named in SPINDLE_FLEET_SIZES, as in 5,20,100.
+// BenchmarkFleet measures the sizes named in SPINDLE_FLEET_SIZES, as in 5,20,100; 5
+// where it is not set.
 func BenchmarkFleet(b *testing.B) {
-	for _, size := range strings.Split(os.Getenv("SPINDLE_FLEET_SIZES"), ",") {
+	sizes := cmp.Or(os.Getenv("SPINDLE_FLEET_SIZES"), "5")
+	for _, size := range strings.Split(sizes, ",") {
 		n, err := strconv.Atoi(size)
 		if err != nil {
-			b.Skip("SPINDLE_FLEET_SIZES is not set")
+			b.Fatalf("SPINDLE_FLEET_SIZES: %v", err)
 		}
 		r, err := slopes.Fleet(n, 10*time.Second, uint64(testkit.Seed()))
 		if err != nil {
