--- a/cmd/sardinespindle/main.go
+++ b/cmd/sardinespindle/main.go
@@ -12,10 +12,12 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/charmbracelet/log"
 
 	"github.com/sardinespindle/sardinespindle/internal/daemon"
 	"github.com/sardinespindle/sardinespindle/internal/settings"
 	"github.com/sardinespindle/sardinespindle/internal/telemetry"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/settings"
 )
 
 // traceFlush bounds the export of the last spans.
@@ -45,7 +47,9 @@
 		}
 		defer stop()
 	}
-	l, err := telemetry.Logger(os.Stderr, s.Log, s.Name)
+	lines := telemetry.NewLines(os.Stdout)
+	defer lines.Close()
+	l, err := telemetry.Logger(lines, s.Log, s.Name)
 	if err != nil {
 		return err
 	}
@@ -55,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	d, err := daemon.New(s, l)
+	d, err := newDaemon(s, l)
 	if err != nil {
 		return err
 	}
@@ -67,6 +71,18 @@
 	return flush(fctx)
 }
 
+// runner is a daemon of either kind.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+func newDaemon(s *gen.Settings, l *log.Logger) (runner, error) {
+	if s.Platform.Kind == gen.PlatformKindCatalog {
+		return daemon.NewForwarder(s, l)
+	}
+	return daemon.New(s, l)
+}
+
 // startProfile profiles the process until the function returned is called.
 func startProfile(file string) (func(), error) {
 	f, err := os.Create(file)
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -26,6 +26,8 @@
 	// Explain says what a request would meet now.
 	Explain  func(ExplainRequest) Explanation
 	Gatherer prometheus.Gatherer
+	// ReadyPath is a second path that tells readiness, besides /readyz; optional.
+	ReadyPath string
 	Log      *log.Logger
 }
 
@@ -34,12 +36,19 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(o.Gatherer, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+	ready := func(w http.ResponseWriter, _ *http.Request) {
 		if !o.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
-	})
+	}
+	mux.HandleFunc("GET /readyz", ready)
+	if o.ReadyPath != "" {
+		mux.HandleFunc("GET "+o.ReadyPath, ready)
+	}
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, o.Log, o.Status()) })
+	if o.Explain == nil {
+		return mux
+	}
 	mux.HandleFunc("POST /v1/explain", func(w http.ResponseWriter, r *http.Request) {
 		var q ExplainRequest
 		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxExplainBytes)).Decode(&q); err != nil {
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,116 @@
+// Package catalog keeps what the platform publishes of routes, services and upstreams:
+// it mirrors the items of the platform's store, from the store itself or from another
+// VM, and compiles them for lookup. Revisions never go back within a process. The
+// mirror has one lock; a compiled Catalog is immutable.
+package catalog
+
+import (
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/manifest"
+	"github.com/sardinespindle/sardinespindle/internal/policy/route"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
+)
+
+// Config is one version of the operators' configuration.
+type Config struct {
+	Version  int
+	Routes   []*route.Route
+	Services []Service
+	Limits   Limits
+}
+
+// Service is a set of upstreams that serve the same requests.
+type Service struct {
+	Name string
+	// ConnectionLimit is the number of connections that one upstream accepts from all
+	// VMs together.
+	ConnectionLimit int
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes, BodyBytes     int
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// Entry is what one upstream says of itself.
+type Entry struct {
+	Identity string
+	Service  string
+	Address  string
+	Zone     string
+	Slots    int
+	Draining bool
+	// Warming is how much longer the upstream is slow after its start.
+	Warming time.Duration
+	// Born is when the upstream started, in Unix milliseconds; 0 where not told.
+	Born int64
+}
+
+// Catalog is what is in force, compiled for lookup.
+type Catalog struct {
+	Config   *Config
+	Table    *route.Table
+	Manifest *manifest.Manifest
+	// Searches holds, by route name, the workload of each sharded route, whose partition
+	// map names the services of its shards.
+	Searches map[string]*manifest.Workload
+}
+
+// mapVersion is the version of the one partition map of a sharded route.
+const mapVersion = 1
+
+// compile builds the lookup tables. Upstreams that drain get no new requests.
+func compile(c *Config, entries []Entry) *Catalog {
+	m := &manifest.Manifest{
+		Generation: c.Version,
+		Workloads:  make(map[string]*manifest.Workload, len(c.Services)),
+		Upstreams:  make(map[string]*gen.Upstream, len(entries)),
+	}
+	limits := make(map[string]int, len(c.Services))
+	for _, s := range c.Services {
+		limits[s.Name] = s.ConnectionLimit
+		m.Workloads[s.Name] = &manifest.Workload{
+			Workload: gen.Workload{Name: gen.Name(s.Name), Kind: gen.WorkloadKindSingle},
+		}
+	}
+	for _, e := range entries {
+		w := m.Workloads[e.Service]
+		if w == nil || e.Draining {
+			continue
+		}
+		u := &gen.Upstream{
+			Address: e.Address, Identity: e.Identity, Zone: gen.Name(e.Zone),
+			Workload: gen.Name(e.Service), Slots: max(e.Slots, 1), ConnectionLimit: limits[e.Service],
+		}
+		m.Upstreams[e.Address] = u
+		w.Upstreams = append(w.Upstreams, u)
+	}
+	return &Catalog{
+		Config: c, Table: route.NewTable(c.Routes), Manifest: m, Searches: searches(c.Routes),
+	}
+}
+
+// searches returns the workload of each sharded route.
+func searches(routes []*route.Route) map[string]*manifest.Workload {
+	out := make(map[string]*manifest.Workload)
+	for _, r := range routes {
+		if !r.Sharded() {
+			continue
+		}
+		pm := &manifest.PartitionMap{ByName: make(map[string]*gen.Shard, len(r.Shards))}
+		pm.Version = mapVersion
+		pm.Shards = make([]gen.Shard, len(r.Shards))
+		for i, s := range r.Shards {
+			pm.Shards[i].Name = gen.Name(s)
+			pm.ByName[s] = &pm.Shards[i]
+		}
+		out[r.Name] = &manifest.Workload{
+			Workload: gen.Workload{Name: gen.Name(r.Name), Kind: gen.WorkloadKindSharded, Idempotent: true},
+			Maps:     map[int]*manifest.PartitionMap{mapVersion: pm},
+			Newest:   pm,
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,382 @@
+// Package forward serves callers' requests that go to upstreams unchanged: it finds the
+// route, hands the request to the search engine or to the runner of single workloads,
+// and writes what came of it. Budgets of repeats are kept a service apart, each under
+// its own lock.
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sardinespindle/sardinespindle/internal/catalog"
+	"github.com/sardinespindle/sardinespindle/internal/gather"
+	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/policy/repeat"
+	"github.com/sardinespindle/sardinespindle/internal/policy/route"
+	"github.com/sardinespindle/sardinespindle/internal/sharded"
+	"github.com/sardinespindle/sardinespindle/internal/single"
+	"github.com/sardinespindle/sardinespindle/internal/upstream"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
+)
+
+// Headers names the headers between callers and this VM, in the canonical form of
+// net/http.
+type Headers struct {
+	// RequestID is the caller's id of a request.
+	RequestID string
+	// Deadline holds the time that the caller waits, in milliseconds.
+	Deadline string
+	// Signatures names the parts of a search's answer, and Missing counts the shards
+	// left out.
+	Signatures, Missing string
+	// Private are headers that only this system sets; a caller's own are not forwarded.
+	Private []string
+}
+
+// Searcher runs searches.
+type Searcher interface {
+	Search(ctx context.Context, s gather.Search) outcome.Outcome
+}
+
+// Runner runs requests to single workloads.
+type Runner interface {
+	Run(ctx context.Context, q single.Request) outcome.Outcome
+}
+
+// Options of a Server.
+type Options struct {
+	// Catalog returns what is in force; nil before anything is.
+	Catalog  func() *catalog.Catalog
+	Headers  Headers
+	Searcher Searcher
+	Runner   Runner
+	// Repeats bound the attempts beyond the first, summed over the fleet.
+	Repeats repeat.Limits
+	// VMs returns how many VMs share Repeats.
+	VMs        func() int
+	Now        func() time.Duration
+	Log        *log.Logger
+	Registerer prometheus.Registerer
+}
+
+// maxServices bounds the services whose budget is kept.
+const maxServices = 8192
+
+// Server serves callers. It is safe for use by several goroutines.
+type Server struct {
+	o        Options
+	metrics  *metrics
+	budgets  *sharded.Map[string, repeat.Bucket]
+	stopping atomic.Bool
+	closing  atomic.Bool
+	inFlight atomic.Int64
+}
+
+// New returns a Server.
+func New(o Options) *Server {
+	return &Server{o: o, metrics: newMetrics(o.Registerer), budgets: sharded.New[string, repeat.Bucket](maxServices)}
+}
+
+// Times and bounds of the callers' connections.
+const (
+	// headerTimeout bounds how long the head of a request may take.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is above the longest idle time that operators publish.
+	idleTimeout = 2 * time.Minute
+	// mostHeaderBytes is above the operators' bound, which is checked on its own.
+	mostHeaderBytes = 64 << 10
+	// defaultBodyBytes bounds a body while no bound is published.
+	defaultBodyBytes = 1 << 20
+)
+
+// HTTPServer returns the server of the callers' address.
+func (s *Server) HTTPServer(addr string) *http.Server {
+	return &http.Server{
+		Addr: addr, Handler: s, ReadHeaderTimeout: headerTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: mostHeaderBytes,
+	}
+}
+
+// Stop closes each connection after its next answer. Requests are still served.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// Refuse turns away each request that comes from now on.
+func (s *Server) Refuse() { s.closing.Store(true) }
+
+// InFlight returns the number of requests being served.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// request is one request being served.
+type request struct {
+	id       string
+	begun    time.Time
+	route    *route.Route
+	service  string
+	catalog  *catalog.Catalog
+	deadline time.Time // when the caller is answered in any case
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	q := &request{id: r.Header.Get(s.o.Headers.RequestID), begun: time.Now()}
+	o := s.serve(r, q)
+	s.record(q, &o)
+	if r.Context().Err() != nil {
+		return // the caller has left
+	}
+	s.write(w, r, q, &o)
+}
+
+// Waits after which a refused caller may come back.
+const (
+	startWait = 500 * time.Millisecond
+	stopWait  = 50 * time.Millisecond
+)
+
+func (s *Server) serve(r *http.Request, q *request) outcome.Outcome {
+	q.catalog = s.o.Catalog()
+	if q.catalog == nil {
+		return outcome.NotRun(outcome.NoManifest, "no configuration is known yet", startWait)
+	}
+	if s.closing.Load() {
+		return outcome.NotRun(outcome.Stopping, "this VM is stopping", stopWait)
+	}
+	q.route = q.catalog.Table.Find(hostOf(r.Host), r.URL.EscapedPath())
+	if q.route == nil {
+		return outcome.Rejected(outcome.UnknownWorkload, fmt.Sprintf("no route for %s%s", r.Host, r.URL.EscapedPath()))
+	}
+	passed, refusal := s.read(r, q)
+	if refusal != nil {
+		return *refusal
+	}
+	q.deadline = s.deadline(r, q)
+	if q.route.Sharded() {
+		return s.search(r.Context(), q, passed)
+	}
+	return s.single(r.Context(), q, passed)
+}
+
+func hostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// answerMargin is kept back for the way of the answer to the caller.
+const answerMargin = 25 * time.Millisecond
+
+// deadline returns when the caller is answered in any case: before it gives up, and at
+// the route's timeout.
+func (s *Server) deadline(r *http.Request, q *request) time.Time {
+	wait := q.route.Timeout
+	if ms, err := strconv.ParseFloat(r.Header.Get(s.o.Headers.Deadline), 64); err == nil && ms > 0 {
+		given := time.Duration(ms * float64(time.Millisecond))
+		if wait <= 0 || given < wait {
+			wait = given
+		}
+	}
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	return q.begun.Add(wait - min(answerMargin, wait/10))
+}
+
+// defaultWait bounds a request that neither its caller nor its route bounds.
+const defaultWait = 30 * time.Second
+
+// read returns the request as it is forwarded, or why it is not.
+func (s *Server) read(r *http.Request, q *request) (*upstream.Passed, *outcome.Outcome) {
+	most := int64(q.catalog.Config.Limits.BodyBytes)
+	if most <= 0 {
+		most = defaultBodyBytes
+	}
+	if r.ContentLength > most {
+		o := outcome.Rejected(outcome.TooLarge, fmt.Sprintf("body of %d bytes, at most %d", r.ContentLength, most))
+		return nil, &o
+	}
+	var body []byte
+	if r.ContentLength != 0 {
+		var err error
+		body, err = io.ReadAll(io.LimitReader(r.Body, most+1))
+		if err != nil {
+			o := outcome.Rejected(outcome.BadRequest, fmt.Sprintf("read body: %v", err))
+			return nil, &o
+		}
+		if int64(len(body)) > most {
+			o := outcome.Rejected(outcome.TooLarge, fmt.Sprintf("body of over %d bytes", most))
+			return nil, &o
+		}
+	}
+	return &upstream.Passed{
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: s.forwarded(r.Header), Body: body, ID: q.id,
+	}, nil
+}
+
+// perConnection are headers that concern one connection only.
+var perConnection = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// forwarded returns the headers that go on to the upstream.
+func (s *Server) forwarded(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	for k, v := range h {
+		out[k] = v
+	}
+	strip(out)
+	for _, k := range s.o.Headers.Private {
+		delete(out, k)
+	}
+	return out
+}
+
+// strip takes the per-connection headers out.
+func strip(h http.Header) {
+	for _, v := range h["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, k := range perConnection {
+		delete(h, k)
+	}
+}
+
+// fingerprint tells like requests by route, target and body.
+func fingerprint(p *upstream.Passed) string {
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range []string{p.Method, p.Host, p.Target} {
+		_, _ = d.WriteString(s)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(p.Body)
+	return strconv.FormatUint(d.Sum64(), 16)
+}
+
+// repeat pays for one attempt beyond the first at a service.
+func (s *Server) repeat(service string) (paid bool) {
+	s.budgets.Do(service, func(b *repeat.Bucket) { paid = b.Take(s.o.Now(), s.o.Repeats, s.o.VMs()) })
+	if paid {
+		s.metrics.repeats.Inc()
+	} else {
+		s.metrics.unpaid.Inc()
+	}
+	return paid
+}
+
+func (s *Server) earn(service string) {
+	s.budgets.Do(service, func(b *repeat.Bucket) { b.Earn(s.o.Now(), s.o.Repeats, s.o.VMs()) })
+}
+
+// Moments of a request, as shares of its objective.
+const (
+	// hedgeSearch is when a shard of a search is asked once more: late enough for the
+	// reply of an idle upstream, early enough for a second one in time.
+	hedgeSearch = 0.4
+	// hedgeSingle is the same for a request to a single upstream.
+	hedgeSingle = 0.5
+	// answerShare and answerSlack give the latest moment of an answer in time.
+	answerShare = 0.95
+	answerSlack = 8 * time.Millisecond
+)
+
+func (q *request) objective() time.Duration {
+	if q.route.Objective > 0 {
+		return q.route.Objective
+	}
+	return q.deadline.Sub(q.begun)
+}
+
+func share(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
+
+func (s *Server) search(ctx context.Context, q *request, p *upstream.Passed) outcome.Outcome {
+	workload := q.catalog.Searches[q.route.Name]
+	for _, shard := range q.route.Shards {
+		s.earn(shard)
+	}
+	objective := q.objective()
+	answerAt := q.begun.Add(share(objective, answerShare) - answerSlack)
+	if answerAt.After(q.deadline) {
+		answerAt = q.deadline
+	}
+	return s.o.Searcher.Search(ctx, gather.Search{
+		ID:          q.id,
+		Fingerprint: fingerprint(p),
+		Workload:    workload,
+		Deadline:    q.deadline,
+		Pass: &gather.Pass{
+			Request:    p,
+			Shards:     q.catalog.Manifest.Workloads,
+			Top:        q.route.Top,
+			Minimum:    q.route.MinimumShare,
+			AnswerAt:   answerAt,
+			GiveUpAt:   q.deadline,
+			HedgeAfter: share(objective, hedgeSearch),
+			Attempts:   q.route.Attempts,
+			Repeat:     s.repeat,
+		},
+	})
+}
+
+func (s *Server) single(ctx context.Context, q *request, p *upstream.Passed) outcome.Outcome {
+	q.service = q.route.Choose(rand.Float64())
+	workload := q.catalog.Manifest.Workloads[q.service]
+	if workload == nil {
+		return outcome.NotRun(outcome.NoUpstream, fmt.Sprintf("service %s is not published", q.service), startWait)
+	}
+	s.earn(q.service)
+	return s.o.Runner.Run(ctx, single.Request{
+		ID:          q.id,
+		Fingerprint: fingerprint(p),
+		Workload:    workload,
+		Deadline:    q.deadline,
+		Pass: &single.Pass{
+			Request:    p,
+			Idempotent: q.route.Idempotent,
+			HedgeAfter: share(q.objective(), hedgeSingle),
+			Attempts:   q.route.Attempts,
+			Repeat:     func() bool { return s.repeat(q.service) },
+		},
+	})
+}
+
+// record counts and logs what became of a request.
+func (s *Server) record(q *request, o *outcome.Outcome) {
+	took := time.Since(q.begun)
+	name := ""
+	if q.route != nil {
+		name = q.route.Name
+	}
+	s.metrics.done(o, took)
+	if o.Kind == caller.OutcomeAnswered && o.ResultStatus < http.StatusInternalServerError &&
+		(o.Coverage == nil || o.Coverage.Complete) {
+		return
+	}
+	fields := []any{
+		"id", q.id, "route", name, "service", q.service, "outcome", o.Kind, "reason", o.Reason, "detail", o.Detail,
+		"took_ms", took.Milliseconds(), "sent", o.Cost.Sent, "shed", o.Cost.Shed, "retry_after_ms", o.RetryAfter.Milliseconds(),
+	}
+	if q.catalog != nil {
+		fields = append(fields, "version", q.catalog.Config.Version)
+	}
+	if o.Coverage != nil {
+		fields = append(fields, "covered", o.Coverage.ShardsCovered, "shards", o.Coverage.ShardsTotal)
+	}
+	s.o.Log.Info("request", fields...)
+}
--- /dev/null
+++ b/internal/forward/metrics.go
@@ -0,0 +1,54 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
+)
+
+// metrics counts requests. Labels hold no route: their names are the operators' and
+// change with each version.
+type metrics struct {
+	requests *prometheus.CounterVec
+	latency  prometheus.Histogram
+	share    prometheus.Histogram
+	repeats  prometheus.Counter
+	unpaid   prometheus.Counter
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "spindle_forward_requests_total", Help: "Requests by outcome and reason.",
+		}, []string{"outcome", "reason"}),
+		latency: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "spindle_forward_request_seconds", Help: "Time to the answer.",
+			Buckets: []float64{.01, .02, .04, .08, .15, .2, .3, .5, .8, 1.5, 3, 6, 15},
+		}),
+		share: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "spindle_forward_shard_share", Help: "Share of shards in answers of searches.",
+			Buckets: []float64{.5, .75, .85, .89, .9, .95, .999, 1},
+		}),
+		repeats: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "spindle_forward_repeats_total", Help: "Attempts beyond the first that were paid for.",
+		}),
+		unpaid: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "spindle_forward_repeats_refused_total", Help: "Attempts beyond the first for which the budget was spent.",
+		}),
+	}
+	if r != nil {
+		r.MustRegister(m.requests, m.latency, m.share, m.repeats, m.unpaid)
+	}
+	return m
+}
+
+func (m *metrics) done(o *outcome.Outcome, took time.Duration) {
+	m.requests.WithLabelValues(string(o.Kind), string(o.Reason)).Inc()
+	m.latency.Observe(took.Seconds())
+	if o.Kind == caller.OutcomeAnswered && o.Coverage != nil && o.Coverage.ShardsTotal > 0 {
+		m.share.Observe(float64(o.Coverage.ShardsCovered) / float64(o.Coverage.ShardsTotal))
+	}
+}
--- /dev/null
+++ b/internal/forward/write.go
@@ -0,0 +1,88 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
+)
+
+// write sends the whole answer, with its length.
+func (s *Server) write(w http.ResponseWriter, r *http.Request, q *request, o *outcome.Outcome) {
+	h := w.Header()
+	if s.stopping.Load() {
+		h.Set("Connection", "close")
+	}
+	status := statusOf(o)
+	switch {
+	case o.Kind != caller.OutcomeAnswered:
+		h.Set("Content-Length", "0")
+		if o.RetryAfter > 0 {
+			h.Set("Retry-After", seconds(o.RetryAfter))
+		}
+	case o.Header != nil:
+		s.copyHeader(h, o, r.Method, status)
+	default:
+		h.Set("Content-Type", "application/octet-stream")
+		h.Set("Content-Length", strconv.Itoa(len(o.Result)))
+		h.Set(s.o.Headers.RequestID, q.id)
+		h.Set(s.o.Headers.Signatures, strings.Join(o.Signatures, ","))
+		if missing := o.Coverage.ShardsTotal - o.Coverage.ShardsCovered; missing > 0 {
+			h.Set(s.o.Headers.Missing, strconv.Itoa(missing))
+		}
+	}
+	w.WriteHeader(status)
+	if o.Kind != caller.OutcomeAnswered || r.Method == http.MethodHead || len(o.Result) == 0 {
+		return
+	}
+	if _, err := w.Write(o.Result); err != nil {
+		s.o.Log.Info("answer not written", "id", q.id, "err", err)
+	}
+}
+
+// copyHeader passes an upstream's headers on.
+func (s *Server) copyHeader(h http.Header, o *outcome.Outcome, method string, status int) {
+	from := o.Header.Clone()
+	strip(from)
+	for k, v := range from {
+		h[k] = v
+	}
+	if method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified {
+		h.Set("Content-Length", strconv.Itoa(len(o.Result)))
+	}
+}
+
+// seconds writes a time as callers read it, in seconds with fractions.
+func seconds(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+}
+
+// statusOf returns the HTTP status of an outcome. Only a request that has not run and
+// never will gets one that says so.
+func statusOf(o *outcome.Outcome) int {
+	switch o.Kind {
+	case caller.OutcomeAnswered:
+		if o.ResultStatus != 0 {
+			return o.ResultStatus
+		}
+		return http.StatusOK
+	case caller.OutcomeNotRun:
+		return http.StatusServiceUnavailable
+	case caller.OutcomeUnknown:
+		if o.Reason == outcome.DeadlineExceeded {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	switch o.Reason {
+	case outcome.UnknownWorkload:
+		return http.StatusNotFound
+	case outcome.TooLarge:
+		return http.StatusRequestEntityTooLarge
+	default:
+		return http.StatusBadRequest
+	}
+}
--- a/internal/gather/choose.go
+++ b/internal/gather/choose.go
@@ -33,11 +33,15 @@
 		q.cursor = b.cursor
 		c = b.choice
 	})
-	if c.workload != q.s.Workload || now-c.at >= choiceFor {
+	if q.s.Pass == nil && (c.workload != q.s.Workload || now-c.at >= choiceFor) {
 		c = q.choose(now)
 		q.e.budgets.Do(q.workload, func(b *budget) { b.choice = c })
 	}
 	q.pmap = q.s.Workload.Newest
+	if q.s.Pass != nil {
+		q.aim(snapshot.ID{Map: int(q.pmap.Version)})
+		return
+	}
 	if c.known {
 		q.aim(c.id)
 	}
--- a/internal/gather/finish.go
+++ b/internal/gather/finish.go
@@ -41,6 +41,9 @@
 
 func (q *query) decide() (outcome.Outcome, bool) {
 	now := time.Now()
+	if q.s.Pass != nil {
+		return q.decidePassed(now)
+	}
 	s := q.state(now)
 	if answer.Decide(s) == answer.Wait {
 		return outcome.Outcome{}, false
--- a/internal/gather/handle.go
+++ b/internal/gather/handle.go
@@ -23,6 +23,8 @@
 	switch {
 	case at.result.Class != upstream.OK:
 		q.failed(sh, at, at.result.Class)
+	case q.s.Pass != nil:
+		q.passedReply(sh, &at.result)
 	case !q.genuine(sh, at, at.result.Reply):
 		q.failed(sh, at, upstream.Garbled)
 	default:
@@ -185,6 +187,10 @@
 		q.losses++
 	}
 	q.touch(sh)
+	if q.s.Pass != nil {
+		q.retryPassed(sh, c)
+		return
+	}
 	if sh.class == dead && sh.planned {
 		q.retry(sh, c)
 	}
--- /dev/null
+++ b/internal/gather/pass.go
@@ -0,0 +1,208 @@
+package gather
+
+import (
+	"bytes"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/manifest"
+	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/policy/answer"
+	"github.com/sardinespindle/sardinespindle/internal/policy/coverage"
+	"github.com/sardinespindle/sardinespindle/internal/upstream"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
+)
+
+// Pass describes a search whose request goes to each shard unchanged and whose parts are
+// bodies of fixed-size records. Each shard is a workload of its own. Its snapshot is the
+// set of shards that the search's workload names, so parts of two sets never mix.
+type Pass struct {
+	Request *upstream.Passed
+	// Shards finds the workload that serves a shard, by the shard's name.
+	Shards map[string]*manifest.Workload
+	// Top is the number of records that the caller wants.
+	Top int
+	// Minimum is the least share of shards of an answer, 0 to 1.
+	Minimum float64
+	// AnswerAt is when an answer with the parts at hand is worth more than a later one
+	// with all of them; GiveUpAt is when the caller is answered in any case.
+	AnswerAt, GiveUpAt time.Time
+	// HedgeAfter is how long after its first attempt a shard is hedged.
+	HedgeAfter time.Duration
+	// Attempts is the most replicas of a shard that the request may be sent to.
+	Attempts int
+	// Repeat pays for one attempt beyond a shard's first; false where the budget of the
+	// shard's service is spent.
+	Repeat func(service string) bool
+}
+
+// place sets which workload's upstreams serve the shard.
+func (q *query) place(sh *shard) {
+	if q.s.Pass != nil {
+		sh.workload = q.s.Pass.Shards[sh.name]
+		return
+	}
+	sh.workload, sh.key = q.s.Workload, sh.name
+	sh.replicas = len(q.s.Workload.Replicas[sh.name])
+}
+
+// launchPassed sends the first attempt of each shard, where enough of them can be sent.
+func (q *query) launchPassed() {
+	tickets := make([]Ticket, len(q.plan))
+	ready := 0
+	for i, sh := range q.plan {
+		t, err := q.pickPassed(sh, false)
+		if err == nil {
+			tickets[i] = t
+			ready++
+		}
+	}
+	enough := ready >= q.needPassed()
+	for i, sh := range q.plan {
+		t := tickets[i]
+		switch {
+		case t == nil:
+			sh.given = true
+		case enough:
+			q.send(sh, t, q.wanted, false)
+		default:
+			t.Cancel()
+		}
+	}
+}
+
+var errNoService = errors.New("gather: shard is not published")
+
+func (q *query) pickPassed(sh *shard, hedged bool) (Ticket, error) {
+	if sh.workload == nil {
+		return nil, errNoService
+	}
+	return q.e.up.Pick(sh.workload, sh.key, sh.tried, hedged)
+}
+
+// needPassed is the least number of parts of an answer.
+func (q *query) needPassed() int {
+	return answer.Need(answer.State{Minimum: q.s.Pass.Minimum, Total: len(q.plan)})
+}
+
+// hedgePassed sends a second attempt of a slow shard, if budget and replicas allow.
+func (q *query) hedgePassed(sh *shard) {
+	if sh.hedged || len(sh.flying) != 1 {
+		return
+	}
+	sh.hedged = true
+	if q.repeat(sh, true) {
+		q.counters.hedged.Inc()
+	}
+}
+
+// retryPassed sends a shard's request to another replica after one gave no part.
+func (q *query) retryPassed(sh *shard, c upstream.Class) {
+	if sh.class != dead {
+		return
+	}
+	if q.losses > maxLosses {
+		sh.given = true
+		return
+	}
+	if !q.repeat(sh, false) {
+		sh.given = true
+		return
+	}
+	q.counters.retried.Inc()
+}
+
+// maxLosses is the number of lost connections of one search after which none of its
+// requests is sent again: the request may be what ends the upstreams.
+const maxLosses = 2
+
+// repeat sends the shard's request to one more replica.
+func (q *query) repeat(sh *shard, hedged bool) bool {
+	p := q.s.Pass
+	if len(sh.tried) >= p.Attempts || !time.Now().Before(p.GiveUpAt) {
+		return false
+	}
+	t, err := q.pickPassed(sh, hedged)
+	if err != nil {
+		return false
+	}
+	if !p.Repeat(string(sh.workload.Name)) {
+		t.Cancel()
+		return false
+	}
+	q.send(sh, t, q.wanted, hedged)
+	return true
+}
+
+// passedReply takes in a shard's part.
+func (q *query) passedReply(sh *shard, r *upstream.Result) {
+	q.replied = true
+	q.good++
+	q.merge.Add(q.pmap, coverage.Part{
+		Shard: sh.name, Snapshot: q.target, Signature: r.Signature, Records: r.Body,
+	})
+	q.touch(sh)
+	if sh.class == covered {
+		q.drop(sh)
+	}
+}
+
+// decidePassed says whether the search is answered now.
+func (q *query) decidePassed(now time.Time) (outcome.Outcome, bool) {
+	p := q.s.Pass
+	s := answer.State{
+		Minimum: p.Minimum, Total: len(q.plan), Covered: q.counts[covered], Open: q.counts[open],
+		TimeUp: !now.Before(p.AnswerAt),
+	}
+	switch answer.Early(s) {
+	case answer.Give:
+		return q.answerPassed(), true
+	case answer.Refuse:
+		return q.failPassed(), true
+	case answer.Wait:
+	}
+	if !now.Before(p.GiveUpAt) {
+		return q.failPassed(), true
+	}
+	if s.TimeUp {
+		q.wakeAt(p.GiveUpAt)
+	} else {
+		q.wakeAt(p.AnswerAt)
+	}
+	return outcome.Outcome{}, false
+}
+
+// recordSize is the number of bytes of one record.
+const recordSize = 16
+
+// answerPassed merges the greatest records of the parts.
+func (q *query) answerPassed() outcome.Outcome {
+	parts := q.merge.Parts(q.target)
+	out := outcome.Outcome{Kind: caller.OutcomeAnswered}
+	records := make([][]byte, 0, len(parts)*q.s.Pass.Top)
+	for _, p := range parts {
+		out.Signatures = append(out.Signatures, p.Signature)
+		for b := p.Records; len(b) >= recordSize; b = b[recordSize:] {
+			records = append(records, b[:recordSize])
+		}
+	}
+	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
+	records = records[:min(len(records), q.s.Pass.Top)]
+	out.Result = bytes.Join(records, nil)
+	out.Coverage = &caller.Coverage{
+		ShardsTotal: len(q.plan), ShardsCovered: len(parts), Complete: len(parts) == len(q.plan),
+	}
+	return out
+}
+
+// failPassed is the outcome of a search that cannot reach the least share of shards.
+func (q *query) failPassed() outcome.Outcome {
+	cov := caller.Coverage{ShardsTotal: len(q.plan), ShardsCovered: q.counts[covered]}
+	out := outcome.NotRun(outcome.Overloaded, tooLow(cov), q.comeBack())
+	if q.ran || q.inflight > 0 {
+		out = outcome.Unknown(outcome.CoverageTooLow, tooLow(cov), q.comeBack())
+	}
+	out.Coverage = &cov
+	return out
+}
--- a/internal/gather/query.go
+++ b/internal/gather/query.go
@@ -88,6 +88,8 @@
 // shard is one shard in one search.
 type shard struct {
 	name     string
+	workload *manifest.Workload // whose upstreams serve the shard
+	key      string             // the shard's name within workload
 	class    class
 	planned  bool
 	replicas int
@@ -128,12 +130,9 @@
 }
 
 func (e *Engine) newQuery(ctx context.Context, s Search) (*query, error) {
-	if s.Query.Limit <= 0 {
-		s.Query.Limit = defaultLimit
-	}
-	body, err := json.Marshal(s.Query)
+	body, err := encodeQuery(&s)
 	if err != nil {
-		return nil, fmt.Errorf("encode query: %w", err)
+		return nil, err
 	}
 	now := time.Now()
 	left := s.Deadline.Sub(now)
@@ -155,6 +154,21 @@
 	return q, nil
 }
 
+// encodeQuery returns the body of the search's sub-requests.
+func encodeQuery(s *Search) ([]byte, error) {
+	if s.Pass != nil {
+		return s.Pass.Request.Body, nil
+	}
+	if s.Query.Limit <= 0 {
+		s.Query.Limit = defaultLimit
+	}
+	body, err := json.Marshal(s.Query)
+	if err != nil {
+		return nil, fmt.Errorf("encode query: %w", err)
+	}
+	return body, nil
+}
+
 // close cancels what is in flight and counts.
 func (q *query) close() {
 	q.cancel()
@@ -220,7 +234,7 @@
 	if !ok {
 		sh = q.newShard()
 		sh.name = name
-		sh.replicas = len(q.s.Workload.Replicas[name])
+		q.place(sh)
 		sh.tried = sh.triedBuf[:0]
 		sh.flying = sh.flyingBuf[:0]
 		q.shards[name] = sh
--- a/internal/gather/send.go
+++ b/internal/gather/send.go
@@ -37,6 +37,10 @@
 
 // launchAll sends the first attempt of each shard.
 func (q *query) launchAll() {
+	if q.s.Pass != nil {
+		q.launchPassed()
+		return
+	}
 	q.e.budgets.Do(q.workload, func(b *budget) {
 		b.hedge.Earn(len(q.plan), q.s.Grant.HedgePercent)
 		q.fill = b.hedge.Fill()
@@ -73,9 +77,9 @@
 // launch picks a replica that this search has not tried and sends. Where there is
 // none it comes back a little later.
 func (q *query) launch(sh *shard, want *snapshot.ID) bool {
-	t, err := q.e.up.Pick(q.s.Workload, sh.name, sh.tried, false)
-	if err != nil && sh.picks > 0 {
-		t, err = q.e.up.Pick(q.s.Workload, sh.name, sh.barred, false)
+	t, err := q.e.up.Pick(sh.workload, sh.key, sh.tried, false)
+	if err != nil && sh.picks > 0 && q.s.Pass == nil {
+		t, err = q.e.up.Pick(sh.workload, sh.key, sh.barred, false)
 	}
 	if err != nil {
 		q.pickLater(sh, err)
@@ -138,6 +142,11 @@
 	if q.e.mode.baseline {
 		return
 	}
+	if q.s.Pass != nil {
+		sh.hedgeAt = sh.started.Add(q.s.Pass.HedgeAfter)
+		q.wakeAt(sh.hedgeAt)
+		return
+	}
 	quantile, ok := q.e.up.HedgeDelay(q.workload, sh.name)
 	if !ok {
 		return
@@ -150,7 +159,7 @@
 // judgeBySiblings plans hedges by the time that most shards of this search took. It
 // does so once.
 func (q *query) judgeBySiblings() {
-	if q.judged || q.e.mode.baseline || !hedge.Quorum(q.counts[covered], len(q.plan)) {
+	if q.judged || q.e.mode.baseline || q.s.Pass != nil || !hedge.Quorum(q.counts[covered], len(q.plan)) {
 		return
 	}
 	q.judged = true
@@ -169,16 +178,7 @@
 func (q *query) do(ctx context.Context, at *attempt, t Ticket) {
 	defer at.cancel()
 	ctx, span := q.startSpan(ctx, at)
-	at.result = q.e.up.Do(ctx, t, upstream.Attempt{
-		Kind:      upstream.Search,
-		Workload:  q.workload,
-		Shard:     at.shard.name,
-		RequestID: at.id,
-		Snapshot:  at.want,
-		Deadline:  q.answerBy,
-		Body:      q.body,
-		Hedge:     at.hedge,
-	})
+	at.result = q.e.up.Do(ctx, t, q.describe(at))
 	endSpan(span, &at.result)
 	if at.result.Class != upstream.NotSent {
 		q.counters.sent.Inc()
@@ -194,6 +194,24 @@
 	}
 }
 
+// describe returns the attempt as the upstream client takes it.
+func (q *query) describe(at *attempt) upstream.Attempt {
+	a := upstream.Attempt{
+		Kind:      upstream.Search,
+		Workload:  q.workload,
+		Shard:     at.shard.name,
+		RequestID: at.id,
+		Snapshot:  at.want,
+		Deadline:  q.answerBy,
+		Body:      q.body,
+		Hedge:     at.hedge,
+	}
+	if p := q.s.Pass; p != nil {
+		a.Kind, a.Pass, a.Deadline = upstream.Pass, p.Request, q.s.Deadline
+	}
+	return a
+}
+
 func (q *query) startSpan(ctx context.Context, at *attempt) (context.Context, trace.Span) {
 	if !q.sampled {
 		return ctx, nil
@@ -235,7 +253,11 @@
 		}
 		if !sh.hedgeAt.IsZero() && !now.Before(sh.hedgeAt) {
 			sh.hedgeAt = time.Time{}
-			q.hedge(sh, now)
+			if q.s.Pass != nil {
+				q.hedgePassed(sh)
+			} else {
+				q.hedge(sh, now)
+			}
 		}
 		q.wakeFor(sh)
 	}
--- a/internal/gather/types.go
+++ b/internal/gather/types.go
@@ -26,6 +26,9 @@
 	Caller      string
 	Query       upstreamgen.Query
 	Deadline    time.Time
+	// Pass is set for a search whose request goes to each shard unchanged; Grant and
+	// Query are then not used.
+	Pass *Pass
 }
 
 // Ticket is a replica picked, with a slot taken.
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -3,6 +3,7 @@
 package outcome
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
@@ -58,6 +59,11 @@
 	// Result is the upstream's reply to a request of a single workload.
 	Result       []byte
 	ResultStatus int
+	// Header is the header of an upstream's reply that is passed through unchanged.
+	Header http.Header
+	// Signatures names the parts of an answer to a search that was passed through;
+	// Result holds its records.
+	Signatures []string
 	// Replayed says that the result was recorded by an earlier attempt.
 	Replayed bool
 	// Cost is what the request cost the upstreams.
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -124,6 +124,8 @@
 	{"joined", func(m *gen.Message) bool { return m.Joined != nil }},
 	{"part", func(m *gen.Message) bool { return m.Part != nil }},
 	{"part_reply", func(m *gen.Message) bool { return m.PartReply != nil }},
+	{"pull", func(m *gen.Message) bool { return m.Pull != nil }},
+	{"pulled", func(m *gen.Message) bool { return m.Pulled != nil }},
 	{"hello", func(m *gen.Message) bool { return m.Hello != nil }},
 }
 
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -174,6 +174,21 @@
 	n.roster.List(n.now(), listed)
 }
 
+// SetMembers takes a list of VMs that were found without the platform, with their zones
+// by name; address tells where a VM listens for peers.
+func (n *Node) SetMembers(zones map[string]string, address func(name string) string) {
+	listed := make([]roster.Listed, 0, len(zones))
+	for name, zone := range zones {
+		listed = append(listed, roster.Listed{Name: name, Zone: zone, Address: address(name)})
+	}
+	n.rosterMu.Lock()
+	defer n.rosterMu.Unlock()
+	n.roster.List(n.now(), listed)
+}
+
+// Name returns this VM's name.
+func (n *Node) Name() string { return n.name }
+
 // Roster returns every member of the fleet by name, this VM and those lately
 // removed included.
 func (n *Node) Roster() []roster.Member {
--- a/internal/policy/answer/answer.go
+++ b/internal/policy/answer/answer.go
@@ -57,6 +57,23 @@
 	return Wait
 }
 
+// Early says what to do where an answer that states its true coverage is worth most
+// while it is in time: it is given when it is complete, when nothing more will come, or
+// when its time is up, if it covers enough. A search that is late is answered as soon as
+// it covers enough.
+func Early(s State) Verdict {
+	need := Need(s)
+	switch {
+	case s.Covered == s.Total && s.Total > 0:
+		return Give
+	case s.Covered+s.Open < need:
+		return Refuse
+	case s.Covered >= need && (s.TimeUp || s.Open == 0):
+		return Give
+	}
+	return Wait
+}
+
 // Need returns the least number of shards that an answer must cover; it is never
 // 0, for an answer that covers nothing says nothing.
 func Need(s State) int {
--- a/internal/policy/coverage/coverage.go
+++ b/internal/policy/coverage/coverage.go
@@ -4,6 +4,9 @@
 package coverage
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/policy/snapshot"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
@@ -19,6 +22,10 @@
 	Snapshot  snapshot.ID
 	Held      int // documents that the shard holds
 	Documents []upstream.Document
+	// Signature and Records are what an upstream replied to a request that was passed
+	// through: its signature and a body of records of fixed size.
+	Signature string
+	Records   []byte
 }
 
 // Merge collects parts. The zero value is empty.
@@ -72,6 +79,15 @@
 	return len(s.parts)
 }
 
+// Parts returns the parts of a snapshot, in no order.
+func (m *Merge) Parts(id snapshot.ID) []Part {
+	s := m.find(id)
+	if s == nil {
+		return nil
+	}
+	return slices.Collect(maps.Values(s.parts))
+}
+
 // Snapshots appends to ids each snapshot of which a part is there.
 func (m *Merge) Snapshots(ids []snapshot.ID) []snapshot.ID {
 	for i := range m.sets {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,6 +17,9 @@
 	defaultWatchSeconds = 30
 	defaultLingerMs     = 3000
 	defaultSample       = 0.01
+	defaultRatio        = 0.2
+	defaultSlack        = 100
+	defaultWindow       = 10
 )
 
 // Load reads a TOML file, refuses unknown keys and bad values by key, and fills
@@ -54,7 +57,9 @@
 
 func withDefaults() *gen.Settings {
 	return &gen.Settings{
-		Platform: gen.Platform{WatchSeconds: defaultWatchSeconds},
+		Platform: gen.Platform{WatchSeconds: defaultWatchSeconds, Kind: gen.PlatformKindManifest},
+		Fleet:    &gen.Fleet{},
+		Repeats:  &gen.Repeats{Ratio: defaultRatio, Slack: defaultSlack, WindowSeconds: defaultWindow},
 		Log:      &gen.Log{Level: gen.LogLevelInfo, Format: gen.LogFormatJson},
 		Trace:    &gen.Trace{Exporter: gen.TraceExporterNone, Sample: defaultSample},
 		Stop:     &gen.Stop{LingerMs: defaultLingerMs},
--- a/internal/single/single.go
+++ b/internal/single/single.go
@@ -53,6 +53,8 @@
 	// First says that the caller marked the attempt as its first.
 	First    bool
 	Deadline time.Time
+	// Pass is set for a request that goes to the upstream unchanged.
+	Pass *Pass
 }
 
 // Claims wins idempotency keys.
@@ -85,6 +87,9 @@
 
 // Run runs a request and returns its final outcome.
 func (r *Runner) Run(ctx context.Context, q Request) outcome.Outcome {
+	if q.Pass != nil {
+		return r.runPassed(ctx, q)
+	}
 	if q.Workload.Idempotent {
 		return r.runIdempotent(ctx, q)
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -35,7 +35,12 @@
 	// Members returns the names of the VMs that may be alive, this one included;
 	// optional. It shares out probes, and connections where VMs outnumber them.
 	Members func() []string
-	Log     *log.Logger
+	// Published says that what is published of an upstream alone decides whether it takes
+	// new work: no probes are sent and no lease is needed.
+	Published bool
+	// Wire names the headers of attempts of kind Pass.
+	Wire Wire
+	Log  *log.Logger
 	// Registerer takes the metrics.
 	Registerer prometheus.Registerer
 	// Report is called on each change worth telling peers; optional.
@@ -118,7 +123,7 @@
 		probing:   make(chan struct{}, mostProbes),
 		rules: rules{
 			baseline: o.Mechanisms.Baseline(),
-			drain:    o.Mechanisms.On(settings.ExperimentDisableElemDrain),
+			drain:    o.Mechanisms.On(settings.ExperimentDisableElemDrain) && !o.Published,
 			echo:     o.Mechanisms.On(settings.ExperimentDisableElemEcho),
 		},
 	}
@@ -139,7 +144,7 @@
 	}
 	for address, u := range m.Upstreams {
 		s := old.servers[address]
-		if s == nil {
+		if s == nil || s.identity != u.Identity {
 			s = c.newServer(u, len(old.servers) == 0)
 		}
 		s.update(u, next.zone(old, string(u.Zone)), string(u.Zone) == c.o.Zone)
@@ -150,7 +155,7 @@
 	}
 	c.current.Store(next)
 	for address, s := range old.servers {
-		if next.servers[address] == nil {
+		if next.servers[address] != s {
 			s.pool.setMost(0)
 			c.metrics.connections.DeleteLabelValues(address)
 		}
@@ -199,7 +204,8 @@
 // that the VM itself is new, so that the upstream may have been there for long.
 func (c *Client) newServer(u *gen.Upstream, atStart bool) *server {
 	return &server{
-		address: u.Address,
+		address:  u.Address,
+		identity: u.Identity,
 		speed:   replica.New(c.o.Now(), atStart),
 		limit:   limit.New(u.Slots),
 		pool: &pool{
@@ -271,7 +277,7 @@
 		if rand.Float64() < warmChance && s.verdict(now) != drainVerdict {
 			s.pool.warm()
 		}
-		if c.probeDue(s, now, members) {
+		if !c.o.Published && c.probeDue(s, now, members) {
 			c.probeInBackground(ctx, s)
 		}
 	}
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -104,13 +104,17 @@
 		wrote, read, sent := cn.sock.seal()
 		return s.lost(ctx, cn, err, wrote, read), sent
 	}
-	body, err := readBody(resp, maxReplyBody)
+	read := readBody
+	if a.Kind == Pass {
+		read = readPassed
+	}
+	body, err := read(resp, maxReplyBody)
 	received := c.o.Now()
 	_, _, sent := cn.sock.seal()
 	if err != nil {
 		return s.lost(ctx, cn, err, true, true), sent
 	}
-	if c.rules.echo && resp.Header.Get(headerRequestID) != a.RequestID {
+	if a.Kind != Pass && c.rules.echo && resp.Header.Get(headerRequestID) != a.RequestID {
 		cn.drop()
 		return Result{Class: Garbled, Status: resp.StatusCode, Err: errEcho}, sent
 	}
@@ -120,6 +124,12 @@
 		return r, sent
 	}
 	s.pool.put(cn)
+	if a.Kind == Pass {
+		if load, ok := c.passLoad(resp.Header); ok {
+			s.reported(received, load)
+		}
+		return r, sent
+	}
 	c.observe(s, resp, sent, received)
 	return r, sent
 }
@@ -179,6 +189,9 @@
 
 // classify says what a whole reply means.
 func (c *Client) classify(a *Attempt, resp *http.Response, body []byte) Result {
+	if a.Kind == Pass {
+		return c.passClass(a, resp, body)
+	}
 	status := resp.StatusCode
 	r := Result{Status: status, RetryAfter: retryAfterOf(resp)}
 	answered := status/100 == 2 || status/100 == 4
@@ -228,6 +241,9 @@
 
 // request builds the HTTP request of an attempt.
 func (c *Client) request(ctx context.Context, s *server, a *Attempt) *http.Request {
+	if a.Kind == Pass {
+		return c.passRequest(ctx, s, a)
+	}
 	path := "/request/" + a.Workload
 	if a.Kind == Search {
 		path = "/search/" + a.Workload
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -13,7 +13,9 @@
 // server is one upstream: its connections and what this VM knows of it.
 type server struct {
 	address string
-	pool    *pool
+	// identity is the name under which the upstream was published; empty for none.
+	identity string
+	pool     *pool
 
 	mu        sync.Mutex // guards the fields below
 	entry     *gen.Upstream
--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -4,6 +4,7 @@
 package upstream
 
 import (
+	"net/http"
 	"time"
 
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/upstream"
@@ -44,6 +45,8 @@
 	Search Kind = iota
 	// Single passes a body to a single workload.
 	Single
+	// Pass passes a caller's request through unchanged.
+	Pass
 )
 
 // Attempt is one request to one upstream.
@@ -56,6 +59,8 @@
 	Snapshot *gen.Snapshot
 	Deadline time.Time
 	Body     []byte
+	// Pass is the request of kind Pass; the fields above that it holds itself are not used.
+	Pass *Passed
 	// IdempotencyKey is passed on where set.
 	IdempotencyKey string
 	// Hedge marks an extra attempt, which never goes to a shedding or suspect replica.
@@ -72,8 +77,11 @@
 	Status  int
 	// Reply is set for a Search of class OK.
 	Reply *gen.Reply
-	// Body is set for a Single that got a reply.
+	// Body is set for a Single or Pass that got a reply.
 	Body []byte
+	// Header and Signature are set for a Pass that got a reply.
+	Header    http.Header
+	Signature string
 	// RetryAfter as the upstream asked; 0 where it did not.
 	RetryAfter time.Duration
 	// Latency from picking the replica to the end of the reply.
--- a/schema/gen/manifest/manifest.go
+++ b/schema/gen/manifest/manifest.go
@@ -136,6 +136,9 @@
 	// Whether the upstream is leaving and receives no new work.
 	Draining bool `json:"draining,omitempty,omitzero" toml:"draining,omitempty" cbor:"draining,omitempty"`
 
+	// Name that the upstream is expected to answer to; empty for none.
+	Identity string `json:"identity,omitempty,omitzero" toml:"identity,omitempty" cbor:"identity,omitempty"`
+
 	// Shards served, by name; empty for a single workload.
 	Shards []Name `json:"shards,omitempty,omitzero" toml:"shards,omitempty" cbor:"shards,omitempty"`
 
--- a/schema/gen/peer/peer.go
+++ b/schema/gen/peer/peer.go
@@ -154,6 +154,12 @@
 	// PartReply corresponds to the JSON schema field "part_reply".
 	PartReply *PartReply `json:"part_reply,omitempty,omitzero" toml:"part_reply,omitempty" cbor:"part_reply,omitempty"`
 
+	// Pull corresponds to the JSON schema field "pull".
+	Pull *Pull `json:"pull,omitempty,omitzero" toml:"pull,omitempty" cbor:"pull,omitempty"`
+
+	// Pulled corresponds to the JSON schema field "pulled".
+	Pulled *Pulled `json:"pulled,omitempty,omitzero" toml:"pulled,omitempty" cbor:"pulled,omitempty"`
+
 	// Record corresponds to the JSON schema field "record".
 	Record *Record `json:"record,omitempty,omitzero" toml:"record,omitempty" cbor:"record,omitempty"`
 
@@ -179,6 +185,45 @@
 	Digest string `json:"digest" toml:"digest" cbor:"digest"`
 }
 
+// One item as the platform published it.
+type Published struct {
+	// Key of the item.
+	Key string `json:"key" toml:"key" cbor:"key"`
+
+	// Whether it was removed.
+	Removed bool `json:"removed" toml:"removed" cbor:"removed"`
+
+	// Revision of its last change.
+	Revision int `json:"revision" toml:"revision" cbor:"revision"`
+
+	// Its bytes; empty where it was removed.
+	Value string `json:"value" toml:"value" cbor:"value"`
+}
+
+// Asks a peer for what the platform has published after a revision.
+type Pull struct {
+	// Revision up to which the sender knows everything; 0 for none.
+	After int `json:"after" toml:"after" cbor:"after"`
+
+	// How long the peer may wait for a change, in milliseconds.
+	WaitMs int `json:"wait_ms" toml:"wait_ms" cbor:"wait_ms"`
+}
+
+// Reply to a pull.
+type Pulled struct {
+	// Revision that the items are changes from; 0 where they are the whole content.
+	After int `json:"after" toml:"after" cbor:"after"`
+
+	// How long ago the platform confirmed the revision, in milliseconds.
+	AgeMs int `json:"age_ms" toml:"age_ms" cbor:"age_ms"`
+
+	// Published items.
+	Items []Published `json:"items" toml:"items" cbor:"items"`
+
+	// Revision up to which the items reach; 0 where the peer knows nothing.
+	Revision int `json:"revision" toml:"revision" cbor:"revision"`
+}
+
 // Stores the outcome of a claimed key at a guard.
 type Record struct {
 	// Claimant that ran the request.
--- a/schema/gen/settings/settings.go
+++ b/schema/gen/settings/settings.go
@@ -31,6 +31,13 @@
 const ExperimentPolicyBaseline ExperimentPolicy = "baseline"
 const ExperimentPolicyCurrent ExperimentPolicy = "current"
 
+// How VMs find each other where the platform does not list them.
+type Fleet struct {
+	// Peer addresses of a few VMs, of which some may be down. Each VM is then named
+	// by its IP number, and all listen for peers on one port.
+	Seeds []Address `json:"seeds,omitempty,omitzero" toml:"seeds,omitempty" cbor:"seeds,omitempty"`
+}
+
 // Listen addresses, each an IP number and a port.
 type Listen struct {
 	// Address of metrics, health and read-only status.
@@ -43,7 +50,7 @@
 	Peers Address `json:"peers" toml:"peers" cbor:"peers"`
 }
 
-// Structured logs on standard error.
+// Structured logs on standard output.
 type Log struct {
 	// Format of a record.
 	Format LogFormat `json:"format,omitempty,omitzero" toml:"format,omitempty" cbor:"format,omitempty"`
@@ -70,15 +77,41 @@
 	// Addresses of the configuration service, tried in turn.
 	Addresses []Address `json:"addresses" toml:"addresses" cbor:"addresses"`
 
+	// What the platform publishes: manifest (a manifest and a list of VMs, for the
+	// product's own interface) or catalog (routes and upstreams' entries, for
+	// requests that are passed through).
+	Kind PlatformKind `json:"kind,omitempty,omitzero" toml:"kind,omitempty" cbor:"kind,omitempty"`
+
 	// Longest time one watch waits, in seconds.
 	WatchSeconds int `json:"watch_seconds,omitempty,omitzero" toml:"watch_seconds,omitempty" cbor:"watch_seconds,omitempty"`
 }
 
+type PlatformKind string
+
+const PlatformKindCatalog PlatformKind = "catalog"
+const PlatformKindManifest PlatformKind = "manifest"
+
+// Bound on attempts beyond the first at one service, summed over the fleet, for
+// requests that are passed through.
+type Repeats struct {
+	// Repeats a request.
+	Ratio float64 `json:"ratio,omitempty,omitzero" toml:"ratio,omitempty" cbor:"ratio,omitempty"`
+
+	// Repeats allowed besides, in one window.
+	Slack float64 `json:"slack,omitempty,omitzero" toml:"slack,omitempty" cbor:"slack,omitempty"`
+
+	// Window in which they are counted, in seconds.
+	WindowSeconds float64 `json:"window_seconds,omitempty,omitzero" toml:"window_seconds,omitempty" cbor:"window_seconds,omitempty"`
+}
+
 // Settings of one sardinespindle daemon, read once at start from a TOML file.
 type Settings struct {
 	// Experiment corresponds to the JSON schema field "experiment".
 	Experiment *Experiment `json:"experiment,omitempty,omitzero" toml:"experiment,omitempty" cbor:"experiment,omitempty"`
 
+	// Fleet corresponds to the JSON schema field "fleet".
+	Fleet *Fleet `json:"fleet,omitempty,omitzero" toml:"fleet,omitempty" cbor:"fleet,omitempty"`
+
 	// Listen corresponds to the JSON schema field "listen".
 	Listen Listen `json:"listen" toml:"listen" cbor:"listen"`
 
@@ -91,6 +124,9 @@
 	// Platform corresponds to the JSON schema field "platform".
 	Platform Platform `json:"platform" toml:"platform" cbor:"platform"`
 
+	// Repeats corresponds to the JSON schema field "repeats".
+	Repeats *Repeats `json:"repeats,omitempty,omitzero" toml:"repeats,omitempty" cbor:"repeats,omitempty"`
+
 	// Stop corresponds to the JSON schema field "stop".
 	Stop *Stop `json:"stop,omitempty,omitzero" toml:"stop,omitempty" cbor:"stop,omitempty"`
 
@@ -103,6 +139,10 @@
 
 // Graceful shutdown.
 type Stop struct {
+	// Time after SIGTERM in which the process has ended, in milliseconds; 0 for as
+	// long as requests take.
+	GraceMs int `json:"grace_ms,omitempty,omitzero" toml:"grace_ms,omitempty" cbor:"grace_ms,omitempty"`
+
 	// Time after SIGTERM in which new requests are still accepted while the balancer
 	// lags, in milliseconds.
 	LingerMs int `json:"linger_ms,omitempty,omitzero" toml:"linger_ms,omitempty" cbor:"linger_ms,omitempty"`
