Leave out shards that are expected late; reload settings at SIGHUP

Change: internal/policy/forecast predicts one upstream's time by kind of request, told apart into slowness and queue by the load that replies report; internal/policy/plan leaves out the shards expected late, as far as the least share allows. The daemon reloads its settings at SIGHUP and when the file changes.

--- a/cmd/sardinespindle/main.go
+++ b/cmd/sardinespindle/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -59,10 +60,13 @@
 	if err != nil {
 		return err
 	}
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(l.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}).Writer())
 	d, err := newDaemon(s, l)
 	if err != nil {
 		return err
 	}
+	go follow(ctx, path, d, l)
 	if err := d.Run(ctx); err != nil {
 		return err
 	}
@@ -74,6 +78,37 @@
 // runner is a daemon of either kind.
 type runner interface {
 	Run(ctx context.Context) error
+	// Reload takes the settings that may change while the process runs.
+	Reload(s *gen.Settings)
+}
+
+// follow reloads the settings at SIGHUP and when the file changes without a signal.
+func follow(ctx context.Context, path string, d runner, l *log.Logger) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	watcher := settings.NewWatcher(path)
+	tick := time.NewTicker(settings.LookInterval)
+	defer tick.Stop()
+	for {
+		cause := "file"
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			cause = "signal"
+		case <-tick.C:
+		}
+		s, changed, err := watcher.Look()
+		switch {
+		case err != nil:
+			l.Warn("settings not reloaded", "cause", cause, "err", err)
+		case changed:
+			d.Reload(s)
+			l.Info("settings reloaded", "cause", cause)
+		case cause == "signal":
+			l.Info("settings unchanged", "cause", cause)
+		}
+	}
 }
 
 func newDaemon(s *gen.Settings, l *log.Logger) (runner, error) {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -28,7 +28,7 @@
 	Gatherer prometheus.Gatherer
 	// ReadyPath is a second path that tells readiness, besides /readyz; optional.
 	ReadyPath string
-	Log      *log.Logger
+	Log       *log.Logger
 }
 
 // Handler returns the HTTP handler of the interface.
--- /dev/null
+++ b/internal/catalog/mirror_test.go
@@ -0,0 +1,152 @@
+package catalog_test
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinespindle/sardinespindle/internal/catalog"
+	"github.com/sardinespindle/sardinespindle/internal/policy/route"
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
+)
+
+func TestCatalog(t *testing.T) { testkit.Run(t, "catalog") }
+
+// words decodes values of words: "config 7 SERVICE..." and "SERVICE ADDRESS STATE BEAT".
+type words struct{}
+
+var errWords = errors.New("not four words")
+
+func (words) Config(it catalog.Item) (*catalog.Config, bool, error) {
+	f := strings.Fields(string(it.Value))
+	if it.Key != "config" {
+		return nil, false, nil
+	}
+	version, err := strconv.Atoi(f[0])
+	if err != nil {
+		return nil, false, err
+	}
+	c := &catalog.Config{Version: version, Routes: []*route.Route{{Name: "all", Host: "h", Prefix: "/", Shards: f[1:]}}}
+	for _, s := range f[1:] {
+		c.Services = append(c.Services, catalog.Service{Name: s, ConnectionLimit: 50})
+	}
+	return c, true, nil
+}
+
+func (words) Entry(it catalog.Item) (catalog.Entry, bool, error) {
+	if it.Key == "config" {
+		return catalog.Entry{}, false, nil
+	}
+	f := strings.Fields(string(it.Value))
+	if len(f) != 4 {
+		return catalog.Entry{}, false, fmt.Errorf("%w: %s", errWords, it.Value)
+	}
+	return catalog.Entry{Identity: it.Key, Service: f[0], Address: f[1], Draining: f[2] == "draining", Slots: 2}, true, nil
+}
+
+func (words) Same(a, b []byte) bool {
+	x, y := strings.Fields(string(a)), strings.Fields(string(b))
+	return len(x) == 4 && len(y) == 4 && x[0] == y[0] && x[1] == y[1] && x[2] == y[2]
+}
+
+func item(key string, revision int64, value string) catalog.Item {
+	return catalog.Item{Key: key, Revision: revision, Value: []byte(value)}
+}
+
+// held is a mirror and what it last handed over.
+type held struct {
+	*catalog.Mirror
+	now     time.Duration
+	last    *catalog.Catalog
+	change  catalog.Change
+	applied int
+}
+
+func newHeld() *held {
+	h := &held{}
+	h.Mirror = catalog.NewMirror(words{}, func() time.Duration { return h.now }, func(c *catalog.Catalog, ch catalog.Change) {
+		h.last, h.change, h.applied = c, ch, h.applied+1
+	})
+	return h
+}
+
+// serving returns the identities that serve a service.
+func (h *held) serving(service string) []string {
+	var out []string
+	for _, u := range h.last.Manifest.Workloads[service].Upstreams {
+		out = append(out, u.Identity)
+	}
+	return out
+}
+
+var _ = Describe("Mirror", func() {
+	var h *held
+	BeforeEach(func() {
+		h = newHeld()
+		Expect(h.Take(catalog.Update{Revision: 10, Items: []catalog.Item{
+			item("config", 3, "1 a b"), item("i-1", 4, "a 10.0.0.1:80 ready 1"), item("i-2", 5, "b 10.0.0.2:80 ready 1"),
+		}})).To(BeTrue())
+	})
+
+	It("gives an address that is used again to the later upstream alone", func() {
+		h.Take(catalog.Update{After: 10, Revision: 11, Items: []catalog.Item{item("i-3", 11, "a 10.0.0.2:80 ready 1")}})
+		Expect(h.serving("a")).To(ConsistOf("i-1", "i-3"))
+		Expect(h.serving("b")).To(BeEmpty())
+	})
+
+	It("takes a draining or removed upstream out", func() {
+		h.Take(catalog.Update{After: 10, Revision: 11, Items: []catalog.Item{item("i-1", 11, "a 10.0.0.1:80 draining 2")}})
+		Expect(h.serving("a")).To(BeEmpty())
+		h.Take(catalog.Update{After: 11, Revision: 12, Items: []catalog.Item{{Key: "i-2", Revision: 12, Removed: true}}})
+		Expect(h.serving("b")).To(BeEmpty())
+	})
+
+	It("does not compile anew for heartbeats", func() {
+		before := h.applied
+		h.Take(catalog.Update{After: 10, Revision: 11, Items: []catalog.Item{item("i-1", 11, "a 10.0.0.1:80 ready 2")}})
+		Expect(h.applied).To(Equal(before))
+	})
+
+	It("never goes back to an older configuration or an older content", func() {
+		h.Take(catalog.Update{After: 10, Revision: 12, Items: []catalog.Item{item("config", 12, "5 a")}})
+		Expect(h.Take(catalog.Update{Revision: 9, Items: []catalog.Item{item("config", 3, "1 a b")}})).To(BeFalse())
+		h.Take(catalog.Update{After: 12, Revision: 13, Items: []catalog.Item{item("config", 13, "4 a b")}})
+		Expect(h.last.Config.Version).To(Equal(5))
+	})
+
+	It("refuses changes that it cannot connect", func() {
+		Expect(h.Take(catalog.Update{After: 15, Revision: 20})).To(BeFalse())
+	})
+
+	It("holds the others where an item cannot be read", func() {
+		h.Take(catalog.Update{After: 10, Revision: 11, Items: []catalog.Item{item("i-9", 11, "forged")}})
+		Expect(h.serving("a")).To(ConsistOf("i-1"))
+		Expect(h.change.Refused).To(HaveKey("i-9"))
+	})
+
+	It("drops what a whole content no longer lists, and tells followers", func() {
+		follower := newHeld()
+		u, _ := h.Since(0)
+		Expect(follower.Take(u)).To(BeTrue())
+		h.Take(catalog.Update{Revision: 30, Items: []catalog.Item{
+			item("config", 3, "1 a b"), item("i-1", 4, "a 10.0.0.1:80 ready 1"),
+		}})
+		u, _ = h.Since(10)
+		Expect(u.After).To(BeZero(), "what came and went before the reading is not known")
+		Expect(follower.Take(u)).To(BeTrue())
+		Expect(follower.serving("b")).To(BeEmpty())
+		Expect(follower.serving("a")).To(ConsistOf("i-1"))
+	})
+
+	It("states the age of what it passes on", func() {
+		h.now += 3 * time.Second
+		u, _ := h.Since(10)
+		Expect(u.Age).To(Equal(3 * time.Second))
+	})
+})
--- a/internal/catalog/sync.go
+++ b/internal/catalog/sync.go
@@ -63,8 +63,8 @@
 	Readers func() (vms []string, self bool)
 	// Blind is told whether the store answers this VM.
 	Blind func(blind bool)
-	Now     func() time.Duration
-	Log     *log.Logger
+	Now   func() time.Duration
+	Log   *log.Logger
 }
 
 // Sync keeps a mirror up to date: readers follow the store, and other VMs follow a
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -81,6 +81,9 @@
 	return d, nil
 }
 
+// Reload takes nothing: all settings of this kind of daemon hold until its end.
+func (d *Daemon) Reload(*settings.Settings) {}
+
 // Run serves until the context ends, then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -157,6 +157,9 @@
 	return s
 }
 
+// Reload takes the seeds; the other settings hold until the end of the process.
+func (f *Forwarder) Reload(s *settings.Settings) { f.fleet.setSeeds(s.Fleet.Seeds) }
+
 // Run serves until the context ends, then shuts down gracefully.
 func (f *Forwarder) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -224,7 +227,7 @@
 	self  string
 	zone  string
 	port  uint16
-	seeds []settings.Address
+	seeds atomic.Pointer[[]settings.Address]
 	count atomic.Int64
 
 	blindUntil time.Duration // this VM's word that the store does not answer it; one goroutine's
@@ -249,11 +252,14 @@
 )
 
 func newFleet(node *peer.Node, self, zone string, port uint16, seeds []settings.Address) *fleet {
-	f := &fleet{node: node, self: self, zone: zone, port: port, seeds: seeds}
+	f := &fleet{node: node, self: self, zone: zone, port: port}
+	f.setSeeds(seeds)
 	f.update()
 	return f
 }
 
+func (f *fleet) setSeeds(seeds []settings.Address) { f.seeds.Store(&seeds) }
+
 func (f *fleet) run(ctx context.Context) {
 	var stated time.Duration
 	tick := time.NewTicker(memberLook)
@@ -279,7 +285,7 @@
 		known[fact.VM()] = fact.Value
 	}
 	count := len(known)
-	for _, seed := range f.seeds {
+	for _, seed := range *f.seeds.Load() {
 		if ap, err := netip.ParseAddrPort(string(seed)); err == nil {
 			if _, ok := known[ap.Addr().String()]; !ok {
 				known[ap.Addr().String()] = ""
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -348,6 +348,7 @@
 		Deadline:    q.deadline,
 		Pass: &single.Pass{
 			Request:    p,
+			Route:      q.route.Name,
 			Idempotent: q.route.Idempotent,
 			HedgeAfter: share(q.objective(), hedgeSingle),
 			Attempts:   q.route.Attempts,
--- a/internal/gather/bench_test.go
+++ b/internal/gather/bench_test.go
@@ -82,3 +82,8 @@
 		answer.Decide(answer.State{Trade: partial, Total: n, Covered: i, Open: n - i})
 	}
 }
+
+func (i instant) PickPassed(w *manifest.Workload, _ string, exclude []string) (fakeTicket, time.Duration, error) {
+	t, err := i.Pick(w, "", exclude, false)
+	return t, 0, err
+}
--- a/internal/gather/fake_test.go
+++ b/internal/gather/fake_test.go
@@ -158,3 +158,8 @@
 		Query: gen.Query{Query: "quill", Limit: 100}, Deadline: time.Now().Add(deadline),
 	}
 }
+
+func (f *fake) PickPassed(w *manifest.Workload, _ string, exclude []string) (fakeTicket, time.Duration, error) {
+	t, err := f.Pick(w, "", exclude, false)
+	return t, 0, err
+}
--- a/internal/gather/pass.go
+++ b/internal/gather/pass.go
@@ -10,6 +10,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
 	"github.com/sardinespindle/sardinespindle/internal/policy/answer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/coverage"
+	"github.com/sardinespindle/sardinespindle/internal/policy/plan"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
 )
@@ -49,24 +50,29 @@
 
 // launchPassed sends the first attempt of each shard, where enough of them can be sent.
 func (q *query) launchPassed() {
+	now := time.Now()
 	tickets := make([]Ticket, len(q.plan))
-	ready := 0
+	s := plan.Search{
+		Expected: make([]time.Duration, len(q.plan)), Need: q.needPassed(),
+		Left: q.s.Pass.AnswerAt.Sub(now), Most: q.s.Pass.GiveUpAt.Sub(now),
+	}
 	for i, sh := range q.plan {
-		t, err := q.pickPassed(sh, false)
-		if err == nil {
-			tickets[i] = t
-			ready++
+		t, expected, err := q.pickPassed(sh)
+		if err != nil {
+			expected = plan.Never
 		}
+		tickets[i], s.Expected[i] = t, expected
 	}
-	enough := ready >= q.needPassed()
+	v := plan.Decide(s)
 	for i, sh := range q.plan {
-		t := tickets[i]
-		switch {
+		switch t := tickets[i]; {
 		case t == nil:
 			sh.given = true
-		case enough:
+		case v.Ask[i] && !v.Refuse:
 			q.send(sh, t, q.wanted, false)
 		default:
+			sh.given = true
+			q.skipped++
 			t.Cancel()
 		}
 	}
@@ -74,11 +80,11 @@
 
 var errNoService = errors.New("gather: shard is not published")
 
-func (q *query) pickPassed(sh *shard, hedged bool) (Ticket, error) {
+func (q *query) pickPassed(sh *shard) (Ticket, time.Duration, error) {
 	if sh.workload == nil {
-		return nil, errNoService
+		return nil, 0, errNoService
 	}
-	return q.e.up.Pick(sh.workload, sh.key, sh.tried, hedged)
+	return q.e.up.PickPassed(sh.workload, q.workload, sh.tried)
 }
 
 // needPassed is the least number of parts of an answer.
@@ -123,7 +129,7 @@
 	if len(sh.tried) >= p.Attempts || !time.Now().Before(p.GiveUpAt) {
 		return false
 	}
-	t, err := q.pickPassed(sh, hedged)
+	t, _, err := q.pickPassed(sh)
 	if err != nil {
 		return false
 	}
--- a/internal/gather/send.go
+++ b/internal/gather/send.go
@@ -207,7 +207,7 @@
 		Hedge:     at.hedge,
 	}
 	if p := q.s.Pass; p != nil {
-		a.Kind, a.Pass, a.Deadline = upstream.Pass, p.Request, q.s.Deadline
+		a.Kind, a.Pass, a.Route, a.Deadline = upstream.Pass, p.Request, q.workload, q.s.Deadline
 	}
 	return a
 }
--- a/internal/gather/types.go
+++ b/internal/gather/types.go
@@ -40,6 +40,9 @@
 // Upstream picks replicas and sends attempts.
 type Upstream interface {
 	Pick(w *manifest.Workload, shard string, exclude []string, hedge bool) (Ticket, error)
+	// PickPassed picks a replica for a passed request of a kind, and tells when its reply
+	// is expected.
+	PickPassed(w *manifest.Workload, route string, exclude []string) (Ticket, time.Duration, error)
 	Do(ctx context.Context, t Ticket, a upstream.Attempt) upstream.Result
 	HedgeDelay(workload, shard string) (time.Duration, bool)
 }
@@ -55,6 +58,7 @@
 // Client is an upstream client with a ticket type of its own.
 type Client[T Ticket] interface {
 	Pick(w *manifest.Workload, shard string, exclude []string, hedge bool) (T, error)
+	PickPassed(w *manifest.Workload, route string, exclude []string) (T, time.Duration, error)
 	Do(ctx context.Context, t T, a upstream.Attempt) upstream.Result
 	HedgeDelay(workload, shard string) (time.Duration, bool)
 }
@@ -74,6 +78,14 @@
 	return t, nil
 }
 
+func (a adapter[T]) PickPassed(w *manifest.Workload, route string, exclude []string) (Ticket, time.Duration, error) {
+	t, expected, err := a.Client.PickPassed(w, route, exclude)
+	if err != nil {
+		return nil, 0, err
+	}
+	return t, expected, nil
+}
+
 func (a adapter[T]) Do(ctx context.Context, t Ticket, at upstream.Attempt) upstream.Result {
 	own, ok := t.(T)
 	if !ok {
--- /dev/null
+++ b/internal/policy/repeat/repeat_test.go
@@ -0,0 +1,83 @@
+package repeat_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/sardinespindle/sardinespindle/internal/policy/repeat"
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
+)
+
+func TestRepeat(t *testing.T) { testkit.Run(t, "repeat") }
+
+var limits = repeat.Limits{Ratio: 0.2, Slack: 129, Window: 10 * time.Second}
+
+// event is one request or repeat of the fleet.
+type event struct {
+	at     time.Duration
+	repeat bool
+}
+
+// worst returns the largest excess of repeats over the limits in any window.
+func worst(events []event) float64 {
+	most := -limits.Slack
+	for i := range events {
+		requests, repeats := 0, 0
+		for _, e := range events[i:] {
+			if e.at-events[i].at >= limits.Window {
+				break
+			}
+			if e.repeat {
+				repeats++
+			} else {
+				requests++
+			}
+		}
+		most = max(most, float64(repeats)-limits.Ratio*float64(requests)-limits.Slack)
+	}
+	return most
+}
+
+var _ = Describe("Bucket", func() {
+	It("keeps the fleet within the limits in each window, also when every VM restarts", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			vms := rapid.IntRange(1, 120).Draw(t, "vms")
+			rate := rapid.IntRange(1, 100).Draw(t, "requests a second")
+			restart := time.Duration(rapid.IntRange(0, 20).Draw(t, "restart at, s")) * time.Second
+			buckets := make([]repeat.Bucket, vms)
+			var events []event
+			step := time.Second / time.Duration(rate)
+			for now, i := time.Duration(0), 0; now < 25*time.Second; now, i = now+step, i+1 {
+				if now >= restart && now < restart+step {
+					buckets = make([]repeat.Bucket, vms)
+				}
+				b := &buckets[i%vms]
+				b.Earn(now, limits, vms)
+				events = append(events, event{at: now})
+				for b.Take(now, limits, vms) {
+					events = append(events, event{at: now, repeat: true})
+				}
+			}
+			if w := worst(events); w > 0 && float64(vms) <= limits.Slack*0.5 {
+				t.Fatalf("%.1f repeats over the limits with %d VMs and %d requests/s", w, vms, rate)
+			}
+		})
+	})
+
+	It("lets a VM of a large fleet repeat now and then", func() {
+		var b repeat.Bucket
+		b.Earn(0, limits, 2100)
+		paid := 0
+		for i := range 100 {
+			b.Earn(time.Duration(i)*time.Second, limits, 2100)
+			if b.Take(time.Duration(i)*time.Second, limits, 2100) {
+				paid++
+			}
+		}
+		Expect(paid).To(BeNumerically(">=", 10))
+	})
+})
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,8 @@
 package settings_test
 
 import (
+	"os"
+	"path/filepath"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -53,3 +55,29 @@
 		Expect(err).To(MatchError(ContainSubstring("same address as listen.peers")))
 	})
 })
+
+var _ = Describe("Watcher", func() {
+	It("tells of a changed file once, and keeps what it had where the text is refused", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "settings.toml")
+		write := func(text string) { Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed()) }
+		write(good)
+		w := settings.NewWatcher(path)
+		_, changed, err := w.Look()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changed).To(BeFalse())
+
+		write(good + "\n[fleet]\nseeds = [\"127.1.0.9:8081\"]\n")
+		s, changed, err := w.Look()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changed).To(BeTrue())
+		Expect(s.Fleet.Seeds).To(HaveLen(1))
+
+		write(good + "\nunknown = 1\n")
+		_, changed, err = w.Look()
+		Expect(err).To(HaveOccurred())
+		Expect(changed).To(BeFalse())
+		_, changed, err = w.Look()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changed).To(BeFalse())
+	})
+})
--- a/internal/single/hedge_test.go
+++ b/internal/single/hedge_test.go
@@ -77,3 +77,8 @@
 		Expect(extra).To(BeNumerically("<=", 10))
 	})
 })
+
+func (u *stuckUpstream) PickPassed(w *manifest.Workload, _ string, exclude []string) (gather.Ticket, time.Duration, error) {
+	t, err := u.Pick(w, "", exclude, false)
+	return t, 0, err
+}
--- a/internal/single/pass.go
+++ b/internal/single/pass.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/sardinespindle/sardinespindle/internal/gather"
@@ -14,6 +15,7 @@
 // key: each attempt of the caller is a request of its own.
 type Pass struct {
 	Request    *upstream.Passed
+	Route      string
 	Idempotent bool
 	// HedgeAfter is how long after the first attempt an idempotent request is hedged.
 	HedgeAfter time.Duration
@@ -29,9 +31,8 @@
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
 	run := &passRun{Runner: r, q: q, results: make(chan upstream.Result, max(q.Pass.Attempts, 1))}
-	last := outcome.NotRun(outcome.NoUpstream, "no upstream is eligible", comeBack)
 	if !run.start(ctx, false) {
-		return last
+		return outcome.NotRun(outcome.NoUpstream, fmt.Sprintf("nothing sent: %v", run.refusal), comeBack)
 	}
 	late := time.NewTimer(q.Pass.HedgeAfter)
 	defer late.Stop()
@@ -64,6 +65,7 @@
 	tries   tries
 	flying  int
 	results chan upstream.Result
+	refusal error // why the last attempt was not started
 }
 
 // start makes one more attempt, if attempts, budget and upstreams allow.
@@ -71,8 +73,9 @@
 	if p.tries.made >= max(p.q.Pass.Attempts, 1) {
 		return false
 	}
-	t, err := p.o.Upstream.Pick(p.q.Workload, "", p.tries.excluded, hedged)
+	t, _, err := p.o.Upstream.PickPassed(p.q.Workload, p.q.Pass.Route, p.tries.excluded)
 	if err != nil {
+		p.refusal = err
 		return false
 	}
 	if p.tries.made > 0 && !p.q.Pass.Repeat() {
@@ -92,6 +95,7 @@
 		RequestID: p.q.ID,
 		Deadline:  p.q.Deadline,
 		Pass:      p.q.Pass.Request,
+		Route:     p.q.Pass.Route,
 		Hedge:     hedged,
 	})
 }
--- a/internal/single/single_test.go
+++ b/internal/single/single_test.go
@@ -168,3 +168,8 @@
 		Expect(r.Run(context.Background(), request(true)).Kind).To(Equal(caller.OutcomeUnknown))
 	})
 })
+
+func (f *fakeUpstream) PickPassed(w *manifest.Workload, _ string, exclude []string) (gather.Ticket, time.Duration, error) {
+	t, err := f.Pick(w, "", exclude, false)
+	return t, 0, err
+}
--- a/internal/slopes/gather.go
+++ b/internal/slopes/gather.go
@@ -93,3 +93,8 @@
 }
 
 func (instant) HedgeDelay(string, string) (time.Duration, bool) { return 10 * time.Millisecond, true }
+
+func (i instant) PickPassed(w *manifest.Workload, _ string, exclude []string) (instantTicket, time.Duration, error) {
+	t, err := i.Pick(w, "", exclude, false)
+	return t, 0, err
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -18,8 +18,10 @@
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/mechanism"
 	"github.com/sardinespindle/sardinespindle/internal/policy/connbudget"
+	"github.com/sardinespindle/sardinespindle/internal/policy/forecast"
 	"github.com/sardinespindle/sardinespindle/internal/policy/limit"
 	"github.com/sardinespindle/sardinespindle/internal/policy/replica"
+	"github.com/sardinespindle/sardinespindle/internal/sharded"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
 	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
 )
@@ -93,8 +95,12 @@
 	apply   sync.Mutex // held while a manifest is applied or shares are set
 	current atomic.Pointer[table]
 	probing chan struct{} // bounds background probes
+	works   *sharded.Map[string, forecast.Work]
 }
 
+// maxRoutes bounds the kinds of requests whose usual time is kept.
+const maxRoutes = 4096
+
 // mostProbes is the most background probes at a time.
 const mostProbes = 16
 
@@ -121,6 +127,7 @@
 		metrics:   m,
 		transport: newTransport(o.Now),
 		probing:   make(chan struct{}, mostProbes),
+		works:     sharded.New[string, forecast.Work](maxRoutes),
 		rules: rules{
 			baseline: o.Mechanisms.Baseline(),
 			drain:    o.Mechanisms.On(settings.ExperimentDisableElemDrain) && !o.Published,
@@ -206,8 +213,8 @@
 	return &server{
 		address:  u.Address,
 		identity: u.Identity,
-		speed:   replica.New(c.o.Now(), atStart),
-		limit:   limit.New(u.Slots),
+		speed:    replica.New(c.o.Now(), atStart),
+		limit:    limit.New(u.Slots),
 		pool: &pool{
 			address:   u.Address,
 			transport: c.transport,
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -46,6 +46,9 @@
 	now := c.o.Now()
 	r.Address = s.address
 	r.Latency = now - t.pickedAt
+	if a.Kind == Pass {
+		c.learnPassed(s, t, &a, &r, now, now-sentAt)
+	}
 	s.learn(now, learnedClass(&r), now-sentAt, r.Latency, r.RetryAfter)
 	t.metrics.count(r.Class, r.Latency)
 	return r
@@ -125,9 +128,7 @@
 	}
 	s.pool.put(cn)
 	if a.Kind == Pass {
-		if load, ok := c.passLoad(resp.Header); ok {
-			s.reported(received, load)
-		}
+		r.load = c.passLoad(resp.Header)
 		return r, sent
 	}
 	c.observe(s, resp, sent, received)
--- a/internal/upstream/drain_test.go
+++ b/internal/upstream/drain_test.go
@@ -166,7 +166,7 @@
 		Expect(picks()).To(BeZero())
 		held.take(c.rules)
 		Expect(picks()).To(BeNumerically(">", 50))
-		held.giveBack()
+		held.giveBack(&Ticket{})
 		for range 20 {
 			learn(held, 100*time.Millisecond)
 		}
--- a/internal/upstream/pass.go
+++ b/internal/upstream/pass.go
@@ -6,12 +6,18 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/textproto"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/manifest"
+	"github.com/sardinespindle/sardinespindle/internal/policy/forecast"
+	"github.com/sardinespindle/sardinespindle/internal/policy/replica"
 )
 
 // Wire names the headers of an interface that passes requests through unchanged, in
@@ -140,23 +146,150 @@
 	return body, nil
 }
 
-// passLoad returns the load that a reply reports, in requests a slot; false where it
-// reports none.
-func (c *Client) passLoad(h http.Header) (float64, bool) {
+// passLoad returns the load that a reply reports.
+func (c *Client) passLoad(h http.Header) forecast.Load {
 	fields := strings.Split(h.Get(c.o.Wire.Load), ",")
 	if len(fields) != 3 {
-		return 0, false
+		return forecast.Load{}
 	}
-	var n [3]float64
+	var n [3]int
 	for i, f := range fields {
-		v, err := strconv.ParseFloat(textproto.TrimString(f), 64)
-		if err != nil || !(v >= 0 && v <= mostLoad) {
-			return 0, false
+		v, err := strconv.Atoi(textproto.TrimString(f))
+		if err != nil || v < 0 || v > mostLoad {
+			return forecast.Load{}
 		}
 		n[i] = v
 	}
-	if n[2] == 0 {
+	return forecast.Load{Known: true, Running: n[0], Waiting: n[1], Slots: n[2]}
+}
+
+// usual returns the usual time of a kind of request.
+func (c *Client) usual(route string) (d time.Duration) {
+	c.works.Do(route, func(w *forecast.Work) { d = w.Usual() })
+	return d
+}
+
+// learnPassed takes in what became of a passed request: whole counts from the picking of
+// the upstream, sent from the first byte.
+func (c *Client) learnPassed(s *server, t *Ticket, a *Attempt, r *Result, now, sent time.Duration) {
+	usual := c.usual(a.Route)
+	if r.Class == OK && !r.load.Queued() {
+		c.works.Do(a.Route, func(w *forecast.Work) { w.Observe(sent) })
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.land(t.pickedAt)
+	switch r.Class {
+	case OK, Failed:
+		s.forecast.Replied(now, sent, usual, r.load)
+	case Shed:
+		s.forecast.Refused(now)
+	case TimedOut, Canceled, Lost:
+		s.forecast.Unanswered(now, r.Latency, usual)
+	case NotSent, Garbled:
+	}
+}
+
+// land takes one request off those under way. The lock is held.
+func (s *server) land(pickedAt time.Duration) {
+	if i := slices.Index(s.flying, pickedAt); i >= 0 {
+		s.flying = slices.Delete(s.flying, i, i+1)
+	}
+}
+
+// PickPassed picks an upstream for a passed request of a kind and returns when its
+// reply is expected. It never waits. Upstreams that failed come last, but for one
+// trial now and then.
+func (c *Client) PickPassed(w *manifest.Workload, route string, exclude []string) (*Ticket, time.Duration, error) {
+	g := c.current.Load().groups[groupKey{workload: string(w.Name)}]
+	if g == nil {
+		return nil, 0, c.refuse(w, ErrNoReplica)
+	}
+	now := c.o.Now()
+	usual := c.usual(route)
+	best, err := c.choosePassed(g, now, usual, exclude)
+	if best == nil {
+		return nil, 0, c.refuse(w, err)
+	}
+	cost, ok := best.board(now, usual)
+	if !ok {
+		return nil, 0, c.refuse(w, ErrLimited)
+	}
+	return &Ticket{server: best, metrics: g.metrics, pickedAt: now, passed: true}, cost, nil
+}
+
+// choosePassed weighs the upstreams of a group by their costs.
+func (c *Client) choosePassed(g *group, now, usual time.Duration, exclude []string) (*server, error) {
+	var servers, suspects []*server
+	var costs, suspectCosts []float64
+	refusal := ErrNoReplica
+	for _, s := range g.servers {
+		if slices.Contains(exclude, s.address) {
+			continue
+		}
+		cost, suspect, err := s.quote(now, usual, c.o.Zone)
+		switch {
+		case err != nil:
+			refusal = worse(refusal, err)
+		case suspect:
+			suspects, suspectCosts = append(suspects, s), append(suspectCosts, float64(cost))
+		default:
+			servers, costs = append(servers, s), append(costs, float64(cost))
+		}
+	}
+	if len(servers) == 0 {
+		servers, costs = suspects, suspectCosts
+	}
+	if len(servers) == 0 {
+		return nil, refusal
+	}
+	return servers[replica.Choose(costs, rand.Float64())], nil
+}
+
+// quote returns the cost of one more passed request; suspect where the upstream failed
+// and no trial is due.
+func (s *server) quote(now, usual time.Duration, zone string) (cost time.Duration, suspect bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pool.share.Load() == 0 {
+		return 0, false, ErrNoShare
+	}
+	if !s.limit.Allows(s.speed.Outstanding) {
+		return 0, false, ErrLimited
+	}
+	cost = s.forecast.Cost(now, usual, s.flight(now))
+	if string(s.entry.Zone) != zone {
+		cost += usual / otherZonePart
+	}
+	return cost, s.speed.Suspect() && !s.speed.ProbeDue(now), nil
+}
+
+// otherZonePart is the part of a usual time that an upstream of another availability
+// zone costs more: bytes between zones are paid for.
+const otherZonePart = 10
+
+// flight returns what is under way. The lock is held.
+func (s *server) flight(now time.Duration) forecast.Flight {
+	f := forecast.Flight{Count: len(s.flying), Slots: s.entry.Slots}
+	for _, at := range s.flying {
+		f.Oldest = max(f.Oldest, now-at)
+	}
+	return f
+}
+
+// board takes a concurrency slot for a passed request and returns when its reply is
+// expected; false where the limit is reached meanwhile.
+func (s *server) board(now, usual time.Duration) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.limit.Allows(s.speed.Outstanding) {
 		return 0, false
 	}
-	return (n[0] + n[1]) / n[2], true
+	expected := s.forecast.Cost(now, usual, s.flight(now))
+	if s.speed.Suspect() {
+		s.speed.Failed(now) // puts the next trial off until this one has answered
+	}
+	s.speed.Outstanding++
+	s.flying = append(s.flying, now)
+	return expected, true
 }
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -19,6 +19,7 @@
 	metrics  *workloadMetrics
 	pickedAt time.Duration
 	spent    atomic.Bool
+	passed   bool // it counts among its server's passed requests
 }
 
 // Address returns the address of the picked replica.
@@ -27,7 +28,7 @@
 // Cancel gives the slot back; it does nothing on a ticket that was used.
 func (t *Ticket) Cancel() {
 	if t.spent.CompareAndSwap(false, true) {
-		t.server.giveBack()
+		t.server.giveBack(t)
 	}
 }
 
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sardinespindle/sardinespindle/internal/policy/drain"
+	"github.com/sardinespindle/sardinespindle/internal/policy/forecast"
 	"github.com/sardinespindle/sardinespindle/internal/policy/limit"
 	"github.com/sardinespindle/sardinespindle/internal/policy/replica"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
@@ -27,6 +28,8 @@
 	latencies histogram
 	probe     *probeCall // under way; nil for none
 	probedAt  time.Duration
+	forecast  forecast.Server
+	flying    []time.Duration // when passed requests under way were picked
 }
 
 // update takes the upstream's entry of a new manifest.
@@ -100,10 +103,13 @@
 }
 
 // giveBack returns the slot of an attempt that was not made.
-func (s *server) giveBack() {
+func (s *server) giveBack(t *Ticket) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.speed.Outstanding--
+	if t.passed {
+		s.land(t.pickedAt)
+	}
 }
 
 // Classes for learning only.
--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/sardinespindle/sardinespindle/internal/policy/forecast"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/upstream"
 )
 
@@ -61,6 +62,8 @@
 	Body     []byte
 	// Pass is the request of kind Pass; the fields above that it holds itself are not used.
 	Pass *Passed
+	// Route names the kind of a passed request, whose usual time is learned.
+	Route string
 	// IdempotencyKey is passed on where set.
 	IdempotencyKey string
 	// Hedge marks an extra attempt, which never goes to a shedding or suspect replica.
@@ -88,4 +91,6 @@
 	Latency time.Duration
 	// Err explains every class but OK.
 	Err error
+
+	load forecast.Load // reported with a reply to a Pass
 }
