Refuse early what is late, spend repeats on refused requests first

With 8 of 40 upstreams 8 times slower, the slow ones still got 18 requests/s each of which they finish 9: cancelled requests counted as a queue, which is forgotten in 250 ms, and hedges went to them. With half of the upstreams refusing 60%, hedges had spent the budget that refused requests needed. Change: a request that was given up counts as slowness, forgotten in 4 s; the least cost is taken with a relative error of 0.3 in place of a lottery; a repeat goes only where its reply is expected in time or the answer depends on it; hedges leave 0.6 of the budget; a refused attempt may be sent again up to four times while no more than maxAttempts replicas run it; shards that were left out are asked when others fail; what is expected late is refused before anything is sent, but for a caller that was refused before.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -126,6 +126,8 @@
 	service  string
 	catalog  *catalog.Catalog
 	deadline time.Time // when the caller is answered in any case
+	// returning says that the caller has spent a part of its time before: it was refused.
+	returning bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -186,6 +188,7 @@
 	wait := q.route.Timeout
 	if ms, err := strconv.ParseFloat(r.Header.Get(s.o.Headers.Deadline), 64); err == nil && ms > 0 {
 		given := time.Duration(ms * float64(time.Millisecond))
+		q.returning = float64(given) < returningShare*float64(wait)
 		if wait <= 0 || given < wait {
 			wait = given
 		}
@@ -196,6 +199,10 @@
 	return q.begun.Add(wait - min(answerMargin, wait/10))
 }
 
+// returningShare is the part of a route's timeout below which a caller's time shows that
+// it has waited before.
+const returningShare = 0.97
+
 // defaultWait bounds a request that neither its caller nor its route bounds.
 const defaultWait = 30 * time.Second
 
@@ -269,9 +276,13 @@
 	return strconv.FormatUint(d.Sum64(), 16)
 }
 
-// repeat pays for one attempt beyond the first at a service.
-func (s *Server) repeat(service string) (paid bool) {
-	s.budgets.Do(service, func(b *repeat.Bucket) { paid = b.Take(s.o.Now(), s.o.Repeats, s.o.VMs()) })
+// repeat pays for one attempt beyond the first at a service, with what the reserve
+// leaves.
+func (s *Server) repeat(service string, reserve float64) (paid bool) {
+	now, vms := s.o.Now(), s.o.VMs()
+	s.budgets.Do(service, func(b *repeat.Bucket) {
+		paid = b.Fill(now, s.o.Repeats, vms) >= reserve && b.Take(now, s.o.Repeats, vms)
+	})
 	if paid {
 		s.metrics.repeats.Inc()
 	} else {
@@ -329,6 +340,7 @@
 			GiveUpAt:   q.deadline,
 			HedgeAfter: share(objective, hedgeSearch),
 			Attempts:   q.route.Attempts,
+			Returning:  q.returning,
 			Repeat:     s.repeat,
 		},
 	})
@@ -352,7 +364,7 @@
 			Idempotent: q.route.Idempotent,
 			HedgeAfter: share(q.objective(), hedgeSingle),
 			Attempts:   q.route.Attempts,
-			Repeat:     func() bool { return s.repeat(q.service) },
+			Repeat:     func() bool { return s.repeat(q.service, 0) },
 		},
 	})
 }
--- a/internal/gather/handle.go
+++ b/internal/gather/handle.go
@@ -180,7 +180,10 @@
 
 // failed decides what follows an attempt that gave no usable reply.
 func (q *query) failed(sh *shard, at *attempt, c upstream.Class) {
-	if c != upstream.Shed {
+	switch {
+	case q.s.Pass != nil:
+		q.unbar(sh, at, c)
+	case c != upstream.Shed:
 		sh.barred = append(sh.barred, at.address)
 	}
 	if c == upstream.Lost {
--- a/internal/gather/pass.go
+++ b/internal/gather/pass.go
@@ -31,11 +31,13 @@
 	AnswerAt, GiveUpAt time.Time
 	// HedgeAfter is how long after its first attempt a shard is hedged.
 	HedgeAfter time.Duration
-	// Attempts is the most replicas of a shard that the request may be sent to.
+	// Attempts is the most replicas of a shard that may run the request.
 	Attempts int
+	// Returning says that the caller was refused before.
+	Returning bool
 	// Repeat pays for one attempt beyond a shard's first; false where the budget of the
-	// shard's service is spent.
-	Repeat func(service string) bool
+	// shard's service is spent, but for a reserve, as a share of it.
+	Repeat func(service string, reserve float64) bool
 }
 
 // place sets which workload's upstreams serve the shard.
@@ -54,7 +56,7 @@
 	tickets := make([]Ticket, len(q.plan))
 	s := plan.Search{
 		Expected: make([]time.Duration, len(q.plan)), Need: q.needPassed(),
-		Left: q.s.Pass.AnswerAt.Sub(now), Most: q.s.Pass.GiveUpAt.Sub(now),
+		Left: q.s.Pass.AnswerAt.Sub(now), Most: q.s.Pass.GiveUpAt.Sub(now), Returning: q.s.Pass.Returning,
 	}
 	for i, sh := range q.plan {
 		t, expected, err := q.pickPassed(sh)
@@ -64,6 +66,7 @@
 		tickets[i], s.Expected[i] = t, expected
 	}
 	v := plan.Decide(s)
+	q.after = max(q.after, v.Late)
 	for i, sh := range q.plan {
 		switch t := tickets[i]; {
 		case t == nil:
@@ -84,7 +87,7 @@
 	if sh.workload == nil {
 		return nil, 0, errNoService
 	}
-	return q.e.up.PickPassed(sh.workload, q.workload, sh.tried)
+	return q.e.up.PickPassed(sh.workload, q.workload, sh.barred)
 }
 
 // needPassed is the least number of parts of an answer.
@@ -98,7 +101,7 @@
 		return
 	}
 	sh.hedged = true
-	if q.repeat(sh, true) {
+	if q.repeat(sh, plan.HedgeReserve) {
 		q.counters.hedged.Inc()
 	}
 }
@@ -112,32 +115,81 @@
 		sh.given = true
 		return
 	}
-	if !q.repeat(sh, false) {
-		sh.given = true
+	if q.repeat(sh, 0) {
+		q.counters.retried.Inc()
+		return
+	}
+	sh.given = true
+	q.revive()
+}
+
+// unbar lets a replica that did not run the request be tried again, once another one
+// has been.
+func (q *query) unbar(sh *shard, at *attempt, c upstream.Class) {
+	if c.MayHaveRun() {
 		return
 	}
-	q.counters.retried.Inc()
+	sh.ran--
+	sh.barred = slices.DeleteFunc(sh.barred, func(a string) bool { return a == sh.refusedBy })
+	sh.refusedBy = at.address
+}
+
+// revive asks shards that were left out, where the answer depends on them.
+func (q *query) revive() {
+	for q.counts[covered]+q.counts[open] < q.needPassed() {
+		var best *shard
+		var ticket Ticket
+		least := plan.Never
+		for _, sh := range q.plan {
+			if len(sh.tried) > 0 {
+				continue
+			}
+			t, expected, err := q.pickPassed(sh)
+			if err != nil {
+				continue
+			}
+			if expected >= least {
+				t.Cancel()
+				continue
+			}
+			if ticket != nil {
+				ticket.Cancel()
+			}
+			best, ticket, least = sh, t, expected
+		}
+		if best == nil {
+			return
+		}
+		q.send(best, ticket, q.wanted, false)
+	}
 }
 
 // maxLosses is the number of lost connections of one search after which none of its
 // requests is sent again: the request may be what ends the upstreams.
 const maxLosses = 2
 
-// repeat sends the shard's request to one more replica.
-func (q *query) repeat(sh *shard, hedged bool) bool {
+// mostSends is the most attempts of one shard, with those that a replica refused.
+const mostSends = 4
+
+// repeat sends the shard's request to one more replica, with what the reserve leaves of
+// the budget.
+func (q *query) repeat(sh *shard, reserve float64) bool {
 	p := q.s.Pass
-	if len(sh.tried) >= p.Attempts || !time.Now().Before(p.GiveUpAt) {
+	now := time.Now()
+	if sh.ran >= p.Attempts || len(sh.tried) >= mostSends || !now.Before(p.GiveUpAt) {
 		return false
 	}
-	t, _, err := q.pickPassed(sh)
+	t, expected, err := q.pickPassed(sh)
 	if err != nil {
 		return false
 	}
-	if !p.Repeat(string(sh.workload.Name)) {
+	reach := q.counts[covered] + q.counts[open]
+	if !plan.WorthRepeat(expected, p.AnswerAt.Sub(now), reach, q.needPassed()) ||
+		!p.Repeat(string(sh.workload.Name), reserve) {
 		t.Cancel()
 		return false
 	}
-	q.send(sh, t, q.wanted, hedged)
+	q.send(sh, t, q.wanted, reserve > 0)
 	return true
 }
 
--- a/internal/gather/query.go
+++ b/internal/gather/query.go
@@ -88,27 +88,29 @@
 
 // shard is one shard in one search.
 type shard struct {
-	name     string
-	workload *manifest.Workload // whose upstreams serve the shard
-	key      string             // the shard's name within workload
-	class    class
-	planned  bool
-	replicas int
-	tried    []string // replicas that got an attempt
-	barred   []string // replicas not to be tried again
-	flying   []*attempt
-	started  time.Time
-	quantile time.Duration // a high quantile of its latency; 0 where not known
-	hedgeAt  time.Time     // zero where no hedge is due
-	hedgedAt time.Time     // when the hedge was sent or given up
-	pickAt   time.Time     // zero where no pick is due
-	picks    int
-	hedged   bool // a hedge was sent, or will not be
-	asking   bool // its retry waits for permission
-	parked   bool // it waits for a part of a known map
-	given    bool // given up: nothing more is sent
-	retries  int
-	reasks   int
+	name      string
+	workload  *manifest.Workload // whose upstreams serve the shard
+	key       string             // the shard's name within workload
+	class     class
+	planned   bool
+	replicas  int
+	tried     []string // replicas that got an attempt
+	barred    []string // replicas not to be tried again
+	flying    []*attempt
+	started   time.Time
+	quantile  time.Duration // a high quantile of its latency; 0 where not known
+	hedgeAt   time.Time     // zero where no hedge is due
+	hedgedAt  time.Time     // when the hedge was sent or given up
+	pickAt    time.Time     // zero where no pick is due
+	picks     int
+	hedged    bool // a hedge was sent, or will not be
+	asking    bool // its retry waits for permission
+	parked    bool // it waits for a part of a known map
+	given     bool // given up: nothing more is sent
+	retries   int
+	reasks    int
+	refusedBy string // the replica that last refused a passed attempt
+	ran       int    // passed attempts that were not refused
 
 	hedgeTries int
 
--- a/internal/gather/send.go
+++ b/internal/gather/send.go
@@ -126,6 +126,10 @@
 		shard:   sh,
 	}
 	sh.tried = append(sh.tried, at.address)
+	if q.s.Pass != nil {
+		sh.ran++
+		sh.barred = append(sh.barred, at.address)
+	}
 	sh.flying = append(sh.flying, at)
 	q.inflight++
 	q.touch(sh)
--- a/internal/policy/forecast/forecast.go
+++ b/internal/policy/forecast/forecast.go
@@ -21,7 +21,7 @@
 	// slowWeight is the weight of a sample of an upstream's slowness.
 	slowWeight = 0.3
 	// slowForgets is the time in which the belief in slowness halves without samples.
-	slowForgets = 1500 * time.Millisecond
+	slowForgets = 4 * time.Second
 	// leastSlow and mostSlow bound the slowness.
 	leastSlow, mostSlow = 0.5, 40
 	// waitWeight is the weight of a sample of the wait in an upstream's queue.
@@ -29,12 +29,15 @@
 	// waitForgets is the time in which the wait halves without samples: queues drain.
 	waitForgets = 250 * time.Millisecond
 	// refusalWeight is the weight of one reply in the share of refused requests.
-	refusalWeight = 0.15
+	refusalWeight = 0.25
 	// refusalForgets is the time in which that share halves without replies.
-	refusalForgets = 2 * time.Second
+	refusalForgets = 5 * time.Second
 	// refusalCost is what a refused attempt costs besides its own time, in usual times:
 	// another attempt has to be paid for.
-	refusalCost = 1.0
+	refusalCost = 1.2
+	// censoredTimes / censoredOf is the ratio of the time expected of a request that was given up to
+	// the time it had taken by then.
+	censoredTimes, censoredOf = 3, 2
 	// overdue is how much longer than expected an unanswered request has to take to count.
 	overdue = 1.5
 )
@@ -94,21 +97,25 @@
 func (s *Server) Replied(now, latency, usual time.Duration, l Load) {
 	s.refused(now, 0)
 	if !l.Queued() {
-		ratio := math.Log(float64(max(latency, 1)) / float64(max(usual, 1)))
-		s.logSlow = s.slowness(now) + slowWeight*(ratio-s.slowness(now))
-		s.logSlow = min(max(s.logSlow, math.Log(leastSlow)), math.Log(mostSlow))
-		s.slowAt = now
+		s.slowed(now, latency, usual)
 	}
 	excess := max(0, float64(latency)-float64(usual)*math.Exp(s.slowness(now)))
 	s.wait = s.waiting(now) + waitWeight*(excess-s.waiting(now))
 	s.waitAt = now
 }
 
+// slowed takes in a sample of the slowness.
+func (s *Server) slowed(now, latency, usual time.Duration) {
+	ratio := math.Log(float64(max(latency, 1)) / float64(max(usual, 1)))
+	known := s.slowness(now)
+	s.logSlow = min(max(known+slowWeight*(ratio-known), math.Log(leastSlow)), math.Log(mostSlow))
+	s.slowAt = now
+}
+
 // Unanswered takes in that a request was given up at now after waited.
 func (s *Server) Unanswered(now, waited, usual time.Duration) {
-	if known := s.Expect(now, usual); waited > known {
-		s.wait = s.waiting(now) + float64(waited-known)
-		s.waitAt = now
+	if waited > s.Expect(now, usual) {
+		s.slowed(now, waited*censoredTimes/censoredOf, usual)
 	}
 }
 
--- a/internal/upstream/pass.go
+++ b/internal/upstream/pass.go
@@ -17,7 +17,7 @@
 
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/policy/forecast"
-	"github.com/sardinespindle/sardinespindle/internal/policy/replica"
+	"github.com/sardinespindle/sardinespindle/internal/policy/plan"
 )
 
 // Wire names the headers of an interface that passes requests through unchanged, in
@@ -221,7 +221,7 @@
 // choosePassed weighs the upstreams of a group by their costs.
 func (c *Client) choosePassed(g *group, now, usual time.Duration, exclude []string) (*server, error) {
 	var servers, suspects []*server
-	var costs, suspectCosts []float64
+	var costs, suspectCosts []time.Duration
 	refusal := ErrNoReplica
 	for _, s := range g.servers {
 		if slices.Contains(exclude, s.address) {
@@ -232,9 +232,9 @@
 		case err != nil:
 			refusal = worse(refusal, err)
 		case suspect:
-			suspects, suspectCosts = append(suspects, s), append(suspectCosts, float64(cost))
+			suspects, suspectCosts = append(suspects, s), append(suspectCosts, cost)
 		default:
-			servers, costs = append(servers, s), append(costs, float64(cost))
+			servers, costs = append(servers, s), append(costs, cost)
 		}
 	}
 	if len(servers) == 0 {
@@ -243,7 +243,7 @@
 	if len(servers) == 0 {
 		return nil, refusal
 	}
-	return servers[replica.Choose(costs, rand.Float64())], nil
+	return servers[plan.Choose(costs, rand.Float64)], nil
 }
 
 // quote returns the cost of one more passed request; suspect where the upstream failed
