Hand whole searches to a VM near the replicas; prefer near replicas

Change: a replica of another zone costs half a usual time more; a VM whose zone holds far fewer replicas of a search's shards hands the search to a VM of the best zone (internal/policy/delegate, peer messages delegate, delegated, cancel), and takes it back where that VM does not answer, paying for the repeats. CBOR strings may hold any bytes: records and forged entries are not UTF-8.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -59,6 +59,9 @@
 	// Searches holds, by route name, the workload of each sharded route, whose partition
 	// map names the services of its shards.
 	Searches map[string]*manifest.Workload
+	// Near holds, by name of a sharded route and by availability zone, the share of its
+	// shards that have a replica there.
+	Near map[string]map[string]float64
 }
 
 // mapVersion is the version of the one partition map of a sharded route.
@@ -92,9 +95,39 @@
 	}
 	return &Catalog{
 		Config: c, Table: route.NewTable(c.Routes), Manifest: m, Searches: searches(c.Routes),
+		Near: nearness(c.Routes, m),
 	}
 }
 
+// nearness returns where the replicas of each sharded route are.
+func nearness(routes []*route.Route, m *manifest.Manifest) map[string]map[string]float64 {
+	out := make(map[string]map[string]float64)
+	for _, r := range routes {
+		if !r.Sharded() {
+			continue
+		}
+		near := make(map[string]float64)
+		for _, shard := range r.Shards {
+			for zone := range zonesOf(m.Workloads[shard]) {
+				near[zone] += 1 / float64(len(r.Shards))
+			}
+		}
+		out[r.Name] = near
+	}
+	return out
+}
+
+func zonesOf(w *manifest.Workload) map[string]bool {
+	zones := map[string]bool{}
+	if w == nil {
+		return zones
+	}
+	for _, u := range w.Upstreams {
+		zones[string(u.Zone)] = true
+	}
+	return zones
+}
+
 // latest returns the entries without those whose address a later one has: the upstream
 // that had it has ended, though its entry may stay for a while.
 func latest(entries []Entry) []Entry {
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -22,6 +22,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/clock"
 	"github.com/sardinespindle/sardinespindle/internal/forward"
 	"github.com/sardinespindle/sardinespindle/internal/gather"
+	"github.com/sardinespindle/sardinespindle/internal/pause"
 	"github.com/sardinespindle/sardinespindle/internal/peer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/repeat"
 	"github.com/sardinespindle/sardinespindle/internal/policy/roster"
@@ -123,10 +124,14 @@
 			Window: time.Duration(f.s.Repeats.WindowSeconds * float64(time.Second)),
 		},
 		VMs:        f.fleet.size,
+		Zone:       f.s.Zone,
+		ZoneVMs:    f.fleet.inZone,
+		Peers:      f.node,
 		Now:        clock.Boot,
 		Log:        f.log,
 		Registerer: f.registry,
 	})
+	f.node.Handle(f.front.Handle)
 	return nil
 }
 
@@ -199,6 +204,9 @@
 // stopMargin is kept back of the grace time for the end of the process.
 const stopMargin = 400 * time.Millisecond
 
+// stopLook is the time between two looks at the searches of other VMs.
+const stopLook = 20 * time.Millisecond
+
 // shutdown tells the balancer, serves on while it lags, then ends what is idle and waits
 // for what is in flight.
 func (f *Forwarder) shutdown(front *http.Server) {
@@ -218,6 +226,9 @@
 	if err := front.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		f.log.Warn("shutdown", "err", err)
 	}
+	for f.front.InFlight() > 0 && pause.For(ctx, stopLook) {
+		continue // searches of other VMs
+	}
 	f.log.Info("stopped", "in_flight", f.front.InFlight(), "took_ms", time.Since(begun).Milliseconds())
 }
 
@@ -229,6 +240,7 @@
 	port  uint16
 	seeds atomic.Pointer[[]settings.Address]
 	count atomic.Int64
+	zones atomic.Pointer[map[string][]string] // other live VMs by availability zone
 
 	blindUntil time.Duration // this VM's word that the store does not answer it; one goroutine's
 }
@@ -294,8 +306,18 @@
 	}
 	f.node.SetMembers(known, func(name string) string { return net.JoinHostPort(name, strconv.Itoa(int(f.port))) })
 	f.count.Store(int64(count))
+	zones := map[string][]string{}
+	for _, m := range f.live() {
+		if m.Name != f.self {
+			zones[m.Zone] = append(zones[m.Zone], m.Name)
+		}
+	}
+	f.zones.Store(&zones)
 }
 
+// inZone names the other live VMs of an availability zone.
+func (f *fleet) inZone(zone string) []string { return (*f.zones.Load())[zone] }
+
 func (f *fleet) leave() { f.node.Facts().Put("vm/"+f.self, "leaving", leavingTTL) }
 
 // size returns how many VMs may be alive; the unknown fleet's while none was heard of.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -65,7 +65,12 @@
 	// Repeats bound the attempts beyond the first, summed over the fleet.
 	Repeats repeat.Limits
 	// VMs returns how many VMs share Repeats.
-	VMs        func() int
+	VMs func() int
+	// Zone is this VM's availability zone, ZoneVMs names the other live VMs of one, and
+	// Peers calls them; Peers may be nil.
+	Zone       string
+	ZoneVMs    func(zone string) []string
+	Peers      Peers
 	Now        func() time.Duration
 	Log        *log.Logger
 	Registerer prometheus.Registerer
@@ -79,6 +84,7 @@
 	o        Options
 	metrics  *metrics
 	budgets  *sharded.Map[string, repeat.Bucket]
+	peers    peerTable
 	stopping atomic.Bool
 	closing  atomic.Bool
 	inFlight atomic.Int64
@@ -128,6 +134,9 @@
 	deadline time.Time // when the caller is answered in any case
 	// returning says that the caller has spent a part of its time before: it was refused.
 	returning bool
+	// delegated says that another VM handed the search over; resent that one that was
+	// handed it may have sent it to upstreams.
+	delegated, resent bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -167,7 +176,7 @@
 	}
 	q.deadline = s.deadline(r, q)
 	if q.route.Sharded() {
-		return s.search(r.Context(), q, passed)
+		return s.place(r.Context(), q, passed)
 	}
 	return s.single(r.Context(), q, passed)
 }
@@ -314,6 +323,15 @@
 	return q.deadline.Sub(q.begun)
 }
 
+// answerAt returns the latest moment of an answer in time.
+func (q *request) answerAt() time.Time {
+	at := q.begun.Add(share(q.objective(), answerShare) - answerSlack)
+	if at.After(q.deadline) {
+		return q.deadline
+	}
+	return at
+}
+
 func share(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
 
 func (s *Server) search(ctx context.Context, q *request, p *upstream.Passed) outcome.Outcome {
@@ -322,10 +340,6 @@
 		s.earn(shard)
 	}
 	objective := q.objective()
-	answerAt := q.begun.Add(share(objective, answerShare) - answerSlack)
-	if answerAt.After(q.deadline) {
-		answerAt = q.deadline
-	}
 	return s.o.Searcher.Search(ctx, gather.Search{
 		ID:          q.id,
 		Fingerprint: fingerprint(p),
@@ -336,11 +350,12 @@
 			Shards:     q.catalog.Manifest.Workloads,
 			Top:        q.route.Top,
 			Minimum:    q.route.MinimumShare,
-			AnswerAt:   answerAt,
+			AnswerAt:   q.answerAt(),
 			GiveUpAt:   q.deadline,
 			HedgeAfter: share(objective, hedgeSearch),
 			Attempts:   q.route.Attempts,
 			Returning:  q.returning,
+			Resent:     q.resent,
 			Repeat:     s.repeat,
 		},
 	})
--- a/internal/gather/pass.go
+++ b/internal/gather/pass.go
@@ -33,6 +33,9 @@
 	HedgeAfter time.Duration
 	// Attempts is the most replicas of a shard that may run the request.
 	Attempts int
+	// Resent says that another VM may have sent the request to the shards before, so that
+	// each first attempt is paid for as a repeat.
+	Resent bool
 	// Returning says that the caller was refused before.
 	Returning bool
 	// Repeat pays for one attempt beyond a shard's first; false where the budget of the
@@ -60,6 +63,10 @@
 	}
 	for i, sh := range q.plan {
 		t, expected, err := q.pickPassed(sh)
+		if err == nil && q.s.Pass.Resent && !q.s.Pass.Repeat(sh.name, 0) {
+			t.Cancel()
+			t, err = nil, errUnpaid
+		}
 		if err != nil {
 			expected = plan.Never
 		}
@@ -81,7 +88,10 @@
 	}
 }
 
-var errNoService = errors.New("gather: shard is not published")
+var (
+	errNoService = errors.New("gather: shard is not published")
+	errUnpaid    = errors.New("gather: budget of repeats is spent")
+)
 
 func (q *query) pickPassed(sh *shard) (Ticket, time.Duration, error) {
 	if sh.workload == nil {
--- /dev/null
+++ b/internal/peer/bytes_test.go
@@ -0,0 +1,21 @@
+package peer
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/peer"
+)
+
+var _ = Describe("Codec", func() {
+	It("carries values that are not UTF-8", func() {
+		value := "\xff\xfe\x00record"
+		b, err := encode(&gen.Message{Pulled: &gen.Pulled{
+			Items: []gen.Published{{Key: "forged", Revision: 1, Value: value}},
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		m, err := decode(b)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(m.Pulled.Items[0].Value).To(Equal(value))
+	})
+})
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -53,6 +53,8 @@
 		MaxArrayElements:  maxFacts,
 		MaxMapPairs:       32,
 		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
+		// Bodies, records and published values are any bytes.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic("peer: " + err.Error())
@@ -126,6 +128,9 @@
 	{"part_reply", func(m *gen.Message) bool { return m.PartReply != nil }},
 	{"pull", func(m *gen.Message) bool { return m.Pull != nil }},
 	{"pulled", func(m *gen.Message) bool { return m.Pulled != nil }},
+	{"cancel", func(m *gen.Message) bool { return m.Cancel != nil }},
+	{"delegate", func(m *gen.Message) bool { return m.Delegate != nil }},
+	{"delegated", func(m *gen.Message) bool { return m.Delegated != nil }},
 	{"hello", func(m *gen.Message) bool { return m.Hello != nil }},
 }
 
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -82,9 +82,11 @@
 	gossipUntil atomic.Int64
 	chosenUntil atomic.Int64
 
-	mu      sync.Mutex // guards next and pending
+	mu      sync.Mutex // guards the fields below
 	next    int
 	pending map[int]chan *gen.Message
+	// handling holds what ends the handler of a request of the peer, by its id.
+	handling map[int]context.CancelFunc
 }
 
 func newConn(n *Node, s socket, h *gen.Hello, dialed bool) *conn {
@@ -99,6 +101,7 @@
 		spreads:  rate.NewLimiter(spreadRate, spreadBurst),
 		done:     make(chan struct{}),
 		pending:  map[int]chan *gen.Message{},
+		handling: map[int]context.CancelFunc{},
 		next:     2,
 	}
 	if dialed {
@@ -287,6 +290,8 @@
 	switch {
 	case m.Id != 0 && c.mine(m.Id):
 		c.resolve(m)
+	case m.Cancel != nil:
+		c.cancelHandler(m.Cancel.Request)
 	case m.Digest != nil:
 		c.node.repair(c, m.Digest)
 	case m.Facts != nil && m.Id == 0:
@@ -323,9 +328,13 @@
 		return
 	}
 	c.touch()
+	ctx, cancel := context.WithCancel(ctx)
+	c.setHandler(m.Id, cancel)
 	go func() {
 		defer func() { <-c.slots }()
+		defer cancel()
 		reply := c.node.serve(ctx, c.peer, m)
+		c.setHandler(m.Id, nil)
 		if reply == nil || m.Id == 0 {
 			return
 		}
@@ -337,7 +346,32 @@
 	}()
 }
 
-// call sends a request and waits for its reply.
+// setHandler notes what ends the handler of a request; nil once it has ended.
+func (c *conn) setHandler(id int, cancel context.CancelFunc) {
+	if id == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if cancel == nil {
+		delete(c.handling, id)
+		return
+	}
+	c.handling[id] = cancel
+}
+
+// cancelHandler ends the handler of a request whose reply the peer no longer wants.
+func (c *conn) cancelHandler(id int) {
+	c.mu.Lock()
+	cancel := c.handling[id]
+	c.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+// call sends a request and waits for its reply. Where the wait ends first, the peer is
+// told, so that it ends its work.
 func (c *conn) call(ctx context.Context, m *gen.Message) (*gen.Message, error) {
 	c.touch()
 	id, reply, err := c.expect()
@@ -356,6 +390,9 @@
 	case <-c.done:
 		return nil, fmt.Errorf("call %s: %w", c.peer, errClosed)
 	case <-ctx.Done():
+		if err := c.send(&gen.Message{Cancel: &gen.Cancel{Request: id}}); err != nil {
+			c.node.log.Debug("cancel not sent", "peer", c.peer, "err", err)
+		}
 		return nil, fmt.Errorf("call %s: %w", c.peer, ctx.Err())
 	}
 }
--- a/internal/upstream/pass.go
+++ b/internal/upstream/pass.go
@@ -266,7 +266,7 @@
 
 // otherZonePart is the part of a usual time that an upstream of another availability
 // zone costs more: bytes between zones are paid for.
-const otherZonePart = 10
+const otherZonePart = 2
 
 // flight returns what is under way. The lock is held.
 func (s *server) flight(now time.Duration) forecast.Flight {
--- a/schema/gen/peer/peer.go
+++ b/schema/gen/peer/peer.go
@@ -2,6 +2,12 @@
 
 package peer
 
+// Says that the sender no longer waits for the reply to a request of its own.
+type Cancel struct {
+	// Id of the request.
+	Request int `json:"request" toml:"request" cbor:"request"`
+}
+
 // Asks a guard for its vote on an idempotency key.
 type Claim struct {
 	// Birth of the key by its UUIDv7, in Unix milliseconds.
@@ -23,6 +29,75 @@
 	WindowMs int `json:"window_ms" toml:"window_ms" cbor:"window_ms"`
 }
 
+// Hands a caller's search to a VM that is nearer to its shards.
+type Delegate struct {
+	// Body.
+	Body string `json:"body" toml:"body" cbor:"body"`
+
+	// Time since the request came, in microseconds.
+	ElapsedUs int `json:"elapsed_us" toml:"elapsed_us" cbor:"elapsed_us"`
+
+	// Time left until the caller is answered in any case, in microseconds.
+	GiveUpUs int `json:"give_up_us" toml:"give_up_us" cbor:"give_up_us"`
+
+	// Headers that are forwarded.
+	Headers []Header `json:"headers" toml:"headers" cbor:"headers"`
+
+	// Host as the caller named it.
+	Host string `json:"host" toml:"host" cbor:"host"`
+
+	// Method.
+	Method string `json:"method" toml:"method" cbor:"method"`
+
+	// The caller's id of the request.
+	RequestId string `json:"request_id" toml:"request_id" cbor:"request_id"`
+
+	// Whether the caller was refused before.
+	Returning bool `json:"returning" toml:"returning" cbor:"returning"`
+
+	// Path and query as in the request line.
+	Target string `json:"target" toml:"target" cbor:"target"`
+
+	// Configuration in force at the sender; an older one may not serve the search.
+	Version int `json:"version" toml:"version" cbor:"version"`
+}
+
+// Reply to a delegated search.
+type Delegated struct {
+	// Shards whose part is in the answer.
+	Covered int `json:"covered" toml:"covered" cbor:"covered"`
+
+	// Explains the reason to a person.
+	Detail string `json:"detail" toml:"detail" cbor:"detail"`
+
+	// Kind of the outcome.
+	Outcome string `json:"outcome" toml:"outcome" cbor:"outcome"`
+
+	// Reason of an outcome other than answered.
+	Reason string `json:"reason" toml:"reason" cbor:"reason"`
+
+	// Records of the answer.
+	Records string `json:"records" toml:"records" cbor:"records"`
+
+	// When the caller may come back, in microseconds; 0 for never.
+	RetryAfterUs int `json:"retry_after_us" toml:"retry_after_us" cbor:"retry_after_us"`
+
+	// Attempts that reached an upstream.
+	Sent int `json:"sent" toml:"sent" cbor:"sent"`
+
+	// Shards of the search.
+	Shards int `json:"shards" toml:"shards" cbor:"shards"`
+
+	// Attempts that were refused.
+	Shed int `json:"shed" toml:"shed" cbor:"shed"`
+
+	// Signatures of the parts.
+	Signatures []string `json:"signatures" toml:"signatures" cbor:"signatures"`
+
+	// Whether the VM ran the search; if not, nothing was sent for it.
+	Taken bool `json:"taken" toml:"taken" cbor:"taken"`
+}
+
 // Summary of the facts held, by bucket; the receiver pushes back the facts of each
 // bucket that differs.
 type Digest struct {
@@ -64,6 +139,15 @@
 	Outcome string `json:"outcome" toml:"outcome" cbor:"outcome"`
 }
 
+// One header of a request that is passed through.
+type Header struct {
+	// Name in canonical form.
+	Name string `json:"name" toml:"name" cbor:"name"`
+
+	// Values in their order.
+	Values []string `json:"values" toml:"values" cbor:"values"`
+}
+
 // First message in each direction.
 type Hello struct {
 	// Manifest generation in force; 0 for none.
@@ -121,9 +205,18 @@
 // One WebSocket message between two VMs, in CBOR. Exactly one of the optional
 // fields is set. A reply carries the id of its request.
 type Message struct {
+	// Cancel corresponds to the JSON schema field "cancel".
+	Cancel *Cancel `json:"cancel,omitempty,omitzero" toml:"cancel,omitempty" cbor:"cancel,omitempty"`
+
 	// Claim corresponds to the JSON schema field "claim".
 	Claim *Claim `json:"claim,omitempty,omitzero" toml:"claim,omitempty" cbor:"claim,omitempty"`
 
+	// Delegate corresponds to the JSON schema field "delegate".
+	Delegate *Delegate `json:"delegate,omitempty,omitzero" toml:"delegate,omitempty" cbor:"delegate,omitempty"`
+
+	// Delegated corresponds to the JSON schema field "delegated".
+	Delegated *Delegated `json:"delegated,omitempty,omitzero" toml:"delegated,omitempty" cbor:"delegated,omitempty"`
+
 	// Digest corresponds to the JSON schema field "digest".
 	Digest *Digest `json:"digest,omitempty,omitzero" toml:"digest,omitempty" cbor:"digest,omitempty"`
 
