Let the VMs of the most capacity run searches in a large fleet

Change: internal/policy/delegate says which VMs gather: all, as long as each can hold three connections to each upstream, else those of the most capacity; the others hand their searches to a gatherer, of their own zone first. Only gatherers connect to the upstreams of shards and share their budget of repeats. Ruled out: roles in the settings (no VM is set aside; the rank moves by itself).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -59,6 +59,9 @@
 	// Searches holds, by route name, the workload of each sharded route, whose partition
 	// map names the services of its shards.
 	Searches map[string]*manifest.Workload
+	// ShardLimits holds, for each service that is a shard, the connections that one of its
+	// upstreams accepts.
+	ShardLimits map[string]int
 	// Near holds, by name of a sharded route and by availability zone, the share of its
 	// shards that have a replica there.
 	Near map[string]map[string]float64
@@ -95,10 +98,20 @@
 	}
 	return &Catalog{
 		Config: c, Table: route.NewTable(c.Routes), Manifest: m, Searches: searches(c.Routes),
-		Near: nearness(c.Routes, m),
+		Near: nearness(c.Routes, m), ShardLimits: shardLimits(c.Routes, limits),
 	}
 }
 
+func shardLimits(routes []*route.Route, limits map[string]int) map[string]int {
+	out := map[string]int{}
+	for _, r := range routes {
+		for _, shard := range r.Shards {
+			out[shard] = limits[shard]
+		}
+	}
+	return out
+}
+
 // nearness returns where the replicas of each sharded route are.
 func nearness(routes []*route.Route, m *manifest.Manifest) map[string]map[string]float64 {
 	out := make(map[string]map[string]float64)
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -7,8 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -24,11 +22,13 @@
 	"github.com/sardinespindle/sardinespindle/internal/gather"
 	"github.com/sardinespindle/sardinespindle/internal/pause"
 	"github.com/sardinespindle/sardinespindle/internal/peer"
+	"github.com/sardinespindle/sardinespindle/internal/policy/connbudget"
+	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
 	"github.com/sardinespindle/sardinespindle/internal/policy/repeat"
-	"github.com/sardinespindle/sardinespindle/internal/policy/roster"
 	"github.com/sardinespindle/sardinespindle/internal/single"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	"github.com/sardinespindle/sardinespindle/platform"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
 	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
 )
 
@@ -50,10 +50,13 @@
 	front     *forward.Server
 }
 
+// incarnationChars of a random id tell the starts of one VM apart; each fact carries them.
+const incarnationChars = 8
+
 // NewForwarder wires a forwarder. Nothing runs yet.
 func NewForwarder(s *settings.Settings, l *log.Logger) (*Forwarder, error) {
 	f := &Forwarder{
-		s: s, log: l, incarnation: uuid.NewString(), started: clock.Boot(), registry: prometheus.NewRegistry(),
+		s: s, log: l, incarnation: uuid.NewString()[:incarnationChars], started: clock.Boot(), registry: prometheus.NewRegistry(),
 	}
 	f.registry.MustRegister(collectors.NewGoCollector())
 	if err := f.wireFleet(); err != nil {
@@ -72,7 +75,7 @@
 		Name: ip, Zone: f.s.Zone, Incarnation: f.incarnation, Started: f.started, ListenIP: ip,
 		Log: f.log, Registerer: f.registry,
 	})
-	f.fleet = newFleet(f.node, ip, f.s.Zone, peers.Port(), f.s.Fleet.Seeds)
+	f.fleet = newFleet(f.node, delegate.VM{Name: ip, Zone: f.s.Zone, Capacity: f.s.Fleet.Capacity}, peers.Port(), f.s.Fleet.Seeds)
 	f.mirror = catalog.NewMirror(platform.Decoder{}, clock.Boot, f.apply)
 	f.sync = catalog.NewSync(catalog.SyncOptions{
 		Mirror:  f.mirror,
@@ -105,7 +108,7 @@
 	var err error
 	f.upstreams, err = upstream.New(upstream.Options{
 		VM: f.node.Name(), Zone: f.s.Zone, VMs: f.fleet.size, Members: f.fleet.names,
-		Published: true, Wire: platform.Wire, Log: f.log, Registerer: f.registry,
+		Share: f.connections, Published: true, Wire: platform.Wire, Log: f.log, Registerer: f.registry,
 	})
 	if err != nil {
 		return err
@@ -123,9 +126,9 @@
 			Ratio: f.s.Repeats.Ratio, Slack: f.s.Repeats.Slack,
 			Window: time.Duration(f.s.Repeats.WindowSeconds * float64(time.Second)),
 		},
-		VMs:        f.fleet.size,
+		VMs:        f.sharers,
 		Zone:       f.s.Zone,
-		ZoneVMs:    f.fleet.inZone,
+		Gatherers:  f.fleet.gatherers,
 		Peers:      f.node,
 		Now:        clock.Boot,
 		Log:        f.log,
@@ -135,10 +138,37 @@
 	return nil
 }
 
+// connections returns how many connections this VM may open to an upstream: only
+// gatherers open any to those of shards.
+func (f *Forwarder) connections(u *gen.Upstream) int {
+	if c := f.catalog.Load(); c != nil {
+		if _, ok := c.ShardLimits[string(u.Workload)]; ok {
+			n, self := f.fleet.gatherCount()
+			if !self {
+				return 0
+			}
+			return connbudget.Share(u.ConnectionLimit, n)
+		}
+	}
+	return connbudget.Connections(u.ConnectionLimit, f.fleet.size(), u.Address, f.node.Name(), f.fleet.names())
+}
+
+// sharers returns how many VMs send requests to a service.
+func (f *Forwarder) sharers(service string) int {
+	if c := f.catalog.Load(); c != nil {
+		if _, ok := c.ShardLimits[service]; ok {
+			n, _ := f.fleet.gatherCount()
+			return n
+		}
+	}
+	return f.fleet.size()
+}
+
 // apply takes a catalog that came into force.
 func (f *Forwarder) apply(c *catalog.Catalog, change catalog.Change) {
-	f.upstreams.Apply(c.Manifest)
 	f.catalog.Store(c)
+	f.fleet.setLimit(c.ShardLimits)
+	f.upstreams.Apply(c.Manifest)
 	f.log.Info("catalog in force", "revision", change.Revision, "version", change.Version,
 		"upstreams", change.Upstreams, "draining", change.Draining)
 	for key, err := range change.Refused {
@@ -231,156 +261,3 @@
 	}
 	f.log.Info("stopped", "in_flight", f.front.InFlight(), "took_ms", time.Since(begun).Milliseconds())
 }
-
-// fleet knows the VMs by seeds and by what they say of themselves.
-type fleet struct {
-	node  *peer.Node
-	self  string
-	zone  string
-	port  uint16
-	seeds atomic.Pointer[[]settings.Address]
-	count atomic.Int64
-	zones atomic.Pointer[map[string][]string] // other live VMs by availability zone
-
-	blindUntil time.Duration // this VM's word that the store does not answer it; one goroutine's
-}
-
-const (
-	// memberKey is the fact by which a VM tells that it is there; its value is the zone.
-	memberKey = "member/"
-	// memberTTL is how long a VM counts that is not heard of, restated each memberRefresh.
-	memberTTL     = 7 * time.Second
-	memberRefresh = 2 * time.Second
-	// memberLook is the time between two looks at the members.
-	memberLook = 500 * time.Millisecond
-	// mostReaders is the number of VMs that read the platform's store for all.
-	mostReaders = 2
-	readerKey   = "reader"
-	// blindKey is the fact by which a VM tells that the store does not answer it; others
-	// read in its place for blindTTL, after which it is asked to try again.
-	blindKey = "blind/"
-	blindTTL = 4 * time.Second
-	isBlind  = "yes"
-)
-
-func newFleet(node *peer.Node, self, zone string, port uint16, seeds []settings.Address) *fleet {
-	f := &fleet{node: node, self: self, zone: zone, port: port}
-	f.setSeeds(seeds)
-	f.update()
-	return f
-}
-
-func (f *fleet) setSeeds(seeds []settings.Address) { f.seeds.Store(&seeds) }
-
-func (f *fleet) run(ctx context.Context) {
-	var stated time.Duration
-	tick := time.NewTicker(memberLook)
-	defer tick.Stop()
-	for {
-		if now := clock.Boot(); stated == 0 || now-stated >= memberRefresh {
-			stated = now
-			f.node.Facts().Put(memberKey+f.self, f.zone, memberTTL)
-		}
-		f.update()
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-	}
-}
-
-// update makes the roster of what is known.
-func (f *fleet) update() {
-	known := map[string]string{f.self: f.zone}
-	for _, fact := range f.node.Facts().List(memberKey) {
-		known[fact.VM()] = fact.Value
-	}
-	count := len(known)
-	for _, seed := range *f.seeds.Load() {
-		if ap, err := netip.ParseAddrPort(string(seed)); err == nil {
-			if _, ok := known[ap.Addr().String()]; !ok {
-				known[ap.Addr().String()] = ""
-			}
-		}
-	}
-	f.node.SetMembers(known, func(name string) string { return net.JoinHostPort(name, strconv.Itoa(int(f.port))) })
-	f.count.Store(int64(count))
-	zones := map[string][]string{}
-	for _, m := range f.live() {
-		if m.Name != f.self {
-			zones[m.Zone] = append(zones[m.Zone], m.Name)
-		}
-	}
-	f.zones.Store(&zones)
-}
-
-// inZone names the other live VMs of an availability zone.
-func (f *fleet) inZone(zone string) []string { return (*f.zones.Load())[zone] }
-
-func (f *fleet) leave() { f.node.Facts().Put("vm/"+f.self, "leaving", leavingTTL) }
-
-// size returns how many VMs may be alive; the unknown fleet's while none was heard of.
-func (f *fleet) size() int {
-	n := int(f.count.Load())
-	if n <= 1 {
-		return repeat.UnknownFleet
-	}
-	return n
-}
-
-// setBlind tells the fleet whether the store answers this VM.
-func (f *fleet) setBlind(blind bool) {
-	now := clock.Boot()
-	switch {
-	case blind && f.blindUntil-now < blindTTL/2:
-		f.blindUntil = now + blindTTL
-		f.node.Facts().Put(blindKey+f.self, isBlind, blindTTL)
-	case !blind && f.blindUntil > now:
-		f.blindUntil = 0
-		f.node.Facts().Put(blindKey+f.self, "", blindTTL)
-	}
-}
-
-func (f *fleet) live() []roster.Member {
-	var out []roster.Member
-	for _, m := range f.node.Roster() {
-		if m.State == roster.Live && (m.Name == f.self || m.Incarnation != "" || m.Zone != "") {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
-func (f *fleet) names() []string {
-	var out []string
-	for _, m := range f.live() {
-		out = append(out, m.Name)
-	}
-	return out
-}
-
-// readers returns the VMs that read the store, those of the own zone first. VMs that the
-// store does not answer come into it only where it answers none.
-func (f *fleet) readers() (vms []string, self bool) {
-	blind := map[string]bool{}
-	for _, fact := range f.node.Facts().List(blindKey) {
-		blind[fact.VM()] = fact.Value == isBlind
-	}
-	live := f.live()
-	seeing := slices.DeleteFunc(slices.Clone(live), func(m roster.Member) bool { return blind[m.Name] })
-	if len(seeing) == 0 {
-		seeing = live
-	}
-	for _, m := range roster.Top(seeing, readerKey, mostReaders) {
-		switch {
-		case m.Name == f.self:
-			self = true
-		case m.Zone == f.zone:
-			vms = append([]string{m.Name}, vms...)
-		default:
-			vms = append(vms, m.Name)
-		}
-	}
-	return vms, self
-}
--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -81,11 +83,15 @@
 	if s.o.Peers == nil {
 		return s.search(ctx, q, p)
 	}
-	zone, ok := delegate.Zone(s.o.Zone, q.catalog.Near[q.route.Name])
-	if !ok {
+	gatherers, self := s.o.Gatherers()
+	zone, ok := delegate.Home(s.o.Zone, q.catalog.Near[q.route.Name], gatherers)
+	if !ok || self && zone == s.o.Zone {
 		return s.search(ctx, q, p)
 	}
-	vm, ok := s.peers.take(s.o.ZoneVMs(zone), s.o.Now())
+	vm, ok := s.peers.take(gatherers[zone], s.o.Now())
+	if !ok && !self {
+		vm, ok = s.peers.take(slices.Concat(slices.Collect(maps.Values(gatherers))...), s.o.Now())
+	}
 	if !ok {
 		return s.search(ctx, q, p)
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -64,12 +64,12 @@
 	Runner   Runner
 	// Repeats bound the attempts beyond the first, summed over the fleet.
 	Repeats repeat.Limits
-	// VMs returns how many VMs share Repeats.
-	VMs func() int
-	// Zone is this VM's availability zone, ZoneVMs names the other live VMs of one, and
-	// Peers calls them; Peers may be nil.
+	// VMs returns how many VMs share Repeats of a service.
+	VMs func(service string) int
+	// Zone is this VM's availability zone. Gatherers names the VMs that run searches, by
+	// zone, and tells whether this one is among them. Peers calls them; it may be nil.
 	Zone       string
-	ZoneVMs    func(zone string) []string
+	Gatherers  func() (byZone map[string][]string, self bool)
 	Peers      Peers
 	Now        func() time.Duration
 	Log        *log.Logger
@@ -288,7 +288,7 @@
 // repeat pays for one attempt beyond the first at a service, with what the reserve
 // leaves.
 func (s *Server) repeat(service string, reserve float64) (paid bool) {
-	now, vms := s.o.Now(), s.o.VMs()
+	now, vms := s.o.Now(), s.o.VMs(service)
 	s.budgets.Do(service, func(b *repeat.Bucket) {
 		paid = b.Fill(now, s.o.Repeats, vms) >= reserve && b.Take(now, s.o.Repeats, vms)
 	})
@@ -301,7 +301,7 @@
 }
 
 func (s *Server) earn(service string) {
-	s.budgets.Do(service, func(b *repeat.Bucket) { b.Earn(s.o.Now(), s.o.Repeats, s.o.VMs()) })
+	s.budgets.Do(service, func(b *repeat.Bucket) { b.Earn(s.o.Now(), s.o.Repeats, s.o.VMs(service)) })
 }
 
 // Moments of a request, as shares of its objective.
--- a/internal/policy/delegate/delegate.go
+++ b/internal/policy/delegate/delegate.go
@@ -13,19 +13,6 @@
 	suspectMost = 8 * time.Second
 )
 
-// Zone returns the availability zone whose VMs are near the most shards, where that is
-// worth a hop from own; near holds the share of shards with a replica, by zone. Ties go
-// to the first by name.
-func Zone(own string, near map[string]float64) (zone string, ok bool) {
-	best := near[own]
-	for z, share := range near {
-		if share > best || share == best && ok && z < zone {
-			zone, best, ok = z, share, true
-		}
-	}
-	return zone, ok && best-near[own] >= worthwhile
-}
-
 // Peer is what one VM knows of another as a gatherer. The zero value is a VM in good order.
 type Peer struct {
 	// InFlight counts the searches that it has from this VM.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -58,7 +58,7 @@
 func withDefaults() *gen.Settings {
 	return &gen.Settings{
 		Platform: gen.Platform{WatchSeconds: defaultWatchSeconds, Kind: gen.PlatformKindManifest},
-		Fleet:    &gen.Fleet{},
+		Fleet:    &gen.Fleet{Capacity: 1},
 		Repeats:  &gen.Repeats{Ratio: defaultRatio, Slack: defaultSlack, WindowSeconds: defaultWindow},
 		Log:      &gen.Log{Level: gen.LogLevelInfo, Format: gen.LogFormatJson},
 		Trace:    &gen.Trace{Exporter: gen.TraceExporterNone, Sample: defaultSample},
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -37,6 +37,9 @@
 	// Members returns the names of the VMs that may be alive, this one included;
 	// optional. It shares out probes, and connections where VMs outnumber them.
 	Members func() []string
+	// Share returns how many connections this VM may open to an upstream; optional, the
+	// even share of VMs and Members where nil.
+	Share func(u *gen.Upstream) int
 	// Published says that what is published of an upstream alone decides whether it takes
 	// new work: no probes are sent and no lease is needed.
 	Published bool
@@ -239,9 +242,15 @@
 	members := c.o.Members()
 	for _, s := range t.servers {
 		s.mu.Lock()
-		limit := s.entry.ConnectionLimit
+		entry := s.entry
 		s.mu.Unlock()
-		s.pool.setMost(connbudget.Connections(limit, vms, s.address, c.o.VM, members))
+		most := 0
+		if c.o.Share != nil {
+			most = c.o.Share(entry)
+		} else {
+			most = connbudget.Connections(entry.ConnectionLimit, vms, s.address, c.o.VM, members)
+		}
+		s.pool.setMost(most)
 		c.metrics.connections.WithLabelValues(s.address).Set(float64(s.pool.size()))
 	}
 }
--- a/schema/gen/settings/settings.go
+++ b/schema/gen/settings/settings.go
@@ -33,6 +33,10 @@
 
 // How VMs find each other where the platform does not list them.
 type Fleet struct {
+	// Processor cores that this VM has; VMs of the most capacity gather for a large
+	// fleet.
+	Capacity float64 `json:"capacity,omitempty,omitzero" toml:"capacity,omitempty" cbor:"capacity,omitempty"`
+
 	// Peer addresses of a few VMs, of which some may be down. Each VM is then named
 	// by its IP number, and all listen for peers on one port.
 	Seeds []Address `json:"seeds,omitempty,omitzero" toml:"seeds,omitempty" cbor:"seeds,omitempty"`
