Send lost replies again, tell requests that end upstreams; split wide searches

Change: (1) after a lost connection the upstream is dialled: only one that refuses has ended. A search stops repeating where 40% of its upstreams and three at least have ended, and the fleet hears of the request (internal/poison); other losses are repeated within the budget, 8 ms later. (2) A gatherer hands shards of other zones, 12 at least, to a gatherer of that zone and merges; not while searches miss parts or are late, and nothing that is ready waits for a late part.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -5,6 +5,7 @@
 package catalog
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -62,6 +63,8 @@
 	// ShardLimits holds, for each service that is a shard, the connections that one of its
 	// upstreams accepts.
 	ShardLimits map[string]int
+	// ShardZones holds, for each service, the availability zones of its upstreams.
+	ShardZones map[string][]string
 	// Near holds, by name of a sharded route and by availability zone, the share of its
 	// shards that have a replica there.
 	Near map[string]map[string]float64
@@ -98,7 +101,7 @@
 	}
 	return &Catalog{
 		Config: c, Table: route.NewTable(c.Routes), Manifest: m, Searches: searches(c.Routes),
-		Near: nearness(c.Routes, m), ShardLimits: shardLimits(c.Routes, limits),
+		ShardZones: shardZones(m), Near: nearness(c.Routes, m), ShardLimits: shardLimits(c.Routes, limits),
 	}
 }
 
@@ -130,6 +133,14 @@
 	return out
 }
 
+func shardZones(m *manifest.Manifest) map[string][]string {
+	out := make(map[string][]string, len(m.Workloads))
+	for name, w := range m.Workloads {
+		out[name] = slices.Sorted(maps.Keys(zonesOf(w)))
+	}
+	return out
+}
+
 func zonesOf(w *manifest.Workload) map[string]bool {
 	zones := map[string]bool{}
 	if w == nil {
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -22,6 +22,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/gather"
 	"github.com/sardinespindle/sardinespindle/internal/pause"
 	"github.com/sardinespindle/sardinespindle/internal/peer"
+	"github.com/sardinespindle/sardinespindle/internal/poison"
 	"github.com/sardinespindle/sardinespindle/internal/policy/connbudget"
 	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
 	"github.com/sardinespindle/sardinespindle/internal/policy/repeat"
@@ -44,6 +45,7 @@
 
 	node      *peer.Node
 	fleet     *fleet
+	poison    *poison.Guard
 	mirror    *catalog.Mirror
 	sync      *catalog.Sync
 	upstreams *upstream.Client
@@ -87,6 +89,7 @@
 		Log:     f.log,
 	})
 	f.node.Handle(f.sync.Handle)
+	f.poison = poison.New(poison.Options{VM: ip, Fleet: f.node, Registerer: f.registry})
 	return nil
 }
 
@@ -122,6 +125,7 @@
 		Headers:  platform.Headers,
 		Searcher: engine,
 		Runner:   runner,
+		Suspects: f.poison,
 		Repeats: repeat.Limits{
 			Ratio: f.s.Repeats.Ratio, Slack: f.s.Repeats.Slack,
 			Window: time.Duration(f.s.Repeats.WindowSeconds * float64(time.Second)),
--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/sardinespindle/sardinespindle/internal/catalog"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
 	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
@@ -151,6 +152,10 @@
 		ElapsedUs: int((time.Since(q.begun) + hopSlack).Microseconds()),
 		GiveUpUs:  int((time.Until(q.deadline) - hopSlack).Microseconds()),
 		Returning: q.returning,
+		Shards:    q.shards,
+	}
+	if d.Shards == nil {
+		d.Shards = []string{}
 	}
 	return d
 }
@@ -194,6 +199,12 @@
 	if q.route == nil {
 		return notTaken()
 	}
+	if len(d.Shards) > 0 {
+		q.shards, q.part = d.Shards, true
+		if !s.knows(c, d.Shards) {
+			return notTaken()
+		}
+	}
 	p := &upstream.Passed{
 		Method: d.Method, Host: d.Host, Target: d.Target, Body: []byte(d.Body), ID: d.RequestId,
 		Header: fromHeaders(d.Headers),
@@ -207,6 +218,11 @@
 	return &peer.Message{Delegated: toDelegated(&o)}
 }
 
+// knows reports whether each shard is a service of the configuration in force.
+func (s *Server) knows(c *catalog.Catalog, shards []string) bool {
+	return !slices.ContainsFunc(shards, func(shard string) bool { return c.Manifest.Workloads[shard] == nil })
+}
+
 func notTaken() *peer.Message {
 	return &peer.Message{Delegated: &peer.Delegated{Signatures: []string{}, Headers: []peer.Header{}}}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -55,6 +55,16 @@
 	Run(ctx context.Context, q single.Request) outcome.Outcome
 }
 
+// Suspects knows the requests that end the upstreams that run them.
+type Suspects interface {
+	// Refused reports whether a request must not run now, and when to come back.
+	Refused(fingerprint string) (time.Duration, bool)
+	// Crashed takes note that an upstream ended while it ran the request.
+	Crashed(ctx context.Context, fingerprint, requestID string)
+	// Answered takes note of a whole answer.
+	Answered(fingerprint string)
+}
+
 // Options of a Server.
 type Options struct {
 	// Catalog returns what is in force; nil before anything is.
@@ -62,6 +72,7 @@
 	Headers  Headers
 	Searcher Searcher
 	Runner   Runner
+	Suspects Suspects
 	// Repeats bound the attempts beyond the first, summed over the fleet.
 	Repeats repeat.Limits
 	// VMs returns how many VMs share Repeats of a service.
@@ -85,6 +96,7 @@
 	metrics  *metrics
 	budgets  *sharded.Map[string, repeat.Bucket]
 	peers    peerTable
+	calm     calm
 	stopping atomic.Bool
 	closing  atomic.Bool
 	inFlight atomic.Int64
@@ -137,6 +149,10 @@
 	// delegated says that another VM handed the search over; resent that one that was
 	// handed it may have sent it to upstreams.
 	delegated, resent bool
+	// shards are those of a part of a search; nil for all of the route. A part is not
+	// divided again.
+	shards []string
+	part   bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -181,6 +197,21 @@
 
 // run runs a request on this VM.
 func (s *Server) run(ctx context.Context, q *request, p *upstream.Passed) outcome.Outcome {
+	key := fingerprint(p)
+	if after, refused := s.o.Suspects.Refused(key); refused {
+		return outcome.NotRun(outcome.CrashSuspected, "requests like this one ended upstreams", after)
+	}
+	o := s.runOne(ctx, q, p)
+	switch {
+	case o.Reason == outcome.CrashSuspected:
+		s.o.Suspects.Crashed(ctx, key, q.id)
+	case o.Kind == caller.OutcomeAnswered && (o.Coverage == nil || o.Coverage.Complete):
+		s.o.Suspects.Answered(key)
+	}
+	return o
+}
+
+func (s *Server) runOne(ctx context.Context, q *request, p *upstream.Passed) outcome.Outcome {
 	if q.route.Sharded() {
 		return s.search(ctx, q, p)
 	}
@@ -340,33 +371,6 @@
 
 func share(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
 
-func (s *Server) search(ctx context.Context, q *request, p *upstream.Passed) outcome.Outcome {
-	workload := q.catalog.Searches[q.route.Name]
-	for _, shard := range q.route.Shards {
-		s.earn(shard)
-	}
-	objective := q.objective()
-	return s.o.Searcher.Search(ctx, gather.Search{
-		ID:          q.id,
-		Fingerprint: fingerprint(p),
-		Workload:    workload,
-		Deadline:    q.deadline,
-		Pass: &gather.Pass{
-			Request:    p,
-			Shards:     q.catalog.Manifest.Workloads,
-			Top:        q.route.Top,
-			Minimum:    q.route.MinimumShare,
-			AnswerAt:   q.answerAt(),
-			GiveUpAt:   q.deadline,
-			HedgeAfter: share(objective, hedgeSearch),
-			Attempts:   q.route.Attempts,
-			Returning:  q.returning,
-			Resent:     q.resent,
-			Repeat:     s.repeat,
-		},
-	})
-}
-
 func (s *Server) single(ctx context.Context, q *request, p *upstream.Passed) outcome.Outcome {
 	workload := q.catalog.Manifest.Workloads[q.service]
 	if workload == nil {
--- a/internal/gather/handle.go
+++ b/internal/gather/handle.go
@@ -191,7 +191,10 @@
 	}
 	q.touch(sh)
 	if q.s.Pass != nil {
-		q.retryPassed(sh)
+		if at.result.Crashed {
+			q.crashed++
+		}
+		q.retryPassed(sh, c)
 		return
 	}
 	if sh.class == dead && sh.planned {
--- a/internal/gather/pass.go
+++ b/internal/gather/pass.go
@@ -117,12 +117,20 @@
 }
 
 // retryPassed sends a shard's request to another replica after one gave no part.
-func (q *query) retryPassed(sh *shard) {
+func (q *query) retryPassed(sh *shard, c upstream.Class) {
 	if sh.class != dead {
 		return
 	}
-	if q.losses > maxLosses {
+	if c == upstream.Lost && sh.pickAt.IsZero() {
+		// A request that ends upstreams ends all of them at once: wait to see.
+		sh.pickAt = time.Now().Add(lossPause)
+		q.wakeAt(sh.pickAt)
+		q.touch(sh)
+		return
+	}
+	if q.endsUpstreams() {
 		sh.given = true
+		q.touch(sh)
 		return
 	}
 	if q.repeat(sh, 0) {
@@ -174,9 +182,19 @@
 	}
 }
 
-// maxLosses is the number of lost connections of one search after which none of its
-// requests is sent again: the request may be what ends the upstreams.
-const maxLosses = 2
+const (
+	// lossPause is the time between a lost connection and the next attempt.
+	lossPause = 8 * time.Millisecond
+	// endedLeast upstreams have ended, and endedShare of those asked in percent, where a
+	// request is held to be the cause: a fault of a zone ends a smaller part.
+	endedLeast = 3
+	endedShare = 40
+)
+
+// endsUpstreams reports whether the request is held to end the upstreams that run it.
+func (q *query) endsUpstreams() bool {
+	return q.crashed >= endedLeast && 100*q.crashed >= endedShare*q.attempts
+}
 
 // mostSends is the most attempts of one shard, with those that a replica refused.
 const mostSends = 4
@@ -268,7 +286,9 @@
 func (q *query) failPassed() outcome.Outcome {
 	cov := caller.Coverage{ShardsTotal: len(q.plan), ShardsCovered: q.counts[covered]}
 	out := outcome.NotRun(outcome.Overloaded, tooLow(cov), q.comeBack())
-	if q.ran || q.inflight > 0 {
+	if q.endsUpstreams() {
+		out = crashSuspected()
+	} else if q.ran || q.inflight > 0 {
 		out = outcome.Unknown(outcome.CoverageTooLow, tooLow(cov), q.comeBack())
 	}
 	out.Coverage = &cov
--- a/internal/gather/query.go
+++ b/internal/gather/query.go
@@ -68,6 +68,7 @@
 	replied  bool // a reply of a snapshot arrived
 	good     int  // good replies
 	pilots   int  // replies of an unknown map, no part being there
+	crashed  int  // upstreams that ended while they ran a passed attempt
 	skipped  int  // shards left out on purpose
 	parked   int  // shards that wait for a part of a known map
 	cost     outcome.Cost
--- a/internal/gather/send.go
+++ b/internal/gather/send.go
@@ -253,7 +253,12 @@
 		}
 		if !sh.pickAt.IsZero() && !now.Before(sh.pickAt) {
 			sh.pickAt = time.Time{}
-			q.launch(sh, q.wanted)
+			if q.s.Pass != nil {
+				q.touch(sh)
+				q.retryPassed(sh, upstream.NotSent)
+			} else {
+				q.launch(sh, q.wanted)
+			}
 		}
 		if !sh.hedgeAt.IsZero() && !now.Before(sh.hedgeAt) {
 			sh.hedgeAt = time.Time{}
--- a/internal/policy/delegate/delegate_test.go
+++ b/internal/policy/delegate/delegate_test.go
@@ -80,3 +80,43 @@
 		Expect(delegate.Choose(peers, 0, func() float64 { i++; return at[(i-1)%2] })).To(Equal(1))
 	})
 })
+
+var _ = Describe("Calm", func() {
+	It("ends with one late search, and comes back after a run of complete ones", func() {
+		var c delegate.Calm
+		Expect(c.Holds()).To(BeTrue())
+		c.Ended(20, 20, true)
+		Expect(c.Holds()).To(BeFalse())
+		for range 30 {
+			c.Ended(20, 20, false)
+		}
+		Expect(c.Holds()).To(BeTrue())
+	})
+	It("bears a pause now and then", func() {
+		var c delegate.Calm
+		for i := range 60 {
+			missing := 0
+			if i%10 == 0 {
+				missing = 1
+			}
+			c.Ended(20-missing, 20, false)
+			Expect(c.Holds()).To(BeTrue())
+		}
+	})
+})
+
+var _ = Describe("Split", func() {
+	gatherers := map[string][]string{"b": {"x"}, "c": {"y"}}
+	near := map[string][]string{"near": {"a"}, "few": {"b"}, "nobody": {"d"}}
+	wide := []string{}
+	for i := range 14 {
+		wide = append(wide, fmt.Sprintf("s%d", i))
+		near[wide[i]] = []string{"c"}
+	}
+	near["s0"] = []string{"b", "c"}
+	It("keeps near shards, those that nobody is near and a few of a zone, and goes to few zones", func() {
+		here, byZone := delegate.Split("a", append([]string{"near", "few", "nobody"}, wide...), near, gatherers)
+		Expect(here).To(ConsistOf("near", "few", "nobody"))
+		Expect(byZone).To(Equal(map[string][]string{"c": wide}))
+	})
+})
--- a/internal/policy/delegate/gatherers.go
+++ b/internal/policy/delegate/gatherers.go
@@ -72,3 +72,81 @@
 	}
 	return zone, ok
 }
+
+// leastPart is the least number of shards that are handed over together. The hop takes
+// time from hedges; only a wide fan-out saves more than that.
+const leastPart = 12
+
+// Split divides the shards of a search between this VM and gatherers of other zones: the
+// shards with a replica in the own zone, and those that no gatherer is near, are asked
+// from here. The others go by zone, to as few zones as will do. near holds the zones of
+// a shard's replicas.
+func Split(own string, shards []string, near map[string][]string, gatherers map[string][]string) (here []string, byZone map[string][]string) {
+	var rest []string
+	for _, shard := range shards {
+		if slices.Contains(near[shard], own) {
+			here = append(here, shard)
+		} else {
+			rest = append(rest, shard)
+		}
+	}
+	byZone = map[string][]string{}
+	for len(rest) > 0 {
+		zone, count := widest(rest, near, gatherers)
+		if count < leastPart {
+			return append(here, rest...), byZone
+		}
+		var left []string
+		for _, shard := range rest {
+			if slices.Contains(near[shard], zone) {
+				byZone[zone] = append(byZone[zone], shard)
+			} else {
+				left = append(left, shard)
+			}
+		}
+		rest = left
+	}
+	return here, byZone
+}
+
+// widest returns the zone with gatherers that is near the most of the shards; the first
+// by name of several.
+func widest(shards []string, near, gatherers map[string][]string) (zone string, count int) {
+	counts := map[string]int{}
+	for _, shard := range shards {
+		for _, z := range near[shard] {
+			if len(gatherers[z]) > 0 {
+				counts[z]++
+			}
+		}
+	}
+	for z, n := range counts {
+		if n > count || n == count && z < zone {
+			zone, count = z, n
+		}
+	}
+	return zone, count
+}
+
+const (
+	// calmShare is the share of parts that searches may miss for them to be split: a part
+	// of a split search cannot make up for what another part misses.
+	calmShare = 0.015
+	// calmWeight is the weight of one search in that share.
+	calmWeight = 0.1
+)
+
+// Calm follows the share of parts that searches miss. The zero value is calm.
+type Calm struct{ missing float64 }
+
+// Ended takes in a search of some shards; a late one counts as if it had missed all.
+func (c *Calm) Ended(covered, shards int, late bool) {
+	missed := 1.0
+	if !late && shards > 0 {
+		missed = 1 - float64(covered)/float64(shards)
+	}
+	c.missing += calmWeight * (missed - c.missing)
+}
+
+// Holds reports whether searches may be split.
+func (c *Calm) Holds() bool { return c.missing < calmShare }
--- a/internal/single/pass.go
+++ b/internal/single/pass.go
@@ -119,11 +119,14 @@
 
 // finish makes the outcome of the last attempt that of the request.
 func (p *passRun) finish(o outcome.Outcome, res *upstream.Result) outcome.Outcome {
-	if res.Class == upstream.OK || res.Class == upstream.Failed && res.Header != nil {
+	switch {
+	case res.Class == upstream.OK, res.Class == upstream.Failed && res.Header != nil:
 		o = outcome.Outcome{
 			Kind: caller.OutcomeAnswered, Result: res.Body, ResultStatus: res.Status, Header: res.Header,
 		}
-	} else if p.tries.ran && o.Kind == caller.OutcomeNotRun {
+	case res.Crashed:
+		o = outcome.Unknown(outcome.CrashSuspected, "the upstream ended while it ran the request", comeBack)
+	case p.tries.ran && o.Kind == caller.OutcomeNotRun:
 		o = outcome.Unknown(o.Reason, o.Detail, o.RetryAfter)
 	}
 	o.Cost = p.tries.cost
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -311,6 +311,7 @@
 // State is what the read-only status shows of one upstream.
 type State struct {
 	Address     string  `json:"address"`
+	Identity    string  `json:"identity,omitempty"`
 	Workload    string  `json:"workload"`
 	Zone        string  `json:"zone"`
 	Eligibility string  `json:"eligibility"`
@@ -343,6 +344,7 @@
 	defer s.mu.Unlock()
 	return State{
 		Address:     s.address,
+		Identity:    s.identity,
 		Workload:    string(s.entry.Workload),
 		Zone:        string(s.entry.Zone),
 		Eligibility: s.lease.Verdict(now).String(),
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -46,6 +46,9 @@
 	now := c.o.Now()
 	r.Address = s.address
 	r.Latency = now - t.pickedAt
+	if a.Kind == Pass && r.Class == Lost {
+		r.Crashed = s.pool.refuses(ctx)
+	}
 	if a.Kind == Pass {
 		c.learnPassed(s, t, &a, &r, now, now-sentAt)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -180,6 +180,36 @@
 	}
 }
 
+// downLook bounds how long a connection is tried to learn whether an upstream has ended.
+const downLook = 100 * time.Millisecond
+
+// refuses reports whether the upstream refuses a new connection. One that it accepts goes
+// to the pool, where the share has room for it.
+func (p *pool) refuses(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), downLook)
+	defer cancel()
+	w := &waiter{ready: make(chan struct{})}
+	c, err := p.takeOrWait(w)
+	if err != nil {
+		return false
+	}
+	if c != nil {
+		p.put(c) // another connection lives on
+		return false
+	}
+	select {
+	case <-w.ready:
+	case <-ctx.Done():
+		p.leave(w)
+		return false
+	}
+	if w.conn != nil {
+		p.put(w.conn)
+		return false
+	}
+	return errors.Is(w.err, syscall.ECONNREFUSED)
+}
+
 // leave takes w out of the queue; a connection that it already got goes back.
 func (p *pool) leave(w *waiter) {
 	p.mu.Lock()
--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -91,6 +91,9 @@
 	Latency time.Duration
 	// Err explains every class but OK.
 	Err error
+	// Crashed says that a Pass was lost and that its upstream refuses connections since:
+	// it has ended, where a loss alone may have other causes.
+	Crashed bool
 
 	load forecast.Load // reported with a reply to a Pass
 }
--- a/schema/gen/peer/peer.go
+++ b/schema/gen/peer/peer.go
@@ -56,6 +56,9 @@
 	// Whether the caller was refused before.
 	Returning bool `json:"returning" toml:"returning" cbor:"returning"`
 
+	// Shards to ask; empty for all of the route.
+	Shards []string `json:"shards" toml:"shards" cbor:"shards"`
+
 	// Path and query as in the request line.
 	Target string `json:"target" toml:"target" cbor:"target"`
 
