Guard what the test's searcher records

Cause: go test -race on internal/forward: two parts of a search record in the test's own searcher from two goroutines. Change: a lock in the test's searcher. Ruled out: a race of the product (the trace names the test's slice only). Measured: go test -race passes on platform, forward, gather, single, upstream, catalog, peer, daemon and telemetry.

--- a/internal/forward/split_test.go
+++ b/internal/forward/split_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,14 +27,19 @@
 func TestForward(t *testing.T) { testkit.Run(t, "forward") }
 
 // searcher answers each shard with one record named after it.
-type searcher struct{ asked [][]string }
+type searcher struct {
+	mu    sync.Mutex // guards asked
+	asked [][]string
+}
 
 func (s *searcher) Search(_ context.Context, q gather.Search) outcome.Outcome {
 	var names []string
 	for _, shard := range q.Workload.Newest.Shards {
 		names = append(names, string(shard.Name))
 	}
+	s.mu.Lock()
 	s.asked = append(s.asked, names)
+	s.mu.Unlock()
 	return answered(names)
 }
 
