--- a/internal/forward/split.go
+++ b/internal/forward/split.go
@@ -1,9 +1,7 @@
 package forward
 
 import (
-	"bytes"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +9,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
 	"github.com/sardinespindle/sardinespindle/internal/policy/answer"
+	"github.com/sardinespindle/sardinespindle/internal/policy/coverage"
 	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
@@ -192,14 +191,11 @@
 	}
 }
 
-// recordSize is the number of bytes of one record.
-const recordSize = 16
-
 // merge makes one outcome of those of a search's parts. A part that failed counts as
 // missing shards.
 func merge(q *request, parts []outcome.Outcome) outcome.Outcome {
 	out := outcome.Outcome{Kind: caller.OutcomeAnswered, Coverage: &caller.Coverage{}}
-	var records [][]byte
+	var bodies [][]byte
 	var failed *outcome.Outcome
 	ran := false
 	for i := range parts {
@@ -212,9 +208,7 @@
 			continue
 		}
 		out.Signatures = append(out.Signatures, part.Signatures...)
-		for b := part.Result; len(b) >= recordSize; b = b[recordSize:] {
-			records = append(records, b[:recordSize])
-		}
+		bodies = append(bodies, part.Result)
 	}
 	out.Coverage.ShardsTotal, out.Coverage.ShardsCovered = q.total(), q.covered(parts)
 	out.Coverage.Complete = out.Coverage.ShardsCovered == out.Coverage.ShardsTotal
@@ -226,7 +220,6 @@
 		o.Coverage, o.Cost = out.Coverage, out.Cost
 		return o
 	}
-	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
-	out.Result = bytes.Join(records[:min(len(records), q.route.Top)], nil)
+	out.Result = coverage.TopRecords(bodies, q.route.Top)
 	return out
 }
--- a/internal/forward/split_test.go
+++ b/internal/forward/split_test.go
@@ -26,6 +26,9 @@
 
 func TestForward(t *testing.T) { testkit.Run(t, "forward") }
 
+// recordSize is the number of bytes of one record.
+const recordSize = 16
+
 // searcher answers each shard with one record named after it.
 type searcher struct {
 	mu    sync.Mutex // guards asked
--- a/internal/gather/pass.go
+++ b/internal/gather/pass.go
@@ -1,7 +1,6 @@
 package gather
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"maps"
@@ -261,23 +260,16 @@
 	return outcome.Outcome{}, false
 }
 
-// recordSize is the number of bytes of one record.
-const recordSize = 16
-
 // answerPassed merges the greatest records of the parts.
 func (q *query) answerPassed() outcome.Outcome {
 	parts := q.merge.Parts(q.target)
 	out := outcome.Outcome{Kind: caller.OutcomeAnswered}
-	records := make([][]byte, 0, len(parts)*q.s.Pass.Top)
+	bodies := make([][]byte, 0, len(parts))
 	for _, p := range parts {
 		out.Signatures = append(out.Signatures, p.Signature)
-		for b := p.Records; len(b) >= recordSize; b = b[recordSize:] {
-			records = append(records, b[:recordSize])
-		}
+		bodies = append(bodies, p.Records)
 	}
-	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
-	records = records[:min(len(records), q.s.Pass.Top)]
-	out.Result = bytes.Join(records, nil)
+	out.Result = coverage.TopRecords(bodies, q.s.Pass.Top)
 	out.Coverage = &caller.Coverage{
 		ShardsTotal: len(q.plan), ShardsCovered: len(parts), Complete: len(parts) == len(q.plan),
 	}
