Give a true time to come back where no replica can be asked

Change: never is no wait; a search of which nothing was sent says what is missing. Ruled out, tried and reverted: asking shards once more when the answer becomes late (for replicas that have fallen silent). Conclusion: the fix is kept, the trial is not.

--- a/internal/gather/query.go
+++ b/internal/gather/query.go
@@ -195,7 +195,10 @@
 
 func (q *query) loop() outcome.Outcome {
 	q.launchAll()
-	if q.inflight == 0 {
+	switch {
+	case q.inflight == 0 && q.s.Pass != nil:
+		return q.failPassed()
+	case q.inflight == 0:
 		return q.nothingSent()
 	}
 	for {
--- a/internal/policy/plan/plan.go
+++ b/internal/policy/plan/plan.go
@@ -70,7 +70,7 @@
 	}
 	if s.Need > 0 {
 		last := s.Expected[order[s.Need-1]]
-		if last > s.Left {
+		if last > s.Left && last != Never {
 			v.Late = last
 		}
 		v.Refuse = last == Never || last > s.Most || !s.Returning && v.Late > 0
--- a/internal/policy/plan/plan_test.go
+++ b/internal/policy/plan/plan_test.go
@@ -141,6 +141,7 @@
 	It("refuses what cannot be answered before the caller gives up", func() {
 		e := []time.Duration{10 * ms, plan.Never, plan.Never}
 		Expect(plan.Decide(plan.Search{Expected: e, Need: 2, Left: 100 * ms, Most: time.Second}).Refuse).To(BeTrue())
+		Expect(plan.Decide(plan.Search{Expected: e, Need: 2, Left: 100 * ms, Most: time.Second}).Late).To(BeZero(), "nobody knows when")
 		Expect(ask(plan.Decide(plan.Search{Expected: e, Need: 1, Left: 100 * ms, Most: time.Second}))).To(Equal(1))
 	})
 })
