--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -171,18 +171,23 @@
 		if !r.Sharded() {
 			continue
 		}
-		pm := &manifest.PartitionMap{ByName: make(map[string]*gen.Shard, len(r.Shards))}
-		pm.Version = mapVersion
-		pm.Shards = make([]gen.Shard, len(r.Shards))
-		for i, s := range r.Shards {
-			pm.Shards[i].Name = gen.Name(s)
-			pm.ByName[s] = &pm.Shards[i]
-		}
-		out[r.Name] = &manifest.Workload{
-			Workload: gen.Workload{Name: gen.Name(r.Name), Kind: gen.WorkloadKindSharded, Idempotent: true},
-			Maps:     map[int]*manifest.PartitionMap{mapVersion: pm},
-			Newest:   pm,
-		}
+		out[r.Name] = NewSearch(r.Name, r.Shards)
 	}
 	return out
 }
+
+// NewSearch returns the workload of a sharded route, or of some of its shards.
+func NewSearch(name string, shards []string) *manifest.Workload {
+	pm := &manifest.PartitionMap{ByName: make(map[string]*gen.Shard, len(shards))}
+	pm.Version = mapVersion
+	pm.Shards = make([]gen.Shard, len(shards))
+	for i, s := range shards {
+		pm.Shards[i].Name = gen.Name(s)
+		pm.ByName[s] = &pm.Shards[i]
+	}
+	return &manifest.Workload{
+		Workload: gen.Workload{Name: gen.Name(name), Kind: gen.WorkloadKindSharded, Idempotent: true},
+		Maps:     map[int]*manifest.PartitionMap{mapVersion: pm},
+		Newest:   pm,
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -110,7 +110,7 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout is above the longest idle time that operators publish.
 	idleTimeout = 2 * time.Minute
-	// mostHeaderBytes is above the operators' bound, which is checked on its own.
+	// mostHeaderBytes is well above the bounds that operators publish.
 	mostHeaderBytes = 64 << 10
 	// defaultBodyBytes bounds a body while no bound is published.
 	defaultBodyBytes = 1 << 20
--- a/internal/forward/split.go
+++ b/internal/forward/split.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/sardinespindle/sardinespindle/internal/catalog"
 	"github.com/sardinespindle/sardinespindle/internal/gather"
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
@@ -13,7 +14,6 @@
 	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
-	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
 )
 
 // calm is what this VM knows of how complete its searches are.
@@ -177,18 +177,7 @@
 	if whole != nil && len(shards) == len(whole.Newest.Shards) {
 		return whole
 	}
-	pm := &manifest.PartitionMap{ByName: make(map[string]*gen.Shard, len(shards))}
-	pm.Version = 1
-	pm.Shards = make([]gen.Shard, len(shards))
-	for i, shard := range shards {
-		pm.Shards[i].Name = gen.Name(shard)
-		pm.ByName[shard] = &pm.Shards[i]
-	}
-	return &manifest.Workload{
-		Workload: gen.Workload{Name: gen.Name(q.route.Name), Kind: gen.WorkloadKindSharded, Idempotent: true},
-		Maps:     map[int]*manifest.PartitionMap{1: pm},
-		Newest:   pm,
-	}
+	return catalog.NewSearch(q.route.Name, shards)
 }
 
 // merge makes one outcome of those of a search's parts. A part that failed counts as
--- a/internal/policy/repeat/repeat.go
+++ b/internal/policy/repeat/repeat.go
@@ -19,8 +19,6 @@
 	// margin is the part of the limits that is spent, since VMs disagree for a while on
 	// how many they are.
 	margin = 0.85
-	// UnknownFleet is the number of VMs assumed while no other VM is known.
-	UnknownFleet = 32
 	// firstFill is the part of the burst that a VM has at its start: the process before
 	// it may have spent its share in the same window.
 	firstFill = 0.4
