Wait for a VM that says it runs a search that was handed to it

Cause: a VM that handed a search over gave it up 25 ms after the last moment of an answer in time, held the other VM to be lost, and ran the search itself. The refusal said "not run" although the other VM had sent the search.

Change: the other VM says at once, and each 100 ms, that it runs the request (message "accepted"; false where it has no room). It is waited for to the caller's deadline as long as it does; without a first notice in 100 ms or a later one in 300 ms the request goes to another gatherer, marked as sent before where that is possible. What was not sent goes on as new.

Ruled out: the gatherers' death (no process ended there before second 29), network (the errors are all "context deadline exceeded" at 207 ms of 200).

--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -13,24 +13,27 @@
 
 	"github.com/sardinespindle/sardinespindle/internal/catalog"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/peer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
-	peer "github.com/sardinespindle/sardinespindle/schema/gen/peer"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/peer"
 )
 
 // Peers are the other VMs.
 type Peers interface {
-	Call(ctx context.Context, vm string, m *peer.Message) (*peer.Message, error)
+	// Delegate hands a request to a VM and waits while that VM runs it. An error that is
+	// peer.ErrNotSent says that nothing was sent to upstreams.
+	Delegate(ctx context.Context, vm string, d *gen.Delegate) (*gen.Message, error)
 }
 
 // hopSlack is added to a search's age for each hop between VMs, so that its answer is
 // back in time.
 const hopSlack = 4 * time.Millisecond
 
-// lateSlack is how much later than the last moment of an answer in time a VM that was
-// handed a search is given up.
-const lateSlack = 25 * time.Millisecond
+// mostHandOvers is how many VMs a request is handed to, one after the other: as many as
+// can be silent for their first notice within the time of a search.
+const mostHandOvers = 3
 
 var errOtherKind = errors.New("reply of another kind")
 
@@ -40,8 +43,9 @@
 	peers map[string]*delegate.Peer
 }
 
-// take chooses one of the VMs and counts a search to it.
-func (t *peerTable) take(names []string, now time.Duration) (string, bool) {
+// take chooses one of the VMs, those excepted left out, and counts a search to it.
+func (t *peerTable) take(names, except []string, now time.Duration) (string, bool) {
+	names = slices.DeleteFunc(slices.Clone(names), func(name string) bool { return slices.Contains(except, name) })
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.peers == nil {
@@ -81,23 +85,17 @@
 
 // place runs a request here or hands it to a VM that is near its upstreams.
 func (s *Server) place(ctx context.Context, q *request, p *upstream.Passed) outcome.Outcome {
-	vm, ok := s.choose(q)
-	if !ok {
-		return s.run(ctx, q, p)
-	}
-	o, taken, err := s.handOver(ctx, q, p, vm)
-	s.peers.done(vm, s.o.Now(), err == nil || ctx.Err() != nil)
-	if taken || ctx.Err() != nil {
-		return o
-	}
-	if err != nil {
-		s.o.Log.Info("request taken back", "id", q.id, "vm", vm, "err", err, "age_ms", time.Since(q.begun).Milliseconds())
-		q.resent = true
-		if !q.route.Sharded() {
-			return o // it may have run, and this VM has no connection for it
+	for range mostHandOvers {
+		vm, ok := s.choose(q)
+		if !ok {
+			break
+		}
+		o, done := s.handOver(ctx, q, p, vm)
+		if done {
+			return o
 		}
 	}
-	return s.run(ctx, q, p)
+	return q.truly(s.run(ctx, q, p))
 }
 
 // choose returns the VM that a request is handed to; false where it runs here. A request
@@ -118,40 +116,63 @@
 	if !ok || self && zone == s.o.Zone {
 		return "", false
 	}
-	vm, ok = s.peers.take(gatherers[zone], s.o.Now())
+	vm, ok = s.peers.take(gatherers[zone], q.tried, s.o.Now())
 	if !ok && !self {
-		vm, ok = s.peers.take(slices.Concat(slices.Collect(maps.Values(gatherers))...), s.o.Now())
+		vm, ok = s.peers.take(slices.Concat(slices.Collect(maps.Values(gatherers))...), q.tried, s.o.Now())
 	}
 	return vm, ok
 }
 
-// handOver sends a request to a VM; taken is false where that VM did not run it or is not
-// heard of, which the error tells apart.
-func (s *Server) handOver(ctx context.Context, q *request, p *upstream.Passed, vm string) (o outcome.Outcome, taken bool, err error) {
-	until := q.answerAt().Add(lateSlack)
-	if q.returning || !q.route.Sharded() || until.After(q.deadline) {
-		until = q.deadline
-	}
-	cctx, cancel := context.WithDeadline(ctx, until)
+// handOver sends a request to a VM. It is done with an outcome, or where no other VM may
+// have the request; else the request notes whether that VM may have sent it to upstreams.
+func (s *Server) handOver(ctx context.Context, q *request, p *upstream.Passed, vm string) (o outcome.Outcome, done bool) {
+	cctx, cancel := context.WithDeadline(ctx, q.deadline.Add(hopSlack))
 	defer cancel()
-	reply, err := s.o.Peers.Call(cctx, vm, &peer.Message{Delegate: describe(q, p)})
-	if err != nil {
-		return outcome.Unknown(outcome.ConnectionLost, err.Error(), startWait), false, err
+	reply, err := s.o.Peers.Delegate(cctx, vm, describe(q, p))
+	if err == nil && reply.Delegated == nil {
+		err = errOtherKind
+	}
+	late := cctx.Err() != nil // the VM still runs it, or it would have been found silent
+	s.peers.done(vm, s.o.Now(), err == nil || late)
+	if err == nil && reply.Delegated.Taken {
+		return q.truly(fromDelegated(reply.Delegated)), true
+	}
+	q.tried = append(q.tried, vm)
+	if err == nil {
+		return outcome.Outcome{}, false
 	}
-	if reply.Delegated == nil {
-		return outcome.Outcome{}, false, errOtherKind
+	s.o.Log.Info("request taken back", "id", q.id, "by", vm, "err", err, "age_ms", time.Since(q.begun).Milliseconds())
+	if errors.Is(err, peer.ErrNotSent) {
+		return q.truly(outcome.NotRun(outcome.DeadlineExceeded, err.Error(), startWait)), late
+	}
+	q.resent = true
+	if late {
+		return outcome.Unknown(outcome.DeadlineExceeded, err.Error(), startWait), true
+	}
+	// A request that is not a search may only be sent again where this is known to be safe.
+	return outcome.Unknown(outcome.ConnectionLost, err.Error(), startWait), !q.route.Sharded()
+}
+
+// truly returns an outcome that does not say that a request has not run where another VM
+// may have run it.
+func (q *request) truly(o outcome.Outcome) outcome.Outcome {
+	if !q.resent || o.Kind != caller.OutcomeNotRun {
+		return o
 	}
-	return fromDelegated(reply.Delegated), reply.Delegated.Taken, nil
+	unknown := outcome.Unknown(o.Reason, o.Detail, o.RetryAfter)
+	unknown.Coverage, unknown.Cost = o.Coverage, o.Cost
+	return unknown
 }
 
-func describe(q *request, p *upstream.Passed) *peer.Delegate {
-	d := &peer.Delegate{
+func describe(q *request, p *upstream.Passed) *gen.Delegate {
+	d := &gen.Delegate{
 		RequestId: q.id, Method: p.Method, Host: p.Host, Target: p.Target, Body: string(p.Body),
 		Headers:   toHeaders(p.Header),
 		Version:   q.catalog.Config.Version,
 		ElapsedUs: int((time.Since(q.begun) + hopSlack).Microseconds()),
 		GiveUpUs:  int((time.Until(q.deadline) - hopSlack).Microseconds()),
 		Returning: q.returning,
+		Resent:    q.resent,
 		Shards:    q.shards,
 	}
 	if d.Shards == nil {
@@ -160,15 +181,15 @@
 	return d
 }
 
-func toHeaders(h http.Header) []peer.Header {
-	out := make([]peer.Header, 0, len(h))
+func toHeaders(h http.Header) []gen.Header {
+	out := make([]gen.Header, 0, len(h))
 	for name, values := range h {
-		out = append(out, peer.Header{Name: name, Values: values})
+		out = append(out, gen.Header{Name: name, Values: values})
 	}
 	return out
 }
 
-func fromHeaders(hs []peer.Header) http.Header {
+func fromHeaders(hs []gen.Header) http.Header {
 	out := make(http.Header, len(hs))
 	for _, h := range hs {
 		out[h.Name] = h.Values
@@ -177,7 +198,7 @@
 }
 
 // Handle runs the requests that other VMs hand over.
-func (s *Server) Handle(ctx context.Context, from string, m *peer.Message) *peer.Message {
+func (s *Server) Handle(ctx context.Context, from string, m *gen.Message) *gen.Message {
 	d := m.Delegate
 	if d == nil {
 		return nil
@@ -190,7 +211,7 @@
 	}
 	now := time.Now()
 	q := &request{
-		id: d.RequestId, catalog: c, delegated: true, returning: d.Returning,
+		id: d.RequestId, catalog: c, delegated: true, returning: d.Returning, resent: d.Resent,
 		begun:    now.Add(-time.Duration(d.ElapsedUs) * time.Microsecond),
 		deadline: now.Add(time.Duration(d.GiveUpUs) * time.Microsecond),
 	}
@@ -215,7 +236,7 @@
 		s.o.Log.Info("request for another VM", "id", q.id, "from", from, "outcome", o.Kind, "reason", o.Reason,
 			"detail", o.Detail, "took_ms", time.Since(now).Milliseconds())
 	}
-	return &peer.Message{Delegated: toDelegated(&o)}
+	return &gen.Message{Delegated: toDelegated(&o)}
 }
 
 // knows reports whether each shard is a service of the configuration in force.
@@ -223,12 +244,12 @@
 	return !slices.ContainsFunc(shards, func(shard string) bool { return c.Manifest.Workloads[shard] == nil })
 }
 
-func notTaken() *peer.Message {
-	return &peer.Message{Delegated: &peer.Delegated{Signatures: []string{}, Headers: []peer.Header{}}}
+func notTaken() *gen.Message {
+	return &gen.Message{Delegated: &gen.Delegated{Signatures: []string{}, Headers: []gen.Header{}}}
 }
 
-func toDelegated(o *outcome.Outcome) *peer.Delegated {
-	d := &peer.Delegated{
+func toDelegated(o *outcome.Outcome) *gen.Delegated {
+	d := &gen.Delegated{
 		Taken: true, Outcome: string(o.Kind), Reason: string(o.Reason), Detail: o.Detail,
 		RetryAfterUs: int(o.RetryAfter.Microseconds()), Records: string(o.Result), Signatures: o.Signatures,
 		Sent: o.Cost.Sent, Shed: o.Cost.Shed, Status: o.ResultStatus, Headers: toHeaders(o.Header),
@@ -242,7 +263,7 @@
 	return d
 }
 
-func fromDelegated(d *peer.Delegated) outcome.Outcome {
+func fromDelegated(d *gen.Delegated) outcome.Outcome {
 	o := outcome.Outcome{
 		Kind: caller.Outcome(d.Outcome), Reason: outcome.Reason(d.Reason), Detail: d.Detail,
 		RetryAfter: time.Duration(d.RetryAfterUs) * time.Microsecond,
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -146,6 +146,8 @@
 	// delegated says that another VM handed the search over; resent that one that was
 	// handed it may have sent it to upstreams.
 	delegated, resent bool
+	// tried are the VMs that were handed it.
+	tried []string
 	// shards are those of a part of a search; nil for all of the route. A part is not
 	// divided again.
 	shards []string
--- a/internal/forward/split.go
+++ b/internal/forward/split.go
@@ -129,20 +129,14 @@
 	part := *q
 	part.shards, part.part = shards, true
 	gatherers, _ := s.o.Gatherers()
-	vm, ok := s.peers.take(gatherers[zone], s.o.Now())
+	vm, ok := s.peers.take(gatherers[zone], nil, s.o.Now())
 	if !ok {
 		return s.searchHere(ctx, &part, p, shards)
 	}
-	o, taken, err := s.handOver(ctx, &part, p, vm)
-	s.peers.done(vm, s.o.Now(), err == nil || ctx.Err() != nil)
-	if taken || ctx.Err() != nil {
+	if o, done := s.handOver(ctx, &part, p, vm); done || ctx.Err() != nil {
 		return o
 	}
-	if err != nil {
-		s.o.Log.Info("part taken back", "id", q.id, "vm", vm, "shards", len(shards), "err", err)
-		part.resent = true
-	}
-	return s.searchHere(ctx, &part, p, shards)
+	return part.truly(s.searchHere(ctx, &part, p, shards))
 }
 
 // searchHere sends a search to the shards from this VM.
--- a/internal/forward/split_test.go
+++ b/internal/forward/split_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"strings"
@@ -16,12 +17,13 @@
 	"github.com/sardinespindle/sardinespindle/internal/gather"
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/peer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/repeat"
 	"github.com/sardinespindle/sardinespindle/internal/policy/route"
 	"github.com/sardinespindle/sardinespindle/internal/testkit"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
-	peer "github.com/sardinespindle/sardinespindle/schema/gen/peer"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/peer"
 )
 
 func TestForward(t *testing.T) { testkit.Run(t, "forward") }
@@ -59,21 +61,32 @@
 
 // peers answers parts that are handed over, each after a time of its own.
 type peers struct {
-	after map[string]time.Duration
-	lost  bool
+	after   map[string]time.Duration
+	fails   map[string]error
+	lost    bool
+	refuses bool
+
+	mu    sync.Mutex // guards given
+	given []*gen.Delegate
 }
 
-func (p *peers) Call(ctx context.Context, vm string, m *peer.Message) (*peer.Message, error) {
+func (p *peers) Delegate(ctx context.Context, vm string, d *gen.Delegate) (*gen.Message, error) {
+	p.mu.Lock()
+	p.given = append(p.given, d)
+	p.mu.Unlock()
 	select {
 	case <-time.After(p.after[vm]):
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	if p.lost {
-		return nil, context.Canceled
+	if p.lost || p.fails[vm] != nil {
+		return nil, cmp.Or(p.fails[vm], peer.ErrSilent)
+	}
+	o := answered(d.Shards)
+	if p.refuses {
+		o = outcome.NotRun(outcome.Overloaded, "too many", time.Second)
 	}
-	o := answered(m.Delegate.Shards)
-	return &peer.Message{Delegated: toDelegated(&o)}, nil
+	return &gen.Message{Delegated: toDelegated(&o)}, nil
 }
 
 var _ = Describe("A search over zones", func() {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -130,6 +130,7 @@
 	{"pulled", func(m *gen.Message) bool { return m.Pulled != nil }},
 	{"cancel", func(m *gen.Message) bool { return m.Cancel != nil }},
 	{"delegate", func(m *gen.Message) bool { return m.Delegate != nil }},
+	{"accepted", func(m *gen.Message) bool { return m.Accepted != nil }},
 	{"delegated", func(m *gen.Message) bool { return m.Delegated != nil }},
 	{"hello", func(m *gen.Message) bool { return m.Hello != nil }},
 }
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -84,7 +84,7 @@
 
 	mu      sync.Mutex // guards the fields below
 	next    int
-	pending map[int]chan *gen.Message
+	pending map[int]*call
 	// handling holds what ends the handler of a request of the peer, by its id.
 	handling map[int]context.CancelFunc
 }
@@ -100,7 +100,7 @@
 		digests:  rate.NewLimiter(digestRate, digestBurst),
 		spreads:  rate.NewLimiter(spreadRate, spreadBurst),
 		done:     make(chan struct{}),
-		pending:  map[int]chan *gen.Message{},
+		pending:  map[int]*call{},
 		handling: map[int]context.CancelFunc{},
 		next:     2,
 	}
@@ -290,6 +290,8 @@
 	switch {
 	case m.Id != 0 && c.mine(m.Id):
 		c.resolve(m)
+	case m.Accepted != nil:
+		c.node.metrics.dropped.WithLabelValues("late_reply").Inc()
 	case m.Cancel != nil:
 		c.cancelHandler(m.Cancel.Request)
 	case m.Digest != nil:
@@ -302,116 +304,3 @@
 		c.handle(ctx, m)
 	}
 }
-
-// mine reports whether an id was given by this side.
-func (c *conn) mine(id int) bool { return (id%2 == 1) == c.dialed }
-
-func (c *conn) resolve(m *gen.Message) {
-	c.mu.Lock()
-	reply, ok := c.pending[m.Id]
-	delete(c.pending, m.Id)
-	c.mu.Unlock()
-	if !ok {
-		c.node.metrics.dropped.WithLabelValues("late_reply").Inc()
-		return
-	}
-	reply <- m
-}
-
-// handle runs a request's handler on a goroutine of its own, of which there are
-// only so many for each connection.
-func (c *conn) handle(ctx context.Context, m *gen.Message) {
-	select {
-	case c.slots <- struct{}{}:
-	default:
-		c.node.metrics.dropped.WithLabelValues("busy").Inc()
-		return
-	}
-	c.touch()
-	ctx, cancel := context.WithCancel(ctx)
-	c.setHandler(m.Id, cancel)
-	go func() {
-		defer func() { <-c.slots }()
-		defer cancel()
-		reply := c.node.serve(ctx, c.peer, m)
-		c.setHandler(m.Id, nil)
-		if reply == nil || m.Id == 0 {
-			return
-		}
-		answer := *reply
-		answer.Id = m.Id
-		if err := c.send(&answer); err != nil {
-			c.node.log.Debug("reply not sent", "peer", c.peer, "err", err)
-		}
-	}()
-}
-
-// setHandler notes what ends the handler of a request; nil once it has ended.
-func (c *conn) setHandler(id int, cancel context.CancelFunc) {
-	if id == 0 {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if cancel == nil {
-		delete(c.handling, id)
-		return
-	}
-	c.handling[id] = cancel
-}
-
-// cancelHandler ends the handler of a request whose reply the peer no longer wants.
-func (c *conn) cancelHandler(id int) {
-	c.mu.Lock()
-	cancel := c.handling[id]
-	c.mu.Unlock()
-	if cancel != nil {
-		cancel()
-	}
-}
-
-// call sends a request and waits for its reply. Where the wait ends first, the peer is
-// told, so that it ends its work.
-func (c *conn) call(ctx context.Context, m *gen.Message) (*gen.Message, error) {
-	c.touch()
-	id, reply, err := c.expect()
-	if err != nil {
-		return nil, err
-	}
-	defer c.forget(id)
-	request := *m
-	request.Id = id
-	if err := c.send(&request); err != nil {
-		return nil, err
-	}
-	select {
-	case r := <-reply:
-		return r, nil
-	case <-c.done:
-		return nil, fmt.Errorf("call %s: %w", c.peer, errClosed)
-	case <-ctx.Done():
-		if err := c.send(&gen.Message{Cancel: &gen.Cancel{Request: id}}); err != nil {
-			c.node.log.Debug("cancel not sent", "peer", c.peer, "err", err)
-		}
-		return nil, fmt.Errorf("call %s: %w", c.peer, ctx.Err())
-	}
-}
-
-func (c *conn) expect() (int, chan *gen.Message, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.pending) >= maxPending {
-		return 0, nil, fmt.Errorf("call %s: too many requests under way", c.peer)
-	}
-	id := c.next
-	c.next += 2
-	reply := make(chan *gen.Message, 1)
-	c.pending[id] = reply
-	return id, reply, nil
-}
-
-func (c *conn) forget(id int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.pending, id)
-}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,10 @@
 	ErrUnknownVM = errors.New("unknown VM")
 	// ErrUnreachable: the VM could not be connected to a moment ago.
 	ErrUnreachable = errors.New("VM unreachable")
+	// ErrNotSent: the request did not reach the VM, or the VM did not run it.
+	ErrNotSent = errors.New("request not sent")
+	// ErrSilent: the VM stopped to say that it runs the request, or never did.
+	ErrSilent = errors.New("VM silent")
 )
 
 // Options configure a Node.
@@ -267,17 +272,38 @@
 // Call sends a request to a VM and returns its reply. A call to this VM itself is
 // answered by its own handlers.
 func (n *Node) Call(ctx context.Context, vm string, m *gen.Message) (*gen.Message, error) {
+	return n.call(ctx, vm, m, false)
+}
+
+// Delegate hands a caller's request to a VM and waits for as long as that VM says that it
+// runs it. It fails with ErrNotSent where the VM cannot have it, with ErrSilent where the
+// VM is not heard of.
+func (n *Node) Delegate(ctx context.Context, vm string, d *gen.Delegate) (*gen.Message, error) {
+	return n.call(ctx, vm, &gen.Message{Delegate: d}, true)
+}
+
+func (n *Node) call(ctx context.Context, vm string, m *gen.Message, watched bool) (*gen.Message, error) {
 	if vm == n.name {
 		if reply := n.serve(ctx, n.name, m); reply != nil {
 			return reply, nil
 		}
 		return nil, ErrUnknownVM
 	}
-	c, err := n.connect(ctx, vm)
+	c, err := n.connectFor(ctx, vm, watched)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return c.call(ctx, m, watched)
+}
+
+// connectFor is connect; for a watched call it waits no longer than for a first notice.
+func (n *Node) connectFor(ctx context.Context, vm string, watched bool) (*conn, error) {
+	if watched {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, acceptTicks*watchInterval)
+		defer cancel()
 	}
-	return c.call(ctx, m)
+	return n.connect(ctx, vm)
 }
 
 // Run keeps the neighbours connected and exchanges facts until ctx ends, then
--- a/schema/gen/peer/peer.go
+++ b/schema/gen/peer/peer.go
@@ -53,6 +53,9 @@
 	// The caller's id of the request.
 	RequestId string `json:"request_id" toml:"request_id" cbor:"request_id"`
 
+	// Whether another VM may have sent it to upstreams.
+	Resent bool `json:"resent" toml:"resent" cbor:"resent"`
+
 	// Whether the caller was refused before.
 	Returning bool `json:"returning" toml:"returning" cbor:"returning"`
 
@@ -215,6 +218,10 @@
 // One WebSocket message between two VMs, in CBOR. Exactly one of the optional
 // fields is set. A reply carries the id of its request.
 type Message struct {
+	// Whether the delegated request of this id runs: if so its reply follows, else
+	// nothing was done for it.
+	Accepted *bool `json:"accepted,omitempty,omitzero" toml:"accepted,omitempty" cbor:"accepted,omitempty"`
+
 	// Cancel corresponds to the JSON schema field "cancel".
 	Cancel *Cancel `json:"cancel,omitempty,omitzero" toml:"cancel,omitempty" cbor:"cancel,omitempty"`
 
