Let a fleet that starts at once know itself before it opens connections

A fleet of 60 that starts at once in one process took 5.4 s until each VM knew all, since a digest repairs only its receiver, the members were looked at each 500 ms, and digests went out once a second.

Change: a VM sends the sums of all buckets each 200 ms in its first 5 s, so that it is told what it lacks, and looks at the members each 100 ms; no connection is opened ahead of need in its first second.

Ruled out: the store (all VMs had the configuration 0.6 s after their start), the shards' replicas (the same seven were missing on each VM).

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sardinespindle/sardinespindle/internal/clock"
+	"github.com/sardinespindle/sardinespindle/internal/pause"
 	"github.com/sardinespindle/sardinespindle/internal/peer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/connbudget"
 	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
@@ -27,8 +28,15 @@
 	// The facts of all VMs reach all VMs, so the interval sets the bytes of a large fleet.
 	memberTTL     = 20 * time.Second
 	memberRefresh = 6 * time.Second
-	// memberLook is the time between two looks at the members.
-	memberLook = 500 * time.Millisecond
+	// memberLook is the time between two looks at the members; newcomerLook is the same for
+	// a VM that started less than newcomerFor ago, to which each member is news.
+	memberLook   = 500 * time.Millisecond
+	newcomerLook = 100 * time.Millisecond
+	newcomerFor  = 5 * time.Second
+	// settleTime is how long after its start a VM knows too little of the fleet to open
+	// connections ahead of need: of 60 VMs that start at once each knows nine tenths after
+	// 1 s (docs/MEASUREMENTS.md).
+	settleTime = time.Second
 	// mostReaders is the number of VMs that read the platform's store for all.
 	mostReaders = 2
 	// blindKey is the fact by which a VM tells that the store does not answer it; others
@@ -44,6 +52,7 @@
 	node  *peer.Node
 	self  delegate.VM
 	port  uint16
+	begun time.Duration
 	seeds atomic.Pointer[[]settings.Address]
 	limit atomic.Int64 // fewest connections that an upstream of a shard accepts; 0 for none known
 	view  atomic.Pointer[fleetView]
@@ -63,7 +72,7 @@
 }
 
 func newFleet(node *peer.Node, self delegate.VM, port uint16, seeds []settings.Address) *fleet {
-	f := &fleet{node: node, self: self, port: port}
+	f := &fleet{node: node, self: self, port: port, begun: clock.Boot()}
 	f.setSeeds(seeds)
 	f.update()
 	return f
@@ -86,18 +95,18 @@
 
 func (f *fleet) run(ctx context.Context) {
 	var stated time.Duration
-	tick := time.NewTicker(memberLook)
-	defer tick.Stop()
 	for {
 		if now := clock.Boot(); stated == 0 || now-stated >= memberRefresh {
 			stated = now
 			f.node.Facts().Put(memberKey+f.self.Name, fmt.Sprintf("%g %s", f.self.Capacity, f.self.Zone), memberTTL)
 		}
 		f.update()
-		select {
-		case <-ctx.Done():
+		look := memberLook
+		if clock.Boot()-f.begun < newcomerFor {
+			look = newcomerLook
+		}
+		if !pause.For(ctx, look) {
 			return
-		case <-tick.C:
 		}
 	}
 }
@@ -163,6 +172,9 @@
 	return connbudget.UnknownFleet
 }
 
+// settled reports whether this VM has had time to hear of the others.
+func (f *fleet) settled() bool { return clock.Boot()-f.begun >= settleTime }
+
 func (f *fleet) names() []string { return f.view.Load().names }
 
 // gatherers names the VMs that run searches, by zone.
--- /dev/null
+++ b/internal/daemon/fleet_test.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sardinespindle/sardinespindle/internal/clock"
+	"github.com/sardinespindle/sardinespindle/internal/peer"
+	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
+	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
+)
+
+// fleetPort is where the VMs of a test listen for peers.
+const fleetPort = 21900
+
+// startFleet starts VMs at once that know no more than three seeds.
+func startFleet(n int) []*fleet {
+	ip := func(i int) string { return fmt.Sprintf("127.32.%d.%d", i/200, 1+i%200) }
+	var seeds []settings.Address
+	for i := range min(n, 3) {
+		seeds = append(seeds, settings.Address(fmt.Sprintf("%s:%d", ip(i), fleetPort)))
+	}
+	fleets := make([]*fleet, n)
+	for i := range fleets {
+		node := peer.New(peer.Options{
+			Name: ip(i), Zone: fmt.Sprintf("z%d", i%3), Incarnation: fmt.Sprint(i), Started: clock.Boot(),
+			ListenIP: ip(i), Log: log.New(io.Discard), Registerer: prometheus.NewRegistry(),
+		})
+		self := delegate.VM{Name: ip(i), Zone: fmt.Sprintf("z%d", i%3), Capacity: 0.13}
+		fleets[i] = newFleet(node, self, fleetPort, seeds)
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip(i), fleetPort))
+		Expect(err).NotTo(HaveOccurred())
+		mux := http.NewServeMux()
+		mux.Handle(peer.Path, node.Handler())
+		server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = server.Serve(l) }()
+		done := make(chan struct{})
+		go func() { defer close(done); node.Run(ctx) }()
+		go fleets[i].run(ctx)
+		DeferCleanup(func() { cancel(); <-done; _ = server.Close() })
+	}
+	return fleets
+}
+
+var _ = Describe("A fleet that starts at once", func() {
+	It("knows itself soon", func() {
+		fleets := startFleet(60)
+		knowing := func() int {
+			n := 0
+			for _, f := range fleets {
+				if f.view.Load().size >= len(fleets)*9/10 {
+					n++
+				}
+			}
+			return n
+		}
+		// The bound is well within the time that a fleet has to recover in, 12 s.
+		Eventually(knowing, 3*time.Second, 20*time.Millisecond).Should(Equal(len(fleets)))
+	})
+	It("opens no connections ahead of need before it is settled", func() {
+		f := startFleet(1)[0]
+		Expect(f.settled()).To(BeFalse())
+		Eventually(f.settled, 2*settleTime).Should(BeTrue())
+	})
+})
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -21,6 +21,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/forward"
 	"github.com/sardinespindle/sardinespindle/internal/gather"
 	"github.com/sardinespindle/sardinespindle/internal/pause"
+	"github.com/sardinespindle/sardinespindle/internal/mechanism"
 	"github.com/sardinespindle/sardinespindle/internal/peer"
 	"github.com/sardinespindle/sardinespindle/internal/poison"
 	"github.com/sardinespindle/sardinespindle/internal/policy/connbudget"
@@ -110,8 +111,8 @@
 func (f *Forwarder) wireRequests() error {
 	var err error
 	f.upstreams, err = upstream.New(upstream.Options{
-		VM: f.node.Name(), Zone: f.s.Zone, VMs: f.fleet.size, Members: f.fleet.names,
-		Share: f.connections, Published: true, Wire: platform.Wire, Log: f.log, Registerer: f.registry,
+		VM: f.node.Name(), Zone: f.s.Zone, Mechanisms: mechanism.New(f.s.Experiment), VMs: f.fleet.size, Members: f.fleet.names,
+		Share: f.connections, Warm: f.fleet.settled, Published: true, Wire: platform.Wire, Log: f.log, Registerer: f.registry,
 	})
 	if err != nil {
 		return err
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -34,6 +34,11 @@
 	maxWaiting = 4096
 	// digestInterval is the mean time between two digests.
 	digestInterval = time.Second
+	// newcomerDigests is the same for a VM that started less than newcomerFor ago. It sends
+	// the sums of all buckets, so that it is told at once what it lacks: a fleet that starts
+	// at once has to know itself before it may share connections out.
+	newcomerDigests = 200 * time.Millisecond
+	newcomerFor     = 5 * time.Second
 	// repairBytes bounds what one digest is answered with.
 	repairBytes = 32 << 10
 	// gossipLife is how long a connection counts as a neighbour's after a digest.
@@ -227,18 +232,30 @@
 
 func (n *Node) digestLoop(ctx context.Context) {
 	for {
+		interval, newcomer := digestInterval, n.newcomer()
+		if newcomer {
+			interval = newcomerDigests
+		}
 		jitter := 0.5 + rand.Float64()
-		if !pause.For(ctx, time.Duration(jitter*float64(digestInterval))) {
+		if !pause.For(ctx, time.Duration(jitter*float64(interval))) {
 			return
 		}
 		n.facts.Sweep()
-		if conns := n.gossipConns(); len(conns) > 0 {
-			sums := n.facts.Digest()
-			n.sendDigest(conns[rand.IntN(len(conns))], []uint32{rules.Root(sums)})
+		conns := n.gossipConns()
+		if len(conns) == 0 {
+			continue
+		}
+		sums := n.facts.Digest()
+		if !newcomer {
+			sums = []uint32{rules.Root(sums)}
 		}
+		n.sendDigest(conns[rand.IntN(len(conns))], sums)
 	}
 }
 
+// newcomer reports whether this VM started a moment ago.
+func (n *Node) newcomer() bool { return n.now()-n.started < newcomerFor }
+
 func (n *Node) sendDigest(c *conn, sums []uint32) {
 	if err := c.send(&gen.Message{Digest: digestToWire(sums)}); err != nil {
 		n.log.Debug("digest not sent", "peer", c.peer, "err", err)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -40,6 +40,9 @@
 	// Share returns how many connections this VM may open to an upstream; optional, the
 	// even share of VMs and Members where nil.
 	Share func(u *gen.Upstream) int
+	// Warm reports whether connections may be opened before a request needs one; optional,
+	// always where nil.
+	Warm func() bool
 	// Published says that what is published of an upstream alone decides whether it takes
 	// new work: no probes are sent and no lease is needed.
 	Published bool
@@ -118,6 +121,9 @@
 	if o.Members == nil {
 		o.Members = func() []string { return nil }
 	}
+	if o.Warm == nil {
+		o.Warm = func() bool { return true }
+	}
 	if o.Report == nil {
 		o.Report = func(Evidence) {}
 	}
@@ -289,8 +295,9 @@
 // upkeep warms pools and probes the upstreams that are due.
 func (c *Client) upkeep(ctx context.Context, now time.Duration) {
 	members := c.o.Members()
+	warm := c.o.Warm()
 	for _, s := range c.current.Load().servers {
-		if rand.Float64() < warmChance && s.verdict(now) != drainVerdict {
+		if warm && rand.Float64() < warmChance && s.verdict(now) != drainVerdict {
 			s.pool.warm()
 		}
 		if !c.o.Published && c.probeDue(s, now, members) {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -65,6 +65,22 @@
 		Expect(c.States()[0].Connections).To(Equal(3))
 	})
 
+	It("are opened ahead of need only once that is allowed", func() {
+		allowed := atomic.Bool{}
+		c := newClient(Options{Warm: allowed.Load, VMs: func() int { return 16 }}, m)
+		tend := func() int {
+			for range 20 {
+				c.upkeep(bg, c.o.Now())
+			}
+			return c.States()[0].Connections
+		}
+		Consistently(tend, "100ms", "20ms").Should(BeZero())
+		Expect(try(bg, c, m, search()).Class).To(Equal(OK))
+		Expect(tend()).To(Equal(1))
+		allowed.Store(true)
+		Eventually(tend).Should(Equal(warmConnections))
+	})
+
 	It("above a share that shrinks are closed at once when idle, and after use otherwise", func() {
 		vms := atomic.Int64{}
 		vms.Store(10)
