Move on from the assumed usual time of a kind of request, and forget it

Cause: the first reply set the usual time of a kind of request. On a VM that had just started and then stood still for 2 s that was 1.9 s; every search was expected late and refused before anything was sent, so no reply corrected it.

Change: samples move the usual time by steps from the assumed 25 ms on; a longer one halves its logarithm in each 2 s after 2 s without samples.

Ruled out: the servers (other VMs were answered in 5 ms by the same ones), the forecasts of single upstreams (they halve in 4 s).

Conclusion: a belief that stops its own evidence needs an end.

--- a/internal/policy/forecast/forecast.go
+++ b/internal/policy/forecast/forecast.go
@@ -16,8 +16,14 @@
 	// firstSamples is the number of samples that move it faster.
 	firstSamples = 30
 	firstStep    = 0.2
-	// unknownWork is assumed of a kind without samples.
+	// unknownWork is assumed of a kind without samples; the first ones move on from it, so
+	// that one odd reply does not set the usual time.
 	unknownWork = 25 * time.Millisecond
+	// workKeeps is how long the usual time holds without samples; a longer one than
+	// unknownWork then halves its logarithm in each workForgets. A VM that refuses all
+	// requests for their usual time gets no samples that would correct it.
+	workKeeps   = 2 * time.Second
+	workForgets = 2 * time.Second
 	// slowWeight is the weight of a sample of an upstream's slowness.
 	slowWeight = 0.3
 	// slowForgets is the time in which the belief in slowness halves without samples.
@@ -47,31 +53,37 @@
 type Work struct {
 	value   float64 // ns
 	samples int
+	at      time.Duration // of the last sample
 }
 
-// Observe takes in the latency of a reply of an upstream that reported no queue.
-func (w *Work) Observe(latency time.Duration) {
-	if w.samples == 0 {
-		w.value = float64(latency)
-	}
+// Observe takes in the latency of a reply, at now, of an upstream that reported no queue.
+func (w *Work) Observe(now, latency time.Duration) {
+	value := w.believed(now)
 	step := workStep
 	if w.samples < firstSamples {
 		w.samples++
 		step = firstStep
 	}
-	if float64(latency) > w.value {
-		w.value *= 1 + step
+	if float64(latency) > value {
+		value *= 1 + step
 	} else {
-		w.value /= 1 + step
+		value /= 1 + step
 	}
+	w.value, w.at = value, now
 }
 
-// Usual returns the usual time.
-func (w *Work) Usual() time.Duration {
+// Usual returns the usual time at now.
+func (w *Work) Usual(now time.Duration) time.Duration { return time.Duration(w.believed(now)) }
+
+func (w *Work) believed(now time.Duration) float64 {
 	if w.samples == 0 {
-		return unknownWork
+		return float64(unknownWork)
+	}
+	excess := math.Log(w.value / float64(unknownWork))
+	if excess <= 0 {
+		return w.value
 	}
-	return time.Duration(w.value)
+	return float64(unknownWork) * math.Exp(excess*halvings(now-w.at-workKeeps, workForgets))
 }
 
 // Load is what an upstream reported with a reply.
--- a/internal/upstream/pass.go
+++ b/internal/upstream/pass.go
@@ -70,7 +70,7 @@
 		r.Class, r.Err = Shed, errStranger
 	case h.Get(w.NotRun) != "":
 		r.Class, r.Err = Shed, fmt.Errorf("%w: status %d", errNotRun, resp.StatusCode)
-	case id != "" && id != a.Pass.ID:
+	case c.rules.echo && id != "" && id != a.Pass.ID:
 		r.Class, r.Err = Garbled, errEcho
 	case h.Get("Content-Encoding") != "":
 		r.Class, r.Err = Garbled, errEncoded
@@ -165,7 +165,7 @@
 
 // usual returns the usual time of a kind of request.
 func (c *Client) usual(route string) (d time.Duration) {
-	c.works.Do(route, func(w *forecast.Work) { d = w.Usual() })
+	c.works.Do(route, func(w *forecast.Work) { d = w.Usual(c.o.Now()) })
 	return d
 }
 
@@ -174,7 +174,7 @@
 func (c *Client) learnPassed(s *server, t *Ticket, a *Attempt, r *Result, now, sent time.Duration) {
 	usual := c.usual(a.Route)
 	if r.Class == OK && !r.load.Queued() {
-		c.works.Do(a.Route, func(w *forecast.Work) { w.Observe(sent) })
+		c.works.Do(a.Route, func(w *forecast.Work) { w.Observe(now, sent) })
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
