Play a fault soak on daemons that speak the users' platform

Change: `spindlebench soak` starts daemons as processes, with stand-ins of the platform's store and servers behind loopback relays, and lets six actors break things by seed: processes paused, killed, stopped (also twice) and sent SIGHUP; servers slow, failing, losing, breaking off or crossing answers; servers drained and replaced, addresses used again by another service; links delayed, reset, cut or silent one way; the store silent, busy, without history; routes added. It checks fifteen promises from what callers and servers saw. Seeds that failed once are kept with their cause. The stand-ins of platform/ moved to platform/standin, so that tests and soak share them; relays can be silent, slow and reset, which `chaos` uses too.

Ruled out: a package apart: it would repeat processes, relays and nets.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 export CGO_ENABLED := 1
 
-.PHONY: build demo prove test tools lint format-check generate generate-check libc-check platform-check fuzz clean
+.PHONY: build demo prove soak test tools lint format-check generate generate-check libc-check platform-check fuzz clean
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -23,6 +23,12 @@
 		$(BIN)/spindlebench run --bin-dir $(BIN) --experiment $$e --seed 1 --vms 8 --duration 4s --out out/prove-$$e || exit 1; \
 	done
 
+# Random faults on daemons that speak the users' platform, by fixed seeds and by those that
+# failed once. Logs of failures stay in out/soak.
+SOAK ?= --seeds 1-3,regressions --duration 6s --jobs 2
+soak: build
+	$(BIN)/spindlebench soak --bin-dir $(BIN) $(SOAK)
+
 test:
 	go test -race -count=1 -timeout 20m ./...
 
--- a/cmd/spindlebench/main.go
+++ b/cmd/spindlebench/main.go
@@ -32,6 +32,7 @@
 	addReport(app)
 	addManifest(app)
 	addSlopes(ctx, app)
+	addSoak(ctx, app)
 	addStandin(ctx, app)
 	_, err := app.Parse(args)
 	return err
--- a/internal/bench/chaos.go
+++ b/internal/bench/chaos.go
@@ -16,8 +16,9 @@
 // step is one fault of the chaos experiment.
 type step func(ctx context.Context, rng *rand.Rand) error
 
-// chaos draws faults at random. Five actors work at the same time: two on VMs, each on
-// half of them, one on links, one on upstreams and one on platform and manifest.
+// chaos draws faults at random. Six actors work at the same time: two on VMs, each on
+// half of them, one on cuts of the fleet, one on upstreams, one on platform and manifest
+// and one on single links.
 func chaos(ctx context.Context, s *stage, rng *rand.Rand, d time.Duration) error {
 	half := len(s.VMs) / 2
 	actors := [][]step{
@@ -26,6 +27,7 @@
 		{s.chaosSplit},
 		{s.chaosUpstreams, s.chaosUpstreams, s.chaosIndex, s.chaosMap},
 		{s.chaosCommit, s.chaosCommit, s.chaosPlatform},
+		{s.chaosLink},
 	}
 	group, actCtx := errgroup.WithContext(ctx)
 	for _, steps := range actors {
@@ -126,6 +128,24 @@
 	return nil
 }
 
+// chaosLink delays what one VM sends to another, holds it back one way, or resets it.
+func (s *stage) chaosLink(_ context.Context, rng *rand.Rand) error {
+	a, b := rng.IntN(len(s.VMs)), rng.IntN(len(s.VMs))
+	r := s.links[a][b]
+	if r == nil {
+		return nil // from a VM to itself
+	}
+	faults := []linkFault{{SilentTo: true}, {SilentBack: true}, {Delay: 50 * time.Millisecond}, {Delay: 500 * time.Millisecond}}
+	if n := rng.IntN(len(faults) + 1); n < len(faults) {
+		r.slow(&faults[n])
+		time.Sleep(time.Duration(rng.IntN(2500)) * time.Millisecond)
+		r.slow(nil)
+		return nil
+	}
+	r.reset()
+	return nil
+}
+
 // chaosPlatform makes the platform fail for a while; a VM that starts meanwhile learns
 // from its peers.
 func (s *stage) chaosPlatform(_ context.Context, rng *rand.Rand) error {
--- a/internal/bench/relay.go
+++ b/internal/bench/relay.go
@@ -3,22 +3,37 @@
 import (
 	"context"
 	"fmt"
-	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
-// relay passes on the connections from one VM to another, and can cut them. One lock
-// guards its state.
+// linkFault is what is wrong with a link. The zero value is a sound link.
+type linkFault struct {
+	// Cut ends the connections and lets no new one through.
+	Cut bool
+	// Silent holds bytes back until the fault is over, as a network does that loses
+	// packets: on the way to the target, and on the way back.
+	SilentTo, SilentBack bool
+	// Delay is added to each piece of bytes.
+	Delay time.Duration
+}
+
+// relay passes on connections to one address, and breaks them in the ways of a linkFault.
+// One lock guards its state.
 type relay struct {
 	target string
 	dialer net.Dialer
 	listen net.Listener
 	bytes  atomic.Int64 // passed on in both directions
 	mu     sync.Mutex
-	isCut  bool
+	fault  linkFault
 	conns  map[net.Conn]bool
+	most   int // most connections to the target at a time
+	passed int // connections to the target now
 }
 
 // newRelay listens on an address and passes connections on to target, from the IP
@@ -58,20 +73,66 @@
 	if !r.keep(out) {
 		return
 	}
+	r.count(1)
+	defer r.count(-1)
 	done := make(chan struct{}, 2)
-	pipe := func(dst, src net.Conn) {
-		_, _ = io.Copy(counter{dst, &r.bytes}, src)
+	pipe := func(dst, src net.Conn, silent func(linkFault) bool) {
+		r.copy(dst, src, silent)
 		done <- struct{}{}
 	}
-	go pipe(out, in)
-	go pipe(in, out)
+	go pipe(out, in, func(f linkFault) bool { return f.SilentTo })
+	go pipe(in, out, func(f linkFault) bool { return f.SilentBack })
 	<-done
 }
 
+// count counts the connections to the target.
+func (r *relay) count(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.passed += n
+	r.most = max(r.most, r.passed)
+}
+
+// Sizes of passing bytes on.
+const (
+	pieceBytes = 16 << 10
+	// silentLook is the time between two looks whether a silent link is sound again.
+	silentLook = 5 * time.Millisecond
+)
+
+// copy passes bytes on until either side ends.
+func (r *relay) copy(dst, src net.Conn, silent func(linkFault) bool) {
+	buf := make([]byte, pieceBytes)
+	for {
+		n, err := src.Read(buf)
+		f := r.now()
+		for silent(f) && !f.Cut {
+			time.Sleep(silentLook)
+			f = r.now()
+		}
+		time.Sleep(f.Delay)
+		if n > 0 {
+			if _, err := dst.Write(buf[:n]); err != nil {
+				return
+			}
+			r.bytes.Add(int64(n))
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (r *relay) now() linkFault {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fault
+}
+
 func (r *relay) keep(c net.Conn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.isCut {
+	if r.fault.Cut {
 		return false
 	}
 	r.conns[c] = true
@@ -86,18 +147,40 @@
 }
 
 // cut ends the connections and refuses new ones, or lets them pass again.
-func (r *relay) cut(on bool) {
+func (r *relay) cut(on bool) { r.setFault(linkFault{Cut: on}) }
+
+// slow breaks the link in a way that ends no connection, or mends it for nil; a cut link
+// stays cut.
+func (r *relay) slow(f *linkFault) {
 	r.mu.Lock()
-	r.isCut = on
-	conns := make([]net.Conn, 0, len(r.conns))
-	for c := range r.conns {
-		conns = append(conns, c)
+	defer r.mu.Unlock()
+	if f == nil {
+		f = &linkFault{}
 	}
+	cut := r.fault.Cut
+	r.fault = *f
+	r.fault.Cut = cut
+}
+
+// setFault breaks the link in another way, or mends it.
+func (r *relay) setFault(f linkFault) {
+	r.mu.Lock()
+	r.fault = f
 	r.mu.Unlock()
-	if !on {
-		return
+	if f.Cut {
+		r.reset()
 	}
+}
+
+// reset ends all connections at once, without a word on the way.
+func (r *relay) reset() {
+	r.mu.Lock()
+	conns := slices.Collect(maps.Keys(r.conns))
+	r.mu.Unlock()
 	for _, c := range conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
 		_ = c.Close()
 	}
 }
@@ -106,16 +189,3 @@
 	_ = r.listen.Close()
 	r.cut(true)
 }
-
-// counter counts what is written.
-type counter struct {
-	io.Writer
-	n *atomic.Int64
-}
-
-// Write writes and counts.
-func (c counter) Write(b []byte) (int, error) {
-	n, err := c.Writer.Write(b)
-	c.n.Add(int64(n))
-	return n, err
-}
--- /dev/null
+++ b/internal/bench/soak_servers.go
@@ -0,0 +1,152 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/platform"
+	"github.com/sardinespindle/sardinespindle/platform/standin"
+)
+
+// soakServer is an address at which one server after the other runs.
+type soakServer struct {
+	s       *soak
+	address string // as it is published: that of the relay
+	link    *relay
+	births  int
+	now     atomic.Pointer[standin.Server]
+	mood    atomic.Pointer[mood]
+	slots   chan struct{}
+}
+
+// mood is how a server misbehaves. The zero value is a sound server.
+type mood struct {
+	Slow    time.Duration
+	Fail    bool    // answers 500
+	Lose    float64 // share of the answers that are lost after the run
+	Garble  bool    // breaks the body off
+	Crossed bool    // answers with what belongs to another request
+}
+
+// Work of a server.
+const (
+	soakSlots   = 4
+	soakQueue   = 16
+	soakWork    = 4 * time.Millisecond
+	soakRecords = 2
+)
+
+func (s *soak) addServer(ctx context.Context, i int) error {
+	sv := &soakServer{s: s, address: s.address(proxyNet, i+1, upstreamPort), slots: make(chan struct{}, soakSlots+soakQueue)}
+	target := s.address(serverNet, i+1, upstreamPort)
+	var err error
+	if sv.link, err = s.proxy(ctx, sv.address, target); err != nil {
+		return err
+	}
+	sv.mood.Store(&mood{})
+	s.servers = append(s.servers, sv)
+	sv.birth(i)
+	return s.serve(ctx, target, sv)
+}
+
+// birth starts another server at the address, and publishes it.
+func (sv *soakServer) birth(i int) {
+	sv.births++
+	service := "orders"
+	if i < soakShards*soakReplicas {
+		service = soakShardNames()[i/soakReplicas]
+	}
+	id := fmt.Sprintf("i-%d-%d", i, sv.births)
+	sv.now.Store(&standin.Server{
+		ID: id, Service: service, Zone: fmt.Sprintf("zone-%d", i%soakZones), Slots: soakSlots, Body: func(r *http.Request) string {
+			return bodyOf(service, r.Header.Get(platform.RequestID))
+		},
+	})
+	sv.s.evidence.born(id)
+	sv.state("ready")
+}
+
+// state publishes the server's state.
+func (sv *soakServer) state(state string) {
+	n := sv.now.Load()
+	sv.s.store.Put(standin.EntryKey(n.ID), n.Entry(sv.address, state))
+}
+
+// ServeHTTP implements http.Handler.
+func (sv *soakServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n, m := sv.now.Load(), *sv.mood.Load()
+	if want := r.Header.Get(platform.Wire.Identity); want != "" && want != n.ID {
+		standin.Refuse(w, http.StatusMisdirectedRequest)
+		return
+	}
+	a := arrival{
+		id: r.Header.Get(platform.RequestID), service: n.Service, server: n.ID, at: time.Now(),
+		deadline: milliseconds(r.Header.Get(platform.Deadline)),
+	}
+	select {
+	case sv.slots <- struct{}{}:
+		defer func() { <-sv.slots }()
+	default:
+		sv.s.evidence.arrived(a)
+		standin.Refuse(w, http.StatusServiceUnavailable)
+		return
+	}
+	a.ran = true
+	sv.s.evidence.arrived(a)
+	time.Sleep(soakWork + m.Slow)
+	switch {
+	case m.Fail:
+		n.Sign(w, a.id)
+		w.WriteHeader(http.StatusInternalServerError)
+	case float64(hash(a.id+n.ID)%100) < 100*m.Lose:
+		panic(http.ErrAbortHandler)
+	case m.Crossed:
+		n.Sign(w, "other-"+a.id)
+		_, _ = w.Write([]byte(bodyOf(n.Service, "other-"+a.id))) // the VM closes the connection
+	case m.Garble:
+		n.Sign(w, a.id)
+		body := n.Body(r)
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = w.Write([]byte(body[:len(body)/2])) // broken off on purpose
+		panic(http.ErrAbortHandler)
+	default:
+		n.ServeHTTP(w, r)
+	}
+}
+
+// bodyOf is what a service answers to a request: for a shard, records that begin with a
+// place in the order and hold the request's hash and the shard.
+func bodyOf(service, id string) string {
+	shard, err := strconv.Atoi(strings.TrimPrefix(service, "shard-"))
+	if err != nil {
+		return "done " + id
+	}
+	records := make([]string, soakRecords)
+	for i := range records {
+		records[i] = fmt.Sprintf("%04d%08x%02d%02d", hash(service+id+strconv.Itoa(i))%10000, hash(id), shard, i)
+	}
+	slices.Sort(records)
+	slices.Reverse(records)
+	return strings.Join(records, "")
+}
+
+func hash(s string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(s)) // never fails
+	return h.Sum32()
+}
+
+func milliseconds(text string) time.Duration {
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(n * float64(time.Millisecond))
+}
