Hold callers to the published bounds of heads and idle connections

Cause: the published bound of a request's head and idle time were read and not applied; 64 KiB and 2 minutes held instead.

Change: a larger head is refused with 431 before anything is sent; a connection that is idle for longer than published is closed. The time for a head stays at a fixed 10 s, which net/http takes once at its start.

Ruled out: setting the server's own fields when a configuration comes into force: net/http reads them without a lock.

Measured: internal/forward "The published limits" (new, fails without the code to test), platform tests under the race detector.

Conclusion: a request that crosses the close of an idle connection is never passed on: the close is dropped once the connection is in use.

--- /dev/null
+++ b/internal/forward/limits_test.go
@@ -0,0 +1,61 @@
+package forward
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinespindle/sardinespindle/internal/outcome"
+)
+
+var _ = Describe("The published limits", func() {
+	It("bound the head of a request", func() {
+		r := httptest.NewRequest(http.MethodGet, "/find/x", nil)
+		r.Header.Set("X-Long", strings.Repeat("x", 300))
+		size := headBytes(r)
+		Expect(size).To(BeNumerically("~", len("GET /find/x HTTP/1.1\r\nHost: example.com\r\nX-Long: \r\n\r\n")+300, 1))
+		Expect(checkHead(r, size)).To(BeNil())
+		Expect(checkHead(r, 0)).To(BeNil(), "no bound is published")
+		o := checkHead(r, size-1)
+		Expect(o.Reason).To(Equal(outcome.HeadTooLarge))
+		Expect(statusOf(o)).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
+	})
+
+	It("end a connection that is idle for longer, and no other", func() {
+		const limit = 300 * time.Millisecond
+		idle := &idlers{limit: func() time.Duration { return limit }, timers: map[net.Conn]*time.Timer{}}
+		s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/slow" {
+				time.Sleep(2 * limit) // a request under way is not idle
+			}
+			w.WriteHeader(http.StatusOK)
+		}))
+		var opened atomic.Int64
+		s.Config.ConnState = func(c net.Conn, to http.ConnState) {
+			if to == http.StateNew {
+				opened.Add(1)
+			}
+			idle.state(c, to)
+		}
+		s.Start()
+		DeferCleanup(s.Close)
+		get := func(path string) {
+			resp, err := s.Client().Get(s.URL + path)
+			Expect(err).NotTo(HaveOccurred())
+			resp.Body.Close()
+		}
+		get("/slow")
+		time.Sleep(limit / 2)
+		get("/")
+		Expect(opened.Load()).To(BeEquivalentTo(1))
+		time.Sleep(2 * limit)
+		get("/")
+		Expect(opened.Load()).To(BeEquivalentTo(2))
+	})
+})
--- a/internal/forward/read.go
+++ b/internal/forward/read.go
@@ -15,6 +15,9 @@
 
 // read returns the request as it is forwarded, or why it is not.
 func (s *Server) read(r *http.Request, q *request) (*upstream.Passed, *outcome.Outcome) {
+	if o := checkHead(r, q.catalog.Config.Limits.HeaderBytes); o != nil {
+		return nil, o
+	}
 	most := int64(q.catalog.Config.Limits.BodyBytes)
 	if most <= 0 {
 		most = defaultBodyBytes
--- a/internal/forward/write.go
+++ b/internal/forward/write.go
@@ -80,6 +80,8 @@
 	switch o.Reason {
 	case outcome.UnknownWorkload:
 		return http.StatusNotFound
+	case outcome.HeadTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case outcome.TooLarge:
 		return http.StatusRequestEntityTooLarge
 	default:
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -19,6 +19,7 @@
 	Forbidden        Reason = "forbidden"
 	UnknownWorkload  Reason = "unknown_workload"
 	TooLarge         Reason = "too_large"
+	HeadTooLarge     Reason = "head_too_large"
 	MissingKey       Reason = "missing_idempotency_key"
 	BadKey           Reason = "bad_idempotency_key"
 	KeyReused        Reason = "idempotency_key_reused"
