Spread the searches of zones without replicas over the zones near them

Change: zones within a tenth of the nearest count as alike, and one of them is drawn.

Ruled out: by load told between VMs: the zones' gatherers do not differ enough to be worth the bytes.

--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -112,7 +112,7 @@
 			return "", false
 		}
 	}
-	zone, ok := delegate.Home(s.o.Zone, near, gatherers)
+	zone, ok := delegate.Home(s.o.Zone, near, gatherers, rand.Float64)
 	if !ok || self && zone == s.o.Zone {
 		return "", false
 	}
--- a/internal/policy/delegate/delegate_test.go
+++ b/internal/policy/delegate/delegate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -18,7 +19,7 @@
 	one := []string{"x"}
 	DescribeTable("names the zone whose gatherers are near the shards",
 		func(own string, near map[string]float64, gatherers map[string][]string, want string, ok bool) {
-			zone, found := delegate.Home(own, near, gatherers)
+			zone, found := delegate.Home(own, near, gatherers, func() float64 { return 0 })
 			Expect(found).To(Equal(ok))
 			Expect(zone).To(Equal(want))
 		},
@@ -30,6 +31,23 @@
 	)
 })
 
+// The load of kervan-iade-grown: replicas of all shards in three zones of five, a third of
+// the searches from each of the two others.
+var _ = Describe("Home of zones without replicas", func() {
+	It("spreads their searches over the zones that are equally near", func() {
+		near := map[string]float64{"a": 1, "b": 0.98, "c": 0.95}
+		gatherers := map[string][]string{"a": {"1"}, "b": {"2"}, "c": {"3"}, "d": {"4"}}
+		counts := map[string]int{}
+		rng := rand.New(rand.NewPCG(1, 1))
+		for range 300 {
+			zone, ok := delegate.Home("d", near, gatherers, rng.Float64)
+			Expect(ok).To(BeTrue())
+			counts[zone]++
+		}
+		Expect(counts).To(And(HaveLen(3), HaveKeyWithValue("a", BeNumerically("<", 150))))
+	})
+})
+
 var _ = Describe("Gatherers", func() {
 	fleet := func(small, large int) []delegate.VM {
 		var vms []delegate.VM
--- a/internal/policy/delegate/gatherers.go
+++ b/internal/policy/delegate/gatherers.go
@@ -53,24 +53,39 @@
 	return ranked
 }
 
+// alike is the share of the shards by which zones may differ and count as equally near:
+// one server of ten that is being replaced.
+const alike = 0.1
+
 // Home returns the availability zone whose gatherers a search goes to: near holds the
 // share of the search's shards with a replica, by zone. The own zone is preferred unless
-// another one is near many more; false where there is no gatherer.
-func Home(own string, near map[string]float64, gatherers map[string][]string) (zone string, ok bool) {
+// another one is near many more; false where there is no gatherer. Of zones that are
+// equally near one is drawn: the searches of zones without replicas would all load the
+// replicas of one zone. random returns uniform numbers in [0, 1).
+func Home(own string, near map[string]float64, gatherers map[string][]string, random func() float64) (zone string, ok bool) {
+	score := func(z string) float64 {
+		if z == own {
+			return near[z] + worthwhile
+		}
+		return near[z]
+	}
 	best := math.Inf(-1)
 	for z, names := range gatherers {
-		if len(names) == 0 {
-			continue
+		if len(names) > 0 {
+			best = max(best, score(z))
 		}
-		score := near[z]
-		if z == own {
-			score += worthwhile
-		}
-		if score > best || score == best && z < zone {
-			zone, best, ok = z, score, true
+	}
+	var nearest []string
+	for z, names := range gatherers {
+		if len(names) > 0 && score(z) >= best-alike {
+			nearest = append(nearest, z)
 		}
 	}
-	return zone, ok
+	if len(nearest) == 0 {
+		return "", false
+	}
+	slices.Sort(nearest)
+	return nearest[int(random()*float64(len(nearest)))], true
 }
 
 // leastPart is the least number of shards that are handed over together. The hop takes
