Leave lines of the log to failures, count what is dropped

Cause: warnings and errors shared one budget of lines with routine, so a VM under load could drop the line that explains it; what was dropped stood only in the log itself.

Change: routine leaves a third of the burst to warnings and errors; spindle_log_lines_dropped_total counts both kinds on the metrics address.

Ruled out: a budget for each message: the messages are many and each rare.

--- a/cmd/sardinespindle/main.go
+++ b/cmd/sardinespindle/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/sardinespindle/sardinespindle/internal/daemon"
 	"github.com/sardinespindle/sardinespindle/internal/settings"
@@ -66,6 +67,9 @@
 	if err != nil {
 		return err
 	}
+	if err := lines.Register(d.Registerer()); err != nil {
+		return err
+	}
 	go follow(ctx, path, d, l)
 	if err := d.Run(ctx); err != nil {
 		return err
@@ -78,6 +82,7 @@
 // runner is a daemon of either kind.
 type runner interface {
 	Run(ctx context.Context) error
+	Registerer() prometheus.Registerer
 	// Reload takes the settings that may change while the process runs.
 	Reload(s *gen.Settings)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -84,6 +84,9 @@
 // Reload takes nothing: all settings of this kind of daemon hold until its end.
 func (d *Daemon) Reload(*settings.Settings) {}
 
+// Registerer takes metrics that are served with this daemon's own.
+func (d *Daemon) Registerer() prometheus.Registerer { return d.registry }
+
 // Run serves until the context ends, then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -197,6 +197,9 @@
 	return s
 }
 
+// Registerer takes metrics that are served with this daemon's own.
+func (f *Forwarder) Registerer() prometheus.Registerer { return f.registry }
+
 // Reload takes the seeds; the other settings hold until the end of the process.
 func (f *Forwarder) Reload(s *settings.Settings) { f.fleet.setSeeds(s.Fleet.Seeds) }
 
--- a/internal/telemetry/lines.go
+++ b/internal/telemetry/lines.go
@@ -1,10 +1,14 @@
 package telemetry
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 // Bounds of the lines that wait to be written.
@@ -14,6 +18,9 @@
 	// its log than on its callers.
 	linesPerSecond = 60
 	linesBurst     = 300
+	// routineReserve is the part of the burst that lines of routine leave to warnings and
+	// errors.
+	routineReserve = linesBurst / 3
 	// closeWait bounds how long the last lines may take.
 	closeWait = 200 * time.Millisecond
 )
@@ -30,8 +37,10 @@
 	waiting []byte
 	tokens  float64
 	at      time.Time
-	dropped int
+	dropped int // since the last line that was written
 	closed  bool
+
+	routineDropped, failureDropped atomic.Uint64
 }
 
 // NewLines returns a writer to out; each Write is one line.
@@ -50,8 +59,13 @@
 	now := time.Now()
 	l.tokens = min(linesBurst, l.tokens+linesPerSecond*now.Sub(l.at).Seconds())
 	l.at = now
-	if l.tokens < 1 || len(l.waiting)+len(p) > maxWaitingBytes || l.closed {
+	reserve, lost := 0.0, &l.failureDropped
+	if isRoutine(p) {
+		reserve, lost = routineReserve, &l.routineDropped
+	}
+	if l.tokens < 1+reserve || len(l.waiting)+len(p) > maxWaitingBytes || l.closed {
 		l.dropped++
+		lost.Add(1)
 		return len(p), nil
 	}
 	l.tokens--
@@ -64,6 +78,35 @@
 	return len(p), nil
 }
 
+// isRoutine reports whether a line is no warning and no error, in the format of either
+// kind of log.
+func isRoutine(line []byte) bool {
+	for _, level := range failureLevels {
+		if bytes.Contains(line, level) {
+			return false
+		}
+	}
+	return true
+}
+
+var failureLevels = [][]byte{
+	[]byte(`"level":"warn"`), []byte(`"level":"error"`), []byte("level=warn"), []byte("level=error"),
+}
+
+// Register registers the counts of dropped lines.
+func (l *Lines) Register(r prometheus.Registerer) error {
+	for kind, n := range map[string]*atomic.Uint64{"routine": &l.routineDropped, "failure": &l.failureDropped} {
+		err := r.Register(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "spindle_log_lines_dropped_total", Help: "Lines of the log that were not written, by kind.",
+			ConstLabels: prometheus.Labels{"kind": kind},
+		}, func() float64 { return float64(n.Load()) }))
+		if err != nil {
+			return fmt.Errorf("register log metrics: %w", err)
+		}
+	}
+	return nil
+}
+
 // rouse wakes the goroutine that writes. The lock is held.
 func (l *Lines) rouse() {
 	select {
--- a/internal/telemetry/lines_test.go
+++ b/internal/telemetry/lines_test.go
@@ -4,13 +4,17 @@
 	"bytes"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/sardinespindle/sardinespindle/internal/telemetry"
+	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
 )
 
 // safe is a buffer for two goroutines.
@@ -57,4 +61,36 @@
 		Expect(bytes.Count([]byte(out.text()), []byte("\n"))).To(BeNumerically("<", 400))
 		l.Close()
 	})
+
+	It("writes failures while routine is dropped, and counts both", func() {
+		out := &safe{}
+		l := telemetry.NewLines(out)
+		registry := prometheus.NewRegistry()
+		Expect(l.Register(registry)).To(Succeed())
+		for i := range 1000 {
+			fmt.Fprintf(l, `{"level":"info","msg":"request","n":%d}`+"\n", i)
+		}
+		for i := range 50 {
+			fmt.Fprintf(l, `{"level":"warn","msg":"source lost","n":%d}`+"\n", i)
+		}
+		l.Close()
+		Expect(strings.Count(out.text(), "source lost")).To(Equal(50))
+		Expect(strings.Count(out.text(), `"request"`)).To(BeNumerically("<", 300))
+		families, err := registry.Gather()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(families[0].GetName()).To(Equal("spindle_log_lines_dropped_total"))
+		Expect(families[0].GetMetric()).To(HaveLen(2))
+	})
 })
+
+// BenchmarkLine is the log's cost of one decision of a request.
+func BenchmarkLine(b *testing.B) {
+	l, err := telemetry.Logger(telemetry.NewLines(io.Discard), &settings.Log{Level: settings.LogLevelInfo, Format: settings.LogFormatJson}, "vm")
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		l.Info("request", "id", "64c3b2f1", "route", "find", "outcome", "answered", "reason", "", "detail", "slow:2",
+			"took_ms", 182, "sent", 20, "shed", 0, "retry_after_ms", 0, "version", 13, "covered", 18, "shards", 20)
+	}
+}
