Let callers of the soak leave, and look for what goes on after them

Change: a tenth of the soak's callers leave after 10 to 400 ms; requests that reach servers over half a second later, and servers that work on, are counted.

Ruled out: nothing; a check that was missing.

--- a/internal/bench/soak_callers.go
+++ b/internal/bench/soak_callers.go
@@ -22,7 +22,9 @@
 	// keepShare is the part of the requests that go on using a VM that is stopping: callers
 	// keep their connections until the process is gone.
 	keepShare = 0.3
-	readyLook = time.Second
+	// leaveShare is the part of the callers that leave before their time is over.
+	leaveShare = 0.1
+	readyLook  = time.Second
 )
 
 // soakSeen is what a caller saw of a request.
@@ -30,6 +32,8 @@
 	id, kind  string
 	vm        *soakVM
 	sent, end time.Time
+	patience  time.Duration // after which the caller leaves; 0 for never
+	left      time.Time     // when it left
 	status    int
 	header    http.Header
 	body      string
@@ -57,6 +61,9 @@
 		default:
 			q.kind = "order"
 		}
+		if rng.Float64() < leaveShare {
+			q.patience = between(rng, 10, 400)
+		}
 		wg.Go(func() { s.ask(client, q) })
 	}
 	wg.Wait()
@@ -106,7 +113,17 @@
 	if q.kind == "order" {
 		method = http.MethodPost
 	}
-	req, err := http.NewRequest(method, "http://"+s.callers(q.vm)+path, strings.NewReader("body of "+q.id)) //nolint:noctx // bounded by the client
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	if q.patience > 0 {
+		impatient := time.AfterFunc(q.patience, leave)
+		defer func() {
+			if !impatient.Stop() {
+				q.left = time.Now()
+			}
+		}()
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.callers(q.vm)+path, strings.NewReader("body of "+q.id))
 	if err != nil {
 		q.err = err
 		return
--- a/internal/bench/soak_check.go
+++ b/internal/bench/soak_check.go
@@ -32,6 +32,8 @@
 	endedByItself = "ended_by_itself"
 	uncleanStop   = "unclean_stop"
 	notRecovered  = "not_recovered"
+	sentAfterGone = "sent_after_gone" // requests reach servers long after their callers have left
+	workAfterGone = "work_after_gone" // servers go on with requests whose callers have left
 )
 
 // Bounds of the checks, as the users publish them.
@@ -45,13 +47,19 @@
 	// soakSpared is how many requests may go to more servers, since some of those ended.
 	soakSpared = 3
 	recordSize = 16
+	// goneWithin is how soon a caller's leaving has to reach the servers, goneSpared how many
+	// requests may be sent later, and goneShare the part that may be worked on for longer.
+	goneWithin = 500 * time.Millisecond
+	goneSpared = 3
+	goneShare  = 0.25
 )
 
 // arrival is a request that reached a server.
 type arrival struct {
 	id, service, server string
-	at                  time.Time
+	at, end             time.Time // end is zero while the server works on it
 	deadline            time.Duration
+	lasts               time.Duration // what the work takes if nobody ends it
 	ran                 bool
 }
 
@@ -59,8 +67,8 @@
 type evidence struct {
 	mu       sync.Mutex
 	seen     map[string]*soakSeen
-	arrivals map[string][]arrival // by request
-	births   map[string]time.Time // of servers
+	arrivals map[string][]*arrival // by request
+	births   map[string]time.Time  // of servers
 	drains   map[string]time.Time
 	faults   map[string]int
 	broken   map[string]int
@@ -69,7 +77,7 @@
 
 func newEvidence() *evidence {
 	return &evidence{
-		seen: map[string]*soakSeen{}, arrivals: map[string][]arrival{}, births: map[string]time.Time{},
+		seen: map[string]*soakSeen{}, arrivals: map[string][]*arrival{}, births: map[string]time.Time{},
 		drains: map[string]time.Time{}, faults: map[string]int{}, broken: map[string]int{},
 	}
 }
@@ -106,13 +114,19 @@
 	e.drains[id] = time.Now()
 }
 
-func (e *evidence) arrived(a arrival) {
+// arrived takes in what reached a server; the function returned, that the server is done.
+func (e *evidence) arrived(a arrival) (done func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.arrivals[a.id] = append(e.arrivals[a.id], a)
+	e.arrivals[a.id] = append(e.arrivals[a.id], &a)
 	if a.deadline <= 0 || a.deadline > soakDeadline {
 		e.violateLocked(overTime, "%s at %s with %v, the caller has %v", a.id, a.server, a.deadline, soakDeadline)
 	}
+	return func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		a.end = time.Now()
+	}
 }
 
 // answered reports whether a request got its answer.
@@ -203,6 +217,7 @@
 		}
 	}
 	e.drainChecks(outages)
+	e.goneChecks()
 	e.budgets()
 	r.Examples = e.examples
 	return r
@@ -223,7 +238,7 @@
 	}
 	took := q.end.Sub(q.sent)
 	away := q.vm.wasAway(q.sent, q.end)
-	if took > soakDeadline+soakLate && !away {
+	if took > soakDeadline+soakLate && !away && q.left.IsZero() {
 		e.violateLocked(lateReply, "%s of %s through %s: %v, %v", q.kind, id, q.vm.name, took.Round(time.Millisecond), q.err)
 	}
 	lost := errors.Is(q.err, io.EOF) || errors.Is(q.err, io.ErrUnexpectedEOF) || errors.Is(q.err, syscall.ECONNRESET)
@@ -268,12 +283,42 @@
 	}
 }
 
+// goneChecks looks for what goes on after callers have left, through VMs that were not away.
+// The lock is held.
+func (e *evidence) goneChecks() {
+	sent, lasting, worked := 0, 0, 0
+	for id, q := range e.seen {
+		if q.left.IsZero() || q.vm.wasAway(q.sent, q.left.Add(goneWithin)) {
+			continue
+		}
+		by := q.left.Add(goneWithin)
+		for _, a := range e.arrivals[id] {
+			if a.at.After(by) {
+				sent++
+			}
+			if q.kind == "order" || !a.ran || !a.at.Add(a.lasts).After(by) {
+				continue
+			}
+			lasting++
+			if a.end.IsZero() || a.end.After(by) {
+				worked++
+			}
+		}
+	}
+	if sent > goneSpared {
+		e.violateLocked(sentAfterGone, "%d requests reached servers over %v after their callers had left", sent, goneWithin)
+	}
+	if worked > goneSpared && float64(worked) > goneShare*float64(lasting) {
+		e.violateLocked(workAfterGone, "%d of %d requests were worked on over %v after their callers had left", worked, lasting, goneWithin)
+	}
+}
+
 // budgets checks the arrivals beyond the first of each request in every window. The lock is
 // held.
 func (e *evidence) budgets() {
 	firsts, extra := map[string][]time.Time{}, map[string][]time.Time{}
 	for _, list := range e.arrivals {
-		slices.SortFunc(list, func(a, b arrival) int { return a.at.Compare(b.at) })
+		slices.SortFunc(list, func(a, b *arrival) int { return a.at.Compare(b.at) })
 		met := map[string]bool{}
 		for _, a := range list {
 			if met[a.service] {
--- a/internal/bench/soak_servers.go
+++ b/internal/bench/soak_servers.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -79,9 +80,11 @@
 	sv.s.store.Put(standin.EntryKey(n.ID), n.Entry(sv.address, state))
 }
 
-// ServeHTTP implements http.Handler.
+// ServeHTTP implements http.Handler. It reads the body first, so that net/http sees the
+// connection close.
 func (sv *soakServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n, m := sv.now.Load(), *sv.mood.Load()
+	_, _ = io.Copy(io.Discard, r.Body) // a body that breaks off has no reader either
 	if want := r.Header.Get(platform.Wire.Identity); want != "" && want != n.ID {
 		standin.Refuse(w, http.StatusMisdirectedRequest)
 		return
@@ -98,9 +101,14 @@
 		standin.Refuse(w, http.StatusServiceUnavailable)
 		return
 	}
-	a.ran = true
-	sv.s.evidence.arrived(a)
-	time.Sleep(soakWork + m.Slow)
+	a.ran, a.lasts = true, soakWork+m.Slow
+	done := sv.s.evidence.arrived(a)
+	defer done()
+	select {
+	case <-time.After(a.lasts):
+	case <-r.Context().Done():
+		return // the VM has closed the connection
+	}
 	switch {
 	case m.Fail:
 		n.Sign(w, a.id)
--- a/internal/bench/soak_test.go
+++ b/internal/bench/soak_test.go
@@ -93,4 +93,15 @@
 		}
 		Expect(e.result(1, nil).Violations).To(HaveKey(overBudget))
 	})
+
+	It("counts what goes on after callers have left", func() {
+		e := newEvidence()
+		for i := range 10 {
+			id := fmt.Sprint(i)
+			e.saw(&soakSeen{id: id, kind: "read", vm: vm, sent: at, end: at, left: at, err: errors.New("left")})
+			e.arrived(arrival{id: id, server: "early", at: at, deadline: time.Second, ran: true, lasts: 3 * time.Second})
+			e.arrived(arrival{id: id, server: "late", at: at.Add(time.Second), deadline: time.Second})
+		}
+		Expect(e.result(1, nil).Violations).To(And(HaveKey(sentAfterGone), HaveKey(workAfterGone)))
+	})
 })
