Take an attempt that reached no upstream for none in the budget of repeats

Cause: a shard whose first attempt got no connection was asked at another replica only if the budget of repeats paid for it.

Change: the first attempt that may have reached a replica is free, as the users count arrivals. A first attempt that was not paid for is logged as "no_budget", not as "no_replica".

Ruled out: charging half: nothing arrives, so nothing is owed.

Measured: internal/gather "asks another replica for nothing where the first was not reached", which failed before.

--- a/internal/gather/handle.go
+++ b/internal/gather/handle.go
@@ -20,6 +20,9 @@
 	}
 	sh.flying = slices.DeleteFunc(sh.flying, func(a *attempt) bool { return a == at })
 	q.account(&at.result)
+	if at.result.Class != upstream.NotSent {
+		sh.arrived++
+	}
 	switch {
 	case at.result.Class != upstream.OK:
 		q.failed(sh, at, at.result.Class)
--- a/internal/gather/pass.go
+++ b/internal/gather/pass.go
@@ -1,6 +1,7 @@
 package gather
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -73,13 +74,16 @@
 			expected = plan.Never
 		}
 		tickets[i], s.Expected[i] = t, expected
+		if errors.Is(err, errUnpaid) {
+			sh.cause = "no_budget"
+		}
 	}
 	v := plan.Decide(s)
 	q.after = max(q.after, v.Late)
 	for i, sh := range q.plan {
 		switch t := tickets[i]; {
 		case t == nil:
-			sh.given, sh.cause = true, "no_replica"
+			sh.given, sh.cause = true, cmp.Or(sh.cause, "no_replica")
 		case v.Ask[i] && !v.Refuse:
 			q.send(sh, t, q.wanted, false)
 		default:
@@ -200,8 +204,8 @@
 // mostSends is the most attempts of one shard, with those that a replica refused.
 const mostSends = 4
 
-// repeat sends the shard's request to one more replica, with what the reserve leaves of
-// the budget.
+// repeat sends the shard's request to one more replica, paid with what the reserve leaves
+// of the budget where the shard may have had it before.
 func (q *query) repeat(sh *shard, reserve float64) bool {
 	p := q.s.Pass
 	now := time.Now()
@@ -213,8 +217,10 @@
 		return false
 	}
 	reach := q.counts[covered] + q.counts[open]
+	// What reached no replica was no attempt, so the next one is the first.
+	repeats := sh.arrived > 0 || len(sh.flying) > 0
 	if !plan.WorthRepeat(expected, p.AnswerAt.Sub(now), reach, q.needPassed()) ||
-		!p.Repeat(string(sh.workload.Name), reserve) {
+		repeats && !p.Repeat(string(sh.workload.Name), reserve) {
 		t.Cancel()
 		return false
 	}
--- a/internal/gather/pass_test.go
+++ b/internal/gather/pass_test.go
@@ -77,6 +77,25 @@
 		Expect(f.total()).To(BeZero())
 	})
 
+	// The load: a fleet that starts at once finds upstreams full of connections that it left
+	// behind, and its budget is spent.
+	It("asks another replica for nothing where the first was not reached", func() {
+		for i := range 3 {
+			f.serve[fmt.Sprintf("s%d-a", i)] = func(context.Context, upstream.Attempt) upstream.Result {
+				return upstream.Result{Class: upstream.NotSent, Err: errNone}
+			}
+		}
+		s := passed(time.Second, 2*time.Second)
+		s.Pass.Repeat = func(string, float64) bool { return false }
+		Expect(run(s).Kind).To(Equal(caller.OutcomeAnswered))
+	})
+
+	It("says that a search which another VM may have sent has no budget left", func() {
+		s := passed(time.Second, 2*time.Second)
+		s.Pass.Resent, s.Pass.Repeat = true, func(string, float64) bool { return false }
+		Expect(run(s).Detail).To(ContainSubstring("no_budget:3"))
+	})
+
 	It("repeats lost replies, but not of a request that ends its upstreams", func() {
 		lost := func(crashed bool) func(context.Context, upstream.Attempt) upstream.Result {
 			return func(context.Context, upstream.Attempt) upstream.Result {
