Count only attempts that reached an upstream against a single request

Cause: attempts that got no connection counted against the most upstreams of a request and were paid for as repeats, so an order that found two upstreams full was given up though none had seen it.

Change: the bound and the budget count what reached an upstream; at most six attempts are begun.

Ruled out: no bound at all: an upstream that accepts and resets would be tried for the whole deadline.

--- a/internal/single/pass.go
+++ b/internal/single/pass.go
@@ -30,7 +30,7 @@
 func (r *Runner) runPassed(ctx context.Context, q Request) outcome.Outcome {
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
-	run := &passRun{Runner: r, q: q, results: make(chan upstream.Result, max(q.Pass.Attempts, 1))}
+	run := &passRun{Runner: r, q: q, results: make(chan upstream.Result, mostStarts)}
 	if !run.start(ctx, false) {
 		return outcome.NotRun(outcome.NoUpstream, fmt.Sprintf("nothing sent: %v", run.refusal), comeBack)
 	}
@@ -68,9 +68,14 @@
 	refusal error // why the last attempt was not started
 }
 
+// mostStarts bounds the attempts with those that reach no upstream.
+const mostStarts = 6
+
 // start makes one more attempt, if attempts, budget and upstreams allow.
 func (p *passRun) start(ctx context.Context, hedged bool) bool {
-	if p.tries.made >= max(p.q.Pass.Attempts, 1) {
+	// What reached no upstream was no attempt, so the next one is the first.
+	attempts := p.tries.cost.Sent + p.flying
+	if attempts >= max(p.q.Pass.Attempts, 1) || p.tries.made >= mostStarts {
 		return false
 	}
 	t, _, err := p.o.Upstream.PickPassed(p.q.Workload, p.q.Pass.Route, p.tries.excluded)
@@ -78,7 +83,7 @@
 		p.refusal = err
 		return false
 	}
-	if p.tries.made > 0 && !p.q.Pass.Repeat() {
+	if attempts > 0 && !p.q.Pass.Repeat() {
 		t.Cancel()
 		return false
 	}
