Learn what is published from the first VMs of the own zone

A source that had gone silent cost a wait of 1.5 s in each round of pulls.

Change: the first two VMs of each zone by rank pull from the readers, others from these, then from the readers. A source that failed is asked last for 5 s.

Ruled out: more readers: calls of the store are paid for each.

Conclusion: knowledge may be one hop older; the bound of its age, 2.5 s, holds for each hop's source as before.

--- a/internal/catalog/sync.go
+++ b/internal/catalog/sync.go
@@ -45,6 +45,8 @@
 	pullWait = time.Second
 	// staleAfter is the age of a peer's knowledge from which another source is asked.
 	staleAfter = 2500 * time.Millisecond
+	// failedFor is how long a source that failed is asked last: a few looks at the members.
+	failedFor = 5 * time.Second
 	// retryPause is the mean pause after a source failed, and directPause that between
 	// two reads of the store by a VM that is no reader.
 	retryPause  = 200 * time.Millisecond
@@ -58,36 +60,39 @@
 	Mirror *Mirror
 	Source Source
 	Peers  Peers
-	// Readers returns the VMs that read the store for the others, the preferred first,
-	// and whether this VM is one of them.
-	Readers func() (vms []string, self bool)
+	// Sources returns the VMs to learn from, the preferred first, and whether this VM reads
+	// the store itself.
+	Sources func() (vms []string, self bool)
 	// Blind is told whether the store answers this VM.
 	Blind func(blind bool)
 	Now   func() time.Duration
 	Log   *log.Logger
 }
 
-// Sync keeps a mirror up to date: readers follow the store, and other VMs follow a
-// reader. Run uses it from one goroutine.
+// Sync keeps a mirror up to date: readers follow the store, and other VMs follow another
+// VM. Run uses it from one goroutine.
 type Sync struct {
 	o        SyncOptions
 	directAt time.Duration // last read of the store by a VM that is no reader
 	source   string        // the last source, for the log
 	failing  string        // the source that failed last, for the log
+	failedAt map[string]time.Duration
 }
 
 // NewSync returns a Sync.
-func NewSync(o SyncOptions) *Sync { return &Sync{o: o, directAt: -directPause} }
+func NewSync(o SyncOptions) *Sync {
+	return &Sync{o: o, directAt: -directPause, failedAt: map[string]time.Duration{}}
+}
 
 // Run follows the sources until ctx ends.
 func (s *Sync) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		readers, self := s.o.Readers()
-		if self || len(readers) == 0 {
+		sources, self := s.o.Sources()
+		if self || len(sources) == 0 {
 			s.follow(ctx)
 			continue
 		}
-		if !s.pullAny(ctx, readers) {
+		if !s.pullAny(ctx, s.order(sources)) {
 			s.direct(ctx)
 		}
 	}
@@ -141,12 +146,32 @@
 	return s.o.Source.Read(ctx)
 }
 
-// pullAny pulls from the first reader that answers and is up to date.
-func (s *Sync) pullAny(ctx context.Context, readers []string) bool {
-	for _, vm := range readers {
+// order puts the sources last that failed of late: one that is silent costs a whole wait.
+func (s *Sync) order(sources []string) []string {
+	now := s.o.Now()
+	for vm, at := range s.failedAt {
+		if now-at > failedFor {
+			delete(s.failedAt, vm)
+		}
+	}
+	sound, failed := []string{}, []string{}
+	for _, vm := range sources {
+		if _, ok := s.failedAt[vm]; ok {
+			failed = append(failed, vm)
+		} else {
+			sound = append(sound, vm)
+		}
+	}
+	return append(sound, failed...)
+}
+
+// pullAny pulls from the first source that answers and is up to date.
+func (s *Sync) pullAny(ctx context.Context, sources []string) bool {
+	for _, vm := range sources {
 		u, err := s.pull(ctx, vm)
 		if err != nil {
 			s.lost(vm, err)
+			s.failedAt[vm] = s.o.Now()
 			continue
 		}
 		if u.Revision > 0 {
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -205,9 +205,11 @@
 	}
 }
 
-// readers returns the VMs that read the store, those of the own zone first. VMs that the
+// sources returns the VMs that this one learns from what is published, and whether it reads
+// the store itself: the first VMs of each zone ask the readers, others the first of their
+// zone and only then the readers, so that the bytes cross between zones once. VMs that the
 // store does not answer come into it only where it answers none.
-func (f *fleet) readers() (vms []string, self bool) {
+func (f *fleet) sources() (vms []string, self bool) {
 	blind := map[string]bool{}
 	for _, fact := range f.node.Facts().List(blindKey) {
 		blind[fact.VM()] = fact.Value == isBlind
@@ -217,16 +219,5 @@
 	if len(seeing) == 0 {
 		seeing = all
 	}
-	ranked := delegate.Rank(seeing)
-	for _, vm := range ranked[:min(len(ranked), mostReaders)] {
-		switch {
-		case vm.Name == f.self.Name:
-			self = true
-		case vm.Zone == f.self.Zone:
-			vms = append([]string{vm.Name}, vms...)
-		default:
-			vms = append(vms, vm.Name)
-		}
-	}
-	return vms, self
+	return delegate.Sources(f.self, seeing, mostReaders)
 }
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -84,7 +84,7 @@
 		Mirror:  f.mirror,
 		Source:  platform.NewStore(string(f.s.Platform.Addresses[0]), storeTransport(ip)),
 		Peers:   f.node,
-		Readers: f.fleet.readers,
+		Sources: f.fleet.sources,
 		Blind:   f.fleet.setBlind,
 		Now:     clock.Boot,
 		Log:     f.log,
--- a/internal/policy/delegate/delegate_test.go
+++ b/internal/policy/delegate/delegate_test.go
@@ -48,6 +48,27 @@
 	})
 })
 
+var _ = Describe("Sources", func() {
+	vms := []delegate.VM{
+		{Name: "a1", Zone: "a", Capacity: 4}, {Name: "a2", Zone: "a", Capacity: 1}, {Name: "a3", Zone: "a", Capacity: 0.5},
+		{Name: "b1", Zone: "b", Capacity: 3}, {Name: "b2", Zone: "b", Capacity: 0.9}, {Name: "b3", Zone: "b", Capacity: 0.8},
+		{Name: "c1", Zone: "c", Capacity: 2}, {Name: "c2", Zone: "c", Capacity: 1.5}, {Name: "c3", Zone: "c", Capacity: 0.1},
+	}
+	DescribeTable("are the readers for the first of a zone, and these for the others",
+		func(name, zone string, want []string, reads bool) {
+			names, self := delegate.Sources(delegate.VM{Name: name, Zone: zone}, vms, 2)
+			Expect(self).To(Equal(reads))
+			Expect(names).To(Equal(want))
+		},
+		Entry("a reader", "a1", "a", []string{"b1"}, true),
+		Entry("the first of a zone without a reader", "c1", "c", []string{"a1", "b1"}, false),
+		Entry("the second of a zone with a reader", "b2", "b", []string{"b1", "a1"}, false),
+		Entry("another of a zone without a reader", "c3", "c", []string{"c1", "c2", "a1", "b1"}, false),
+		Entry("another of a zone with a reader", "a3", "a", []string{"a1", "a2", "b1"}, false),
+		Entry("one alone in its zone", "d1", "d", []string{"a1", "b1"}, false),
+	)
+})
+
 var _ = Describe("Gatherers", func() {
 	fleet := func(small, large int) []delegate.VM {
 		var vms []delegate.VM
--- a/internal/policy/delegate/gatherers.go
+++ b/internal/policy/delegate/gatherers.go
@@ -53,6 +53,35 @@
 	return ranked
 }
 
+// Sources returns the VMs from which one VM learns what is published, the preferred first,
+// and whether it is among the readers, who read the platform's store. The first VMs of each
+// zone, as many as there are readers, learn from these, others from the first of their zone:
+// bytes cross between zones once.
+func Sources(self VM, vms []VM, readers int) (names []string, reads bool) {
+	ranked := Rank(vms)
+	first := ranked[:min(len(ranked), readers)]
+	zone := slices.DeleteFunc(slices.Clone(ranked), func(vm VM) bool { return vm.Zone != self.Zone })
+	zone = zone[:min(len(zone), readers)]
+	in := func(list []VM, name string) bool {
+		return slices.ContainsFunc(list, func(vm VM) bool { return vm.Name == name })
+	}
+	if !in(zone, self.Name) {
+		for _, vm := range zone {
+			names = append(names, vm.Name)
+		}
+	}
+	for _, vm := range first {
+		switch {
+		case slices.Contains(names, vm.Name) || vm.Name == self.Name:
+		case vm.Zone == self.Zone:
+			names = append([]string{vm.Name}, names...)
+		default:
+			names = append(names, vm.Name)
+		}
+	}
+	return names, in(first, self.Name)
+}
+
 // alike is the share of the shards by which zones may differ and count as equally near:
 // one server of ten that is being replaced.
 const alike = 0.1
