Let hedges spend what failures of late do not need

Cause: hedges left 0.6 of each VM's budget to failed requests, whether any came or not.

Change: hedges leave two tokens for each repeat of a failed request of late (half-life 3 s), at most 0.6 as before. The log says why a shard that is slow was not asked once more.

Ruled out: a fixed smaller reserve (refusals of half of the upstreams need it: model "shed"), asking again once the answer is late (tried before).

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -252,12 +252,16 @@
 // defaultWait bounds a request that neither its caller nor its route bounds.
 const defaultWait = 30 * time.Second
 
-// repeat pays for one attempt beyond the first at a service, with what the reserve
-// leaves.
-func (s *Server) repeat(service string, reserve float64) (paid bool) {
+// repeat pays for one attempt beyond the first at a service, because the first is slow
+// (hedge) or failed.
+func (s *Server) repeat(service string, hedge bool) (paid bool) {
 	now, vms := s.o.Now(), s.o.VMs(service)
 	s.budgets.Do(service, func(b *repeat.Bucket) {
-		paid = b.Fill(now, s.o.Repeats, vms) >= reserve && b.Take(now, s.o.Repeats, vms)
+		if hedge {
+			paid = b.TakeHedge(now, s.o.Repeats, vms)
+		} else {
+			paid = b.Take(now, s.o.Repeats, vms)
+		}
 	})
 	if paid {
 		s.metrics.repeats.Inc()
@@ -318,7 +322,7 @@
 			Idempotent: q.route.Idempotent,
 			HedgeAfter: share(q.objective(), hedgeSingle),
 			Attempts:   q.route.Attempts,
-			Repeat:     func() bool { return s.repeat(q.service, 0) },
+			Repeat:     func(hedge bool) bool { return s.repeat(q.service, hedge) },
 		},
 	})
 }
--- a/internal/gather/pass.go
+++ b/internal/gather/pass.go
@@ -41,9 +41,9 @@
 	Resent bool
 	// Returning says that the caller was refused before.
 	Returning bool
-	// Repeat pays for one attempt beyond a shard's first; false where the budget of the
-	// shard's service is spent, but for a reserve, as a share of it.
-	Repeat func(service string, reserve float64) bool
+	// Repeat pays for one attempt beyond a shard's first, because the first is slow (hedge)
+	// or failed; false where the budget of the shard's service has none left for that.
+	Repeat func(service string, hedge bool) bool
 }
 
 // place sets which workload's upstreams serve the shard.
@@ -66,7 +66,7 @@
 	}
 	for i, sh := range q.plan {
 		t, expected, err := q.pickPassed(sh)
-		if err == nil && q.s.Pass.Resent && !q.s.Pass.Repeat(sh.name, 0) {
+		if err == nil && q.s.Pass.Resent && !q.s.Pass.Repeat(sh.name, false) {
 			t.Cancel()
 			t, err = nil, errUnpaid
 		}
@@ -116,7 +116,7 @@
 		return
 	}
 	sh.hedged = true
-	if q.repeat(sh, plan.HedgeReserve) {
+	if q.repeat(sh, true) {
 		q.counters.hedged.Inc()
 	}
 }
@@ -138,7 +138,7 @@
 		q.touch(sh)
 		return
 	}
-	if q.repeat(sh, 0) {
+	if q.repeat(sh, false) {
 		q.counters.retried.Inc()
 		return
 	}
@@ -204,28 +204,41 @@
 // mostSends is the most attempts of one shard, with those that a replica refused.
 const mostSends = 4
 
-// repeat sends the shard's request to one more replica, paid with what the reserve leaves
-// of the budget where the shard may have had it before.
-func (q *query) repeat(sh *shard, reserve float64) bool {
+// repeat sends the shard's request to one more replica, paid for where the shard may have
+// had it before. Where it does not, the shard holds the reason.
+func (q *query) repeat(sh *shard, hedge bool) bool {
+	t, denied := q.another(sh, hedge)
+	if denied != "" {
+		sh.denied = denied
+		return false
+	}
+	q.send(sh, t, q.wanted, hedge)
+	return true
+}
+
+// another picks a replica for one more attempt, or says why there is none.
+func (q *query) another(sh *shard, hedge bool) (t Ticket, denied string) {
 	p := q.s.Pass
 	now := time.Now()
 	if sh.ran >= p.Attempts || len(sh.tried) >= mostSends || !now.Before(p.GiveUpAt) {
-		return false
+		return nil, "attempts"
 	}
 	t, expected, err := q.pickPassed(sh)
 	if err != nil {
-		return false
+		return nil, "replica"
 	}
 	reach := q.counts[covered] + q.counts[open]
+	if !plan.WorthRepeat(expected, p.AnswerAt.Sub(now), reach, q.needPassed()) {
+		t.Cancel()
+		return nil, "late"
+	}
 	// What reached no replica was no attempt, so the next one is the first.
 	repeats := sh.arrived > 0 || len(sh.flying) > 0
-	if !plan.WorthRepeat(expected, p.AnswerAt.Sub(now), reach, q.needPassed()) ||
-		repeats && !p.Repeat(string(sh.workload.Name), reserve) {
+	if repeats && !p.Repeat(string(sh.workload.Name), hedge) {
 		t.Cancel()
-		return false
+		return nil, "budget"
 	}
-	q.send(sh, t, q.wanted, reserve > 0)
-	return true
+	return t, ""
 }
 
 // passedReply takes in a shard's part.
@@ -292,7 +305,7 @@
 		switch {
 		case sh.class == covered:
 		case sh.cause == "" || len(sh.flying) > 0:
-			counts["slow"]++
+			counts[slowCause(sh)]++
 		default:
 			counts[sh.cause]++
 		}
@@ -304,6 +317,15 @@
 	return strings.Join(out, " ")
 }
 
+// slowCause tells of a shard that has not answered whether it was asked once more, and why
+// not.
+func slowCause(sh *shard) string {
+	if sh.denied == "" || len(sh.flying) > 1 {
+		return "slow"
+	}
+	return "slow_no_" + sh.denied
+}
+
 // failPassed is the outcome of a search that cannot reach the least share of shards.
 func (q *query) failPassed() outcome.Outcome {
 	cov := caller.Coverage{ShardsTotal: len(q.plan), ShardsCovered: q.counts[covered]}
--- a/internal/gather/pass_test.go
+++ b/internal/gather/pass_test.go
@@ -45,7 +45,7 @@
 		Pass: &gather.Pass{
 			Request: &upstream.Passed{ID: "id"}, Shards: shards, Top: 5, Minimum: 1, Attempts: 2,
 			AnswerAt: now.Add(objective), GiveUpAt: now.Add(most), HedgeAfter: most,
-			Repeat: func(string, float64) bool { return true },
+			Repeat: func(string, bool) bool { return true },
 		},
 	}
 }
@@ -86,13 +86,13 @@
 			}
 		}
 		s := passed(time.Second, 2*time.Second)
-		s.Pass.Repeat = func(string, float64) bool { return false }
+		s.Pass.Repeat = func(string, bool) bool { return false }
 		Expect(run(s).Kind).To(Equal(caller.OutcomeAnswered))
 	})
 
 	It("says that a search which another VM may have sent has no budget left", func() {
 		s := passed(time.Second, 2*time.Second)
-		s.Pass.Resent, s.Pass.Repeat = true, func(string, float64) bool { return false }
+		s.Pass.Resent, s.Pass.Repeat = true, func(string, bool) bool { return false }
 		Expect(run(s).Detail).To(ContainSubstring("no_budget:3"))
 	})
 
--- a/internal/gather/query.go
+++ b/internal/gather/query.go
@@ -112,6 +112,7 @@
 	cause     string // why a passed search has no part of it
 	refusedBy string // the replica that last refused a passed attempt
 	ran       int    // passed attempts that were not refused
+	denied    string // why the last repeat of a passed attempt was not sent
 	arrived   int    // attempts that have ended and may have reached a replica
 
 	hedgeTries int
--- a/internal/policy/plan/model_test.go
+++ b/internal/policy/plan/model_test.go
@@ -399,23 +399,24 @@
 		s.parts++
 	}
 	if !ok && !sh.covered && sh.flying == 0 {
-		s.repeat(sh, 0)
+		s.repeat(sh, false)
 		s.revive()
 	}
 	s.decide()
 }
 
 // repeat sends a shard's request to the other upstream, if the budget allows.
-func (s *searchModel) repeat(sh *shardModel, reserve float64) {
+func (s *searchModel) repeat(sh *shardModel, hedge bool) {
 	u, expected := s.vm.pick(s.k, sh)
 	if u == nil || !plan.WorthRepeat(expected, s.answerAt()-s.vm.w.now, s.parts+s.live(), s.need) {
 		return
 	}
 	b := &s.vm.budgets[sh.n]
-	if b.Fill(s.vm.w.now, fleetLimits, len(s.vm.w.vms)) < reserve {
-		return
+	take := b.Take
+	if hedge {
+		take = b.TakeHedge
 	}
-	if !b.Take(s.vm.w.now, fleetLimits, len(s.vm.w.vms)) {
+	if !take(s.vm.w.now, fleetLimits, len(s.vm.w.vms)) {
 		return
 	}
 	s.send(sh, u)
@@ -448,7 +449,7 @@
 	}
 	for _, sh := range s.shards {
 		if !sh.covered && sh.flying == 1 && len(sh.tried) == 1 {
-			s.repeat(sh, plan.HedgeReserve)
+			s.repeat(sh, true)
 		}
 	}
 }
--- a/internal/policy/plan/plan.go
+++ b/internal/policy/plan/plan.go
@@ -86,10 +86,6 @@
 	return expected != Never && (expected <= left || reach < need)
 }
 
-// HedgeReserve is the part of a budget of repeats that hedges leave: a refused request is
-// lost without a repeat, a slow one may still be answered.
-const HedgeReserve = 0.6
-
 // jitter is the relative error by which costs are spread, so that VMs that see the same
 // do not all go to the same replica.
 const jitter = 0.3
--- a/internal/policy/repeat/repeat.go
+++ b/internal/policy/repeat/repeat.go
@@ -3,7 +3,10 @@
 // that it sees itself. The package is pure; a Bucket is guarded by its owner.
 package repeat
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Limits bound the repeats of one service in any window, summed over the fleet.
 type Limits struct {
@@ -25,14 +28,24 @@
 	// burstShare is the part of the slack that may be spent at once; the rest comes
 	// back over the window.
 	burstShare = 0.6
+	// hedgeReserve is the most of the burst that hedges leave: a refused or lost request is
+	// lost without a repeat, a slow one may still be answered.
+	hedgeReserve = 0.6
+	// keepEach is how many tokens hedges leave for each repeat of a failed request of late,
+	// and failuresForget the time in which such a repeat counts half. Where nothing fails,
+	// hedges may spend all: shards whose upstreams have gone silent need no other repeats.
+	keepEach       = 2
+	failuresForget = 3 * time.Second
 )
 
 // Bucket holds one VM's tokens for one service. The zero value is a VM that has just
 // started.
 type Bucket struct {
-	tokens  float64
-	at      time.Duration
-	started bool
+	tokens   float64
+	at       time.Duration
+	started  bool
+	failures float64 // repeats of failed requests of late
+	failedAt time.Duration
 }
 
 // Earn pays for one request at now, where vms VMs share the limits.
@@ -41,9 +54,10 @@
 	b.tokens = min(b.tokens+margin*l.Ratio, burst(l, vms))
 }
 
-// Take takes one token at now; false where none is left.
+// Take takes one token at now for a request that failed; false where none is left.
 func (b *Bucket) Take(now time.Duration, l Limits, vms int) bool {
 	b.refill(now, l, vms)
+	b.failures, b.failedAt = b.lately(now)+1, now
 	if b.tokens < 1 {
 		return false
 	}
@@ -51,10 +65,21 @@
 	return true
 }
 
-// Fill returns how full the bucket is, 0 to 1.
-func (b *Bucket) Fill(now time.Duration, l Limits, vms int) float64 {
+// TakeHedge takes one token at now for a request that is slow; false where that would
+// leave too few for those that fail.
+func (b *Bucket) TakeHedge(now time.Duration, l Limits, vms int) bool {
 	b.refill(now, l, vms)
-	return min(1, b.tokens/burst(l, vms))
+	keep := min(hedgeReserve*burst(l, vms), keepEach*b.lately(now))
+	if b.tokens < max(1, keep) {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// lately returns how many repeats of failed requests count at now.
+func (b *Bucket) lately(now time.Duration) float64 {
+	return b.failures * math.Exp2(-float64(max(now-b.failedAt, 0))/float64(failuresForget))
 }
 
 // refill gives back the part of the slack that is not spent at once.
--- a/internal/policy/repeat/repeat_test.go
+++ b/internal/policy/repeat/repeat_test.go
@@ -80,4 +80,32 @@
 		}
 		Expect(paid).To(BeNumerically(">=", 10))
 	})
+
+	// The load: the upstreams of some shards have gone silent and nothing else fails
+	// (klapka-search-grown trouble-1, second 7 on); then a storm of refusals.
+	It("lets hedges spend all where nothing fails, and leaves a part to failures where they come", func() {
+		const vms = 6
+		hedges := func(b *repeat.Bucket, now time.Duration) (n int) {
+			for b.TakeHedge(now, limits, vms) {
+				n++
+			}
+			return n
+		}
+		calm := &repeat.Bucket{}
+		for i := range 50 {
+			calm.Earn(time.Duration(i)*100*time.Millisecond, limits, vms)
+		}
+		Expect(hedges(calm, 5*time.Second)).To(BeNumerically(">=", 10))
+		storm := &repeat.Bucket{}
+		for i := range 50 {
+			now := time.Duration(i) * 100 * time.Millisecond
+			storm.Earn(now, limits, vms)
+			if i%10 == 0 {
+				storm.Take(now, limits, vms)
+			}
+		}
+		left := hedges(storm, 5*time.Second)
+		Expect(left).To(BeNumerically("<", 9))
+		Expect(storm.Take(5*time.Second, limits, vms)).To(BeTrue(), "a refused request is still sent again")
+	})
 })
--- a/internal/single/pass.go
+++ b/internal/single/pass.go
@@ -21,8 +21,9 @@
 	HedgeAfter time.Duration
 	// Attempts is the most upstreams that the request may be sent to.
 	Attempts int
-	// Repeat pays for one attempt beyond the first; false where the budget is spent.
-	Repeat func() bool
+	// Repeat pays for one attempt beyond the first, because the first is slow (hedge) or
+	// failed; false where the budget has none left for that.
+	Repeat func(hedge bool) bool
 }
 
 // runPassed makes attempts until one is answered, may have run without being
@@ -83,7 +84,7 @@
 		p.refusal = err
 		return false
 	}
-	if attempts > 0 && !p.q.Pass.Repeat() {
+	if attempts > 0 && !p.q.Pass.Repeat(hedged) {
 		t.Cancel()
 		return false
 	}
--- a/internal/single/pass_test.go
+++ b/internal/single/pass_test.go
@@ -54,7 +54,7 @@
 			Workload: &manifest.Workload{Workload: manifestgen.Workload{Name: "orders"}},
 			Pass: &single.Pass{
 				Request: &upstream.Passed{ID: "id"}, Idempotent: idempotent, HedgeAfter: time.Second, Attempts: 2,
-				Repeat: func() bool { paid++; return true },
+				Repeat: func(bool) bool { paid++; return true },
 			},
 		}).Kind
 	}
