Decode each published item once, and forget old removals

Cause: each change decoded all items anew, 800 on the grown sites, on each VM; removals were remembered for ever, so a VM that runs for months would grow with each upstream that was ever replaced.

Change: an item is kept with what it says. At most 4,096 removals are remembered; a VM that is further behind gets the whole content. A request's fingerprint is computed once.

Ruled out: decoding on demand: the catalog needs each entry.

Conclusion: the compiling of the whole catalog for one change is next, if processor time binds.

--- a/internal/catalog/mirror.go
+++ b/internal/catalog/mirror.go
@@ -34,7 +34,7 @@
 	apply   func(*Catalog, Change)
 
 	mu     sync.Mutex // guards the fields below
-	items  map[string]Item
+	items  map[string]held
 	config *Config
 	// revision up to which the store has been read, and when that was confirmed last.
 	revision  int64
@@ -44,6 +44,20 @@
 	changed chan struct{} // closed at the next change
 }
 
+// held is an item with what its value says, decoded once.
+type held struct {
+	Item
+	config  *Config
+	entry   Entry
+	isEntry bool
+	err     error // why the value could not be read
+}
+
+// mostRemoved is how many removals are remembered, several times the entries that a fleet
+// of a thousand upstreams replaces in an hour. A VM that is further behind gets the whole
+// content.
+const mostRemoved = 4096
+
 // Change says what a new catalog brings, for the log.
 type Change struct {
 	Revision int64
@@ -59,7 +73,7 @@
 func NewMirror(d Decoder, now func() time.Duration, apply func(*Catalog, Change)) *Mirror {
 	return &Mirror{
 		decoder: d, now: now, apply: apply,
-		items: map[string]Item{}, changed: make(chan struct{}),
+		items: map[string]held{}, changed: make(chan struct{}),
 	}
 }
 
@@ -95,6 +109,7 @@
 	}
 	m.revision = max(m.revision, u.Revision)
 	if changed {
+		m.forget()
 		m.publish()
 	}
 	return true
@@ -110,12 +125,52 @@
 		if ok && !old.Removed && !it.Removed && m.decoder.Same(old.Value, it.Value) {
 			continue
 		}
-		m.items[it.Key] = it
+		m.items[it.Key] = m.decode(it)
 		changed = true
 	}
 	return changed
 }
 
+// decode reads what an item says. The lock is held.
+func (m *Mirror) decode(it Item) held {
+	h := held{Item: it}
+	if it.Removed {
+		return h
+	}
+	var errConfig, errEntry error
+	if c, ok, err := m.decoder.Config(it); err != nil {
+		errConfig = err
+	} else if ok {
+		h.config = c
+	}
+	h.entry, h.isEntry, errEntry = m.decoder.Entry(it)
+	h.entry.Revision = it.Revision
+	h.err = cmp.Or(errEntry, errConfig)
+	return h
+}
+
+// forget drops the older half of the removals that are remembered, once they are many. The
+// lock is held.
+func (m *Mirror) forget() {
+	var removed []int64
+	for _, it := range m.items {
+		if it.Removed {
+			removed = append(removed, it.Revision)
+		}
+	}
+	if len(removed) <= mostRemoved {
+		return
+	}
+	slices.Sort(removed)
+	upTo := removed[len(removed)/2]
+	for key, it := range m.items {
+		if it.Removed && it.Revision <= upTo {
+			delete(m.items, key)
+		}
+	}
+	m.floor = max(m.floor, upTo)
+}
+
 // dropUnlisted removes what a whole content does not hold.
 func (m *Mirror) dropUnlisted(u Update) (changed bool) {
 	listed := make(map[string]bool, len(u.Items))
@@ -126,7 +181,7 @@
 		if listed[key] || it.Removed || it.Revision > u.Revision {
 			continue
 		}
-		m.items[key] = Item{Key: key, Revision: u.Revision, Removed: true}
+		m.items[key] = held{Item: Item{Key: key, Revision: u.Revision, Removed: true}}
 		changed = true
 	}
 	return changed
@@ -138,24 +193,17 @@
 	change := Change{Revision: m.revision, Refused: map[string]error{}}
 	entries := make([]Entry, 0, len(m.items))
 	for key, it := range m.items {
-		if it.Removed {
-			continue
+		if it.err != nil {
+			change.Refused[key] = it.err
 		}
-		if c, ok, err := m.decoder.Config(it); err != nil {
-			change.Refused[key] = err
-		} else if ok && (m.config == nil || c.Version > m.config.Version) {
+		if c := it.config; c != nil && (m.config == nil || c.Version > m.config.Version) {
 			m.config = c
 		}
-		e, ok, err := m.decoder.Entry(it)
-		if err != nil {
-			change.Refused[key] = err
-		}
-		if !ok {
+		if !it.isEntry {
 			continue
 		}
-		e.Revision = it.Revision
-		entries = append(entries, e)
-		if e.Draining {
+		entries = append(entries, it.entry)
+		if it.entry.Draining {
 			change.Draining++
 		}
 	}
@@ -180,7 +228,7 @@
 	u := Update{After: after, Revision: m.revision, Age: m.now() - m.confirmed}
 	for _, it := range m.items {
 		if it.Revision > after && (after > 0 || !it.Removed) {
-			u.Items = append(u.Items, it)
+			u.Items = append(u.Items, it.Item)
 		}
 	}
 	return u, m.changed
--- a/internal/catalog/mirror_test.go
+++ b/internal/catalog/mirror_test.go
@@ -149,4 +149,43 @@
 		u, _ := h.Since(10)
 		Expect(u.Age).To(Equal(3 * time.Second))
 	})
+
+	It("remembers so many removals and no more; who is further behind gets the whole content", func() {
+		const churn = 4_200 // more than are remembered
+		for i := range churn {
+			rev := int64(11 + 2*i)
+			key := fmt.Sprintf("i-churn-%d", i)
+			h.Take(catalog.Update{After: rev - 1, Revision: rev + 1, Items: []catalog.Item{
+				item(key, rev, "a 10.0.1.1:80 ready 1"),
+			}})
+			h.Take(catalog.Update{After: rev + 1, Revision: rev + 1, Items: []catalog.Item{{Key: key, Revision: rev + 1, Removed: true}}})
+		}
+		recent, _ := h.Since(11 + 2*(churn-100))
+		Expect(len(recent.Items)).To(BeNumerically("~", 100, 1))
+		behind, _ := h.Since(12)
+		Expect(behind.After).To(BeZero())
+		Expect(behind.Items).To(HaveLen(3))
+		follower := newHeld()
+		Expect(follower.Take(behind)).To(BeTrue())
+		Expect(follower.serving("a")).To(ConsistOf("i-1"))
+	})
 })
+
+// BenchmarkTake is the cost of one change of an entry among 800.
+func BenchmarkTake(b *testing.B) {
+	h := newHeld()
+	items := []catalog.Item{item("config", 1, "1 a b")}
+	for i := range 800 {
+		items = append(items, item(fmt.Sprintf("i-%d", i), int64(i+2), fmt.Sprintf("a 10.0.%d.%d:80 ready 1", i/200, i%200)))
+	}
+	h.Take(catalog.Update{Revision: 1000, Items: items})
+	rev := int64(1000)
+	for b.Loop() {
+		rev++
+		state := "ready"
+		if rev%2 == 0 {
+			state = "draining"
+		}
+		h.Take(catalog.Update{After: rev - 1, Revision: rev, Items: []catalog.Item{item("i-5", rev, "a 10.0.0.5:80 "+state+" 1")}})
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -136,12 +136,14 @@
 
 // request is one request being served.
 type request struct {
-	id       string
-	begun    time.Time
-	route    *route.Route
-	service  string
-	catalog  *catalog.Catalog
-	deadline time.Time // when the caller is answered in any case
+	id string
+	// fingerprint tells like requests; empty before the request runs here.
+	fingerprint string
+	begun       time.Time
+	route       *route.Route
+	service     string
+	catalog     *catalog.Catalog
+	deadline    time.Time // when the caller is answered in any case
 	// returning says that the caller has spent a part of its time before: it was refused.
 	returning bool
 	// delegated says that another VM handed the search over; resent that one that was
@@ -197,7 +199,8 @@
 
 // run runs a request on this VM.
 func (s *Server) run(ctx context.Context, q *request, p *upstream.Passed) outcome.Outcome {
-	key := fingerprint(p)
+	q.fingerprint = fingerprint(p)
+	key := q.fingerprint
 	if after, refused := s.o.Suspects.Refused(key); refused {
 		return outcome.NotRun(outcome.CrashSuspected, "requests like this one ended upstreams", after)
 	}
@@ -313,7 +316,7 @@
 	s.earn(q.service)
 	return s.o.Runner.Run(ctx, single.Request{
 		ID:          q.id,
-		Fingerprint: fingerprint(p),
+		Fingerprint: q.fingerprint,
 		Workload:    workload,
 		Deadline:    q.deadline,
 		Pass: &single.Pass{
--- a/internal/forward/split.go
+++ b/internal/forward/split.go
@@ -146,7 +146,7 @@
 	}
 	return s.o.Searcher.Search(ctx, gather.Search{
 		ID:          q.id,
-		Fingerprint: fingerprint(p),
+		Fingerprint: q.fingerprint,
 		Workload:    q.workload(shards),
 		Deadline:    q.deadline,
 		Pass: &gather.Pass{
