Make room at a seed for a VM that has just started

Cause: a VM accepts 256 connections, and one that is full of neighbours turned each newcomer away.

Change: a full VM closes the connection open longest that it did not choose itself; that peer has had time to learn of others, and dials again where it is a neighbour by rank.

Ruled out: more connections: the next size is 2,100 VMs.

--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -32,8 +32,8 @@
 func (t *table) init() { t.byPeer = map[string][]*conn{} }
 
 // add takes a connection in. It returns those to close for it: earlier
-// incarnations of the peer, or the one idle longest; ok is false where c itself
-// has no room.
+// incarnations of the peer, or the one that is missed least; ok is false where c
+// itself has no room.
 func (t *table) add(c *conn, now time.Duration) (victims []*conn, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -49,11 +49,14 @@
 		return victims, false
 	}
 	if c.dialed && t.dialed >= maxDialed || !c.dialed && t.accepted >= maxAccepted {
-		idle := t.idlest(c.dialed, now)
-		if idle == nil {
+		least := t.idlest(c.dialed, now)
+		if least == nil {
+			least = t.oldest(c.dialed, now)
+		}
+		if least == nil {
 			return victims, false
 		}
-		victims = append(victims, idle)
+		victims = append(victims, least)
 	}
 	t.byPeer[c.peer] = append(t.byPeer[c.peer], c)
 	t.count(c, 1)
@@ -85,6 +88,24 @@
 	return best
 }
 
+// oldest returns the connection open longest that this side has not chosen. Its peer has had
+// time to learn of others; a VM that starts knows only a few seeds, and is cut off from the
+// fleet where these have no room.
+func (t *table) oldest(dialed bool, now time.Duration) *conn {
+	var best *conn
+	for _, list := range t.byPeer {
+		for _, c := range list {
+			if c.dialed != dialed || c.chosen(now) {
+				continue
+			}
+			if best == nil || c.since < best.since {
+				best = c
+			}
+		}
+	}
+	return best
+}
+
 func (t *table) remove(c *conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
