Tell one idle time of a connection from the next; name a method by what it does

Cause, from the last read: the timer of an idle time that had just fired could end the connection in its next idle time; `truly` said nothing.

Change: a timer ends only its own idle time; `asResent`.

Measured: internal/forward under the race detector.

--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -95,7 +95,7 @@
 			return o
 		}
 	}
-	return q.truly(s.run(ctx, q, p))
+	return q.asResent(s.run(ctx, q, p))
 }
 
 // choose returns the VM that a request is handed to; false where it runs here. A request
@@ -135,7 +135,7 @@
 	late := cctx.Err() != nil // the VM still runs it, or it would have been found silent
 	s.peers.done(vm, s.o.Now(), err == nil || late)
 	if err == nil && reply.Delegated.Taken {
-		return q.truly(fromDelegated(reply.Delegated)), true
+		return q.asResent(fromDelegated(reply.Delegated)), true
 	}
 	q.tried = append(q.tried, vm)
 	if err == nil {
@@ -143,7 +143,7 @@
 	}
 	s.o.Log.Info("request taken back", "id", q.id, "by", vm, "err", err, "age_ms", time.Since(q.begun).Milliseconds())
 	if errors.Is(err, peer.ErrNotSent) {
-		return q.truly(outcome.NotRun(outcome.DeadlineExceeded, err.Error(), startWait)), late
+		return q.asResent(outcome.NotRun(outcome.DeadlineExceeded, err.Error(), startWait)), late
 	}
 	q.resent = true
 	if late {
@@ -153,9 +153,9 @@
 	return outcome.Unknown(outcome.ConnectionLost, err.Error(), startWait), !q.route.Sharded()
 }
 
-// truly returns an outcome that does not say that a request has not run where another VM
+// asResent returns an outcome that does not say that a request has not run where another VM
 // may have run it.
-func (q *request) truly(o outcome.Outcome) outcome.Outcome {
+func (q *request) asResent(o outcome.Outcome) outcome.Outcome {
 	if !q.resent || o.Kind != caller.OutcomeNotRun {
 		return o
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -118,7 +118,7 @@
 
 // HTTPServer returns the server of the callers' address.
 func (s *Server) HTTPServer(addr string) *http.Server {
-	idle := &idlers{limit: s.publishedIdle, timers: map[net.Conn]*time.Timer{}}
+	idle := &idlers{limit: s.publishedIdle, timers: map[net.Conn]*idleTimer{}}
 	return &http.Server{
 		Addr: addr, Handler: s, ReadHeaderTimeout: headerTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: mostHeaderBytes, ConnState: idle.state,
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -16,9 +16,12 @@
 	limit func() time.Duration // 0 for none
 
 	mu     sync.Mutex // guards timers
-	timers map[net.Conn]*time.Timer
+	timers map[net.Conn]*idleTimer
 }
 
+// idleTimer tells one idle time of a connection from the next.
+type idleTimer struct{ *time.Timer }
+
 // state takes note of what a connection does; it is the ConnState of an http.Server.
 func (i *idlers) state(c net.Conn, to http.ConnState) {
 	i.mu.Lock()
@@ -31,15 +34,19 @@
 		return
 	}
 	if limit := i.limit(); limit > 0 {
-		i.timers[c] = time.AfterFunc(limit, func() { i.end(c) })
+		t := &idleTimer{}
+		t.Timer = time.AfterFunc(limit, func() { i.end(c, t) })
+		i.timers[c] = t
 	}
 }
 
-// end closes a connection that is still idle.
-func (i *idlers) end(c net.Conn) {
+// end closes a connection that is still idle since t was started.
+func (i *idlers) end(c net.Conn, t *idleTimer) {
 	i.mu.Lock()
-	_, idle := i.timers[c]
-	delete(i.timers, c)
+	idle := i.timers[c] == t
+	if idle {
+		delete(i.timers, c)
+	}
 	i.mu.Unlock()
 	if idle {
 		_ = c.Close()
--- a/internal/forward/split.go
+++ b/internal/forward/split.go
@@ -136,7 +136,7 @@
 	if o, done := s.handOver(ctx, &part, p, vm); done || ctx.Err() != nil {
 		return o
 	}
-	return part.truly(s.searchHere(ctx, &part, p, shards))
+	return part.asResent(s.searchHere(ctx, &part, p, shards))
 }
 
 // searchHere sends a search to the shards from this VM.
