Share connections out among all VMs that may be alive

Cause: where VMs outnumber the connections that an upstream accepts, a VM counted all that may be alive and ranked only those that are live. With one VM that had left within 30 s the two differed, and no VM held a connection to any such upstream.

Change: the ranking holds all that may be alive.

Measured: internal/daemon "shares connections out among all that may be alive" failed before (0 of 10 upstreams) and passes.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -64,8 +65,8 @@
 // fleetView is the fleet at one look. It is immutable.
 type fleetView struct {
 	vms       []delegate.VM // live, this one included
-	names     []string
-	size      int // those that may be alive
+	names     []string      // those that may be alive, size of them
+	size      int
 	gatherers map[string][]string
 	gathering int
 	self      bool // this VM gathers
@@ -138,10 +139,10 @@
 // look computes the view.
 func (f *fleet) look(known map[string]delegate.VM) {
 	v := &fleetView{gatherers: map[string][]string{}, size: len(known)}
+	v.names = slices.Sorted(maps.Keys(known))
 	for _, m := range f.node.Roster() {
 		if vm, ok := known[m.Name]; ok && m.State == roster.Live {
 			v.vms = append(v.vms, vm)
-			v.names = append(v.names, vm.Name)
 		}
 	}
 	limit := int(f.limit.Load())
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/sardinespindle/sardinespindle/internal/clock"
 	"github.com/sardinespindle/sardinespindle/internal/peer"
+	"github.com/sardinespindle/sardinespindle/internal/policy/connbudget"
 	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
 	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
 )
@@ -72,4 +73,22 @@
 		Expect(f.settled()).To(BeFalse())
 		Eventually(f.settled, 2*settleTime).Should(BeTrue())
 	})
+
+	// The load: 300 VMs, and upstreams that accept 244 connections. One VM has left a moment
+	// ago and is not forgotten yet, and no VM had a connection to any upstream.
+	It("shares connections out among all that may be alive", func() {
+		f := startFleet(1)[0]
+		known := map[string]delegate.VM{f.self.Name: f.self}
+		for i := range 299 {
+			name := fmt.Sprintf("10.0.%d.%d", i/200, i%200)
+			known[name] = delegate.VM{Name: name, Zone: "z0"} // not in the roster, so not live
+		}
+		f.look(known)
+		Expect(f.names()).To(HaveLen(f.size()))
+		held := 0
+		for i := range 10 {
+			held += connbudget.Connections(244, f.size(), fmt.Sprintf("10.1.0.%d:80", i), f.self.Name, f.names())
+		}
+		Expect(held).To(BeNumerically(">", 0))
+	})
 })
