Serve by a configuration once its upstreams are known

Cause: a VM that starts reported itself ready, and took requests, after it had stored the configuration and before it knew the upstreams in it. A search in between was refused with "no_replica" (503).

Change: requests and readiness go by the configuration once its upstreams are in place; shares of connections by the one in force.

Ruled out: the forecast (25 ms for the two upstreams), connections (the first attempts would have counted as sent), a stall (0.14 s in all).

Measured: internal/daemon "is not ready before its upstreams are known" failed at the 11th of 100 starts before, and passes.

--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -13,11 +14,15 @@
 	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/sardinespindle/sardinespindle/internal/catalog"
 	"github.com/sardinespindle/sardinespindle/internal/clock"
+	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/peer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/connbudget"
 	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
-	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
+	"github.com/sardinespindle/sardinespindle/internal/settings"
+	manifestgen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/settings"
 )
 
 // fleetPort is where the VMs of a test listen for peers.
@@ -26,9 +31,9 @@
 // startFleet starts VMs at once that know no more than three seeds.
 func startFleet(n int) []*fleet {
 	ip := func(i int) string { return fmt.Sprintf("127.32.%d.%d", i/200, 1+i%200) }
-	var seeds []settings.Address
+	var seeds []gen.Address
 	for i := range min(n, 3) {
-		seeds = append(seeds, settings.Address(fmt.Sprintf("%s:%d", ip(i), fleetPort)))
+		seeds = append(seeds, gen.Address(fmt.Sprintf("%s:%d", ip(i), fleetPort)))
 	}
 	fleets := make([]*fleet, n)
 	for i := range fleets {
@@ -92,3 +97,33 @@
 		Expect(held).To(BeNumerically(">", 0))
 	})
 })
+
+var _ = Describe("A forwarder that starts", func() {
+	It("is not ready before its upstreams are known", func() {
+		for i := range 100 {
+			set, err := settings.Parse([]byte(`
+name = "vm"
+zone = "z"
+[listen]
+callers = "127.33.0.1:21910"
+peers = "127.33.0.1:21911"
+admin = "127.33.0.1:21912"
+[platform]
+kind = "catalog"
+addresses = ["127.33.0.1:21913"]
+`))
+			Expect(err).NotTo(HaveOccurred())
+			f, err := NewForwarder(set, log.New(io.Discard))
+			Expect(err).NotTo(HaveOccurred())
+			m := &manifest.Manifest{Workloads: map[string]*manifest.Workload{"orders": {
+				Workload:  manifestgen.Workload{Name: "orders"},
+				Upstreams: []*manifestgen.Upstream{{Address: "127.0.0.1:1", Workload: "orders", ConnectionLimit: 60}},
+			}}, Upstreams: map[string]*manifestgen.Upstream{"127.0.0.1:1": {Address: "127.0.0.1:1", Workload: "orders", ConnectionLimit: 60}}}
+			go f.apply(&catalog.Catalog{Config: &catalog.Config{Version: 1}, Manifest: m}, catalog.Change{})
+			for !f.ready() {
+				runtime.Gosched()
+			}
+			Expect(f.upstreams.States()).NotTo(BeEmpty(), fmt.Sprint("start ", i))
+		}
+	})
+})
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -42,7 +42,8 @@
 	started     time.Duration
 	registry    *prometheus.Registry
 	stopping    atomic.Bool
-	catalog     atomic.Pointer[catalog.Catalog]
+	catalog     atomic.Pointer[catalog.Catalog] // in force, for shares of connections
+	served      atomic.Pointer[catalog.Catalog] // the same, once its upstreams are known: requests go by it
 
 	node      *peer.Node
 	fleet     *fleet
@@ -122,7 +123,7 @@
 	})
 	runner := single.New(single.Options{Upstream: gather.From(f.upstreams)})
 	f.front = forward.New(forward.Options{
-		Catalog:  f.catalog.Load,
+		Catalog:  f.served.Load,
 		Headers:  platform.Headers,
 		Searcher: engine,
 		Runner:   runner,
@@ -174,6 +175,7 @@
 	f.catalog.Store(c)
 	f.fleet.setLimit(c.ShardLimits)
 	f.upstreams.Apply(c.Manifest)
+	f.served.Store(c)
 	f.log.Info("catalog in force", "revision", change.Revision, "version", change.Version,
 		"upstreams", change.Upstreams, "draining", change.Draining)
 	for key, err := range change.Refused {
@@ -181,7 +183,7 @@
 	}
 }
 
-func (f *Forwarder) ready() bool { return !f.stopping.Load() && f.catalog.Load() != nil }
+func (f *Forwarder) ready() bool { return !f.stopping.Load() && f.served.Load() != nil }
 
 func (f *Forwarder) status() admin.Status {
 	c := f.catalog.Load()
