Let each VM learn what is published from a reader itself again

The store had gone silent for a third of the VMs at 2.5 s, both readers among them by the log of the kind of fault; with pulls over two levels each change of readers waits for one pull more.

Change: Sources names the readers only. The order by failures stays.

Ruled out: a shorter hold of pulls (twice the calls, not measured), asking both levels (a second of delay stays).

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -207,9 +207,8 @@
 }
 
 // sources returns the VMs that this one learns from what is published, and whether it reads
-// the store itself: the first VMs of each zone ask the readers, others the first of their
-// zone and only then the readers, so that the bytes cross between zones once. VMs that the
-// store does not answer come into it only where it answers none.
+// the store itself. VMs that the store does not answer come into it only where it answers
+// none.
 func (f *fleet) sources() (vms []string, self bool) {
 	blind := map[string]bool{}
 	for _, fact := range f.node.Facts().List(blindKey) {
--- a/internal/policy/delegate/gatherers.go
+++ b/internal/policy/delegate/gatherers.go
@@ -53,33 +53,23 @@
 	return ranked
 }
 
-// Sources returns the VMs from which one VM learns what is published, the preferred first,
-// and whether it is among the readers, who read the platform's store. The first VMs of each
-// zone, as many as there are readers, learn from these, others from the first of their zone:
-// bytes cross between zones once.
+// Sources returns the VMs from which one VM learns what is published, those of its own zone
+// first, and whether it is among the readers, who read the platform's store. Each VM asks a
+// reader itself: another level on the way lost the time in which a configuration has to be
+// in force, where the readers had to change first.
 func Sources(self VM, vms []VM, readers int) (names []string, reads bool) {
 	ranked := Rank(vms)
-	first := ranked[:min(len(ranked), readers)]
-	zone := slices.DeleteFunc(slices.Clone(ranked), func(vm VM) bool { return vm.Zone != self.Zone })
-	zone = zone[:min(len(zone), readers)]
-	in := func(list []VM, name string) bool {
-		return slices.ContainsFunc(list, func(vm VM) bool { return vm.Name == name })
-	}
-	if !in(zone, self.Name) {
-		for _, vm := range zone {
-			names = append(names, vm.Name)
-		}
-	}
-	for _, vm := range first {
+	for _, vm := range ranked[:min(len(ranked), readers)] {
 		switch {
-		case slices.Contains(names, vm.Name) || vm.Name == self.Name:
+		case vm.Name == self.Name:
+			reads = true
 		case vm.Zone == self.Zone:
 			names = append([]string{vm.Name}, names...)
 		default:
 			names = append(names, vm.Name)
 		}
 	}
-	return names, in(first, self.Name)
+	return names, reads
 }
 
 // alike is the share of the shards by which zones may differ and count as equally near:
