--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -93,9 +92,7 @@
 // pauseVM freezes a VM for a while.
 func (s *stage) pauseVM(vm *VM, d time.Duration) error {
 	s.j.do(func(j *Journal) { begin(j.Pauses, vm.Name) })
-	err := vm.proc.signal(syscall.SIGSTOP)
-	time.Sleep(d)
-	err = errors.Join(err, vm.proc.signal(syscall.SIGCONT))
+	err := vm.proc.pause(d)
 	s.j.do(func(j *Journal) { end(j.Pauses, vm.Name) })
 	return err
 }
--- a/internal/bench/process.go
+++ b/internal/bench/process.go
@@ -53,6 +53,13 @@
 	return nil
 }
 
+// pause freezes the child for a while.
+func (p *process) pause(d time.Duration) error {
+	err := p.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	return errors.Join(err, p.signal(syscall.SIGCONT))
+}
+
 // alive reports whether the child has not ended.
 func (p *process) alive() bool {
 	select {
--- a/internal/bench/soak_check.go
+++ b/internal/bench/soak_check.go
@@ -68,7 +68,6 @@
 	mu       sync.Mutex
 	seen     map[string]*soakSeen
 	arrivals map[string][]*arrival // by request
-	births   map[string]time.Time  // of servers
 	drains   map[string]time.Time
 	faults   map[string]int
 	broken   map[string]int
@@ -77,7 +76,7 @@
 
 func newEvidence() *evidence {
 	return &evidence{
-		seen: map[string]*soakSeen{}, arrivals: map[string][]*arrival{}, births: map[string]time.Time{},
+		seen: map[string]*soakSeen{}, arrivals: map[string][]*arrival{},
 		drains: map[string]time.Time{}, faults: map[string]int{}, broken: map[string]int{},
 	}
 }
@@ -102,12 +101,6 @@
 	e.faults[fault]++
 }
 
-func (e *evidence) born(id string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.births[id] = time.Now()
-}
-
 func (e *evidence) drained(id string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/bench/soak_faults.go
+++ b/internal/bench/soak_faults.go
@@ -57,11 +57,7 @@
 	defer vm.life.Unlock()
 	vm.leave()
 	defer vm.back()
-	if err := vm.proc.signal(syscall.SIGSTOP); err != nil {
-		return err
-	}
-	time.Sleep(d)
-	return vm.proc.signal(syscall.SIGCONT)
+	return vm.proc.pause(d)
 }
 
 // killFault ends a VM without warning and starts it again, now and then at once.
--- a/internal/bench/soak_servers.go
+++ b/internal/bench/soak_servers.go
@@ -65,12 +65,13 @@
 		service = soakShardNames()[i/soakReplicas]
 	}
 	id := fmt.Sprintf("i-%d-%d", i, sv.births)
-	sv.now.Store(&standin.Server{
+	n := &standin.Server{
 		ID: id, Service: service, Zone: fmt.Sprintf("zone-%d", i%soakZones), Slots: soakSlots, Body: func(r *http.Request) string {
 			return bodyOf(service, r.Header.Get(platform.RequestID))
 		},
-	})
-	sv.s.evidence.born(id)
+	}
+	n.Instead(func(w http.ResponseWriter, r *http.Request) bool { return sv.answer(n, w, r) })
+	sv.now.Store(n)
 	sv.state("ready")
 }
 
@@ -83,12 +84,14 @@
 // ServeHTTP implements http.Handler. It reads the body first, so that net/http sees the
 // connection close.
 func (sv *soakServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	n, m := sv.now.Load(), *sv.mood.Load()
 	_, _ = io.Copy(io.Discard, r.Body) // a body that breaks off has no reader either
-	if want := r.Header.Get(platform.Wire.Identity); want != "" && want != n.ID {
-		standin.Refuse(w, http.StatusMisdirectedRequest)
-		return
-	}
+	sv.now.Load().ServeHTTP(w, r)
+}
+
+// answer takes note of a request that is meant for n, and answers it where n is busy or
+// misbehaves; false leaves that to n.
+func (sv *soakServer) answer(n *standin.Server, w http.ResponseWriter, r *http.Request) bool {
+	m := *sv.mood.Load()
 	a := arrival{
 		id: r.Header.Get(platform.RequestID), service: n.Service, server: n.ID, at: time.Now(),
 		deadline: milliseconds(r.Header.Get(platform.Deadline)),
@@ -99,7 +102,7 @@
 	default:
 		sv.s.evidence.arrived(a)
 		standin.Refuse(w, http.StatusServiceUnavailable)
-		return
+		return true
 	}
 	a.ran, a.lasts = true, soakWork+m.Slow
 	done := sv.s.evidence.arrived(a)
@@ -107,7 +110,7 @@
 	select {
 	case <-time.After(a.lasts):
 	case <-r.Context().Done():
-		return // the VM has closed the connection
+		return true // the VM has closed the connection
 	}
 	switch {
 	case m.Fail:
@@ -125,8 +128,9 @@
 		_, _ = w.Write([]byte(body[:len(body)/2])) // broken off on purpose
 		panic(http.ErrAbortHandler)
 	default:
-		n.ServeHTTP(w, r)
+		return false
 	}
+	return true
 }
 
 // bodyOf is what a service answers to a request: for a shard, records that begin with a
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -30,10 +30,9 @@
 	memberTTL     = 30 * time.Second
 	memberRefresh = 9 * time.Second
 	// memberLook is the time between two looks at the members; newcomerLook is the same for
-	// a VM that started less than newcomerFor ago, to which each member is news.
+	// a VM that started lately, to which each member is news.
 	memberLook   = 500 * time.Millisecond
 	newcomerLook = 100 * time.Millisecond
-	newcomerFor  = 5 * time.Second
 	// settleTime is how long after its start a VM knows too little of the fleet to open
 	// connections ahead of need: of 60 VMs that start at once each knows nine tenths after
 	// 1 s (docs/MEASUREMENTS.md).
@@ -65,8 +64,7 @@
 // fleetView is the fleet at one look. It is immutable.
 type fleetView struct {
 	vms       []delegate.VM // live, this one included
-	names     []string      // those that may be alive, size of them
-	size      int
+	names     []string      // those that may be alive
 	gatherers map[string][]string
 	gathering int
 	self      bool // this VM gathers
@@ -103,7 +101,7 @@
 		}
 		f.update()
 		look := memberLook
-		if clock.Boot()-f.begun < newcomerFor {
+		if f.node.Newcomer() {
 			look = newcomerLook
 		}
 		if !pause.For(ctx, look) {
@@ -138,8 +136,7 @@
 
 // look computes the view.
 func (f *fleet) look(known map[string]delegate.VM) {
-	v := &fleetView{gatherers: map[string][]string{}, size: len(known)}
-	v.names = slices.Sorted(maps.Keys(known))
+	v := &fleetView{gatherers: map[string][]string{}, names: slices.Sorted(maps.Keys(known))}
 	for _, m := range f.node.Roster() {
 		if vm, ok := known[m.Name]; ok && m.State == roster.Live {
 			v.vms = append(v.vms, vm)
@@ -167,7 +164,7 @@
 
 // size returns how many VMs may be alive; the unknown fleet's while none was heard of.
 func (f *fleet) size() int {
-	if n := f.view.Load().size; n > 1 {
+	if n := len(f.names()); n > 1 {
 		return n
 	}
 	return connbudget.UnknownFleet
@@ -187,7 +184,7 @@
 // gatherCount returns how many VMs run searches and whether this one does.
 func (f *fleet) gatherCount() (n int, self bool) {
 	v := f.view.Load()
-	if v.size <= 1 {
+	if len(v.names) <= 1 {
 		return connbudget.UnknownFleet, true
 	}
 	return v.gathering, v.self
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -64,7 +64,7 @@
 		knowing := func() int {
 			n := 0
 			for _, f := range fleets {
-				if f.view.Load().size >= len(fleets)*9/10 {
+				if len(f.names()) >= len(fleets)*9/10 {
 					n++
 				}
 			}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -200,16 +200,15 @@
 // run runs a request on this VM.
 func (s *Server) run(ctx context.Context, q *request, p *upstream.Passed) outcome.Outcome {
 	q.fingerprint = fingerprint(p)
-	key := q.fingerprint
-	if after, refused := s.o.Suspects.Refused(key); refused {
+	if after, refused := s.o.Suspects.Refused(q.fingerprint); refused {
 		return outcome.NotRun(outcome.CrashSuspected, "requests like this one ended upstreams", after)
 	}
 	o := s.runOne(ctx, q, p)
 	switch {
 	case o.Reason == outcome.CrashSuspected:
-		s.o.Suspects.Crashed(ctx, key, q.id)
+		s.o.Suspects.Crashed(ctx, q.fingerprint, q.id)
 	case o.Kind == caller.OutcomeAnswered && (o.Coverage == nil || o.Coverage.Complete):
-		s.o.Suspects.Answered(key)
+		s.o.Suspects.Answered(q.fingerprint)
 	}
 	return o
 }
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -248,7 +248,7 @@
 
 func (n *Node) digestLoop(ctx context.Context) {
 	for {
-		interval, newcomer := digestInterval, n.newcomer()
+		interval, newcomer := digestInterval, n.Newcomer()
 		if newcomer {
 			interval = newcomerDigests
 		}
@@ -269,8 +269,8 @@
 	}
 }
 
-// newcomer reports whether this VM started a moment ago.
-func (n *Node) newcomer() bool { return n.now()-n.started < newcomerFor }
+// Newcomer reports whether this VM started so lately that most of what it hears is news.
+func (n *Node) Newcomer() bool { return n.now()-n.started < newcomerFor }
 
 func (n *Node) sendDigest(c *conn, sums []uint32) {
 	if err := c.send(&gen.Message{Digest: digestToWire(sums)}); err != nil {
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -74,31 +74,24 @@
 
 // idlest returns the connection unused longest that does not carry gossip.
 func (t *table) idlest(dialed bool, now time.Duration) *conn {
-	var best *conn
-	for _, list := range t.byPeer {
-		for _, c := range list {
-			if c.dialed != dialed || c.gossips(now) {
-				continue
-			}
-			if best == nil || c.idle(now) > best.idle(now) {
-				best = c
-			}
-		}
-	}
-	return best
+	return t.first(func(c *conn) bool { return c.dialed == dialed && !c.gossips(now) },
+		func(c, best *conn) bool { return c.idle(now) > best.idle(now) })
 }
 
 // oldest returns the connection open longest that this side has not chosen. Its peer has had
 // time to learn of others; a VM that starts knows only a few seeds, and is cut off from the
 // fleet where these have no room.
 func (t *table) oldest(dialed bool, now time.Duration) *conn {
+	return t.first(func(c *conn) bool { return c.dialed == dialed && !c.chosen(now) },
+		func(c, best *conn) bool { return c.since < best.since })
+}
+
+// first returns the connection that comes before all others that may be taken.
+func (t *table) first(may func(*conn) bool, before func(c, best *conn) bool) *conn {
 	var best *conn
 	for _, list := range t.byPeer {
 		for _, c := range list {
-			if c.dialed != dialed || c.chosen(now) {
-				continue
-			}
-			if best == nil || c.since < best.since {
+			if may(c) && (best == nil || before(c, best)) {
 				best = c
 			}
 		}
--- a/internal/upstream/pass.go
+++ b/internal/upstream/pass.go
@@ -136,14 +136,7 @@
 		return readBody(resp, most)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > most {
-		return nil, errTooLarge
-	}
-	return body, nil
+	return readToEnd(resp.Body, most)
 }
 
 // passLoad returns the load that a reply reports.
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -60,7 +60,12 @@
 		}
 		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
+	return readToEnd(resp.Body, most)
+}
+
+// readToEnd reads a body of unknown length of at most so many bytes.
+func readToEnd(r io.Reader, most int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, most+1))
 	if err != nil {
 		return nil, err
 	}
