Wait for the connections to settle in the test of a busy VM

Cause: both VMs dial at their start.

Change: the test starts once the number of connections has held still, and the handlers wait for the test in place of one second. It still asks for exactly 16, now also that the other 64 are answered.

--- a/internal/peer/call_test.go
+++ b/internal/peer/call_test.go
@@ -56,18 +56,50 @@
 	})
 
 	It("is turned away at once where the VM runs too many", func() {
-		f.vms[1].Handle(handler(time.Second))
+		release := make(chan struct{})
+		f.vms[1].Handle(func(_ context.Context, _ string, m *gen.Message) *gen.Message {
+			if m.Delegate == nil {
+				return nil
+			}
+			<-release
+			return &gen.Message{Delegated: &gen.Delegated{Taken: true, Headers: []gen.Header{}, Signatures: []string{}}}
+		})
+		// What a VM runs at a time is bounded for each connection. Both VMs may have dialed at
+		// their start, and requests change over to the connection that this side dialed.
+		Eventually(func() bool {
+			before := gauged(f.vms[0], "spindle_peer_connections")
+			time.Sleep(300 * time.Millisecond)
+			return before > 0 && gauged(f.vms[0], "spindle_peer_connections") == before
+		}, "5s").Should(BeTrue())
 		results := make(chan error, 80)
 		for range cap(results) {
 			go func() { _, err := ask(); results <- err }()
 		}
-		turnedAway := 0
-		for range cap(results) {
-			if err := <-results; err != nil {
-				Expect(err).To(MatchError(peer.ErrNotSent))
-				turnedAway++
-			}
+		for range 80 - 64 {
+			var err error
+			Eventually(results, "4s").Should(Receive(&err))
+			Expect(err).To(MatchError(peer.ErrNotSent))
+		}
+		Consistently(results, "100ms").ShouldNot(Receive())
+		close(release)
+		for range 64 {
+			var err error
+			Eventually(results, "4s").Should(Receive(&err))
+			Expect(err).NotTo(HaveOccurred())
 		}
-		Expect(turnedAway).To(Equal(80 - 64))
 	})
 })
+
+// gauged returns the sum of a gauge's values.
+func gauged(v *vm, metric string) (sum float64) {
+	families, err := v.registry.Gather()
+	Expect(err).NotTo(HaveOccurred())
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			if f.GetName() == metric {
+				sum += m.GetGauge().GetValue()
+			}
+		}
+	}
+	return sum
+}
