The daemon keeps its signal handlers until it exits

A SIGHUP before watchSettings ran killed it as well. Change: SIGTERM, SIGINT and SIGHUP are caught from before the daemon is created until the exit.

--- a/cmd/sardinespindle/main.go
+++ b/cmd/sardinespindle/main.go
@@ -56,8 +56,9 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx := stopContext()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	flush, err := telemetry.Traces(ctx, s.Trace, s.Name, s.Zone)
 	if err != nil {
 		return err
@@ -71,7 +72,7 @@
 	if err := lines.Register(d.Registerer()); err != nil {
 		return err
 	}
-	go watchSettings(ctx, path, d, l)
+	go watchSettings(ctx, path, hup, d, l)
 	if err := d.Run(ctx); err != nil {
 		return err
 	}
@@ -88,11 +89,22 @@
 	Reload(s *gen.Settings)
 }
 
-// watchSettings checks the settings file on SIGHUP and every settings.PollInterval, until
-// ctx ends, and reloads it if it has changed.
-func watchSettings(ctx context.Context, path string, d runner, l *log.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+// stopContext returns a context that ends at the first SIGTERM or SIGINT. The signals stay
+// caught until the process exits, so a further one does not kill it while it stops.
+func stopContext() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return ctx
+}
+
+// watchSettings checks the settings file at each signal on hup and every
+// settings.PollInterval, until ctx ends, and reloads it if it has changed.
+func watchSettings(ctx context.Context, path string, hup <-chan os.Signal, d runner, l *log.Logger) {
 	watcher := settings.NewWatcher(path)
 	tick := time.NewTicker(settings.PollInterval)
 	defer tick.Stop()
