Versions are announced to all VMs, and a source tells when it is stale

The store was silent for a third of the VMs from 2.5 s on. Trace with logs of all VMs: version 8 was in force in brno-b at 2.63 s, in brno-a at 5.72 s. brno-a followed a reader of its own zone that was cut off (noticed after 1.4 s), then the next of that zone, cut off as well, whose content counted as fresh until it was 2.5 s old, and whose pulls were held for a further second. No second way brought the version. Also, an update of the catalog was cut at 1,000 items in map order and carried the full revision. Change: a VM that reads a newer version from the store announces it as a fact, and every VM that is behind ends its wait and pulls it from there. A held pull ends when the content becomes stale (1.8 s). Updates come in pages by revision and key, and are applied once all pages are there. The new tests fail on the code before: 1,000 of 2,500 items.

--- a/internal/catalog/mirror.go
+++ b/internal/catalog/mirror.go
@@ -222,9 +222,25 @@
 	m.onChange(compile(m.config, entries), change)
 }
 
-// Since returns the changes after a revision, and a channel that is closed at the next
-// change. If tombstones after that revision may be missing, it returns the full content.
-func (m *Mirror) Since(after int64) (Update, <-chan struct{}) {
+// Cursor is the position after an item in the order of revision and key. The zero value is
+// the position before all items.
+type Cursor struct {
+	Revision int64
+	Key      string
+}
+
+// cursorAfter returns the position after an item.
+func cursorAfter(it Item) Cursor { return Cursor{Revision: it.Revision, Key: it.Key} }
+
+func (c Cursor) compare(d Cursor) int {
+	return cmp.Or(cmp.Compare(c.Revision, d.Revision), cmp.Compare(c.Key, d.Key))
+}
+
+// Since returns the changes after a revision that come after from in the order of revision
+// and key, and a channel that is closed at the next change. If tombstones after that
+// revision may be missing, it returns the full content. Of the full content, items removed
+// while it is read page by page are listed as tombstones on the later pages.
+func (m *Mirror) Since(after int64, from Cursor) (Update, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if after < m.compacted {
@@ -232,13 +248,25 @@
 	}
 	u := Update{After: after, Revision: m.revision, Age: m.now() - m.confirmedAt}
 	for _, it := range m.items {
-		if it.Revision > after && (after > 0 || !it.Removed) {
+		listed := after > 0 || !it.Removed || from != Cursor{}
+		if it.Revision > after && listed && cursorAfter(it.Item).compare(from) > 0 {
 			u.Items = append(u.Items, it.Item)
 		}
 	}
+	slices.SortFunc(u.Items, func(a, b Item) int { return cursorAfter(a).compare(cursorAfter(b)) })
 	return u, m.changed
 }
 
+// Version returns the version of the configuration in force, or 0.
+func (m *Mirror) Version() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.config == nil {
+		return 0
+	}
+	return m.config.Version
+}
+
 // State returns the mirror's revision and how long ago the store confirmed it.
 func (m *Mirror) State() (revision int64, age time.Duration) {
 	m.mu.Lock()
--- a/internal/catalog/mirror_test.go
+++ b/internal/catalog/mirror_test.go
@@ -133,12 +133,12 @@
 
 	It("removes items that new full content does not list, and so do the mirrors that follow this one", func() {
 		follower := newTestMirror()
-		u, _ := m.Since(0)
+		u, _ := m.Since(0, catalog.Cursor{})
 		Expect(follower.Apply(u)).To(BeTrue())
 		m.Apply(catalog.Update{Revision: 30, Items: []catalog.Item{
 			item("config", 3, "1 a b"), item("i-1", 4, "a 10.0.0.1:80 ready 1"),
 		}})
-		u, _ = m.Since(10)
+		u, _ = m.Since(10, catalog.Cursor{})
 		Expect(u.After).To(BeZero(), "removals before the full read are unknown, so the full content is due")
 		Expect(follower.Apply(u)).To(BeTrue())
 		Expect(follower.serving("b")).To(BeEmpty())
@@ -147,7 +147,7 @@
 
 	It("returns with each update how long ago the store confirmed it", func() {
 		m.now += 3 * time.Second
-		u, _ := m.Since(10)
+		u, _ := m.Since(10, catalog.Cursor{})
 		Expect(u.Age).To(Equal(3 * time.Second))
 	})
 
@@ -161,9 +161,9 @@
 			}})
 			m.Apply(catalog.Update{After: rev + 1, Revision: rev + 1, Items: []catalog.Item{{Key: key, Revision: rev + 1, Removed: true}}})
 		}
-		recent, _ := m.Since(11 + 2*(replacements-100))
+		recent, _ := m.Since(11 + 2*(replacements-100), catalog.Cursor{})
 		Expect(len(recent.Items)).To(BeNumerically("~", 100, 1))
-		behind, _ := m.Since(12)
+		behind, _ := m.Since(12, catalog.Cursor{})
 		Expect(behind.After).To(BeZero())
 		Expect(behind.Items).To(HaveLen(3))
 		follower := newTestMirror()
--- a/internal/catalog/sync.go
+++ b/internal/catalog/sync.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	"github.com/sardinespindle/sardinespindle/internal/pause"
+	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
 	peer "github.com/sardinespindle/sardinespindle/schema/gen/peer"
 )
 
@@ -45,8 +46,10 @@
 	minWatchInterval = 400 * time.Millisecond
 	// pullWait is how long a peer may hold a pull while it waits for a change.
 	pullWait = time.Second
-	// staleAfter is the age of a peer's content at which the next source is tried.
-	staleAfter = 2500 * time.Millisecond
+	// staleAfter is the age of a peer's content at which the next source is tried. The
+	// content of a reader that reaches the store is at most watchWait plus minWatchInterval
+	// old, and the store may take 250 ms to reply.
+	staleAfter = 1800 * time.Millisecond
 	// failedSourceTTL is how long a failed source is tried after the others. It is long
 	// enough for a few updates of the membership, which remove a VM that is gone.
 	failedSourceTTL = 5 * time.Second
@@ -55,9 +58,6 @@
 	// directReadInterval is the least time between two reads or watches of the store by a
 	// VM that has readers to pull from.
 	directReadInterval = 1200 * time.Millisecond
-	// maxItems bounds the items in one message between VMs. toPulled leaves out the rest,
-	// and the receiver misses them until they change again.
-	maxItems = 1000
 )
 
 // SyncOptions configure a Sync.
@@ -68,16 +68,23 @@
 	// Sources returns the VMs to pull from, in order of preference, and whether this VM
 	// is a reader, which reads the store itself.
 	Sources func() (vms []string, self bool)
+	// FleetSize returns the number of live VMs.
+	FleetSize func() int
 	// SetStoreUnreachable is called after each access to the store with whether that failed.
 	SetStoreUnreachable func(unreachable bool)
-	Now                 func() time.Duration
-	Log                 *log.Logger
+	// AnnounceVersion announces to all VMs that this one has read a newer version of the
+	// configuration from the store.
+	AnnounceVersion func(version int)
+	Now             func() time.Duration
+	Log             *log.Logger
 }
 
-// Sync keeps a mirror up to date: readers watch the store, other VMs pull from a reader.
-// Run must run in one goroutine only; Handle is safe for concurrent use.
+// Sync keeps a mirror up to date: readers watch the store, other VMs pull from a reader, and
+// all pull at once from a VM that announces a newer version of the configuration. Run must
+// run in one goroutine only; Announced and Handle are safe for concurrent use.
 type Sync struct {
 	o            SyncOptions
+	announced    announcements
 	directReadAt time.Duration // when readDirectly last accessed the store
 	lastSource   string        // for the log
 	lastFailed   string        // for the log; empty once that source works again
@@ -86,30 +93,48 @@
 
 // NewSync returns a Sync; Run starts it.
 func NewSync(o SyncOptions) *Sync {
-	return &Sync{o: o, directReadAt: -directReadInterval, failedAt: map[string]time.Duration{}}
+	return &Sync{
+		o: o, directReadAt: -directReadInterval, failedAt: map[string]time.Duration{},
+		announced: announcements{versions: map[string]int{}},
+	}
 }
 
 // Run synchronizes the mirror until ctx ends.
 func (s *Sync) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		sources, self := s.o.Sources()
-		if self || len(sources) == 0 {
-			s.syncWithStore(ctx)
-			continue
-		}
-		if !s.pullAny(ctx, s.orderSources(sources)) {
-			s.readDirectly(ctx)
+		// A newer announcement ends the wait for the source in use.
+		roundCtx, cancel := context.WithCancel(ctx)
+		if vm, version := s.announced.newest(s.o.Mirror.Version(), cancel); vm != "" {
+			s.pullAnnounced(ctx, vm, version)
+		} else {
+			s.syncOnce(roundCtx)
 		}
+		cancel()
+	}
+}
+
+// syncOnce synchronizes with the store if this VM is a reader, else with another VM.
+func (s *Sync) syncOnce(ctx context.Context) {
+	sources, self := s.o.Sources()
+	if self || len(sources) == 0 {
+		s.syncWithStore(ctx)
+		return
+	}
+	if !s.pullAny(ctx, s.orderSources(sources)) {
+		s.readDirectly(ctx)
 	}
 }
 
-// readDirectly reads the store when no reader is up to date. directReadInterval limits it
-// so that the store can bear every VM doing this at once.
+// readDirectly reads the store when no reader is up to date. directReadInterval limits how
+// often, and in a large fleet only some VMs read at a time: what one of them finds, it
+// announces.
 func (s *Sync) readDirectly(ctx context.Context) {
 	if now := s.o.Now(); now-s.directReadAt >= directReadInterval {
 		s.directReadAt = now
-		s.syncWithStore(ctx)
-		return
+		if rand.Float64() < delegate.DirectReadChance(s.o.FleetSize()) {
+			s.syncWithStore(ctx)
+			return
+		}
 	}
 	pause.Sleep(ctx, pause.Jitter(retryPause))
 }
@@ -124,6 +149,9 @@
 		s.o.Log.Info("history gone, reading anew", "revision", revision)
 		u, err = s.read(ctx)
 	}
+	if ctx.Err() != nil {
+		return
+	}
 	if err != nil {
 		s.logLost("store", err)
 		s.o.SetStoreUnreachable(true)
@@ -131,7 +159,11 @@
 		return
 	}
 	s.o.SetStoreUnreachable(false)
+	before := s.o.Mirror.Version()
 	s.applyFrom("store", u)
+	if version := s.o.Mirror.Version(); version > before {
+		s.o.AnnounceVersion(version)
+	}
 	if len(u.Items) > 0 {
 		pause.Sleep(ctx, max(minWatchInterval-(s.o.Now()-start), retryPause))
 	}
@@ -173,10 +205,13 @@
 }
 
 // pullAny pulls from the sources in order until one replies with content that is not
-// stale. It reports whether one did; stale content is applied as well.
+// stale. It reports whether one did or ctx ended; stale content is applied as well.
 func (s *Sync) pullAny(ctx context.Context, sources []string) bool {
 	for _, vm := range sources {
-		u, err := s.pull(ctx, vm)
+		u, err := s.pull(ctx, vm, pullWait)
+		if ctx.Err() != nil {
+			return true
+		}
 		if err != nil {
 			s.logLost(vm, err)
 			s.failedAt[vm] = s.o.Now()
@@ -192,22 +227,6 @@
 	return false
 }
 
-func (s *Sync) pull(ctx context.Context, vm string) (Update, error) {
-	ctx, cancel := context.WithTimeout(ctx, pullWait+callSlack)
-	defer cancel()
-	revision, _ := s.o.Mirror.State()
-	reply, err := s.o.Peers.Call(ctx, vm, &peer.Message{Pull: &peer.Pull{
-		After: int(revision), WaitMs: int(pullWait.Milliseconds()),
-	}})
-	if err != nil {
-		return Update{}, err
-	}
-	if reply.Pulled == nil {
-		return Update{}, fmt.Errorf("pull from %s: reply has no pulled items", vm)
-	}
-	return fromPulled(reply.Pulled), nil
-}
-
 // applyFrom applies an update and logs a change of source.
 func (s *Sync) applyFrom(source string, u Update) {
 	if s.lastSource != source || s.lastFailed == source {
@@ -227,54 +246,3 @@
 	_, age := s.o.Mirror.State()
 	s.o.Log.Warn("source lost", "source", source, "age_ms", age.Milliseconds(), "err", err)
 }
-
-// Handle replies to the pulls of other VMs: at once if there are changes, else at the next
-// change or when the wait ends.
-func (s *Sync) Handle(ctx context.Context, _ string, m *peer.Message) *peer.Message {
-	if m.Pull == nil {
-		return nil
-	}
-	wait := min(time.Duration(m.Pull.WaitMs)*time.Millisecond, pullWait)
-	u, changed := s.o.Mirror.Since(int64(m.Pull.After))
-	if len(u.Items) == 0 && wait > 0 {
-		timer := time.NewTimer(wait)
-		defer timer.Stop()
-		select {
-		case <-changed:
-		case <-timer.C:
-		case <-ctx.Done():
-			return nil
-		}
-		u, _ = s.o.Mirror.Since(int64(m.Pull.After))
-	}
-	return &peer.Message{Pulled: toPulled(u)}
-}
-
-func toPulled(u Update) *peer.Pulled {
-	p := &peer.Pulled{
-		After: int(u.After), Revision: int(u.Revision), AgeMs: int(u.Age.Milliseconds()),
-		Items: make([]peer.Published, 0, len(u.Items)),
-	}
-	for _, it := range u.Items {
-		if len(p.Items) == maxItems {
-			break
-		}
-		p.Items = append(p.Items, peer.Published{
-			Key: it.Key, Revision: int(it.Revision), Value: string(it.Value), Removed: it.Removed,
-		})
-	}
-	return p
-}
-
-func fromPulled(p *peer.Pulled) Update {
-	u := Update{
-		After: int64(p.After), Revision: int64(p.Revision), Age: time.Duration(p.AgeMs) * time.Millisecond,
-		Items: make([]Item, 0, len(p.Items)),
-	}
-	for _, it := range p.Items {
-		u.Items = append(u.Items, Item{
-			Key: it.Key, Revision: int64(it.Revision), Value: []byte(it.Value), Removed: it.Removed,
-		})
-	}
-	return u
-}
--- a/internal/catalog/sync_test.go
+++ b/internal/catalog/sync_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -14,32 +15,59 @@
 	peer "github.com/sardinespindle/sardinespindle/schema/gen/peer"
 )
 
-// fakePeers reply to pulls, except for one silent VM: a call to it fails.
+// fakePeers reply to pulls with the content of a Sync or, for other VMs, with nothing new. A
+// call to the silent VM fails, and one to the hanging VM lasts until its context ends.
 type fakePeers struct {
-	silent string
-	mu     sync.Mutex // guards called
-	called []string
+	silent, hanging string
+	syncs           map[string]*Sync
+	mu              sync.Mutex // guards called
+	called          []string
 }
 
-func (o *fakePeers) Call(_ context.Context, vm string, _ *peer.Message) (*peer.Message, error) {
+func (o *fakePeers) Call(ctx context.Context, vm string, m *peer.Message) (*peer.Message, error) {
 	o.mu.Lock()
 	o.called = append(o.called, vm)
 	o.mu.Unlock()
-	if vm == o.silent {
+	switch {
+	case vm == o.silent:
 		return nil, errors.New("silent")
+	case vm == o.hanging:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case o.syncs[vm] != nil:
+		return o.syncs[vm].Handle(ctx, "puller", m), nil
 	}
 	return &peer.Message{Pulled: &peer.Pulled{Revision: 7, Items: []peer.Published{}}}, nil
 }
 
+// plainDecoder decodes an item with the key "config" as a configuration whose version is the
+// item's revision, and any other item as an upstream's entry.
+type plainDecoder struct{}
+
+func (plainDecoder) Config(it Item) (*Config, bool, error) {
+	return &Config{Version: int(it.Revision)}, it.Key == "config", nil
+}
+
+func (plainDecoder) Entry(it Item) (Entry, bool, error) {
+	return Entry{Identity: it.Key, Address: it.Key, Revision: it.Revision}, it.Key != "config", nil
+}
+
+func (plainDecoder) Equivalent(_, _ []byte) bool { return false }
+
+func newTestSync(peers Peers, now func() time.Duration) *Sync {
+	return NewSync(SyncOptions{
+		Mirror: NewMirror(plainDecoder{}, now, func(*Catalog, Change) {}), Peers: peers, Now: now, Log: log.New(io.Discard),
+		Sources: func() ([]string, bool) { return nil, true }, FleetSize: func() int { return 1 },
+		SetStoreUnreachable: func(bool) {}, AnnounceVersion: func(int) {},
+	})
+}
+
 // A call to a silent VM lasts for its full timeout, so a VM must not try it first each time.
 var _ = ginkgo.Describe("Sync that pulls from other VMs", func() {
 	ginkgo.It("tries a failed source after the others until failedSourceTTL has passed", func() {
 		now := time.Duration(0)
 		peers := &fakePeers{silent: "near"}
-		s := NewSync(SyncOptions{
-			Mirror: NewMirror(nil, func() time.Duration { return now }, func(*Catalog, Change) {}),
-			Peers:  peers, Now: func() time.Duration { return now }, Log: log.New(io.Discard),
-		})
+		s := newTestSync(peers, func() time.Duration { return now })
 		pull := func() []string {
 			peers.called = nil
 			Expect(s.pullAny(context.Background(), s.orderSources([]string{"near", "far"}))).To(BeTrue())
@@ -50,4 +78,114 @@
 		now += failedSourceTTL + 1
 		Expect(pull()).To(Equal([]string{"near", "far"}))
 	})
+
+	// An update was cut at 1,000 items in random order but carried the full revision, so the
+	// VM that pulled never got the rest.
+	ginkgo.It("gets all of 2,500 items, which take several pages", func() {
+		const items = 2500
+		clock := func() time.Duration { return time.Second }
+		peers := &fakePeers{}
+		source, puller := newTestSync(peers, clock), newTestSync(peers, clock)
+		peers.syncs = map[string]*Sync{"source": source}
+		full := Update{Revision: items + 1, Items: []Item{{Key: "config", Revision: items + 1}}}
+		for i := range items {
+			full.Items = append(full.Items, Item{Key: fmt.Sprintf("i-%04d", i), Revision: int64(i/2 + 1)})
+		}
+		Expect(source.o.Mirror.Apply(full)).To(BeTrue())
+		Expect(puller.pullAny(context.Background(), []string{"source"})).To(BeTrue())
+		Expect(puller.o.Mirror.items).To(HaveLen(items + 1))
+		revision, _ := puller.o.Mirror.State()
+		Expect(revision).To(BeEquivalentTo(items + 1))
+	})
+
+	ginkgo.It("keeps its revision if the pages of an update do not belong together", func() {
+		clock := func() time.Duration { return time.Second }
+		peers := &cutPeers{}
+		puller := newTestSync(peers, clock)
+		Expect(puller.pullAny(context.Background(), []string{"source"})).To(BeFalse())
+		revision, _ := puller.o.Mirror.State()
+		Expect(revision).To(BeZero())
+		Expect(peers.calls).To(Equal(2))
+	})
+})
+
+// cutPeers reply with a first page of changes and then with a page of other changes.
+type cutPeers struct{ calls int }
+
+func (o *cutPeers) Call(_ context.Context, _ string, _ *peer.Message) (*peer.Message, error) {
+	o.calls++
+	return &peer.Message{Pulled: &peer.Pulled{
+		After: o.calls - 1, Revision: 9, More: true, Items: []peer.Published{{Key: "i", Revision: o.calls}},
+	}}, nil
+}
+
+// Load pattern: the store does not reply to a third of the VMs. A version was acknowledged,
+// and all VMs of a zone followed a reader of their own zone that had not noticed yet that it
+// was cut off; they got the version after 3.1 s, of 3 s allowed.
+var _ = ginkgo.Describe("Sync whose source is cut off from the store", func() {
+	ginkgo.It("ends a held pull as soon as the content of the source becomes stale", func() {
+		var now time.Duration
+		s := newTestSync(nil, func() time.Duration { return now })
+		Expect(s.o.Mirror.Apply(Update{Revision: 5, Items: []Item{{Key: "config", Revision: 5}}})).To(BeTrue())
+		now += staleAfter - 50*time.Millisecond
+		start := time.Now()
+		reply := s.Handle(context.Background(), "puller", &peer.Message{Pull: &peer.Pull{After: 5, WaitMs: 1000}})
+		Expect(time.Since(start)).To(BeNumerically("<", 500*time.Millisecond))
+		Expect(reply.Pulled.Items).To(BeEmpty())
+	})
+
+	ginkgo.It("pulls an announced version at once, though the source in use holds its pull", func() {
+		clock := func() time.Duration { return time.Second }
+		peers := &fakePeers{hanging: "reader"}
+		source, puller := newTestSync(peers, clock), newTestSync(peers, clock)
+		peers.syncs = map[string]*Sync{"other": source}
+		Expect(source.o.Mirror.Apply(Update{Revision: 8, Items: []Item{{Key: "config", Revision: 8}}})).To(BeTrue())
+		puller.o.Sources = func() ([]string, bool) { return []string{"reader"}, false }
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			puller.Run(ctx)
+		}()
+		time.Sleep(20 * time.Millisecond)
+		puller.Announced("other", 8)
+		Eventually(puller.o.Mirror.Version, 500*time.Millisecond).Should(Equal(8))
+		cancel()
+		<-ended
+		Expect(puller.failedAt).To(BeEmpty(), "a pull that was ended for an announcement has not failed")
+	})
+
+	ginkgo.It("drops an announcement that proves wrong and follows its source again", func() {
+		clock := func() time.Duration { return time.Second }
+		peers := &fakePeers{}
+		source, puller := newTestSync(peers, clock), newTestSync(peers, clock)
+		peers.syncs = map[string]*Sync{"other": source}
+		Expect(source.o.Mirror.Apply(Update{Revision: 8, Items: []Item{{Key: "config", Revision: 8}}})).To(BeTrue())
+		puller.Announced("other", 30)
+		vm, version := puller.announced.newest(0, func() {})
+		Expect(vm).To(Equal("other"))
+		puller.pullAnnounced(context.Background(), vm, version)
+		Expect(puller.o.Mirror.Version()).To(Equal(8))
+		vm, _ = puller.announced.newest(8, func() {})
+		Expect(vm).To(BeEmpty())
+	})
+
+	ginkgo.It("announces a version that it read from the store, and no version twice", func() {
+		var announced []int
+		s := newTestSync(nil, func() time.Duration { return time.Second })
+		s.o.AnnounceVersion = func(version int) { announced = append(announced, version) }
+		s.o.Source = fixedSource{Revision: 4, Items: []Item{{Key: "config", Revision: 4}}}
+		s.syncWithStore(context.Background())
+		s.syncWithStore(context.Background())
+		Expect(announced).To(Equal([]int{4}))
+	})
 })
+
+// fixedSource is a store whose content does not change.
+type fixedSource Update
+
+func (f fixedSource) Read(context.Context) (Update, error) { return Update(f), nil }
+
+func (f fixedSource) Watch(_ context.Context, after int64, _ time.Duration) (Update, error) {
+	return Update{After: after, Revision: f.Revision}, nil
+}
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/sardinespindle/sardinespindle/internal/clock"
+	"github.com/sardinespindle/sardinespindle/internal/facts"
 	"github.com/sardinespindle/sardinespindle/internal/pause"
 	"github.com/sardinespindle/sardinespindle/internal/peer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/connbudget"
@@ -46,6 +47,11 @@
 	unreachablePrefix = "blind/"
 	unreachableTTL    = 4 * time.Second
 	unreachableValue  = "yes"
+	// versionPrefix starts the key of the fact by which a VM announces the newest version of
+	// the configuration that it has read from the store. versionTTL allows for a VM that
+	// learns of the fact by a digest only.
+	versionPrefix = "version/"
+	versionTTL    = 10 * time.Second
 )
 
 // fleet learns of the VMs from seeds and from their announcements. It is safe for concurrent
@@ -199,6 +205,24 @@
 	return v.gathererCount, v.isGatherer
 }
 
+// liveCount returns the number of live VMs that this one knows.
+func (f *fleet) liveCount() int { return len(f.view.Load().vms) }
+
+// announceVersion announces the version of the configuration that this VM read from the store.
+func (f *fleet) announceVersion(version int) {
+	f.node.Facts().Put(versionPrefix+f.self.Name, strconv.Itoa(version), versionTTL)
+}
+
+// watchVersions calls fn with each version that another VM announces.
+func (f *fleet) watchVersions(fn func(vm string, version int)) {
+	f.node.Facts().Watch(versionPrefix, func(fact facts.Fact) {
+		version, err := strconv.Atoi(fact.Value)
+		if err == nil && fact.VM() != f.self.Name {
+			fn(fact.VM(), version)
+		}
+	})
+}
+
 // setStoreUnreachable announces that the store does not reply to this VM, or withdraws the
 // announcement. An announcement is repeated only when less than half of its TTL is left, not
 // at each failure.
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -88,11 +88,14 @@
 		Source:              platform.NewStore(string(f.s.Platform.Addresses[0]), storeTransport(ip)),
 		Peers:               f.node,
 		Sources:             f.fleet.sources,
+		FleetSize:           f.fleet.liveCount,
 		SetStoreUnreachable: f.fleet.setStoreUnreachable,
+		AnnounceVersion:     f.fleet.announceVersion,
 		Now:                 clock.Boot,
 		Log:                 f.log,
 	})
 	f.node.Handle(f.sync.Handle)
+	f.fleet.watchVersions(f.sync.Announced)
 	f.poison = poison.New(poison.Options{VM: ip, Fleet: f.node, Registerer: f.registry})
 	return nil
 }
--- a/schema/gen/peer/peer.go
+++ b/schema/gen/peer/peer.go
@@ -328,6 +328,12 @@
 	// Revision up to which the sender has all items; 0 for none.
 	After int `json:"after" toml:"after" cbor:"after"`
 
+	// Key of the last item of the page before; empty for the first page.
+	FromKey string `json:"from_key" toml:"from_key" cbor:"from_key"`
+
+	// Revision of the last item of the page before; 0 for the first page.
+	FromRevision int `json:"from_revision" toml:"from_revision" cbor:"from_revision"`
+
 	// How long the peer may wait for a change, in milliseconds.
 	WaitMs int `json:"wait_ms" toml:"wait_ms" cbor:"wait_ms"`
 }
@@ -341,9 +347,12 @@
 	// milliseconds.
 	AgeMs int `json:"age_ms" toml:"age_ms" cbor:"age_ms"`
 
-	// Items that changed, or all items.
+	// Items that changed, or all items, by revision and key; one page of them.
 	Items []Published `json:"items" toml:"items" cbor:"items"`
 
+	// Whether further pages follow. The revision covers all pages.
+	More bool `json:"more" toml:"more" cbor:"more"`
+
 	// Revision as of which the items are current; 0 if the peer has none.
 	Revision int `json:"revision" toml:"revision" cbor:"revision"`
 }
