A gate holds at most 16 pending generations, in whichever order they come

Cause: a pending generation lower than all others evicted nothing, so falling offers filled the gate without a bound. Change: an offer below 16 higher pending generations is not recorded. Ruled out: evicting the highest, which is the one that must come into force.

--- a/internal/policy/generation/generation.go
+++ b/internal/policy/generation/generation.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// maxPending is the number of generations at which a Gate drops the lowest to add another.
+// maxPending is the most generations that a Gate holds. It keeps the highest ones.
 const maxPending = 16
 
 // pending is a generation that was offered and not dropped since. It may be the one in
@@ -66,14 +66,16 @@
 }
 
 // Offer records an offer made at now and reports whether its generation is
-// conflicting.
+// conflicting. An offer below maxPending higher generations is not recorded.
 func (g *Gate) Offer(now time.Duration, h Head) bool {
 	if g.pending == nil {
 		g.pending = make(map[int]*pending)
 	}
 	p, ok := g.pending[h.Generation]
 	if !ok {
-		g.evictLowest(h.Generation)
+		if !g.makeRoom(h.Generation) {
+			return false
+		}
 		g.pending[h.Generation] = &pending{digest: h.Digest, receivedAt: now}
 		return false
 	}
@@ -106,15 +108,16 @@
 	}
 }
 
-// evictLowest drops the lowest pending generation if there are maxPending. It drops none
-// if the incoming one is lower than all of them, so the limit is then exceeded.
-func (g *Gate) evictLowest(incoming int) {
+// makeRoom drops the lowest pending generation if there are maxPending. It reports false and
+// drops none if the incoming one is lower than all of them.
+func (g *Gate) makeRoom(incoming int) bool {
 	if len(g.pending) < maxPending {
-		return
+		return true
 	}
 	lowest := incoming
 	for n := range g.pending {
 		lowest = min(lowest, n)
 	}
 	delete(g.pending, lowest)
+	return lowest < incoming
 }
--- a/internal/policy/generation/generation_test.go
+++ b/internal/policy/generation/generation_test.go
@@ -96,4 +96,19 @@
 		Expect(g.Settled(generation.SettleTime, generation.Head{Generation: 1, Digest: "x"})).To(BeFalse())
 		Expect(g.Settled(generation.SettleTime, generation.Head{Generation: 1000, Digest: "x"})).To(BeTrue())
 	})
+
+	It("holds a bounded number of generations when ever lower ones are offered", func() {
+		var g generation.Gate
+		for n := 1000; n > 0; n-- {
+			g.Offer(0, generation.Head{Generation: n, Digest: "x"})
+		}
+		settled := 0
+		for n := range 1000 {
+			if g.Settled(generation.SettleTime, generation.Head{Generation: n + 1, Digest: "x"}) {
+				settled++
+			}
+		}
+		Expect(settled).To(BeNumerically("<=", 16))
+		Expect(g.Settled(generation.SettleTime, generation.Head{Generation: 1000, Digest: "x"})).To(BeTrue())
+	})
 })
