Metrics of callers' requests are labelled by workloads of the manifest only

Cause: a request with a rejected token, or to a VM without a manifest, left the name from its path as a label's value: any caller could add values without a bound. Change: the label is empty until the workload is known to be one of the manifest. Ruled out: a bound on the number of values, which would hide real workloads behind made-up ones.

--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -17,6 +18,7 @@
 	"github.com/google/uuid"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/sardinespindle/sardinespindle/internal/admission"
 	"github.com/sardinespindle/sardinespindle/internal/callers"
@@ -74,9 +76,10 @@
 // vm serves the callers' interface with a fakeBackend.
 type vm struct {
 	*httptest.Server
-	backend *fakeBackend
-	server  *callers.Server
-	ready   bool
+	backend  *fakeBackend
+	server   *callers.Server
+	registry *prometheus.Registry
+	ready    bool
 }
 
 // health returns the status of the health check.
@@ -88,14 +91,14 @@
 }
 
 func newVM(m *manifest.Manifest) *vm {
-	v := &vm{backend: &fakeBackend{result: outcome.Outcome{Kind: caller.OutcomeAnswered}}}
+	v := &vm{backend: &fakeBackend{result: outcome.Outcome{Kind: caller.OutcomeAnswered}}, registry: prometheus.NewRegistry()}
 	a := admission.New(admission.Options{VMs: func() int { return 1 }})
 	if m != nil {
 		a.Apply(m)
 	}
 	v.server = callers.New(callers.Options{
 		Manifest: func() *manifest.Manifest { return m }, Ready: func() bool { return v.ready }, Searcher: v.backend, Runner: v.backend,
-		Admission: a, Log: log.New(io.Discard),
+		Admission: a, Log: log.New(io.Discard), Registerer: v.registry,
 	})
 	v.Server = httptest.NewServer(v.server.Handler())
 	DeferCleanup(v.Close)
@@ -203,6 +206,20 @@
 		Expect(v.health()).To(Equal(http.StatusServiceUnavailable))
 	})
 
+	// A metric with a label value for each path that anybody sends grows without a bound.
+	It("adds no label to the metrics if its token is rejected or the VM has no manifest", func() {
+		for _, m := range []*manifest.Manifest{testManifest(0), nil} {
+			v := newVM(m)
+			for i := range 3 {
+				v.post(fmt.Sprintf("made-up-%d/search", i), `{"query":"x"}`, "Authorization", "Bearer made-up")
+			}
+			families, err := v.registry.Gather()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(families).To(HaveLen(1))
+			Expect(families[0].GetMetric()).To(HaveLen(1))
+		}
+	})
+
 	It("sees the health check fail until the VM is ready", func() {
 		v := newVM(testManifest(0))
 		Expect(v.health()).To(Equal(http.StatusServiceUnavailable))
--- a/internal/callers/input.go
+++ b/internal/callers/input.go
@@ -80,8 +80,9 @@
 
 // authorize finds the caller by its token, the workload and the caller's grant for it, and
 // checks that the path fits the kind of workload. The workload in c becomes a metric label, so
-// an unknown one is cleared; if the token is rejected, the name from the path stays.
+// it is set only to the name of a workload of the manifest.
 func authorize(r *http.Request, c *call, m *manifest.Manifest, in *input) error {
+	name := r.PathValue("workload")
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok || token == "" {
 		return reject(outcome.Unauthorized, "no bearer token")
@@ -92,12 +93,11 @@
 		return reject(outcome.Unauthorized, "unknown token")
 	}
 	c.caller = string(caller.Name)
-	w, ok := m.Workloads[c.workload]
+	w, ok := m.Workloads[name]
 	if !ok {
-		name := c.workload
-		c.workload = ""
 		return reject(outcome.UnknownWorkload, "unknown workload %q", name)
 	}
+	c.workload = name
 	grant, ok := caller.ByWorkload[c.workload]
 	if !ok {
 		return reject(outcome.Forbidden, "caller %s has no grant for %s", c.caller, c.workload)
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -110,7 +110,7 @@
 type call struct {
 	id       string
 	start    time.Time
-	workload string
+	workload string // empty until it is known to be one of the manifest
 	caller   string
 	// generation of the manifest in force when the request arrived; 0 for none.
 	generation int
@@ -123,7 +123,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.inFlight.Add(1)
 		defer s.inFlight.Add(-1)
-		c := &call{id: uuid.NewString(), start: time.Now(), workload: r.PathValue("workload")}
+		c := &call{id: uuid.NewString(), start: time.Now()}
 		o := s.handle(w, r, c, run)
 		s.metrics.observe(c, o)
 		if o.Kind != caller.OutcomeAnswered {
--- a/internal/catalog/mirror_test.go
+++ b/internal/catalog/mirror_test.go
@@ -161,7 +161,7 @@
 			}})
 			m.Apply(catalog.Update{After: rev + 1, Revision: rev + 1, Items: []catalog.Item{{Key: key, Revision: rev + 1, Removed: true}}})
 		}
-		recent, _ := m.Since(11 + 2*(replacements-100), catalog.Cursor{})
+		recent, _ := m.Since(11+2*(replacements-100), catalog.Cursor{})
 		Expect(len(recent.Items)).To(BeNumerically("~", 100, 1))
 		behind, _ := m.Since(12, catalog.Cursor{})
 		Expect(behind.After).To(BeZero())
