A claimant counts its own copy of an outcome only if its guard stored it

Cause: Record counted this VM as a guard that stored the outcome without a check; a full guard stores nothing. Change: the local guard's reply counts, as do those of the others. Result: 4 of 5 guards needed, 3 stored, reported as stored before; ErrQuorumNotStored now. The new test failed before.

--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -158,6 +158,22 @@
 		Expect(d.Outcome).To(BeEmpty())
 	})
 
+	// An outcome that fewer guards hold than a quorum can be forgotten while another claim on
+	// the key wins.
+	It("do not count a full guard of the claimant among those that stored an outcome", func() {
+		f := newFleet(5)
+		for range numShards * once.DefaultParams().MaxKeys * 5 / 4 {
+			r := peer.Release{Key: newKey(), Claimant: "vm9/x/1"}
+			f.node(0).Handle(context.Background(), "vm9", &peer.Message{Release: &r})
+		}
+		d := f.node(0).Claim(withTimeout(time.Second), request(newKey()))
+		Expect(d.Verdict).To(Equal(Won))
+		f.mu.Lock()
+		f.partition["vm4"] = 1
+		f.mu.Unlock()
+		Expect(d.Hold.Record(context.Background(), "done")).To(MatchError(ErrQuorumNotStored))
+	})
+
 	// A peer that sends many keys or garbage must not exhaust or crash a guard.
 	It("keep a bounded number of keys and do not reply to malformed messages", func() {
 		f := newFleet(1)
--- a/internal/claims/hold.go
+++ b/internal/claims/hold.go
@@ -23,8 +23,7 @@
 )
 
 // ErrQuorumNotStored is returned if fewer guards than a quorum confirmed in time that they
-// stored an outcome. This VM has stored it unless its guard is full; deliveries to other
-// guards that are still under way continue.
+// stored an outcome. Deliveries to other guards that are still under way continue.
 var ErrQuorumNotStored = errors.New("outcome stored by less than a quorum")
 
 // Hold is a won claim. Its owner must call Release or Record exactly once; until then,
@@ -74,9 +73,12 @@
 		outcome = ""
 	}
 	m := &peer.Record{Key: h.key, Claimant: h.claimant, Fingerprint: h.fingerprint, Outcome: outcome}
-	h.c.handleRecord(m)
+	stored := 0
+	if r := h.c.handleRecord(m); r != nil && r.Found.Known {
+		stored = 1
+	}
 	h.c.unregister(h)
-	return h.c.deliverRecord(ctx, m, h.guards, h.need)
+	return h.c.deliverRecord(ctx, m, h.guards, h.need-stored)
 }
 
 // end ends the hold and wakes the waiting lookups. It reports false if it had ended before.
@@ -120,8 +122,7 @@
 }
 
 // deliverRecord delivers an outcome to the other guards and waits until the needed number
-// of guards has stored it. This VM is counted as one of them without a check. Deliveries
-// continue after deliverRecord has returned.
+// of them has stored it. Deliveries continue after deliverRecord has returned.
 func (c *Claims) deliverRecord(ctx context.Context, m *peer.Record, guards []string, need int) error {
 	acks := make(chan bool, len(guards))
 	sent := 0
@@ -134,7 +135,7 @@
 	}
 	t := time.NewTimer(recordTimeout)
 	defer t.Stop()
-	stored := 1
+	stored := 0
 	for range sent {
 		if stored >= need {
 			return nil
