A late pass-through search waits without spinning, and names lost shards as lost

After lossDelay a shard whose reply was lost was handled as not sent, and reported so. Change: a pass-through search is due at GiveUpAt; the repeat after a lost reply keeps its class.

--- a/internal/gather/pass.go
+++ b/internal/gather/pass.go
@@ -126,8 +126,8 @@
 	}
 }
 
-// retryPassThrough sends a shard's request to another replica after an attempt gave no
-// part, or gives the shard up.
+// retryPassThrough decides what follows an attempt that gave no part: another one, after
+// lossDelay if the reply was lost, or giving the shard up.
 func (q *query) retryPassThrough(sh *shard, c upstream.Class) {
 	if sh.status != idle {
 		return
@@ -140,6 +140,12 @@
 		q.updateStatus(sh)
 		return
 	}
+	q.repeatOrGiveUp(sh, c)
+}
+
+// repeatOrGiveUp sends a shard's request to another replica after an attempt of class c, or
+// gives the shard up.
+func (q *query) repeatOrGiveUp(sh *shard, c upstream.Class) {
 	if q.crashesUpstreams() {
 		sh.gaveUp, sh.missingCause = true, "crashed"
 		q.updateStatus(sh)
--- a/internal/gather/pass_test.go
+++ b/internal/gather/pass_test.go
@@ -115,4 +115,13 @@
 		Expect(o.Reason).To(Equal(outcome.CrashSuspected))
 		Expect(f.total() - sent).To(Equal(3))
 	})
+
+	It("reports a shard as lost if its reply was lost and no budget is left", func() {
+		for i := range 3 {
+			f.serve[fmt.Sprintf("s%d-a", i)] = endsWith(upstream.Lost)
+		}
+		s := passThroughSearch(100*time.Millisecond, 200*time.Millisecond)
+		s.PassThrough.TakeRepeat = func(string, bool) bool { return false }
+		Expect(run(s).Detail).To(ContainSubstring("lost:3"))
+	})
 })
--- a/internal/gather/query.go
+++ b/internal/gather/query.go
@@ -143,10 +143,7 @@
 	}
 	now := time.Now()
 	remaining := s.Deadline.Sub(now)
-	q := &query{
-		e: e, s: s, workload: string(s.Workload.Name), body: body, start: now,
-		answerBy: s.Deadline.Add(-min(maxReserve, remaining/reserveDivisor)),
-	}
+	q := &query{e: e, s: s, workload: string(s.Workload.Name), body: body, start: now, answerBy: lastDecision(s, remaining)}
 	q.ctx, q.cancel = context.WithCancel(ctx)
 	q.sampled = trace.SpanContextFromContext(ctx).IsSampled()
 	q.loadState()
@@ -161,6 +158,15 @@
 	return q, nil
 }
 
+// lastDecision returns when a search ends at the latest: at GiveUpAt for a pass-through one,
+// else early enough to write the answer by the deadline.
+func lastDecision(s Search, remaining time.Duration) time.Time {
+	if s.PassThrough != nil {
+		return s.PassThrough.GiveUpAt
+	}
+	return s.Deadline.Add(-min(maxReserve, remaining/reserveDivisor))
+}
+
 // encodeQuery returns the body of the sub-requests; it sets a missing limit in s.
 func encodeQuery(s *Search) ([]byte, error) {
 	if s.PassThrough != nil {
--- a/internal/gather/send.go
+++ b/internal/gather/send.go
@@ -261,7 +261,7 @@
 			sh.pickAt = time.Time{}
 			if q.s.PassThrough != nil {
 				q.updateStatus(sh)
-				q.retryPassThrough(sh, upstream.NotSent)
+				q.repeatOrGiveUp(sh, upstream.Lost)
 			} else {
 				q.launch(sh, q.pin)
 			}
