The line about dropped log lines has the format of the log

Cause: that line was always JSON, and in the format text warnings counted as routine lines, so a flood of routine lines dropped them. Change: a LineWriter knows its format.

--- a/cmd/sardinespindle/main.go
+++ b/cmd/sardinespindle/main.go
@@ -50,7 +50,7 @@
 		}
 		defer stop()
 	}
-	lines := telemetry.NewLineWriter(os.Stdout)
+	lines := telemetry.NewLineWriter(os.Stdout, s.Log.Format)
 	defer lines.Close()
 	l, err := telemetry.Logger(lines, s.Log, s.Name)
 	if err != nil {
--- a/internal/telemetry/lines.go
+++ b/internal/telemetry/lines.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
 )
 
 // Limits of a LineWriter.
@@ -27,9 +29,10 @@
 // LineWriter is a writer that never waits for the reader of the log. It drops and counts the
 // lines beyond a rate or beyond a number of buffered bytes. It is safe for concurrent use.
 type LineWriter struct {
-	out  io.Writer
-	wake chan struct{}
-	done chan struct{}
+	out    io.Writer
+	format settings.LogFormat
+	wake   chan struct{}
+	done   chan struct{}
 
 	mu       sync.Mutex // guards the fields below
 	buffered []byte
@@ -42,10 +45,10 @@
 }
 
 // NewLineWriter returns a LineWriter that writes to out from its own goroutine. Each Write must
-// be one line. The caller must call Close.
-func NewLineWriter(out io.Writer) *LineWriter {
+// be one line in the given format. The caller must call Close.
+func NewLineWriter(out io.Writer, format settings.LogFormat) *LineWriter {
 	l := &LineWriter{
-		out: out, wake: make(chan struct{}, 1), done: make(chan struct{}), tokens: linesBurst, filled: time.Now(),
+		out: out, format: format, wake: make(chan struct{}, 1), done: make(chan struct{}), tokens: linesBurst, filled: time.Now(),
 	}
 	go l.run()
 	return l
@@ -59,7 +62,7 @@
 	l.tokens = min(linesBurst, l.tokens+linesPerSecond*now.Sub(l.filled).Seconds())
 	l.filled = now
 	reserve, counter := 0.0, &l.failureDropped
-	if isRoutine(p) {
+	if l.isRoutine(p) {
 		reserve, counter = routineReserve, &l.routineDropped
 	}
 	if l.tokens < 1+reserve || len(l.buffered)+len(p) > maxBufferedBytes || l.closed {
@@ -69,7 +72,7 @@
 	}
 	l.tokens--
 	if l.dropped > 0 {
-		l.buffered = fmt.Appendf(l.buffered, "{\"level\":\"warn\",\"msg\":\"lines dropped\",\"count\":%d}\n", l.dropped)
+		l.buffered = fmt.Appendf(l.buffered, droppedLines[l.format], l.dropped)
 		l.dropped = 0
 	}
 	l.buffered = append(l.buffered, p...)
@@ -77,10 +80,9 @@
 	return len(p), nil
 }
 
-// isRoutine reports whether a line is neither a warning nor an error. It knows the levels
-// of the formats JSON and logfmt; in the format text, every line counts as routine.
-func isRoutine(line []byte) bool {
-	for _, level := range failureLevels {
+// isRoutine reports whether a line is neither a warning nor an error.
+func (l *LineWriter) isRoutine(line []byte) bool {
+	for _, level := range failureLevels[l.format] {
 		if bytes.Contains(line, level) {
 			return false
 		}
@@ -88,8 +90,18 @@
 	return true
 }
 
-var failureLevels = [][]byte{
-	[]byte(`"level":"warn"`), []byte(`"level":"error"`), []byte("level=warn"), []byte("level=error"),
+// droppedLines is the line that reports dropped lines, by format.
+var droppedLines = map[settings.LogFormat]string{
+	settings.LogFormatJson:   `{"level":"warn","msg":"lines dropped","count":%d}` + "\n",
+	settings.LogFormatLogfmt: `level=warn msg="lines dropped" count=%d` + "\n",
+	settings.LogFormatText:   "WARN lines dropped count=%d\n",
+}
+
+// failureLevels mark the warnings and errors, by format.
+var failureLevels = map[settings.LogFormat][][]byte{
+	settings.LogFormatJson:   {[]byte(`"level":"warn"`), []byte(`"level":"error"`)},
+	settings.LogFormatLogfmt: {[]byte("level=warn"), []byte("level=error")},
+	settings.LogFormatText:   {[]byte("WARN "), []byte("ERRO ")},
 }
 
 // Register registers the counters of dropped lines.
--- a/internal/telemetry/lines_test.go
+++ b/internal/telemetry/lines_test.go
@@ -40,7 +40,7 @@
 	It("does not block when the reader of the log has stalled", func() {
 		r, w := io.Pipe()
 		defer r.Close()
-		l := telemetry.NewLineWriter(w)
+		l := telemetry.NewLineWriter(w, settings.LogFormatJson)
 		start := time.Now()
 		for i := range 10_000 {
 			_, err := fmt.Fprintf(l, "line %d\n", i)
@@ -52,7 +52,7 @@
 	// Guards against a log that grows with the load, and against gaps that are not reported.
 	It("drops lines beyond the burst, and writes how many", func() {
 		out := &syncBuffer{}
-		l := telemetry.NewLineWriter(out)
+		l := telemetry.NewLineWriter(out, settings.LogFormatJson)
 		for i := range 1000 {
 			fmt.Fprintf(l, "line %d\n", i)
 		}
@@ -67,7 +67,7 @@
 	// Guards against warnings that are lost in a flood of routine lines.
 	It("writes every warning while it drops routine lines, and registers both counters", func() {
 		out := &syncBuffer{}
-		l := telemetry.NewLineWriter(out)
+		l := telemetry.NewLineWriter(out, settings.LogFormatJson)
 		registry := prometheus.NewRegistry()
 		Expect(l.Register(registry)).To(Succeed())
 		for i := range 1000 {
@@ -84,11 +84,33 @@
 		Expect(families[0].GetName()).To(Equal("spindle_log_lines_dropped_total"))
 		Expect(families[0].GetMetric()).To(HaveLen(2))
 	})
+
+	// Guards against a reader that cannot parse the line about dropped lines, and against
+	// warnings that count as routine.
+	DescribeTable("reports dropped lines in the format of the log and writes every warning", func(format settings.LogFormat, dropped string) {
+		out := &syncBuffer{}
+		lines := telemetry.NewLineWriter(out, format)
+		l, err := telemetry.Logger(lines, &settings.Log{Level: settings.LogLevelInfo, Format: format}, "vm")
+		Expect(err).NotTo(HaveOccurred())
+		for range 1000 {
+			l.Info("request")
+		}
+		for range 50 {
+			l.Warn("source lost")
+		}
+		lines.Close()
+		Expect(strings.Count(out.text(), "source lost")).To(Equal(50))
+		Expect(out.text()).To(ContainSubstring(dropped))
+	},
+		Entry(nil, settings.LogFormatJson, `"msg":"lines dropped","count":`),
+		Entry(nil, settings.LogFormatLogfmt, `level=warn msg="lines dropped" count=`),
+		Entry(nil, settings.LogFormatText, "WARN lines dropped count="),
+	)
 })
 
 // BenchmarkLine measures what the log line of one request costs.
 func BenchmarkLine(b *testing.B) {
-	l, err := telemetry.Logger(telemetry.NewLineWriter(io.Discard), &settings.Log{Level: settings.LogLevelInfo, Format: settings.LogFormatJson}, "vm")
+	l, err := telemetry.Logger(telemetry.NewLineWriter(io.Discard, settings.LogFormatJson), &settings.Log{Level: settings.LogLevelInfo, Format: settings.LogFormatJson}, "vm")
 	if err != nil {
 		b.Fatal(err)
 	}
