A full queue is no failed probe, and replicas at their limit are reported as limited

Cause: a probe that found 1,024 attempts waiting counted as a failure of the replica. A pick whose replicas reached their limits while it ran returned ErrNoReplica, and the shard was given up. Change: errPoolFull says nothing about the replica; a replica tried in vain counts as limited.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -376,8 +376,7 @@
 // sent when one is returned. If the upstreams' reasons differ, ErrLimited takes
 // precedence; without it, any one of them is returned.
 var (
-	// ErrNoReplica: the manifest has no other upstream for the shard, or the others reached
-	// their limits during the pick.
+	// ErrNoReplica: the manifest has no other upstream for the shard.
 	ErrNoReplica = errors.New("upstream: no replica")
 	// ErrDraining: the remaining upstreams are draining.
 	ErrDraining = errors.New("upstream: every replica is draining")
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -121,7 +121,11 @@
 	}
 	for i := range g.servers {
 		s := g.servers[(start+i)%len(g.servers)]
-		if slices.Contains(exclude, s.address) || slices.Contains(tried, s) {
+		if slices.Contains(exclude, s.address) {
+			continue
+		}
+		if slices.Contains(tried, s) { // it reached its limit during this pick
+			pickErr = preferredPickError(pickErr, ErrLimited)
 			continue
 		}
 		cand := s.evaluate(now, c.rules, hedge)
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -81,8 +81,8 @@
 }
 
 // finishProbe ends a probe and records its result. A probe that got no connection, because
-// none became free or this VM has no share, says nothing about the replica. A failed dial
-// counts as a failure.
+// none became free, too many attempts wait for one, or this VM has no share, says nothing
+// about the replica. A failed dial counts as a failure.
 func (s *server) finishProbe(now time.Duration, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -91,7 +91,7 @@
 	case err == nil || errors.Is(err, ErrDraining):
 		s.zone.replied()
 		s.health.Probed(now)
-	case errors.Is(err, errNoFreeConn) || errors.Is(err, ErrNoShare):
+	case errors.Is(err, errNoFreeConn) || errors.Is(err, ErrNoShare) || errors.Is(err, errPoolFull):
 	default:
 		s.zone.failed()
 		s.health.Failed(now)
