The published header timeout is applied; a stop leaves a sixth of the grace time

Cause: the header timeout was decoded and applied nowhere. grace_ms 0 stood for 60 s. A stop left 400 ms to end the process, which a VM of 0.13 cores under load does not always do in time.

--- a/Makefile
+++ b/Makefile
@@ -72,7 +72,7 @@
 PLATFORM_WORDS := X-Request-Deadline|X-Expected-Instance|X-Shard-Stamps|X-Missing-Shards|X-Response-Stamp|X-Not-Executed|X-Server-Load|kv-(key|range|watch)|trafficSplit|SARDINESPINDLE_BOOT
 platform-check:
 	@out=$$(git grep -lE '$(PLATFORM_WORDS)' -- '*.go' ':!platform' ':!deploy'); [ -z "$$out" ] || { echo "the platform's names outside platform/: $$out"; exit 1; }
-	@n=$$(git ls-files 'platform/*.go' | grep -v _test.go | xargs cat | wc -l); [ $$n -lt 1500 ] || { echo "platform/ has $$n lines, at most 1500"; exit 1; }
+	@n=$$(git ls-files 'platform/*.go' | grep -v _test.go | xargs cat | wc -l); [ $$n -lt 1500 ] || { echo "platform/ has $$n lines, the limit is 1499"; exit 1; }
 
 clean:
 	rm -rf $(BIN)
--- a/internal/bench/client.go
+++ b/internal/bench/client.go
@@ -46,8 +46,6 @@
 	Err   error
 	// Refused reports that no connection could be opened.
 	Refused bool
-	// Stopping is never set; Journal.Stops records planned stops.
-	Stopping bool
 }
 
 // Client sends callers' requests to VMs. It is safe for concurrent use.
--- a/internal/bench/relay.go
+++ b/internal/bench/relay.go
@@ -25,15 +25,14 @@
 // relay forwards connections to one address and applies a linkFault to them. mu guards
 // fault and the fields after it.
 type relay struct {
-	target         string
-	dialer         net.Dialer
-	listen         net.Listener
-	bytes          atomic.Int64 // forwarded, in both directions
-	mu             sync.Mutex
-	fault          linkFault
-	conns          map[net.Conn]bool
-	maxTargetConns int // peak of targetConns
-	targetConns    int // open connections to the target
+	target      string
+	dialer      net.Dialer
+	listen      net.Listener
+	bytes       atomic.Int64 // forwarded, in both directions
+	mu          sync.Mutex
+	fault       linkFault
+	conns       map[net.Conn]bool
+	targetConns int // open connections to the target
 }
 
 // newRelay listens on an address and forwards connections to target, with the source IP
@@ -86,12 +85,11 @@
 	<-done
 }
 
-// addTargetConns adds n to targetConns and updates the peak.
+// addTargetConns adds n to targetConns.
 func (r *relay) addTargetConns(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.targetConns += n
-	r.maxTargetConns = max(r.maxTargetConns, r.targetConns)
 }
 
 const (
--- a/internal/bench/soak_check.go
+++ b/internal/bench/soak_check.go
@@ -18,7 +18,6 @@
 // Violations that the soak detects.
 const (
 	mixedAnswer    = "mixed"            // an answer holds data of another request, or its shards or records are wrong
-	wrongMissing   = "wrong_coverage"   // not recorded: answerProblem reports a wrong count of missing shards as mixed
 	deniedRoute    = "denied"           // a published route was rejected
 	ranTwice       = "ran_twice"        // an order ran more than once
 	refusedButRan  = "refused_but_ran"  // status 503 for a request that a server ran
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -30,7 +30,7 @@
 	ConnectionLimit int
 }
 
-// Limits bound callers' requests and connections. HeaderTimeout is published but not enforced.
+// Limits bound callers' requests and connections.
 type Limits struct {
 	HeaderBytes, BodyBytes     int
 	HeaderTimeout, IdleTimeout time.Duration
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -250,8 +250,9 @@
 	return nil
 }
 
-// stopMargin is the part of the grace time that is left to end the process itself.
-const stopMargin = 400 * time.Millisecond
+// stopMarginDivisor sets the part of the grace time that is left to end the process itself: a
+// small VM under load needs up to a second for it.
+const stopMarginDivisor = 6
 
 // stopPollInterval is the time between two checks whether searches delegated by other VMs
 // still run.
@@ -259,8 +260,7 @@
 
 // shutdown reports the VM as not ready and serves new requests for the linger time of the
 // settings, because the load balancer needs time to notice. It then refuses new requests and
-// waits for those in flight until the grace time is almost over. The grace time is leavingTTL
-// if the settings have none.
+// waits for those in flight until the grace time is almost over.
 func (f *Forwarder) shutdown(callerServer *http.Server) {
 	start := time.Now()
 	f.log.Info("stopping", "in_flight", f.server.InFlight())
@@ -270,10 +270,7 @@
 	time.Sleep(time.Duration(f.s.Stop.LingerMs) * time.Millisecond)
 	f.server.StopAccepting()
 	grace := time.Duration(f.s.Stop.GraceMs) * time.Millisecond
-	if grace == 0 {
-		grace = leavingTTL
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin-time.Since(start))
+	ctx, cancel := context.WithTimeout(context.Background(), grace-grace/stopMarginDivisor-time.Since(start))
 	defer cancel()
 	if err := callerServer.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		f.log.Warn("shutdown", "err", err)
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -24,8 +24,7 @@
 
 const (
 	headerTimeout = 5 * time.Second
-	// leavingTTL is how long the other VMs know that this one is leaving. A Forwarder without
-	// a grace time in its settings also stops within it.
+	// leavingTTL is how long the other VMs know that this one is leaving.
 	leavingTTL = 60 * time.Second
 	// drainMargin is added to the longest deadline to wait for requests in flight.
 	drainMargin = 5 * time.Second
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -121,7 +121,7 @@
 
 // HTTPServer returns the HTTP server for callers.
 func (s *Server) HTTPServer(addr string) *http.Server {
-	closer := &idleCloser{limit: s.publishedIdle, timers: map[net.Conn]*idleTimer{}}
+	closer := &idleCloser{limits: s.publishedLimits, timers: map[net.Conn]*idleTimer{}}
 	return &http.Server{
 		Addr: addr, Handler: s, ReadHeaderTimeout: headerTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: closer.onStateChange,
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -7,13 +7,15 @@
 	"sync"
 	"time"
 
+	"github.com/sardinespindle/sardinespindle/internal/catalog"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
 )
 
 // idleCloser closes callers' connections that stay idle for longer than the published idle
-// timeout. While none is published, only the server's own idle timeout applies.
+// timeout, and new ones on which no whole head arrives within the idle and the head timeout
+// together. While none is published, only the server's own timeouts apply.
 type idleCloser struct {
-	limit func() time.Duration // 0 for none
+	limits func() catalog.Limits
 
 	mu     sync.Mutex // guards timers
 	timers map[net.Conn]*idleTimer
@@ -23,8 +25,9 @@
 // timer that fires late does not close a connection in its next idle period.
 type idleTimer struct{ *time.Timer }
 
-// onStateChange starts a timer when a connection becomes idle and stops it at any other
-// change. It is the ConnState hook of an http.Server.
+// onStateChange starts a timer when a connection is opened or becomes idle and stops it at any
+// other change. It is the ConnState hook of an http.Server, which reports a new connection as
+// active once the first head has arrived.
 func (i *idleCloser) onStateChange(c net.Conn, to http.ConnState) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -32,16 +35,26 @@
 		t.Stop()
 		delete(i.timers, c)
 	}
-	if to != http.StateIdle {
-		return
-	}
-	if limit := i.limit(); limit > 0 {
+	if limit := i.limit(to); limit > 0 {
 		t := &idleTimer{}
 		t.Timer = time.AfterFunc(limit, func() { i.closeIfIdle(c, t) })
 		i.timers[c] = t
 	}
 }
 
+// limit returns how long a connection may stay in a state; 0 for no limit.
+func (i *idleCloser) limit(state http.ConnState) time.Duration {
+	l := i.limits()
+	switch {
+	case state == http.StateIdle:
+		return l.IdleTimeout
+	case state == http.StateNew && l.HeaderTimeout > 0 && l.IdleTimeout > 0:
+		return l.IdleTimeout + l.HeaderTimeout
+	default:
+		return 0
+	}
+}
+
 // closeIfIdle closes a connection if it has been idle since t was started.
 func (i *idleCloser) closeIfIdle(c net.Conn, t *idleTimer) {
 	i.mu.Lock()
@@ -55,13 +68,13 @@
 	}
 }
 
-// publishedIdle returns the published idle timeout; 0 if there is none.
-func (s *Server) publishedIdle() time.Duration {
+// publishedLimits returns the published limits; none while no configuration is known.
+func (s *Server) publishedLimits() catalog.Limits {
 	c := s.o.Catalog()
 	if c == nil {
-		return 0
+		return catalog.Limits{}
 	}
-	return c.Config.Limits.IdleTimeout
+	return c.Config.Limits
 }
 
 // checkHead rejects a request whose head exceeds the limit; a limit of 0 allows any size.
--- a/internal/forward/limits_test.go
+++ b/internal/forward/limits_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/sardinespindle/sardinespindle/internal/catalog"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
 )
 
@@ -29,7 +31,7 @@
 
 	It("close a connection that is idle for longer than the timeout, but not one that runs a request", func() {
 		const limit = 300 * time.Millisecond
-		closer := &idleCloser{limit: func() time.Duration { return limit }, timers: map[net.Conn]*idleTimer{}}
+		closer := &idleCloser{limits: func() catalog.Limits { return catalog.Limits{IdleTimeout: limit} }, timers: map[net.Conn]*idleTimer{}}
 		s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/slow" {
 				time.Sleep(2 * limit)
@@ -58,4 +60,24 @@
 		get("/")
 		Expect(opened.Load()).To(BeEquivalentTo(2))
 	})
+
+	It("close a new connection on which the first head takes too long", func() {
+		const limit = 100 * time.Millisecond
+		closer := &idleCloser{
+			limits: func() catalog.Limits { return catalog.Limits{IdleTimeout: limit, HeaderTimeout: limit} },
+			timers: map[net.Conn]*idleTimer{},
+		}
+		s := httptest.NewUnstartedServer(http.NotFoundHandler())
+		s.Config.ConnState = closer.onStateChange
+		s.Start()
+		DeferCleanup(s.Close)
+		c, err := net.Dial("tcp", s.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		_, err = c.Write([]byte("GET / HTTP/1.1\r\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		_, err = c.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
+	})
 })
--- a/internal/peer/hostile_test.go
+++ b/internal/peer/hostile_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -15,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinespindle/sardinespindle/internal/peer"
+	"github.com/sardinespindle/sardinespindle/internal/policy/roster"
 	"github.com/sardinespindle/sardinespindle/internal/testkit"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/peer"
 	"github.com/sardinespindle/sardinespindle/schema/gen/platform"
@@ -76,7 +78,7 @@
 }
 
 var _ = Describe("a hostile peer", func() {
-	const hostileIP = "127.0.9.9"
+	const hostileIP, otherIP = "127.0.9.9", "127.0.9.10"
 	var f *fleet
 	BeforeEach(func() {
 		limits := peer.DefaultLimits
@@ -155,6 +157,20 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	It("is refused by its name for a while after garbage, whatever IP address it dials from", func() {
+		ws, err := dialFrom(f.vms[0], hostileIP)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(write(ws, marshal(helloAs("evil")))).To(Succeed())
+		isMember := func(m roster.Member) bool { return m.Name == "evil" }
+		Eventually(func() bool { return slices.ContainsFunc(f.vms[0].Roster(), isMember) }, "2s", "5ms").Should(BeTrue())
+		Expect(write(ws, []byte{0xff})).To(Succeed())
+		expectClosed(ws)
+		ws, err = dialFrom(f.vms[0], otherIP)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(write(ws, marshal(helloAs("evil")))).To(Succeed())
+		expectClosed(ws)
+	})
+
 	It("cannot fill a node's store or forge the node's own facts", func() {
 		ws, err := dialFrom(f.vms[0], hostileIP)
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,6 +18,7 @@
 const (
 	defaultWatchSeconds        = 30
 	defaultLingerMs            = 3000
+	defaultGraceMs             = 60_000
 	defaultTraceSample         = 0.01
 	defaultRepeatRatio         = 0.2
 	defaultRepeatSlack         = 100
@@ -65,7 +66,7 @@
 		Repeats:  &gen.Repeats{Ratio: defaultRepeatRatio, Slack: defaultRepeatSlack, WindowSeconds: defaultRepeatWindowSeconds},
 		Log:      &gen.Log{Level: gen.LogLevelInfo, Format: gen.LogFormatJson},
 		Trace:    &gen.Trace{Exporter: gen.TraceExporterNone, Sample: defaultTraceSample},
-		Stop:     &gen.Stop{LingerMs: defaultLingerMs},
+		Stop:     &gen.Stop{LingerMs: defaultLingerMs, GraceMs: defaultGraceMs},
 		Experiment: &gen.Experiment{
 			Policy: gen.ExperimentPolicyCurrent,
 		},
--- a/schema/gen/settings/settings.go
+++ b/schema/gen/settings/settings.go
@@ -149,8 +149,8 @@
 // Graceful shutdown.
 type Stop struct {
 	// Time after SIGTERM within which the process ends, linger_ms included, in
-	// milliseconds; 0 for 60 s. Kind catalog only: kind manifest waits for requests
-	// in flight, at most its longest granted deadline plus 5 s.
+	// milliseconds. Kind catalog only: kind manifest waits for requests in flight, at
+	// most its longest granted deadline plus 5 s.
 	GraceMs int `json:"grace_ms,omitempty,omitzero" toml:"grace_ms,omitempty" cbor:"grace_ms,omitempty"`
 
 	// How long after SIGTERM new requests are still accepted, since the load balancer
