Zone relays pass on what is published, compressed

Cause: in a large fleet every VM pulled each change from one of two readers: four fifths of the pulls crossed zones, and a reader sent each change to 147 VMs. A page is a CBOR array compressed with DEFLATE, packed once for all that ask. A pull says which age of content it accepts: 1.8 s from a reader, 3 s from a relay; versions are announced in any case.

--- a/internal/catalog/announced.go
+++ b/internal/catalog/announced.go
@@ -61,7 +61,7 @@
 // pullAnnounced pulls the version that a VM announced. If that fails, the VM's announcement is
 // dropped and those of other VMs are tried.
 func (s *Sync) pullAnnounced(ctx context.Context, vm string, version int) {
-	u, err := s.pull(ctx, vm, 0)
+	u, err := s.pull(ctx, vm, 0, 0)
 	if err != nil {
 		s.logLost(vm, err)
 	} else {
--- a/internal/catalog/pull.go
+++ b/internal/catalog/pull.go
@@ -9,14 +9,8 @@
 	peer "github.com/sardinespindle/sardinespindle/schema/gen/peer"
 )
 
-const (
-	// maxPageItems and maxPageBytes bound one message of items between VMs. A page holds at
-	// least one item, whatever its size.
-	maxPageItems = 1000
-	maxPageBytes = 256 << 10
-	// maxPullPages bounds the pages of one pull.
-	maxPullPages = 1000
-)
+// maxPullPages bounds the pages of one pull.
+const maxPullPages = 1000
 
 var (
 	errNotPulled = errors.New("the reply has no pulled items")
@@ -24,29 +18,33 @@
 )
 
 // pull returns the changes since this VM's revision as another VM knows them, or the full
-// content, once all pages of it are there. The other VM may hold the pull for up to wait.
-func (s *Sync) pull(ctx context.Context, vm string, wait time.Duration) (Update, error) {
+// content, once all pages of it are there. The other VM may hold the pull for up to wait,
+// while its content is younger than maxAge.
+func (s *Sync) pull(ctx context.Context, vm string, wait, maxAge time.Duration) (Update, error) {
 	revision, _ := s.o.Mirror.State()
-	request := peer.Pull{After: int(revision), WaitMs: int(wait.Milliseconds())}
+	request := peer.Pull{After: int(revision), WaitMs: int(wait.Milliseconds()), MaxAgeMs: int(maxAge.Milliseconds())}
 	var u Update
 	for page := range maxPullPages {
 		p, err := s.pullPage(ctx, vm, request)
 		if err != nil {
 			return Update{}, fmt.Errorf("pull from %s: %w", vm, err)
 		}
-		next := fromPulled(p)
-		if page > 0 && next.After != u.After {
+		items, err := unpack(p.Packed)
+		if err != nil {
+			return Update{}, fmt.Errorf("pull from %s: %w", vm, err)
+		}
+		if page > 0 && int64(p.After) != u.After {
 			break
 		}
-		u.After, u.Revision, u.Age = next.After, next.Revision, next.Age
-		u.Items = append(u.Items, next.Items...)
+		u.After, u.Revision, u.Age = int64(p.After), int64(p.Revision), time.Duration(p.AgeMs)*time.Millisecond
+		u.Items = append(u.Items, items...)
 		if !p.More {
 			return u, nil
 		}
-		if len(next.Items) == 0 {
+		if len(items) == 0 {
 			break
 		}
-		last := next.Items[len(next.Items)-1]
+		last := items[len(items)-1]
 		request.FromRevision, request.FromKey, request.WaitMs = int(last.Revision), last.Key, 0
 	}
 	return Update{}, fmt.Errorf("pull from %s: %w", vm, errPages)
@@ -66,15 +64,16 @@
 }
 
 // Handle replies to the pulls of other VMs: at once if there are changes, else at the next
-// change, when the wait ends, or when this VM's content becomes stale, so that the puller
-// tries another source in time.
+// change, when the wait ends, or when this VM's content becomes too old for the puller, which
+// then tries another source in time.
 func (s *Sync) Handle(ctx context.Context, _ string, m *peer.Message) *peer.Message {
 	if m.Pull == nil {
 		return nil
 	}
 	from := Cursor{Revision: int64(m.Pull.FromRevision), Key: m.Pull.FromKey}
 	u, changed := s.o.Mirror.Since(int64(m.Pull.After), from)
-	wait := min(time.Duration(m.Pull.WaitMs)*time.Millisecond, pullWait, staleAfter-u.Age)
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	wait := min(ms(m.Pull.WaitMs), pullWait, ms(m.Pull.MaxAgeMs)-u.Age)
 	if len(u.Items) == 0 && wait > 0 {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
@@ -86,38 +85,13 @@
 		}
 		u, _ = s.o.Mirror.Since(int64(m.Pull.After), from)
 	}
-	return &peer.Message{Pulled: firstPage(u)}
-}
-
-// firstPage returns the first page of an update.
-func firstPage(u Update) *peer.Pulled {
-	p := &peer.Pulled{
-		After: int(u.After), Revision: int(u.Revision), AgeMs: int(u.Age.Milliseconds()),
-		Items: make([]peer.Published, 0, min(len(u.Items), maxPageItems)),
-	}
-	size := 0
-	for _, it := range u.Items {
-		size += len(it.Key) + len(it.Value)
-		if len(p.Items) == maxPageItems || len(p.Items) > 0 && size > maxPageBytes {
-			p.More = true
-			break
-		}
-		p.Items = append(p.Items, peer.Published{
-			Key: it.Key, Revision: int(it.Revision), Value: string(it.Value), Removed: it.Removed,
-		})
-	}
-	return p
-}
-
-func fromPulled(p *peer.Pulled) Update {
-	u := Update{
-		After: int64(p.After), Revision: int64(p.Revision), Age: time.Duration(p.AgeMs) * time.Millisecond,
-		Items: make([]Item, 0, len(p.Items)),
-	}
-	for _, it := range p.Items {
-		u.Items = append(u.Items, Item{
-			Key: it.Key, Revision: int64(it.Revision), Value: []byte(it.Value), Removed: it.Removed,
-		})
+	items, more := firstPage(u.Items)
+	packed, err := s.packer.pack(items)
+	if err != nil {
+		s.o.Log.Warn("update not packed", "items", len(items), "err", err)
+		return nil
 	}
-	return u
+	return &peer.Message{Pulled: &peer.Pulled{
+		After: int(u.After), Revision: int(u.Revision), AgeMs: int(u.Age.Milliseconds()), Packed: packed, More: more,
+	}}
 }
--- a/internal/catalog/sync.go
+++ b/internal/catalog/sync.go
@@ -46,10 +46,13 @@
 	minWatchInterval = 400 * time.Millisecond
 	// pullWait is how long a peer may hold a pull while it waits for a change.
 	pullWait = time.Second
-	// staleAfter is the age of a peer's content at which the next source is tried. The
+	// staleAfter is the age of a reader's content at which the next source is tried. The
 	// content of a reader that reaches the store is at most watchWait plus minWatchInterval
 	// old, and the store may take 250 ms to reply.
 	staleAfter = 1800 * time.Millisecond
+	// relayedStaleAfter is the same for the content of a relay, which pulled it from a reader
+	// at most pullWait ago.
+	relayedStaleAfter = staleAfter + pullWait + 200*time.Millisecond
 	// failedSourceTTL is how long a failed source is tried after the others. It is long
 	// enough for a few updates of the membership, which remove a VM that is gone.
 	failedSourceTTL = 5 * time.Second
@@ -65,9 +68,8 @@
 	Mirror *Mirror
 	Source Source
 	Peers  Peers
-	// Sources returns the VMs to pull from, in order of preference, and whether this VM
-	// is a reader, which reads the store itself.
-	Sources func() (vms []string, self bool)
+	// Sources returns where this VM learns what the store holds.
+	Sources func() delegate.Sources
 	// FleetSize returns the number of live VMs.
 	FleetSize func() int
 	// SetStoreUnreachable is called after each access to the store with whether that failed.
@@ -88,6 +90,7 @@
 	directReadAt time.Duration // when readDirectly last accessed the store
 	lastSource   string        // for the log
 	lastFailed   string        // for the log; empty once that source works again
+	packer       packer
 	failedAt     map[string]time.Duration
 }
 
@@ -115,12 +118,16 @@
 
 // syncOnce synchronizes with the store if this VM is a reader, else with another VM.
 func (s *Sync) syncOnce(ctx context.Context) {
-	sources, self := s.o.Sources()
-	if self || len(sources) == 0 {
+	sources := s.o.Sources()
+	if sources.ReadsStore || len(sources.VMs) == 0 {
 		s.syncWithStore(ctx)
 		return
 	}
-	if !s.pullAny(ctx, s.orderSources(sources)) {
+	maxAge := staleAfter
+	if sources.Relayed {
+		maxAge = relayedStaleAfter
+	}
+	if !s.pullAny(ctx, s.orderSources(sources.VMs), maxAge) {
 		s.readDirectly(ctx)
 	}
 }
@@ -204,11 +211,11 @@
 	return append(healthy, failed...)
 }
 
-// pullAny pulls from the sources in order until one replies with content that is not
-// stale. It reports whether one did or ctx ended; stale content is applied as well.
-func (s *Sync) pullAny(ctx context.Context, sources []string) bool {
+// pullAny pulls from the sources in order until one replies with content younger than
+// maxAge. It reports whether one did or ctx ended; stale content is applied as well.
+func (s *Sync) pullAny(ctx context.Context, sources []string, maxAge time.Duration) bool {
 	for _, vm := range sources {
-		u, err := s.pull(ctx, vm, pullWait)
+		u, err := s.pull(ctx, vm, pullWait, maxAge)
 		if ctx.Err() != nil {
 			return true
 		}
@@ -220,7 +227,7 @@
 		if u.Revision > 0 {
 			s.applyFrom(vm, u)
 		}
-		if u.Revision > 0 && u.Age < staleAfter {
+		if u.Revision > 0 && u.Age < maxAge {
 			return true
 		}
 	}
--- a/internal/catalog/sync_test.go
+++ b/internal/catalog/sync_test.go
@@ -12,6 +12,7 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
 	peer "github.com/sardinespindle/sardinespindle/schema/gen/peer"
 )
 
@@ -37,7 +38,7 @@
 	case o.syncs[vm] != nil:
 		return o.syncs[vm].Handle(ctx, "puller", m), nil
 	}
-	return &peer.Message{Pulled: &peer.Pulled{Revision: 7, Items: []peer.Published{}}}, nil
+	return &peer.Message{Pulled: &peer.Pulled{Revision: 7}}, nil
 }
 
 // plainDecoder decodes an item with the key "config" as a configuration whose version is the
@@ -57,7 +58,7 @@
 func newTestSync(peers Peers, now func() time.Duration) *Sync {
 	return NewSync(SyncOptions{
 		Mirror: NewMirror(plainDecoder{}, now, func(*Catalog, Change) {}), Peers: peers, Now: now, Log: log.New(io.Discard),
-		Sources: func() ([]string, bool) { return nil, true }, FleetSize: func() int { return 1 },
+		Sources: func() delegate.Sources { return delegate.Sources{ReadsStore: true} }, FleetSize: func() int { return 1 },
 		SetStoreUnreachable: func(bool) {}, AnnounceVersion: func(int) {},
 	})
 }
@@ -70,7 +71,7 @@
 		s := newTestSync(peers, func() time.Duration { return now })
 		pull := func() []string {
 			peers.called = nil
-			Expect(s.pullAny(context.Background(), s.orderSources([]string{"near", "far"}))).To(BeTrue())
+			Expect(s.pullAny(context.Background(), s.orderSources([]string{"near", "far"}), staleAfter)).To(BeTrue())
 			return peers.called
 		}
 		Expect(pull()).To(Equal([]string{"near", "far"}))
@@ -92,7 +93,7 @@
 			full.Items = append(full.Items, Item{Key: fmt.Sprintf("i-%04d", i), Revision: int64(i/2 + 1)})
 		}
 		Expect(source.o.Mirror.Apply(full)).To(BeTrue())
-		Expect(puller.pullAny(context.Background(), []string{"source"})).To(BeTrue())
+		Expect(puller.pullAny(context.Background(), []string{"source"}, staleAfter)).To(BeTrue())
 		Expect(puller.o.Mirror.items).To(HaveLen(items + 1))
 		revision, _ := puller.o.Mirror.State()
 		Expect(revision).To(BeEquivalentTo(items + 1))
@@ -102,7 +103,7 @@
 		clock := func() time.Duration { return time.Second }
 		peers := &cutPeers{}
 		puller := newTestSync(peers, clock)
-		Expect(puller.pullAny(context.Background(), []string{"source"})).To(BeFalse())
+		Expect(puller.pullAny(context.Background(), []string{"source"}, staleAfter)).To(BeFalse())
 		revision, _ := puller.o.Mirror.State()
 		Expect(revision).To(BeZero())
 		Expect(peers.calls).To(Equal(2))
@@ -114,9 +115,8 @@
 
 func (o *cutPeers) Call(_ context.Context, _ string, _ *peer.Message) (*peer.Message, error) {
 	o.calls++
-	return &peer.Message{Pulled: &peer.Pulled{
-		After: o.calls - 1, Revision: 9, More: true, Items: []peer.Published{{Key: "i", Revision: o.calls}},
-	}}, nil
+	packed, err := (&packer{}).pack([]Item{{Key: "i", Revision: int64(o.calls)}})
+	return &peer.Message{Pulled: &peer.Pulled{After: o.calls - 1, Revision: 9, More: true, Packed: packed}}, err
 }
 
 // Load pattern: the store does not reply to a third of the VMs. A version was acknowledged,
@@ -129,9 +129,9 @@
 		Expect(s.o.Mirror.Apply(Update{Revision: 5, Items: []Item{{Key: "config", Revision: 5}}})).To(BeTrue())
 		now += staleAfter - 50*time.Millisecond
 		start := time.Now()
-		reply := s.Handle(context.Background(), "puller", &peer.Message{Pull: &peer.Pull{After: 5, WaitMs: 1000}})
+		reply := s.Handle(context.Background(), "puller", &peer.Message{Pull: &peer.Pull{After: 5, WaitMs: 1000, MaxAgeMs: int(staleAfter.Milliseconds())}})
 		Expect(time.Since(start)).To(BeNumerically("<", 500*time.Millisecond))
-		Expect(reply.Pulled.Items).To(BeEmpty())
+		Expect(reply.Pulled.Packed).To(BeEmpty())
 	})
 
 	ginkgo.It("pulls an announced version at once, though the source in use holds its pull", func() {
@@ -140,7 +140,7 @@
 		source, puller := newTestSync(peers, clock), newTestSync(peers, clock)
 		peers.syncs = map[string]*Sync{"other": source}
 		Expect(source.o.Mirror.Apply(Update{Revision: 8, Items: []Item{{Key: "config", Revision: 8}}})).To(BeTrue())
-		puller.o.Sources = func() ([]string, bool) { return []string{"reader"}, false }
+		puller.o.Sources = func() delegate.Sources { return delegate.Sources{VMs: []string{"reader"}} }
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
 		go func() {
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -39,8 +39,6 @@
 	// open connections ahead of need: of 60 VMs that start at once, each knows nine tenths
 	// after 1 s (docs/MEASUREMENTS.md).
 	convergeTime = time.Second
-	// maxReaders is the largest number of VMs that read the platform's store for the others.
-	maxReaders = 2
 	// unreachablePrefix starts the key of the fact by which a VM announces that the store does
 	// not reply to it. For unreachableTTL other VMs are the readers in its place; then that VM
 	// may read again.
@@ -238,9 +236,8 @@
 	}
 }
 
-// sources returns the VMs from which this one learns the catalog, and whether it reads the
-// store itself. VMs that announced the store as unreachable are left out, unless all did.
-func (f *fleet) sources() (vms []string, self bool) {
+// sources returns where this VM learns the catalog. VMs that announced the store as unreachable are left out, unless all did.
+func (f *fleet) sources() delegate.Sources {
 	unreachable := map[string]bool{}
 	for _, fact := range f.node.Facts().List(unreachablePrefix) {
 		unreachable[fact.VM()] = fact.Value == unreachableValue
@@ -250,5 +247,5 @@
 	if len(reaching) == 0 {
 		reaching = all
 	}
-	return delegate.Sources(f.self, reaching, maxReaders)
+	return delegate.ChooseSources(f.self, reaching)
 }
--- a/internal/policy/delegate/delegate_test.go
+++ b/internal/policy/delegate/delegate_test.go
@@ -57,9 +57,8 @@
 	}
 	DescribeTable("returns the other readers, those of the own zone first, and whether the VM is a reader",
 		func(name, zone string, want []string, reads bool) {
-			names, self := delegate.Sources(delegate.VM{Name: name, Zone: zone}, vms, 2)
-			Expect(self).To(Equal(reads))
-			Expect(names).To(Equal(want))
+			got := delegate.ChooseSources(delegate.VM{Name: name, Zone: zone}, vms)
+			Expect(got).To(Equal(delegate.Sources{ReadsStore: reads, VMs: want}))
 		},
 		Entry("a reader: the other reader", "a1", "a", []string{"b1"}, true),
 		Entry("the largest VM of a zone without a reader: both readers", "c1", "c", []string{"a1", "b1"}, false),
@@ -70,6 +69,48 @@
 	)
 })
 
+// Load pattern: 295 VMs in five zones. When each pulled from a reader itself, two readers sent
+// each change to 147 VMs, four fifths of them in other zones.
+var _ = Describe("Sources in a large fleet", func() {
+	var vms []delegate.VM
+	for i := range 295 {
+		vm := delegate.VM{Name: fmt.Sprintf("vm-%d", i), Zone: fmt.Sprintf("z%d", i%5), Capacity: 0.192}
+		if i < 15 {
+			vm.Capacity = 0.8
+		}
+		vms = append(vms, vm)
+	}
+	It("let each VM learn from a relay of its zone or a reader, with a few pulls across zones", func() {
+		zones, served := map[string]string{}, map[string]int{}
+		for _, vm := range vms {
+			zones[vm.Name] = vm.Zone
+		}
+		readers, across := 0, 0
+		for _, vm := range vms {
+			s := delegate.ChooseSources(vm, vms)
+			if s.ReadsStore {
+				readers++
+				continue
+			}
+			Expect(s.VMs).NotTo(ContainElement(vm.Name))
+			served[s.VMs[0]]++
+			if zones[s.VMs[0]] != vm.Zone {
+				across++
+			}
+			if s.Relayed {
+				relay := delegate.ChooseSources(delegate.VM{Name: s.VMs[0], Zone: vm.Zone}, vms)
+				Expect(relay.Relayed).To(BeFalse(), "a relay pulls from a reader")
+			}
+			Expect(len(s.VMs)).To(BeNumerically(">=", 2), "another source is left if the first is lost")
+		}
+		Expect(readers).To(Equal(2))
+		Expect(across).To(BeNumerically("<=", 10))
+		for _, n := range served {
+			Expect(n).To(BeNumerically("<", 70))
+		}
+	})
+})
+
 var _ = Describe("Gatherers", func() {
 	fleet := func(small, large int) []delegate.VM {
 		var vms []delegate.VM
--- a/internal/policy/delegate/gatherers.go
+++ b/internal/policy/delegate/gatherers.go
@@ -56,34 +56,6 @@
 	return ranked
 }
 
-// Sources returns the readers that self learns published configuration from, those of its
-// own zone first, and whether self is a reader, i.e. reads the platform's store. Every VM
-// asks a reader directly: an intermediate level would delay a configuration too long when
-// the set of readers has to change first.
-func Sources(self VM, vms []VM, readers int) (names []string, reads bool) {
-	ranked := Rank(vms)
-	for _, vm := range ranked[:min(len(ranked), readers)] {
-		switch {
-		case vm.Name == self.Name:
-			reads = true
-		case vm.Zone == self.Zone:
-			names = append([]string{vm.Name}, names...)
-		default:
-			names = append(names, vm.Name)
-		}
-	}
-	return names, reads
-}
-
-// directReaders is how many VMs on average read the store at a time when no reader is up to
-// date. If a third of the VMs do not reach the store, at least one of eight does in all but
-// 1 of 6,000 cases.
-const directReaders = 8
-
-// DirectReadChance returns the chance with which a VM of a fleet of vms VMs reads the store
-// itself when no reader is up to date.
-func DirectReadChance(vms int) float64 { return min(1, directReaders/float64(max(vms, 1))) }
-
 // nearTolerance is the share of the shards by which zones may differ and still count as
 // equally near: about the effect of replacing one of ten servers.
 const nearTolerance = 0.1
--- a/schema/gen/peer/peer.go
+++ b/schema/gen/peer/peer.go
@@ -334,6 +334,10 @@
 	// Revision of the last item of the page before; 0 for the first page.
 	FromRevision int `json:"from_revision" toml:"from_revision" cbor:"from_revision"`
 
+	// Age of the peer's content at which the wait ends, in milliseconds, since the
+	// sender then asks another VM.
+	MaxAgeMs int `json:"max_age_ms" toml:"max_age_ms" cbor:"max_age_ms"`
+
 	// How long the peer may wait for a change, in milliseconds.
 	WaitMs int `json:"wait_ms" toml:"wait_ms" cbor:"wait_ms"`
 }
@@ -347,12 +351,13 @@
 	// milliseconds.
 	AgeMs int `json:"age_ms" toml:"age_ms" cbor:"age_ms"`
 
-	// Items that changed, or all items, by revision and key; one page of them.
-	Items []Published `json:"items" toml:"items" cbor:"items"`
-
 	// Whether further pages follow. The revision covers all pages.
 	More bool `json:"more" toml:"more" cbor:"more"`
 
+	// Items that changed, or all items, by revision and key: one page of them as a
+	// CBOR array of Published, compressed with DEFLATE; empty for none.
+	Packed string `json:"packed" toml:"packed" cbor:"packed"`
+
 	// Revision as of which the items are current; 0 if the peer has none.
 	Revision int `json:"revision" toml:"revision" cbor:"revision"`
 }
