Connections are kept open to upstreams in use, not to all of them

Change: connbudget.Warm: as many as were needed at once in the last 10 s while the upstream was used within 5 s; two at first in the own zone; none to one that closed its connections unused. The connection used last is taken first, so it has rested least.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -303,7 +303,7 @@
 	warm := c.opts.MayPreconnect()
 	for _, s := range c.current.Load().servers {
 		if warm && rand.Float64() < warmProbability && s.verdict(now) != drainVerdict {
-			s.pool.warm()
+			s.pool.warm(s.isNear())
 		}
 		if !c.opts.ManifestOnly && c.probeDue(s, now, members) {
 			c.probeInBackground(ctx, s)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/sardinespindle/sardinespindle/internal/policy/connbudget"
 )
 
 const (
@@ -24,9 +26,9 @@
 	maxReplyHeader    = 16 << 10
 	connBuffer        = 4 << 10
 	maxWaiters        = 1024
-	warmConnections   = 2
-	maxIdleTime       = 5 * time.Minute
-	peakWindow        = 30 * time.Second
+	// maxIdleTime is how long a connection beyond those kept warm may stay idle.
+	maxIdleTime = 10 * time.Second
+	peakWindow  = 10 * time.Second
 )
 
 // Errors of pool.get. No byte has been sent when one is returned.
@@ -117,6 +119,9 @@
 	waiters             []*waiter
 	peakDemand          int // most connections in demand within peakWindow
 	peakAt              time.Duration
+	used                bool // a request has needed a connection
+	usedAt              time.Duration
+	dialed              bool // a connection was opened before
 	dialFailedAt        time.Duration
 	dialFailed          bool
 	consecutiveRefusals int
@@ -145,11 +150,11 @@
 	if p.maxOpen <= 0 {
 		return nil, ErrNoShare
 	}
+	p.used, p.usedAt = true, p.now()
 	for len(p.idle) > 0 {
-		// The longest idle one, so that each is used in turn and stays below the
-		// upstream's idle timeout.
-		c := p.idle[0]
-		p.idle = p.idle[1:]
+		// The one used last, since the upstream may have forgotten one that rested for long.
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
 		if !c.sock.isClosed() {
 			p.recordDemand(p.open - p.dialing - len(p.idle))
 			return c, nil
@@ -179,7 +184,7 @@
 func (p *pool) replaceDropped() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open < min(max(p.peakDemand, warmConnections), p.maxOpen) && !p.saturated(p.now()) {
+	if p.open < p.warmTarget(p.now(), false) && !p.saturated(p.now()) {
 		p.startDial()
 	}
 }
@@ -281,6 +286,7 @@
 
 // startDial dials in the background. The lock is held.
 func (p *pool) startDial() {
+	p.dialed = true
 	p.open++
 	p.dialing++
 	go p.dial()
@@ -372,20 +378,27 @@
 	}
 }
 
-// warm opens as many connections as were recently in demand, at least warmConnections,
-// so that a request does not wait for a dial. It closes those beyond warmConnections
-// that were idle for over maxIdleTime.
-func (p *pool) warm() {
+// warmTarget returns how many connections to keep open ahead of need; near says that the
+// upstream is in this VM's availability zone. The lock is held.
+func (p *pool) warmTarget(now time.Duration, near bool) int {
+	return connbudget.Warm(connbudget.Demand{
+		Used: p.used, SinceUse: now - p.usedAt, Peak: p.peakDemand, Near: near, Dialed: p.dialed,
+	}, p.maxOpen)
+}
+
+// warm opens connections ahead of need, so that a request does not wait for a dial. It closes
+// those beyond them that were idle for over maxIdleTime.
+func (p *pool) warm(near bool) {
 	p.mu.Lock()
 	now := p.now()
+	want := p.warmTarget(now, near)
 	if (!p.dialFailed || now-p.dialFailedAt > dialBackoff) && !p.saturated(now) {
-		want := min(max(p.peakDemand, warmConnections), p.maxOpen)
 		for p.open < want {
 			p.startDial()
 		}
 	}
 	var expired []*conn
-	for len(p.idle) > 0 && p.open-p.closing > warmConnections && now-p.idle[0].idleSince > maxIdleTime {
+	for len(p.idle) > 0 && p.open-p.closing > want && now-p.idle[0].idleSince > maxIdleTime {
 		p.markClosing(p.idle[0])
 		expired = append(expired, p.idle[0])
 		p.idle = p.idle[1:]
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -105,10 +105,31 @@
 			return c.States()[0].Connections
 		}
 		Consistently(maintain, "100ms", "20ms").Should(BeZero())
+		allowed.Store(true)
+		Eventually(maintain).Should(Equal(2))
+	})
+
+	It("are kept open while requests need them, and not opened again once the upstream closed them unused", func() {
+		var now atomic.Int64
+		c := newClient(Options{VMs: func() int { return 16 }, Now: func() time.Duration { return time.Duration(now.Load()) }}, m)
+		maintain := func() int {
+			for range 20 {
+				c.maintain(bg, c.opts.Now())
+			}
+			return c.States()[0].Connections
+		}
+		Eventually(maintain).Should(Equal(2))
+		Eventually(f.conns.Load).Should(BeEquivalentTo(2))
+		f.CloseClientConnections()
+		Eventually(maintain).Should(BeZero())
+		Consistently(maintain, "100ms", "20ms").Should(BeZero())
 		Expect(attemptOnce(bg, c, m, newSearch()).Class).To(Equal(OK))
 		Expect(maintain()).To(Equal(1))
-		allowed.Store(true)
-		Eventually(maintain).Should(Equal(warmConnections))
+		f.CloseClientConnections()
+		Eventually(maintain).Should(Equal(1))
+		now.Add(int64(time.Minute))
+		f.CloseClientConnections()
+		Eventually(maintain).Should(BeZero())
 	})
 
 	It("above a reduced share are closed at once if idle, and after use otherwise", func() {
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -39,6 +39,13 @@
 	s.lease.SetManifest(u.Draining)
 }
 
+// isNear reports whether the upstream is in this VM's availability zone.
+func (s *server) isNear() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sameZone
+}
+
 // verdict returns whether new work may be sent at now.
 func (s *server) verdict(now time.Duration) drain.Verdict {
 	s.mu.Lock()
