Members announce themselves each 40 s; who finds one lost tells the fleet

A VM that lost power stayed live in every view until its announcement expired after 30 s. Change: announcements last 2 min and are made each 40 s, spread over time. A VM that cannot reach a neighbour, or finds a gatherer silent twice in a row, states it as lost; all others stop using it. A VM that lives refutes the statement by announcing itself anew (internal/policy/liveness). Ruled out: a longer interval without statements, which would leave lost VMs in the views for longer.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"net"
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,19 +18,25 @@
 	"github.com/sardinespindle/sardinespindle/internal/peer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/connbudget"
 	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
+	"github.com/sardinespindle/sardinespindle/internal/policy/liveness"
 	"github.com/sardinespindle/sardinespindle/internal/policy/roster"
 	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
 )
 
 const (
 	// memberPrefix starts the key of the fact by which a VM announces itself; its name follows.
-	// The value holds its capacity and its zone.
+	// The value is a liveness.Announcement.
 	memberPrefix = "member/"
 	// memberTTL is how long a VM counts as a member after its last announcement. It announces
-	// itself each announceInterval. Every announcement reaches every VM, so this interval
-	// determines the traffic of a large fleet.
-	memberTTL        = 30 * time.Second
-	announceInterval = 9 * time.Second
+	// itself each announceInterval on average. Every announcement reaches every VM, so this
+	// interval determines the traffic of a large fleet.
+	memberTTL        = 2 * time.Minute
+	announceInterval = 40 * time.Second
+	// lostPrefix starts the key of the fact by which a VM states that another one, whose name
+	// follows, is unreachable. The value is a liveness.Statement. It lasts as long as the
+	// announcement that it contradicts.
+	lostPrefix = "lost/"
+	lostTTL    = memberTTL
 	// updateInterval is the time between two updates of the view. Just after its start, a VM
 	// uses startUpdateInterval, because it does not know most members yet.
 	updateInterval      = 500 * time.Millisecond
@@ -64,6 +70,9 @@
 	shardLimit atomic.Int64 // lowest connection limit of the upstreams of shards; 0 if unknown
 	view       atomic.Pointer[fleetView]
 
+	announceMu sync.Mutex // guards number
+	number     int        // of this VM's last announcement
+
 	updating         sync.Mutex    // held while the roster and the view are computed
 	unreachableUntil time.Duration // when this VM's fact with unreachablePrefix expires; 0 for none
 }
@@ -80,6 +89,7 @@
 func newFleet(node *peer.Node, self delegate.VM, port uint16, seeds []settings.Address) *fleet {
 	f := &fleet{node: node, self: self, port: port, started: clock.Boot()}
 	f.setSeeds(seeds)
+	node.Facts().Watch(lostPrefix+self.Name, func(facts.Fact) { f.refute() })
 	f.update()
 	return f
 }
@@ -101,11 +111,11 @@
 
 // run announces this VM and keeps the view up to date until ctx ends.
 func (f *fleet) run(ctx context.Context) {
-	var announced time.Duration
+	var nextAnnouncement time.Duration
 	for {
-		if now := clock.Boot(); announced == 0 || now-announced >= announceInterval {
-			announced = now
-			f.node.Facts().Put(memberPrefix+f.self.Name, fmt.Sprintf("%g %s", f.self.Capacity, f.self.Zone), memberTTL)
+		if now := clock.Boot(); now >= nextAnnouncement {
+			nextAnnouncement = now + pause.Jitter(announceInterval)
+			f.announce(0)
 		}
 		f.update()
 		interval := updateInterval
@@ -118,17 +128,76 @@
 	}
 }
 
+// announce announces this VM with its current number, or with number if that is higher.
+func (f *fleet) announce(number int) {
+	f.announceMu.Lock()
+	defer f.announceMu.Unlock()
+	f.number = max(f.number, number)
+	a := liveness.Announcement{Number: f.number, Capacity: f.self.Capacity, Zone: f.self.Zone}
+	f.node.Facts().Put(memberPrefix+f.self.Name, a.String(), memberTTL)
+}
+
+// refute announces this VM anew if another one states that it is unreachable.
+func (f *fleet) refute() {
+	f.announceMu.Lock()
+	number, needed := liveness.Refute(f.node.Incarnation(), f.number, f.statements()[f.self.Name])
+	f.announceMu.Unlock()
+	if needed {
+		f.announce(number)
+	}
+}
+
+// statements returns the statements that VMs are unreachable, by VM.
+func (f *fleet) statements() map[string][]liveness.Statement {
+	out := map[string][]liveness.Statement{}
+	for _, fact := range f.node.Facts().List(lostPrefix) {
+		if s, ok := liveness.ParseStatement(fact.Value); ok {
+			name := strings.TrimPrefix(fact.Key, lostPrefix)
+			out[name] = append(out[name], s)
+		}
+	}
+	return out
+}
+
+// announced returns the VMs that announced themselves and whose announcement no statement
+// contradicts, by name. lost are the others.
+func (f *fleet) announced() (known map[string]delegate.VM, lost map[string]bool) {
+	known, lost = map[string]delegate.VM{}, map[string]bool{}
+	statements := f.statements()
+	for _, fact := range f.node.Facts().List(memberPrefix) {
+		a, ok := liveness.ParseAnnouncement(fact.Value)
+		if !ok {
+			continue
+		}
+		if !liveness.Refuted(fact.Incarnation(), a, statements[fact.VM()]) {
+			lost[fact.VM()] = true
+			continue
+		}
+		known[fact.VM()] = delegate.VM{Name: fact.VM(), Zone: a.Zone, Capacity: a.Capacity}
+	}
+	maps.DeleteFunc(lost, func(name string, _ bool) bool { return known[name].Name != "" })
+	known[f.self.Name] = f.self
+	delete(lost, f.self.Name)
+	return known, lost
+}
+
+// reportLost states that a VM is unreachable, unless another VM has stated so already.
+func (f *fleet) reportLost(name string) {
+	statements := f.statements()[name]
+	for _, fact := range f.node.Facts().List(memberPrefix + name) {
+		a, ok := liveness.ParseAnnouncement(fact.Value)
+		if ok && fact.VM() == name && liveness.Refuted(fact.Incarnation(), a, statements) {
+			s := liveness.Statement{Incarnation: fact.Incarnation(), Number: a.Number}
+			f.node.Facts().Put(lostPrefix+name, s.String(), lostTTL)
+		}
+	}
+}
+
 // update computes the roster and the view from the seeds and the announcements.
 func (f *fleet) update() {
 	f.updating.Lock()
 	defer f.updating.Unlock()
-	known := map[string]delegate.VM{f.self.Name: f.self}
-	for _, fact := range f.node.Facts().List(memberPrefix) {
-		vm := delegate.VM{Name: fact.VM()}
-		if _, err := fmt.Sscanf(fact.Value, "%g %s", &vm.Capacity, &vm.Zone); err == nil {
-			known[vm.Name] = vm
-		}
-	}
+	known, lost := f.announced()
 	zones := make(map[string]string, len(known))
 	for name, vm := range known {
 		zones[name] = vm.Zone
@@ -139,12 +208,14 @@
 		}
 	}
 	f.node.SetMembers(zones, func(name string) string { return net.JoinHostPort(name, strconv.Itoa(int(f.port))) })
-	f.computeView(known)
+	f.computeView(known, lost)
 }
 
 // computeView computes the view from the VMs that announced themselves and the roster.
-func (f *fleet) computeView(known map[string]delegate.VM) {
-	v := &fleetView{gatherers: map[string][]string{}, names: slices.Sorted(maps.Keys(known))}
+func (f *fleet) computeView(known map[string]delegate.VM, lost map[string]bool) {
+	names := slices.AppendSeq(slices.Collect(maps.Keys(known)), maps.Keys(lost))
+	slices.Sort(names)
+	v := &fleetView{gatherers: map[string][]string{}, names: names}
 	for _, m := range f.node.Roster() {
 		if vm, ok := known[m.Name]; ok && m.State == roster.Live {
 			v.vms = append(v.vms, vm)
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -79,7 +79,7 @@
 	ip := peers.Addr().String()
 	f.node = peer.New(peer.Options{
 		Name: ip, Zone: f.s.Zone, Incarnation: f.incarnation, Started: f.started, ListenIP: ip,
-		Log: f.log, Registerer: f.registry,
+		Log: f.log, Registerer: f.registry, OnUnreachable: f.reportLost,
 	})
 	f.fleet = newFleet(f.node, delegate.VM{Name: ip, Zone: f.s.Zone, Capacity: f.s.Fleet.Capacity}, peers.Port(), f.s.Fleet.Seeds)
 	f.mirror = catalog.NewMirror(platform.Decoder{}, clock.Boot, f.apply)
@@ -100,6 +100,12 @@
 	return nil
 }
 
+// reportLost states to the fleet that a VM is unreachable.
+func (f *Forwarder) reportLost(vm string) {
+	f.log.Info("VM unreachable", "peer", vm)
+	f.fleet.reportLost(vm)
+}
+
 // Timeouts of connections to the store.
 const (
 	storeDialTimeout = 500 * time.Millisecond
@@ -142,6 +148,7 @@
 		Zone:       f.s.Zone,
 		Gatherers:  f.fleet.gatherers,
 		Peers:      f.node,
+		ReportLost: f.reportLost,
 		Now:        clock.Boot,
 		Log:        f.log,
 		Registerer: f.registry,
--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -72,17 +72,18 @@
 	return names[i], true
 }
 
-// release ends a request that acquire counted, and records whether the VM answered it.
-func (t *peerTable) release(name string, now time.Duration, answered bool) {
+// release ends a request that acquire counted, and records whether the VM answered it. It
+// reports whether the VM counts as lost.
+func (t *peerTable) release(name string, now time.Duration, answered bool) (lost bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peers[name]
 	p.InFlight--
 	if answered {
 		p.Replied()
-	} else {
-		p.Failed(now)
+		return false
 	}
+	return p.Failed(now)
 }
 
 // runOrDelegate runs a request on this VM or delegates it to a VM near its upstreams. After
@@ -140,7 +141,9 @@
 	// A VM that has not replied when the time is up does not count as failed: for a silent
 	// VM, Delegate usually returns ErrSilent earlier.
 	late := callCtx.Err() != nil
-	s.peers.release(vm, s.o.Now(), err == nil || late)
+	if s.peers.release(vm, s.o.Now(), err == nil || late) {
+		s.o.ReportLost(vm)
+	}
 	if err == nil && reply.Delegated.Taken {
 		return q.unknownIfSent(fromDelegated(reply.Delegated)), true
 	}
--- a/internal/forward/delegate_test.go
+++ b/internal/forward/delegate_test.go
@@ -94,6 +94,21 @@
 		Fail("the silent gatherer was never chosen first")
 	})
 
+	// Every VM learned by itself that a gatherer was gone, with a search that waited in vain.
+	It("reports a gatherer as lost once two requests in a row found it silent", func() {
+		var lost []string
+		s.o.ReportLost = func(vm string) { lost = append(lost, vm) }
+		s.o.Gatherers = func() (map[string][]string, bool) { return map[string][]string{"b": {"vm-1"}}, false }
+		others.errs["vm-1"] = peer.ErrSilent
+		now := time.Second
+		s.o.Now = func() time.Duration { return now }
+		run()
+		Expect(lost).To(BeEmpty())
+		q.tried, now = nil, 3*time.Second
+		run()
+		Expect(lost).To(Equal([]string{"vm-1"}))
+	})
+
 	It("ends as unknown at its deadline if the gatherer has not answered", func() {
 		others.delays["vm-1"], others.delays["vm-2"] = time.Minute, time.Minute
 		q.deadline = time.Now().Add(50 * time.Millisecond)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -78,9 +78,11 @@
 	// Zone is this VM's availability zone. Gatherers returns the gatherers by zone and
 	// whether this VM is one. Peers delegates requests to gatherers; if nil, every request
 	// runs on this VM.
-	Zone       string
-	Gatherers  func() (byZone map[string][]string, self bool)
-	Peers      Peers
+	Zone      string
+	Gatherers func() (byZone map[string][]string, self bool)
+	Peers     Peers
+	// ReportLost states to the fleet that a VM is unreachable; may be nil.
+	ReportLost func(vm string)
 	Now        func() time.Duration
 	Log        *log.Logger
 	Registerer prometheus.Registerer
@@ -104,6 +106,9 @@
 
 // New returns a Server and registers its metrics.
 func New(o Options) *Server {
+	if o.ReportLost == nil {
+		o.ReportLost = func(string) {}
+	}
 	return &Server{o: o, metrics: newMetrics(o.Registerer), repeatBudgets: sharded.New[string, repeat.Bucket](maxServices)}
 }
 
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -79,6 +79,7 @@
 
 	// Times on the node's clock. lastPing is set only on the accepting side.
 	lastUse        atomic.Int64
+	lastRead       atomic.Int64 // when a message or the reply to a ping last arrived
 	lastPing       *atomic.Int64
 	neighbourUntil atomic.Int64
 	chosenUntil    atomic.Int64
@@ -247,6 +248,7 @@
 	if err := c.ws.Ping(ctx); err != nil {
 		return cutPing
 	}
+	c.lastRead.Store(int64(c.node.now()))
 	return ""
 }
 
@@ -278,6 +280,7 @@
 		return nil, cutSuspend
 	}
 	c.node.metrics.bytes.WithLabelValues("in").Add(float64(len(b)))
+	c.lastRead.Store(int64(c.node.now()))
 	now := time.Now()
 	if !c.messages.AllowN(now, 1) || !c.bytes.AllowN(now, len(b)) {
 		return nil, cutFlood
--- a/internal/peer/neighbours.go
+++ b/internal/peer/neighbours.go
@@ -105,12 +105,27 @@
 		c, err := n.connect(ctx, vm)
 		if err != nil {
 			n.log.Debug("neighbour not reached", "peer", vm, "err", err)
+			if ctx.Err() == nil && n.reachesOthers(vm) {
+				n.unreachable(vm)
+			}
 			return
 		}
 		n.markNeighbour(c, n.now())
 	}()
 }
 
+// reachesOthers reports whether this VM has a connection to another VM that lives: a VM that is
+// cut off must not take all its neighbours for lost.
+func (n *Node) reachesOthers(vm string) bool {
+	for _, c := range n.table.all() {
+		lastRead := time.Duration(max(c.lastRead.Load(), c.lastPing.Load()))
+		if c.peer != vm && !c.ended() && n.now()-lastRead < pingInterval+pingTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // markNeighbour marks a connection as that of a chosen neighbour. A new neighbour is sent
 // a digest at once.
 func (n *Node) markNeighbour(c *conn, now time.Duration) {
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -54,6 +54,9 @@
 	Now func() time.Duration
 	// Dial opens outgoing connections; a dialer from ListenIP if nil.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// OnUnreachable is called when a neighbour cannot be reached although other VMs can;
+	// may be nil.
+	OnUnreachable func(vm string)
 	// Accept reports whether a connection from a remote IP address is accepted; nil for
 	// all.
 	Accept func(remoteIP string) bool
@@ -75,6 +78,7 @@
 	generation  func() (int, string)
 	now         func() time.Duration
 	accept      func(string) bool
+	unreachable func(string)
 	log         *log.Logger
 	metrics     *metrics
 	facts       *facts.Store
@@ -120,13 +124,16 @@
 	if o.Accept == nil {
 		o.Accept = func(string) bool { return true }
 	}
+	if o.OnUnreachable == nil {
+		o.OnUnreachable = func(string) {}
+	}
 	if o.Limits == nil {
 		o.Limits = &DefaultLimits
 	}
 	n := &Node{
 		limits: *o.Limits,
 		name:   o.Name, zone: o.Zone, incarnation: o.Incarnation, started: o.Started,
-		generation: o.Generation, now: o.Now, accept: o.Accept, log: o.Log,
+		generation: o.Generation, now: o.Now, accept: o.Accept, unreachable: o.OnUnreachable, log: o.Log,
 		metrics: newMetrics(o.Registerer),
 		facts: facts.New(facts.Options{
 			Name: o.Name, Incarnation: o.Incarnation, Now: o.Now, Registerer: o.Registerer,
@@ -197,6 +204,9 @@
 // Name returns this VM's name.
 func (n *Node) Name() string { return n.name }
 
+// Incarnation returns the id of this process.
+func (n *Node) Incarnation() string { return n.incarnation }
+
 // Roster returns every member of the fleet in the order of their names, including this VM
 // and those removed lately.
 func (n *Node) Roster() []roster.Member {
--- a/internal/policy/delegate/delegate.go
+++ b/internal/policy/delegate/delegate.go
@@ -15,6 +15,9 @@
 	// failure without a reply in between doubles it, up to maxExclusion.
 	baseExclusion = time.Second
 	maxExclusion  = 8 * time.Second
+	// lostFailures is the number of failures in a row after which other VMs are told: one alone
+	// may be a short pause.
+	lostFailures = 2
 )
 
 // Peer holds one VM's view of another as a gatherer. The zero value has no failures.
@@ -29,11 +32,13 @@
 // Replied records a reply of the VM; it resets the count of failures.
 func (p *Peer) Replied() { p.failures = 0 }
 
-// Failed records at now that the VM did not reply, and excludes it for a while.
-func (p *Peer) Failed(now time.Duration) {
+// Failed records at now that the VM did not reply, and excludes it for a while. It reports
+// whether the VM counts as lost: it failed lostFailures times in a row.
+func (p *Peer) Failed(now time.Duration) (lost bool) {
 	const maxDoublings = 3
 	p.excludedUntil = now + min(baseExclusion<<min(p.failures, maxDoublings), maxExclusion)
 	p.failures++
+	return p.failures >= lostFailures
 }
 
 // Usable reports whether the VM may be given a search at now.
--- a/internal/policy/facts/facts.go
+++ b/internal/policy/facts/facts.go
@@ -53,6 +53,12 @@
 	return name
 }
 
+// Incarnation returns the incarnation of the fact's origin.
+func (f Fact) Incarnation() string {
+	_, incarnation, _ := strings.Cut(f.Origin, "/")
+	return incarnation
+}
+
 // Live reports whether the fact has not expired.
 func (f Fact) Live(now time.Duration) bool { return f.Expires > now }
 
@@ -152,7 +158,7 @@
 }
 
 // kindsByUrgency lists kinds of facts, the most urgent first. Other kinds are less urgent.
-var kindsByUrgency = []string{"crash", "head", "drain", "vm"}
+var kindsByUrgency = []string{"crash", "head", "version", "lost", "drain", "vm"}
 
 // Urgency returns the rank of a key's kind, the part before the first slash. The lowest
 // rank is sent first.
