Delayed delegations do not run; a takeover knows which replicas were used; answers reserve their return

Notices say which replicas were used, and a takeover stays within them (internal/policy/takeover). The time from the decision until the answer is written is estimated (a high quantile) and reserved, and the decision's time travels with the delegation. Ruled out: a round trip before each search; choosing replicas by a hash of the request, which gives up the choice among three.

--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -15,6 +15,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
 	"github.com/sardinespindle/sardinespindle/internal/peer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
+	"github.com/sardinespindle/sardinespindle/internal/policy/takeover"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/peer"
@@ -22,9 +23,9 @@
 
 // Peers are the other VMs.
 type Peers interface {
-	// Delegate sends a request to a VM and waits while that VM runs it. The error
-	// peer.ErrNotSent means that nothing was sent to upstreams.
-	Delegate(ctx context.Context, vm string, d *gen.Delegate) (*gen.Message, error)
+	// Delegate sends a request to a VM and waits while that VM runs it; it calls onNotice with
+	// each notice of that VM. The error peer.ErrNotSent means that nothing was sent to upstreams.
+	Delegate(ctx context.Context, vm string, d *gen.Delegate, onNotice func(*gen.Accepted)) (*gen.Message, error)
 }
 
 // hopSlack is the time allowed for one hop between VMs. The delegating VM adds it to the
@@ -134,7 +135,8 @@
 func (s *Server) delegateTo(ctx context.Context, q *request, p *upstream.PassThroughRequest, vm string) (o outcome.Outcome, done bool) {
 	callCtx, cancel := context.WithDeadline(ctx, q.deadline.Add(hopSlack))
 	defer cancel()
-	reply, err := s.o.Peers.Delegate(callCtx, vm, newDelegate(q, p))
+	var used string
+	reply, err := s.o.Peers.Delegate(callCtx, vm, s.newDelegate(q, p), func(a *gen.Accepted) { used = a.Used })
 	if err == nil && reply.Delegated == nil {
 		err = errUnexpectedReply
 	}
@@ -145,6 +147,8 @@
 		s.o.ReportLost(vm)
 	}
 	if err == nil && reply.Delegated.Taken {
+		q.ranElsewhere = true
+		q.decidedAt = q.start.Add(time.Duration(reply.Delegated.DecidedUs) * time.Microsecond)
 		return q.unknownIfSent(fromDelegated(reply.Delegated)), true
 	}
 	q.tried = append(q.tried, vm)
@@ -155,7 +159,7 @@
 	if errors.Is(err, peer.ErrNotSent) {
 		return q.unknownIfSent(outcome.NotRun(outcome.DeadlineExceeded, err.Error(), startRetryAfter)), late
 	}
-	q.maybeSent = true
+	q.maybeSent, q.used = true, takeover.Used(used)
 	if late {
 		return outcome.Unknown(outcome.DeadlineExceeded, err.Error(), startRetryAfter), true
 	}
@@ -175,13 +179,15 @@
 	return unknown
 }
 
-func newDelegate(q *request, p *upstream.PassThroughRequest) *gen.Delegate {
+func (s *Server) newDelegate(q *request, p *upstream.PassThroughRequest) *gen.Delegate {
 	d := &gen.Delegate{
 		RequestId: q.id, Method: p.Method, Host: p.Host, Target: p.Target, Body: string(p.Body),
 		Headers:   toHeaders(p.Header),
 		Version:   q.catalog.Config.Version,
 		ElapsedUs: int((time.Since(q.start) + hopSlack).Microseconds()),
+		AnswerUs:  int(time.Until(s.decideDelegatedBy(q)).Microseconds()),
 		GiveUpUs:  int((time.Until(q.deadline) - hopSlack).Microseconds()),
+		Used:      string(q.used),
 		Returning: q.callerResent,
 		Resent:    q.maybeSent,
 		Shards:    q.shards,
@@ -226,6 +232,8 @@
 		id: d.RequestId, catalog: c, delegated: true, callerResent: d.Returning, maybeSent: d.Resent,
 		start:    now.Add(-time.Duration(d.ElapsedUs) * time.Microsecond),
 		deadline: now.Add(time.Duration(d.GiveUpUs) * time.Microsecond),
+		decideBy: now.Add(time.Duration(d.AnswerUs) * time.Microsecond),
+		used:     takeover.Used(d.Used),
 	}
 	path, _, _ := strings.Cut(d.Target, "?")
 	q.route = c.Table.Find(hostOf(d.Host), path)
@@ -244,11 +252,14 @@
 	}
 	q.service = q.route.ChooseService(rand.Float64())
 	o := s.run(ctx, q, p)
+	decided := time.Since(q.start)
 	if o.Kind != caller.OutcomeAnswered {
 		s.o.Log.Info("request for another VM", "id", q.id, "from", from, "outcome", o.Kind, "reason", o.Reason,
 			"detail", o.Detail, "took_ms", time.Since(now).Milliseconds())
 	}
-	return &gen.Message{Delegated: toDelegated(&o)}
+	reply := toDelegated(&o)
+	reply.DecidedUs = int(decided.Microseconds())
+	return &gen.Message{Delegated: reply}
 }
 
 // knowsShards reports whether each shard is a service of the configuration.
--- a/internal/forward/delegate_test.go
+++ b/internal/forward/delegate_test.go
@@ -109,6 +109,26 @@
 		Expect(lost).To(Equal([]string{"vm-1"}))
 	})
 
+	It("passes on which replicas a silent gatherer has used", func() {
+		others.errs["vm-1"], others.errs["vm-2"] = peer.ErrSilent, peer.ErrSilent
+		others.used = map[string]string{"vm-1": "\x01\x00\x02\x03", "vm-2": "\x01\x00\x02\x03"}
+		run()
+		Expect(others.delegated[0].Used).To(BeEmpty())
+		Expect(others.delegated[1].Used).To(Equal("\x01\x00\x02\x03"))
+		Expect(q.used).To(HaveLen(4))
+	})
+
+	It("lets the gatherer decide early enough for the answer to return in time", func() {
+		run()
+		d := others.delegated[0]
+		Expect(d.AnswerUs).To(BeNumerically("~", 88_000, 3_000), "objective 100 ms")
+		for range 100 {
+			s.returns.observe(true, 20*time.Millisecond)
+		}
+		run()
+		Expect(others.delegated[1].AnswerUs).To(BeNumerically("~", 74_000, 6_000))
+	})
+
 	It("ends as unknown at its deadline if the gatherer has not answered", func() {
 		others.delays["vm-1"], others.delays["vm-2"] = time.Minute, time.Minute
 		q.deadline = time.Now().Add(50 * time.Millisecond)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -21,6 +21,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
 	"github.com/sardinespindle/sardinespindle/internal/policy/repeat"
 	"github.com/sardinespindle/sardinespindle/internal/policy/route"
+	"github.com/sardinespindle/sardinespindle/internal/policy/takeover"
 	"github.com/sardinespindle/sardinespindle/internal/sharded"
 	"github.com/sardinespindle/sardinespindle/internal/single"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
@@ -99,6 +100,7 @@
 	repeatBudgets *sharded.Map[string, repeat.Bucket]
 	peers         peerTable
 	coverage      searchCoverage
+	returns       returnTimes
 	draining      atomic.Bool // each answer closes its connection
 	stopping      atomic.Bool // new requests are not run
 	inFlight      atomic.Int64
@@ -159,6 +161,14 @@
 	// delegated says that another VM delegated the request to this one; maybeSent that a
 	// VM to which it was delegated may have sent it to upstreams.
 	delegated, maybeSent bool
+	// ranElsewhere says that the outcome came from another VM.
+	ranElsewhere bool
+	// used holds what a VM that may have sent the request reported of the replicas used.
+	used takeover.Used
+	// decideBy is when the VM that delegated the request needs a decision; zero if none did.
+	decideBy time.Time
+	// decidedAt is when the outcome was decided on; zero if that is not known.
+	decidedAt time.Time
 	// tried lists the VMs to which delegation failed.
 	tried []string
 	// shards are the shards to search; nil for all shards of the route.
@@ -178,6 +188,7 @@
 		return // the caller has closed the connection
 	}
 	s.writeAnswer(w, r, q, &o)
+	s.observeReturn(q)
 }
 
 const (
@@ -297,10 +308,6 @@
 	searchHedgeShare = 0.4
 	// singleHedgeShare is when a request to a single service is hedged.
 	singleHedgeShare = 0.5
-	// An answer meets the objective if it is sent by answerShare of the objective minus
-	// answerMargin.
-	answerShare  = 0.95
-	answerMargin = 8 * time.Millisecond
 )
 
 func (q *request) objective() time.Duration {
@@ -310,16 +317,6 @@
 	return q.deadline.Sub(q.start)
 }
 
-// answerAt returns the latest time at which an answer still meets the objective, but not
-// after the deadline.
-func (q *request) answerAt() time.Time {
-	at := q.start.Add(scale(q.objective(), answerShare) - answerMargin)
-	if at.After(q.deadline) {
-		return q.deadline
-	}
-	return at
-}
-
 func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
 
 func (s *Server) runSingle(ctx context.Context, q *request, p *upstream.PassThroughRequest) outcome.Outcome {
--- a/internal/forward/split.go
+++ b/internal/forward/split.go
@@ -9,9 +9,11 @@
 	"github.com/sardinespindle/sardinespindle/internal/gather"
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/peer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/answer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/coverage"
 	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
+	"github.com/sardinespindle/sardinespindle/internal/policy/takeover"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
 )
@@ -38,6 +40,7 @@
 // have sent it to upstreams or recent searches were often late or missed too many shards: a
 // part cannot make up for shards that another part misses.
 func (s *Server) search(ctx context.Context, q *request, p *upstream.PassThroughRequest) outcome.Outcome {
+	defer func() { q.decidedAt = time.Now() }()
 	shards := q.shards
 	if shards == nil {
 		shards = q.route.Shards
@@ -81,7 +84,7 @@
 		running++
 		go func() { results <- s.searchInZone(ctx, q, p, zone, shards) }()
 	}
-	timer := time.NewTimer(time.Until(q.answerAt()) + partGrace)
+	timer := time.NewTimer(time.Until(s.decideBy(q)) + partGrace)
 	defer timer.Stop()
 	parts := make([]outcome.Outcome, 0, running)
 	timeUp := false
@@ -99,7 +102,7 @@
 	return merge(q, parts)
 }
 
-// partGrace is how long after answerAt a search waits for missing parts if the minimum share
+// partGrace is how long after decideBy a search waits for missing parts if the minimum share
 // is covered. Delegated parts end hopSlack early, so their replies are in time if the round
 // trip takes at most hopSlack plus partGrace.
 const partGrace = 2 * time.Millisecond
@@ -158,12 +161,14 @@
 			Shards:       q.catalog.Manifest.Workloads,
 			Top:          q.route.MaxRecords,
 			MinimumShare: q.route.MinimumShare,
-			AnswerAt:     q.answerAt(),
+			AnswerAt:     s.decideBy(q),
 			GiveUpAt:     q.deadline,
 			HedgeAfter:   scale(q.objective(), searchHedgeShare),
 			MaxAttempts:  q.route.MaxAttempts,
 			CallerResent: q.callerResent,
 			MaybeSent:    q.maybeSent,
+			Used:         q.used,
+			OnSent:       func(used takeover.Used) { peer.ReportUsed(ctx, string(used)) },
 			TakeRepeat:   s.takeRepeat,
 		},
 	})
--- a/internal/forward/split_test.go
+++ b/internal/forward/split_test.go
@@ -63,6 +63,7 @@
 type fakePeers struct {
 	delays map[string]time.Duration
 	errs   map[string]error
+	used   map[string]string // reported by each VM before it replies
 	silent bool
 	shed   bool
 
@@ -70,10 +71,13 @@
 	delegated []*gen.Delegate
 }
 
-func (p *fakePeers) Delegate(ctx context.Context, vm string, d *gen.Delegate) (*gen.Message, error) {
+func (p *fakePeers) Delegate(ctx context.Context, vm string, d *gen.Delegate, onNotice func(*gen.Accepted)) (*gen.Message, error) {
 	p.mu.Lock()
 	p.delegated = append(p.delegated, d)
 	p.mu.Unlock()
+	if used, ok := p.used[vm]; ok {
+		onNotice(&gen.Accepted{Running: true, Used: used})
+	}
 	select {
 	case <-time.After(p.delays[vm]):
 	case <-ctx.Done():
--- a/internal/gather/pass.go
+++ b/internal/gather/pass.go
@@ -14,6 +14,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/policy/answer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/coverage"
 	"github.com/sardinespindle/sardinespindle/internal/policy/plan"
+	"github.com/sardinespindle/sardinespindle/internal/policy/takeover"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
 )
@@ -38,9 +39,13 @@
 	HedgeAfter time.Duration
 	// MaxAttempts is the most replicas of a shard that may run the request.
 	MaxAttempts int
-	// MaybeSent means that another VM may have sent the request to the shards before. Each
-	// first attempt then takes from the budget of repeats.
+	// MaybeSent means that another VM may have sent the request to the shards before. Used
+	// holds what that VM reported, nil for nothing. First attempts of shards that may have
+	// received the request take from the budget of repeats.
 	MaybeSent bool
+	Used      takeover.Used
+	// OnSent is called with the replicas used so far after attempts were sent; may be nil.
+	OnSent func(takeover.Used)
 	// CallerResent means that the request was shed before and the caller sent it again.
 	CallerResent bool
 	// TakeRepeat takes one repeat from the budget of a service and reports whether the budget
@@ -63,6 +68,7 @@
 // plan.Decide sheds the search, nothing is sent.
 func (q *query) launchPassThrough() {
 	now := time.Now()
+	q.allowAttempts()
 	tickets := make([]Ticket, len(q.plan))
 	s := plan.Search{
 		Expected: make([]time.Duration, len(q.plan)), MinShards: q.minShards(),
@@ -70,7 +76,7 @@
 	}
 	for i, sh := range q.plan {
 		t, expected, err := q.pickPassThrough(sh)
-		if err == nil && q.s.PassThrough.MaybeSent && !q.s.PassThrough.TakeRepeat(sh.name, false) {
+		if err == nil && sh.allowance.Repeats && !q.s.PassThrough.TakeRepeat(sh.name, false) {
 			t.Cancel()
 			t, err = nil, errNoBudget
 		}
@@ -95,6 +101,35 @@
 			t.Cancel()
 		}
 	}
+	q.reportUsed()
+}
+
+// allowAttempts sets how many attempts each shard may make, after what another VM may have
+// sent, and blocks the replicas that it may not use.
+func (q *query) allowAttempts() {
+	p := q.s.PassThrough
+	q.used = takeover.NewUsed(len(q.plan))
+	known := len(p.Used) == len(q.used)
+	for i, sh := range q.plan {
+		sh.index = i
+		sh.allowance = takeover.Allow(p.MaxAttempts, p.MaybeSent, known, p.Used.At(i))
+		if sh.allowance.Only == nil || sh.workload == nil {
+			continue
+		}
+		for _, u := range sh.workload.Upstreams {
+			if !slices.Contains(sh.allowance.Only, takeover.Hash(u.Address)) {
+				sh.blocked = append(sh.blocked, u.Address)
+			}
+		}
+	}
+}
+
+// reportUsed calls OnSent if attempts were sent since its last call.
+func (q *query) reportUsed() {
+	if p := q.s.PassThrough; p != nil && p.OnSent != nil && q.attempts != q.attemptsReported {
+		q.attemptsReported = q.attempts
+		p.OnSent(slices.Clone(q.used))
+	}
 }
 
 var (
@@ -239,7 +274,7 @@
 func (q *query) pickRepeat(sh *shard, hedge bool) (t Ticket, denied string) {
 	p := q.s.PassThrough
 	now := time.Now()
-	if sh.countedAttempts >= p.MaxAttempts || len(sh.tried) >= maxSends || !now.Before(p.GiveUpAt) {
+	if sh.countedAttempts >= sh.allowance.Attempts || len(sh.tried) >= maxSends || !now.Before(p.GiveUpAt) {
 		return nil, "attempts"
 	}
 	t, expected, err := q.pickPassThrough(sh)
--- a/internal/gather/pass_test.go
+++ b/internal/gather/pass_test.go
@@ -11,6 +11,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/gather"
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/policy/takeover"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
 	manifestgen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
@@ -30,8 +31,9 @@
 			us = append(us, &manifestgen.Upstream{Address: name + "-" + r})
 		}
 		shards[name] = &manifest.Workload{
-			Workload: manifestgen.Workload{Name: manifestgen.Name(name)},
-			Replicas: map[string][]*manifestgen.Upstream{"": us},
+			Workload:  manifestgen.Workload{Name: manifestgen.Name(name)},
+			Upstreams: us,
+			Replicas:  map[string][]*manifestgen.Upstream{"": us},
 		}
 	}
 	for i := range pm.Shards {
@@ -124,4 +126,22 @@
 		s.PassThrough.TakeRepeat = func(string, bool) bool { return false }
 		Expect(run(s).Detail).To(ContainSubstring("lost:3"))
 	})
+
+	It("stays within the replicas that another VM has used, once they are as many as may be", func() {
+		used := takeover.NewUsed(3)
+		used.Add(0, "s0-b")         // sent once
+		used.Add(1, "s1-b")         // sent and hedged
+		used.Add(1, "s1-c")         // a replica that has left since
+		var reported takeover.Used  // of this VM
+		repeats := map[string]int{} // tokens taken
+		s := passThroughSearch(time.Second, 2*time.Second)
+		s.PassThrough.MaybeSent, s.PassThrough.Used = true, used
+		s.PassThrough.OnSent = func(u takeover.Used) { reported = u }
+		s.PassThrough.TakeRepeat = func(service string, _ bool) bool { repeats[service]++; return true }
+		Expect(run(s).Kind).To(Equal(caller.OutcomeAnswered))
+		Expect(f.count("s1-a")).To(BeZero())
+		Expect(f.count("s1-b")).To(Equal(1))
+		Expect(repeats).To(Equal(map[string]int{"s0": 1, "s1": 1}), "the other VM has not sent s2")
+		Expect(reported.At(1)).To(Equal([]byte{takeover.Hash("s1-b")}))
+	})
 })
--- a/internal/gather/query.go
+++ b/internal/gather/query.go
@@ -12,6 +12,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
 	"github.com/sardinespindle/sardinespindle/internal/policy/coverage"
 	"github.com/sardinespindle/sardinespindle/internal/policy/snapshot"
+	"github.com/sardinespindle/sardinespindle/internal/policy/takeover"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 )
 
@@ -65,8 +66,10 @@
 	inflight          int
 	cancelledInflight int // attempts in flight that are cancelled already
 	attempts          int
-	mayHaveRun        bool // an attempt that has ended may have run
-	replied           bool // a good reply arrived
+	attemptsReported  int           // value of attempts at the last call of PassThrough.OnSent
+	used              takeover.Used // replicas that a pass-through search was sent to
+	mayHaveRun        bool          // an attempt that has ended may have run
+	replied           bool          // a good reply arrived
 	goodReplies       int
 	unknownMapReplies int // replies of an unknown partition map while no part of the target had arrived
 	crashedAttempts   int // pass-through attempts during which the upstream crashed
@@ -110,11 +113,13 @@
 	gaveUp          bool          // no further attempt is sent, except by askLeftOut
 	retries         int
 	reasks          int
-	missingCause    string // why a pass-through search has no part of the shard
-	notRunBy        string // the last replica that did not run a pass-through attempt
-	countedAttempts int    // pass-through attempts, without those that did not run
-	repeatDenied    string // why the last repeat of a pass-through attempt was not sent, see pickRepeat
-	reachedAttempts int    // ended attempts that may have reached a replica
+	missingCause    string             // why a pass-through search has no part of the shard
+	index           int                // in the plan
+	allowance       takeover.Allowance // of a pass-through search
+	notRunBy        string             // the last replica that did not run a pass-through attempt
+	countedAttempts int                // pass-through attempts, without those that did not run
+	repeatDenied    string             // why the last repeat of a pass-through attempt was not sent, see pickRepeat
+	reachedAttempts int                // ended attempts that may have reached a replica
 
 	failedHedgePicks int // hedges that found no replica
 
@@ -223,6 +228,7 @@
 		case <-q.timer.C:
 			q.wake = time.Time{}
 			q.runDue(time.Now())
+			q.reportUsed()
 		case <-q.ctx.Done():
 			return q.unknown(outcome.Canceled, "caller went away")
 		}
--- a/internal/gather/send.go
+++ b/internal/gather/send.go
@@ -133,6 +133,7 @@
 	sh.tried = append(sh.tried, at.address)
 	if q.s.PassThrough != nil {
 		sh.countedAttempts++
+		q.used.Add(sh.index, at.address)
 		sh.blocked = append(sh.blocked, at.address)
 	}
 	sh.inflight = append(sh.inflight, at)
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/peer"
 )
 
@@ -40,8 +41,8 @@
 		c.node.metrics.dropped.WithLabelValues("late_reply").Inc()
 	case m.Accepted != nil:
 		select {
-		case w.notices <- *m.Accepted:
-		default: // an earlier notice is still unread
+		case w.notices <- m.Accepted:
+		default: // earlier notices are still unread
 		}
 	default:
 		w.reply <- m
@@ -51,12 +52,17 @@
 // handle runs a request's handler in a new goroutine, at most maxRunningHandlers per
 // connection. Further requests are dropped, and the sender of a delegated one is notified.
 func (c *conn) handle(ctx context.Context, m *gen.Message) {
+	if m.Delegate != nil && m.Id != 0 && !c.adjustForDelay(m.Delegate) {
+		c.node.metrics.dropped.WithLabelValues("late").Inc()
+		c.notify(m.Id, gen.Accepted{})
+		return
+	}
 	select {
 	case c.handlerSlots <- struct{}{}:
 	default:
 		c.node.metrics.dropped.WithLabelValues("busy").Inc()
 		if m.Delegate != nil && m.Id != 0 {
-			c.notify(m.Id, false)
+			c.notify(m.Id, gen.Accepted{})
 		}
 		return
 	}
@@ -67,7 +73,9 @@
 		defer func() { <-c.handlerSlots }()
 		defer cancel()
 		if m.Delegate != nil && m.Id != 0 {
-			stop := c.sendNotices(m.Id)
+			p := &progress{notify: func(a gen.Accepted) { c.notify(m.Id, a) }}
+			ctx = context.WithValue(ctx, progressKey{}, p)
+			stop := c.sendNotices(p)
 			defer stop()
 		}
 		reply := c.node.serve(ctx, c.peer, m)
@@ -108,10 +116,21 @@
 	}
 }
 
+// adjustForDelay corrects the times of a delegated request by the delay of its message. It
+// reports whether the request may run: a request that took too long was given up by its sender.
+func (c *conn) adjustForDelay(d *gen.Delegate) bool {
+	c.mu.Lock()
+	delay := c.arrivals.Delay(time.Duration(d.SentUs)*time.Microsecond, c.node.now())
+	c.mu.Unlock()
+	us := int(delay.Microseconds())
+	d.ElapsedUs, d.AnswerUs, d.GiveUpUs = d.ElapsedUs+us, d.AnswerUs-us, d.GiveUpUs-us
+	return delay <= delegate.MaxDelay
+}
+
 // sendNotices reports to the peer that its request runs, now and at each noticeInterval
 // until stop is called.
-func (c *conn) sendNotices(id int) (stop func()) {
-	c.notify(id, true)
+func (c *conn) sendNotices(p *progress) (stop func()) {
+	p.report("")
 	done := make(chan struct{})
 	go func() {
 		t := time.NewTicker(noticeInterval)
@@ -123,16 +142,16 @@
 			case <-c.done:
 				return
 			case <-t.C:
-				c.notify(id, true)
+				p.repeat()
 			}
 		}
 	}()
 	return func() { close(done) }
 }
 
-// notify reports to the peer whether its request runs.
-func (c *conn) notify(id int, runs bool) {
-	if err := c.send(&gen.Message{Id: id, Accepted: &runs}); err != nil {
+// notify sends a notice about a request of the peer.
+func (c *conn) notify(id int, a gen.Accepted) {
+	if err := c.send(&gen.Message{Id: id, Accepted: &a}); err != nil {
 		c.node.log.Debug("notice not sent", "peer", c.peer, "err", err)
 	}
 }
@@ -142,12 +161,16 @@
 type call struct {
 	id      int
 	reply   chan *gen.Message
-	notices chan bool // whether the peer runs the request
+	notices chan *gen.Accepted
 }
 
+// maxUnreadNotices bounds the notices of one call that wait to be read; further ones are
+// dropped, since a later one repeats what they say.
+const maxUnreadNotices = 4
+
 // call sends a request and waits for its reply. If no reply comes in time, it sends a
 // cancel, so that the peer stops its work.
-func (c *conn) call(ctx context.Context, m *gen.Message, watched bool) (*gen.Message, error) {
+func (c *conn) call(ctx context.Context, m *gen.Message, onNotice func(*gen.Accepted)) (*gen.Message, error) {
 	c.markUsed()
 	w, err := c.newCall()
 	if err != nil {
@@ -159,7 +182,7 @@
 	if err := c.send(&request); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	reply, err := c.await(ctx, w, watched)
+	reply, err := c.await(ctx, w, onNotice)
 	if err != nil {
 		if err := c.send(&gen.Message{Cancel: &gen.Cancel{Request: w.id}}); err != nil {
 			c.node.log.Debug("cancel not sent", "peer", c.peer, "err", err)
@@ -169,11 +192,11 @@
 	return reply, nil
 }
 
-// await waits for the reply to a request. A watched call fails with ErrSilent if the
-// first notice or a later one is overdue.
-func (c *conn) await(ctx context.Context, w *call, watched bool) (*gen.Message, error) {
+// await waits for the reply to a request. A watched call, which has a function for notices,
+// fails with ErrSilent if the first notice or a later one is overdue.
+func (c *conn) await(ctx context.Context, w *call, onNotice func(*gen.Accepted)) (*gen.Message, error) {
 	var tick <-chan time.Time
-	if watched {
+	if onNotice != nil {
 		t := time.NewTicker(watchTick)
 		defer t.Stop()
 		tick = t.C
@@ -185,8 +208,11 @@
 		select {
 		case r := <-w.reply:
 			return r, nil
-		case runs := <-w.notices:
-			if !runs {
+		case notice := <-w.notices:
+			if onNotice != nil {
+				onNotice(notice)
+			}
+			if !notice.Running {
 				return nil, fmt.Errorf("%w: VM busy", ErrNotSent)
 			}
 			silentTicks, limit = 0, laterNoticeTicks
@@ -208,7 +234,7 @@
 	if len(c.pending) >= maxPendingCalls {
 		return nil, fmt.Errorf("%w: call %s: %d requests under way", ErrNotSent, c.peer, maxPendingCalls)
 	}
-	w := &call{id: c.nextID, reply: make(chan *gen.Message, 1), notices: make(chan bool, 1)}
+	w := &call{id: c.nextID, reply: make(chan *gen.Message, 1), notices: make(chan *gen.Accepted, maxUnreadNotices)}
 	c.nextID += 2
 	c.pending[w.id] = w
 	return w, nil
--- a/internal/peer/call_test.go
+++ b/internal/peer/call_test.go
@@ -25,10 +25,11 @@
 			return &gen.Message{Delegated: &gen.Delegated{Taken: true, Headers: []gen.Header{}, Signatures: []string{}}}
 		}
 	}
+	onNotice := func(*gen.Accepted) {}
 	delegate := func() (*gen.Message, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
-		return f.vms[0].Delegate(ctx, f.vms[1].name, &gen.Delegate{Shards: []string{}, Headers: []gen.Header{}})
+		return f.vms[0].Delegate(ctx, f.vms[1].name, &gen.Delegate{Shards: []string{}, Headers: []gen.Header{}}, onNotice)
 	}
 	BeforeEach(func() { f = newFleet(2) })
 
@@ -50,8 +51,25 @@
 		Expect(time.Since(start)).To(BeNumerically("<", time.Second))
 	})
 
+	It("tells its sender which replicas it used, again with each later notice", func() {
+		f.vms[1].Handle(func(ctx context.Context, _ string, m *gen.Message) *gen.Message {
+			if m.Delegate == nil {
+				return nil
+			}
+			peer.ReportUsed(ctx, "\x07\x00")
+			time.Sleep(250 * time.Millisecond)
+			return &gen.Message{Delegated: &gen.Delegated{Taken: true, Headers: []gen.Header{}, Signatures: []string{}}}
+		})
+		var used []string
+		onNotice = func(a *gen.Accepted) { used = append(used, a.Used) }
+		_, err := delegate()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(used)).To(BeNumerically(">=", 3))
+		Expect(used[len(used)-1]).To(Equal("\x07\x00"))
+	})
+
 	It("fails with ErrNotSent if the VM is unknown", func() {
-		_, err := f.vms[0].Delegate(context.Background(), "vm9", &gen.Delegate{Shards: []string{}, Headers: []gen.Header{}})
+		_, err := f.vms[0].Delegate(context.Background(), "vm9", &gen.Delegate{Shards: []string{}, Headers: []gen.Header{}}, onNotice)
 		Expect(err).To(MatchError(peer.ErrNotSent))
 	})
 
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -11,6 +11,7 @@
 	"github.com/coder/websocket"
 	"golang.org/x/time/rate"
 
+	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/peer"
 )
 
@@ -84,9 +85,10 @@
 	neighbourUntil atomic.Int64
 	chosenUntil    atomic.Int64
 
-	mu      sync.Mutex // guards the fields below
-	nextID  int
-	pending map[int]*call
+	mu       sync.Mutex // guards the fields below
+	arrivals delegate.Arrivals
+	nextID   int
+	pending  map[int]*call
 	// cancels holds the functions that cancel the handlers of the peer's requests, by id.
 	cancels map[int]context.CancelFunc
 }
@@ -109,6 +111,7 @@
 	if dialed {
 		c.nextID = 1
 	}
+	c.arrivals.Delay(time.Duration(h.SentUs)*time.Microsecond, n.now())
 	c.markUsed()
 	return c
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -230,7 +230,7 @@
 	return &gen.Message{Hello: &gen.Hello{
 		Name: n.name, Zone: n.zone, Incarnation: n.incarnation,
 		Generation: generation, HeadDigest: digest,
-		UptimeMs: int((n.now() - n.started).Milliseconds()),
+		UptimeMs: int((n.now() - n.started).Milliseconds()), SentUs: int(n.now().Microseconds()),
 	}}
 }
 
@@ -286,28 +286,30 @@
 // Call sends a request to a VM and returns its reply. A call to this VM itself goes
 // directly to its own handlers.
 func (n *Node) Call(ctx context.Context, vm string, m *gen.Message) (*gen.Message, error) {
-	return n.call(ctx, vm, m, false)
+	return n.call(ctx, vm, m, nil)
 }
 
 // Delegate has another VM run a caller's request and waits for the reply as long as
-// notices come that the request runs. It fails with ErrNotSent if the VM did not get the
-// request or does not run it, and with ErrSilent if a notice is overdue.
-func (n *Node) Delegate(ctx context.Context, vm string, d *gen.Delegate) (*gen.Message, error) {
-	return n.call(ctx, vm, &gen.Message{Delegate: d}, true)
+// notices come that the request runs; it calls onNotice with each. It fails with ErrNotSent if
+// the VM did not get the request or does not run it, and with ErrSilent if a notice is overdue.
+func (n *Node) Delegate(ctx context.Context, vm string, d *gen.Delegate, onNotice func(*gen.Accepted)) (*gen.Message, error) {
+	d.SentUs = int(n.now().Microseconds())
+	return n.call(ctx, vm, &gen.Message{Delegate: d}, onNotice)
 }
 
-func (n *Node) call(ctx context.Context, vm string, m *gen.Message, watched bool) (*gen.Message, error) {
+// call sends a request and returns its reply. A call with a function for notices is watched.
+func (n *Node) call(ctx context.Context, vm string, m *gen.Message, onNotice func(*gen.Accepted)) (*gen.Message, error) {
 	if vm == n.name {
 		if reply := n.serve(ctx, n.name, m); reply != nil {
 			return reply, nil
 		}
 		return nil, ErrUnknownVM
 	}
-	c, err := n.connectFor(ctx, vm, watched)
+	c, err := n.connectFor(ctx, vm, onNotice != nil)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return c.call(ctx, m, watched)
+	return c.call(ctx, m, onNotice)
 }
 
 // connectFor is like connect, but limits the wait of a watched call to the time allowed for
--- a/schema/gen/peer/peer.go
+++ b/schema/gen/peer/peer.go
@@ -2,6 +2,18 @@
 
 package peer
 
+// Progress notice about the delegated request with this id.
+type Accepted struct {
+	// Whether the request is running. If true, its reply follows; if false, nothing
+	// was done for it.
+	Running bool `json:"running" toml:"running" cbor:"running"`
+
+	// Replicas that each shard was sent to so far, in the order of the request's
+	// shards: two hashes of one byte a shard, 0 for none. Empty if the request is no
+	// search or was not sent yet.
+	Used string `json:"used" toml:"used" cbor:"used"`
+}
+
 // Reports that the sender no longer waits for the reply to one of its requests.
 type Cancel struct {
 	// Id of the request.
@@ -33,6 +45,10 @@
 // Delegates a caller's request to a VM that is closer to the request's upstreams
 // or has connections to them.
 type Delegate struct {
+	// Time left until the VM must decide on the answer for the caller to get it
+	// within the objective, in microseconds; negative once that has passed.
+	AnswerUs int `json:"answer_us" toml:"answer_us" cbor:"answer_us"`
+
 	// Request body.
 	Body string `json:"body" toml:"body" cbor:"body"`
 
@@ -63,12 +79,20 @@
 	// timeout is clearly shorter than the route's.
 	Returning bool `json:"returning" toml:"returning" cbor:"returning"`
 
+	// When the message was sent, on a clock of the sender that runs while its process
+	// is paused, in microseconds.
+	SentUs int `json:"sent_us" toml:"sent_us" cbor:"sent_us"`
+
 	// Shards to search; empty for all shards of the route.
 	Shards []string `json:"shards" toml:"shards" cbor:"shards"`
 
 	// Path and query, as in the caller's request line.
 	Target string `json:"target" toml:"target" cbor:"target"`
 
+	// What the VM that may have sent the request reported of the replicas used, as in
+	// Accepted; empty if nothing is known.
+	Used string `json:"used" toml:"used" cbor:"used"`
+
 	// Version of the configuration in force at the sender; a VM with an older one
 	// does not take the request.
 	Version int `json:"version" toml:"version" cbor:"version"`
@@ -79,6 +103,10 @@
 	// Number of shards covered.
 	Covered int `json:"covered" toml:"covered" cbor:"covered"`
 
+	// Time from the request's arrival at the sender of the request until the VM
+	// decided on the outcome, as estimated by the VM, in microseconds.
+	DecidedUs int `json:"decided_us" toml:"decided_us" cbor:"decided_us"`
+
 	// Explanation of the reason for people.
 	Detail string `json:"detail" toml:"detail" cbor:"detail"`
 
@@ -188,6 +216,10 @@
 	// Name of the sending VM.
 	Name string `json:"name" toml:"name" cbor:"name"`
 
+	// When the message was sent, on a clock of the sender that runs while its process
+	// is paused, in microseconds.
+	SentUs int `json:"sent_us" toml:"sent_us" cbor:"sent_us"`
+
 	// Time since process start, in milliseconds.
 	UptimeMs int `json:"uptime_ms" toml:"uptime_ms" cbor:"uptime_ms"`
 
@@ -231,9 +263,8 @@
 // One WebSocket message between two VMs, in CBOR. Exactly one field besides id is
 // set. A reply carries the id of its request.
 type Message struct {
-	// Progress notice: whether the delegated request with this id is running. If
-	// true, its reply follows; if false, nothing was done for it.
-	Accepted *bool `json:"accepted,omitempty,omitzero" toml:"accepted,omitempty" cbor:"accepted,omitempty"`
+	// Accepted corresponds to the JSON schema field "accepted".
+	Accepted *Accepted `json:"accepted,omitempty,omitzero" toml:"accepted,omitempty" cbor:"accepted,omitempty"`
 
 	// Cancel corresponds to the JSON schema field "cancel".
 	Cancel *Cancel `json:"cancel,omitempty,omitzero" toml:"cancel,omitempty" cbor:"cancel,omitempty"`
