--- a/internal/catalog/sync.go
+++ b/internal/catalog/sync.go
@@ -168,7 +168,8 @@
 	s.o.SetStoreUnreachable(false)
 	before := s.o.Mirror.Version()
 	s.applyFrom("store", u)
-	if version := s.o.Mirror.Version(); version > before {
+	// A first read is not announced: when a whole fleet starts, every VM reads the store.
+	if version := s.o.Mirror.Version(); before > 0 && version > before {
 		s.o.AnnounceVersion(version)
 	}
 	if len(u.Items) > 0 {
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -80,6 +80,7 @@
 	f.node = peer.New(peer.Options{
 		Name: ip, Zone: f.s.Zone, Incarnation: f.incarnation, Started: f.started, ListenIP: ip,
 		Log: f.log, Registerer: f.registry, OnUnreachable: f.reportLost,
+		NoRelays: true,
 	})
 	f.fleet = newFleet(f.node, delegate.VM{Name: ip, Zone: f.s.Zone, Capacity: f.s.Fleet.Capacity}, peers.Port(), f.s.Fleet.Seeds)
 	f.mirror = catalog.NewMirror(platform.Decoder{}, clock.Boot, f.apply)
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -42,9 +42,11 @@
 	// startupDigestInterval is the same for a VM that started less than startupPeriod ago.
 	// Such a VM sends the digests of all buckets instead of one hash of them, so that the
 	// reply already holds the facts it lacks. VMs that start together must know each other
-	// before they divide the connections to the upstreams among themselves.
+	// before they divide the connections to the upstreams among themselves. It stops doing so
+	// once it has learned nothing for newsPeriod: such replies repeat much of what it knows.
 	startupDigestInterval = 200 * time.Millisecond
 	startupPeriod         = 5 * time.Second
+	newsPeriod            = 600 * time.Millisecond
 	// maxRepairBytes bounds the facts sent in reply to one digest or spread.
 	maxRepairBytes = 32 << 10
 	// neighbourTTL is how long a connection counts as a neighbour's after a digest came in
@@ -159,6 +161,7 @@
 func (n *Node) learn(from string, m *gen.Facts) {
 	for _, f := range fromWire(n.now(), m) {
 		if n.facts.Merge([]facts.Fact{f}) > 0 {
+			n.learnedAt.Store(int64(n.now()))
 			n.gossip.queue(f.Key).add(f, from)
 		} else {
 			n.gossip.queue(f.Key).markKnown(f, from)
@@ -258,7 +261,7 @@
 
 func (n *Node) digestLoop(ctx context.Context) {
 	for {
-		interval, starting := digestInterval, n.JustStarted()
+		interval, starting := digestInterval, n.JustStarted() && n.hasNews()
 		if starting {
 			interval = startupDigestInterval
 		}
@@ -279,6 +282,11 @@
 	}
 }
 
+// hasNews reports whether this VM learned a fact lately, or has just begun to.
+func (n *Node) hasNews() bool {
+	return n.now()-max(time.Duration(n.learnedAt.Load()), n.started) < newsPeriod
+}
+
 // JustStarted reports whether this VM started less than startupPeriod ago, when most facts
 // that it receives are new to it.
 func (n *Node) JustStarted() bool { return n.now()-n.started < startupPeriod }
--- a/internal/peer/neighbours.go
+++ b/internal/peer/neighbours.go
@@ -42,7 +42,7 @@
 			n.refreshConns(wanted)
 		}
 		n.dialNeighbours(ctx, wanted, backoffs)
-		if now-relayUpdated >= relayInterval {
+		if !n.noRelays && now-relayUpdated >= relayInterval {
 			n.updateRelay(members)
 			relayUpdated = now
 		}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -54,6 +54,9 @@
 	Now func() time.Duration
 	// Dial opens outgoing connections; a dialer from ListenIP if nil.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// NoRelays says that no VM relays the platform's manifest to its zone. The default is that
+	// the VMs of a zone choose relays among themselves.
+	NoRelays bool
 	// OnUnreachable is called when a neighbour cannot be reached although other VMs can;
 	// may be nil.
 	OnUnreachable func(vm string)
@@ -79,6 +82,7 @@
 	now         func() time.Duration
 	accept      func(string) bool
 	unreachable func(string)
+	noRelays    bool
 	log         *log.Logger
 	metrics     *metrics
 	facts       *facts.Store
@@ -98,6 +102,8 @@
 	// long time since lastTick means that the process was paused.
 	lastTick atomic.Int64
 	running  atomic.Bool
+	// learnedAt is when a fact of another VM was last new to this one.
+	learnedAt atomic.Int64
 
 	handlersMu  sync.RWMutex
 	handlers    []Handler
@@ -133,7 +139,7 @@
 	n := &Node{
 		limits: *o.Limits,
 		name:   o.Name, zone: o.Zone, incarnation: o.Incarnation, started: o.Started,
-		generation: o.Generation, now: o.Now, accept: o.Accept, unreachable: o.OnUnreachable, log: o.Log,
+		generation: o.Generation, now: o.Now, accept: o.Accept, unreachable: o.OnUnreachable, noRelays: o.NoRelays, log: o.Log,
 		metrics: newMetrics(o.Registerer),
 		facts: facts.New(facts.Options{
 			Name: o.Name, Incarnation: o.Incarnation, Now: o.Now, Registerer: o.Registerer,
