--- a/internal/catalog/sync.go
+++ b/internal/catalog/sync.go
@@ -58,6 +58,10 @@
 	failedSourceTTL = 5 * time.Second
 	// retryPause is the mean pause after a failure and the least pause after changes.
 	retryPause = 200 * time.Millisecond
+	// aloneWait is how long after its first read of the store a VM that knows no other waits for
+	// one to pull from before it uses the store again: a fleet that starts at once knows itself
+	// after a fraction of a second, and each call of the store is billed.
+	aloneWait = 500 * time.Millisecond
 	// directReadInterval is the least time between two reads or watches of the store by a
 	// VM that has readers to pull from.
 	directReadInterval = 1200 * time.Millisecond
@@ -87,6 +91,7 @@
 type Sync struct {
 	o            SyncOptions
 	announced    announcements
+	firstReadAt  time.Duration // when the store first replied; 0 if it has not
 	directReadAt time.Duration // when readDirectly last accessed the store
 	lastSource   string        // for the log
 	lastFailed   string        // for the log; empty once that source works again
@@ -119,7 +124,12 @@
 // syncOnce synchronizes with the store if this VM is a reader, else with another VM.
 func (s *Sync) syncOnce(ctx context.Context) {
 	sources := s.o.Sources()
-	if sources.ReadsStore || len(sources.VMs) == 0 {
+	alone := len(sources.VMs) == 0
+	if alone && s.firstReadAt > 0 && s.o.Now()-s.firstReadAt < aloneWait {
+		pause.Sleep(ctx, pause.Jitter(retryPause/4))
+		return
+	}
+	if sources.ReadsStore || alone {
 		s.syncWithStore(ctx)
 		return
 	}
@@ -166,6 +176,9 @@
 		return
 	}
 	s.o.SetStoreUnreachable(false)
+	if s.firstReadAt == 0 {
+		s.firstReadAt = s.o.Now()
+	}
 	before := s.o.Mirror.Version()
 	s.applyFrom("store", u)
 	// A first read is not announced: when a whole fleet starts, every VM reads the store.
--- a/internal/catalog/sync_test.go
+++ b/internal/catalog/sync_test.go
@@ -186,6 +186,38 @@
 	})
 })
 
+// Load pattern: 295 VMs start within 0.3 s and know only three seeds. Each read the store and at
+// once watched it, though it could have pulled from a VM that it knew 0.3 s later.
+var _ = ginkgo.Describe("Sync of a VM that knows no other yet", func() {
+	ginkgo.It("uses the store once, and again only if it still knows no other after a while", func() {
+		now := time.Second
+		s := newTestSync(&fakePeers{}, func() time.Duration { return now })
+		s.o.Sources = func() delegate.Sources { return delegate.Sources{ReadsStore: true} }
+		source := &countingSource{}
+		s.o.Source = source
+		for range 3 {
+			s.syncOnce(context.Background())
+		}
+		Expect(source.calls).To(Equal(1))
+		now += aloneWait
+		s.syncOnce(context.Background())
+		Expect(source.calls).To(Equal(2))
+	})
+})
+
+// countingSource is a store without items that counts its calls.
+type countingSource struct{ calls int }
+
+func (c *countingSource) Read(context.Context) (Update, error) {
+	c.calls++
+	return Update{Revision: 1}, nil
+}
+
+func (c *countingSource) Watch(context.Context, int64, time.Duration) (Update, error) {
+	c.calls++
+	return Update{After: 1, Revision: 1}, nil
+}
+
 // fixedSource is a store that replies to each read and watch with the same update.
 type fixedSource Update
 
