A VM refutes a statement that it is lost with an urgent fact

Traced: announcements are pushed late, to three neighbours, mostly of the own zone; across zones the refutation waited for digests, while the statement was urgent. Change: the refutation is an urgent fact of its own; the announcement follows. Ruled out: load alone; the test's VMs are in three zones of two, and only the own zone knew.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -37,6 +37,9 @@
 	// announcement that it contradicts.
 	lostPrefix = "lost/"
 	lostTTL    = memberTTL
+	// backPrefix starts the key of the fact by which a VM refutes such statements. The value is
+	// a liveness.Statement with the number of its new announcement, which spreads more slowly.
+	backPrefix = "back/"
 	// updateInterval is the time between two updates of the view. Just after its start, a VM
 	// uses startUpdateInterval, because it does not know most members yet.
 	updateInterval      = 500 * time.Millisecond
@@ -143,16 +146,21 @@
 	number, needed := liveness.Refute(f.node.Incarnation(), f.number, f.statements()[f.self.Name])
 	f.announceMu.Unlock()
 	if needed {
+		back := liveness.Statement{Incarnation: f.node.Incarnation(), Number: number}
+		f.node.Facts().Put(backPrefix+f.self.Name, back.String(), lostTTL)
 		f.announce(number)
 	}
 }
 
 // statements returns the statements that VMs are unreachable, by VM.
-func (f *fleet) statements() map[string][]liveness.Statement {
+func (f *fleet) statements() map[string][]liveness.Statement { return f.statementsOf(lostPrefix) }
+
+// statementsOf returns the statements in facts of a kind, by the VM that they are about.
+func (f *fleet) statementsOf(prefix string) map[string][]liveness.Statement {
 	out := map[string][]liveness.Statement{}
-	for _, fact := range f.node.Facts().List(lostPrefix) {
+	for _, fact := range f.node.Facts().List(prefix) {
 		if s, ok := liveness.ParseStatement(fact.Value); ok {
-			name := strings.TrimPrefix(fact.Key, lostPrefix)
+			name := strings.TrimPrefix(fact.Key, prefix)
 			out[name] = append(out[name], s)
 		}
 	}
@@ -163,12 +171,13 @@
 // contradicts, by name. lost are the others.
 func (f *fleet) announced() (known map[string]delegate.VM, lost map[string]bool) {
 	known, lost = map[string]delegate.VM{}, map[string]bool{}
-	statements := f.statements()
+	statements, back := f.statements(), f.statementsOf(backPrefix)
 	for _, fact := range f.node.Facts().List(memberPrefix) {
 		a, ok := liveness.ParseAnnouncement(fact.Value)
 		if !ok {
 			continue
 		}
+		a.Number = liveness.Latest(fact.Incarnation(), a.Number, back[fact.VM()])
 		if !liveness.Refuted(fact.Incarnation(), a, statements[fact.VM()]) {
 			lost[fact.VM()] = true
 			continue
@@ -186,6 +195,7 @@
 	statements := f.statements()[name]
 	for _, fact := range f.node.Facts().List(memberPrefix + name) {
 		a, ok := liveness.ParseAnnouncement(fact.Value)
+		a.Number = liveness.Latest(fact.Incarnation(), a.Number, f.statementsOf(backPrefix)[name])
 		if ok && fact.VM() == name && liveness.Refuted(fact.Incarnation(), a, statements) {
 			s := liveness.Statement{Incarnation: fact.Incarnation(), Number: a.Number}
 			f.node.Facts().Put(lostPrefix+name, s.String(), lostTTL)
--- a/internal/policy/liveness/liveness.go
+++ b/internal/policy/liveness/liveness.go
@@ -70,6 +70,17 @@
 	return true
 }
 
+// Latest returns the number of an incarnation's latest announcement, which is the one in hand or
+// one by which it refuted statements.
+func Latest(incarnation string, number int, refutations []Statement) int {
+	for _, r := range refutations {
+		if r.Incarnation == incarnation {
+			number = max(number, r.Number)
+		}
+	}
+	return number
+}
+
 // Refute returns the number of an announcement that refutes all statements about this
 // incarnation, and whether one is needed.
 func Refute(incarnation string, number int, statements []Statement) (int, bool) {
