--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -23,9 +23,9 @@
 
 // Peers are the other VMs.
 type Peers interface {
-	// Delegate sends a request to a VM and waits while that VM runs it; it calls onNotice with
-	// each notice of that VM. The error peer.ErrNotSent means that nothing was sent to upstreams.
-	Delegate(ctx context.Context, vm string, d *gen.Delegate, onNotice func(*gen.Accepted)) (*gen.Message, error)
+	// Delegate sends a request to a VM and waits while that VM runs it. The error
+	// peer.ErrNotSent means that nothing was sent to upstreams.
+	Delegate(ctx context.Context, vm string, d *gen.Delegate, w peer.Watch) (*gen.Message, error)
 }
 
 // hopSlack is the time allowed for one hop between VMs. The delegating VM adds it to the
@@ -90,7 +90,7 @@
 // runOrDelegate runs a request on this VM or delegates it to VMs near its upstreams. After
 // maxDelegations failures, or if no other VM is left, the request runs here.
 func (s *Server) runOrDelegate(ctx context.Context, q *request, p *upstream.PassThroughRequest) outcome.Outcome {
-	if groups := s.groups(q); groups != nil && !q.isPart {
+	if groups := s.groups(q); groups != nil {
 		return s.searchGroups(ctx, q, p, groups)
 	}
 	for range maxDelegations {
@@ -139,7 +139,12 @@
 	callCtx, cancel := context.WithDeadline(ctx, q.deadline.Add(hopSlack))
 	defer cancel()
 	var used string
-	reply, err := s.o.Peers.Delegate(callCtx, vm, s.newDelegate(q, p), func(a *gen.Accepted) { used = a.Used })
+	reply, err := s.o.Peers.Delegate(callCtx, vm, s.newDelegate(q, p), peer.Watch{Finish: q.control.finish, OnNotice: func(a *gen.Accepted) {
+		used = a.Used
+		if a.Covered > 0 {
+			q.control.reportDue(a.Covered)
+		}
+	}})
 	if err == nil && reply.Delegated == nil {
 		err = errUnexpectedReply
 	}
@@ -237,6 +242,7 @@
 		deadline: now.Add(time.Duration(d.GiveUpUs) * time.Microsecond),
 		decideBy: now.Add(time.Duration(d.AnswerUs) * time.Microsecond),
 		used:     takeover.Used(d.Used),
+		control:  control{finish: peer.FinishRequested(ctx), onDue: func(covered int) { peer.ReportDue(ctx, covered) }},
 	}
 	path, _, _ := strings.Cut(d.Target, "?")
 	q.route = c.Table.Find(hostOf(d.Host), path)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -181,8 +181,10 @@
 	tried []string
 	// shards are the shards to search; nil for all shards of the route.
 	shards []string
-	// isPart says that the request is a part of a search. A part is not split again.
-	isPart bool
+	// isPart says that the request is a part of a search. A part is not split again. control
+	// connects it with the search.
+	isPart  bool
+	control control
 }
 
 // ServeHTTP serves one request of a caller.
--- /dev/null
+++ b/internal/forward/parts.go
@@ -0,0 +1,122 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/outcome"
+)
+
+// control connects a part of a search with the search. The zero value is that of a request
+// which is no part.
+type control struct {
+	// finish is closed when the part is to end with the shards that it covers; may be nil.
+	finish <-chan struct{}
+	// onDue is called when the decision of the part is due and it covers too few shards; may
+	// be nil.
+	onDue func(covered int)
+}
+
+func (c control) reportDue(covered int) {
+	if c.onDue != nil {
+		c.onDue(covered)
+	}
+}
+
+// part returns the request for a part of the search q.
+func (q *request) part(shards []string, c control) *request {
+	part := *q
+	part.shards, part.isPart, part.control = shards, true, c
+	return &part
+}
+
+// partRunner runs a part of a search.
+type partRunner func(ctx context.Context, c control) partOutcome
+
+// partOutcome is the outcome of a part of a search.
+type partOutcome struct {
+	outcome.Outcome
+	index        int       // of the part
+	decidedAt    time.Time // when the VM that ran the part decided on it; zero if not known
+	ranElsewhere bool      // another VM ran the part
+}
+
+// duePart says how many shards a part covered when its decision was due.
+type duePart struct{ part, covered int }
+
+// partGrace is how long after decideBy a search waits for parts that it can be answered
+// without: parts that were asked to finish reply within a round trip.
+const partGrace = 4 * time.Millisecond
+
+// partsProgress is the progress of the parts of a search.
+type partsProgress struct {
+	q       *request
+	running int
+	ended   []outcome.Outcome
+	due     map[int]int // shards covered, by part that runs on after its decision was due
+	timeUp  bool
+}
+
+// end records the outcome of a part.
+func (w *partsProgress) end(o partOutcome) {
+	w.running--
+	w.ended = append(w.ended, o.Outcome)
+	delete(w.due, o.index)
+	if o.ranElsewhere && o.decidedAt.After(w.q.decidedAt) {
+		w.q.decidedAt, w.q.ranElsewhere = o.decidedAt, true
+	}
+}
+
+// complete reports whether the search need not wait any longer.
+func (w *partsProgress) complete() bool {
+	return w.running == 0 || w.timeUp && w.q.coveredShards(w.ended) >= w.q.minShards()
+}
+
+// mayFinish reports whether the parts still running can be asked to finish: their decisions are
+// due, and with what they cover the search reaches its minimum share.
+func (w *partsProgress) mayFinish() bool {
+	covered := w.q.coveredShards(w.ended)
+	for _, n := range w.due {
+		covered += n
+	}
+	return len(w.due) > 0 && (w.timeUp || len(w.due) == w.running) && covered >= w.q.minShards()
+}
+
+// awaitParts runs the parts of a search at the same time and merges their outcomes. Each part
+// waits for its own minimum share; once the parts together cover that of the search when their
+// decisions are due, those that still run are asked to finish. From decideBy on, the search is
+// answered without the parts that it does not depend on.
+func (s *Server) awaitParts(ctx context.Context, q *request, run []partRunner) outcome.Outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results, due := make(chan partOutcome, len(run)), make(chan duePart, len(run))
+	finish := make(chan struct{})
+	askToFinish := sync.OnceFunc(func() { close(finish) })
+	for i, f := range run {
+		var once sync.Once // a part that another VM takes over may report again
+		c := control{finish: finish, onDue: func(covered int) { once.Do(func() { due <- duePart{i, covered} }) }}
+		go func() {
+			o := f(ctx, c)
+			o.index = i
+			results <- o
+		}()
+	}
+	timer := time.NewTimer(time.Until(s.decideBy(q)) + partGrace)
+	defer timer.Stop()
+	w := partsProgress{q: q, running: len(run), due: map[int]int{}}
+	for !w.complete() {
+		select {
+		case <-timer.C:
+			w.timeUp = true
+		case d := <-due:
+			w.due[d.part] = d.covered
+		case o := <-results:
+			w.end(o)
+		}
+		if w.mayFinish() {
+			askToFinish()
+		}
+	}
+	return merge(q, w.ended)
+}
--- a/internal/forward/split.go
+++ b/internal/forward/split.go
@@ -72,25 +72,21 @@
 // searchParts searches the local shards from this VM, delegates the others to gatherers in
 // their zones, and merges the results.
 func (s *Server) searchParts(ctx context.Context, q *request, p *upstream.PassThroughRequest, local []string, byZone map[string][]string) outcome.Outcome {
-	run := make([]func(ctx context.Context) partOutcome, 0, len(byZone)+1)
+	var parts []partRunner
 	if len(local) > 0 {
-		run = append(run, func(ctx context.Context) partOutcome {
-			return partOutcome{Outcome: s.searchLocally(ctx, q, p, local)}
+		parts = append(parts, func(ctx context.Context, c control) partOutcome {
+			part := q.part(local, c)
+			return partOutcome{Outcome: s.searchLocally(ctx, part, p, local)}
 		})
 	}
 	for zone, shards := range byZone {
-		run = append(run, func(ctx context.Context) partOutcome {
-			return partOutcome{Outcome: s.searchInZone(ctx, q, p, zone, shards)}
+		parts = append(parts, func(ctx context.Context, c control) partOutcome {
+			return partOutcome{Outcome: s.searchInZone(ctx, q.part(shards, c), p, zone)}
 		})
 	}
-	return s.awaitParts(ctx, q, run)
+	return s.awaitParts(ctx, q, parts)
 }
 
-// partGrace is how long after decideBy a search waits for missing parts if the minimum share
-// is covered. Delegated parts end hopSlack early, so their replies are in time if the round
-// trip takes at most hopSlack plus partGrace.
-const partGrace = 2 * time.Millisecond
-
 // totalShards returns the number of shards that the request searches.
 func (q *request) totalShards() int {
 	if q.shards != nil {
@@ -114,20 +110,18 @@
 	return n
 }
 
-// searchInZone delegates the search of some shards to a gatherer of a zone. If that fails
-// before the deadline, it searches them from this VM.
-func (s *Server) searchInZone(ctx context.Context, q *request, p *upstream.PassThroughRequest, zone string, shards []string) outcome.Outcome {
-	part := *q
-	part.shards, part.isPart = shards, true
+// searchInZone delegates a part of a search to a gatherer of a zone. If that fails before the
+// deadline, it runs on this VM.
+func (s *Server) searchInZone(ctx context.Context, part *request, p *upstream.PassThroughRequest, zone string) outcome.Outcome {
 	gatherers, _ := s.o.Gatherers()
 	vm, ok := s.peers.acquire(gatherers[zone], nil, s.o.Now())
 	if !ok {
-		return s.searchLocally(ctx, &part, p, shards)
+		return s.searchLocally(ctx, part, p, part.shards)
 	}
-	if o, done := s.delegateTo(ctx, &part, p, vm); done || ctx.Err() != nil {
+	if o, done := s.delegateTo(ctx, part, p, vm); done || ctx.Err() != nil {
 		return o
 	}
-	return part.unknownIfSent(s.searchLocally(ctx, &part, p, shards))
+	return part.unknownIfSent(s.searchLocally(ctx, part, p, part.shards))
 }
 
 // searchLocally searches the shards from this VM.
@@ -154,6 +148,8 @@
 			CallerResent: q.callerResent || q.isPart,
 			MaybeSent:    q.maybeSent,
 			Used:         q.used,
+			OnDue:        q.control.reportDue,
+			Finish:       q.control.finish,
 			OnSent:       func(used takeover.Used) { peer.ReportUsed(ctx, string(used)) },
 			TakeRepeat:   s.takeRepeat,
 		},
--- a/internal/gather/pass.go
+++ b/internal/gather/pass.go
@@ -44,6 +44,11 @@
 	// received the request take from the budget of repeats.
 	MaybeSent bool
 	Used      takeover.Used
+	// OnDue is called once with the number of shards covered if they are too few to answer at
+	// AnswerAt; may be nil. When Finish is closed, the search is answered with what there is;
+	// may be nil.
+	OnDue  func(covered int)
+	Finish <-chan struct{}
 	// OnSent is called with the replicas used so far after attempts were sent; may be nil.
 	OnSent func(takeover.Used)
 	// CallerResent means that the request was shed before and the caller sent it again.
@@ -322,6 +327,15 @@
 		return q.failPassThrough(), true
 	case answer.Wait:
 	}
+	if q.finishRequested && s.Covered > 0 {
+		return q.answerPassThrough(), true
+	}
+	if s.TimeUp && !q.dueReported {
+		q.dueReported = true
+		if p.OnDue != nil {
+			p.OnDue(s.Covered)
+		}
+	}
 	if !now.Before(p.GiveUpAt) {
 		return q.failPassThrough(), true
 	}
--- a/internal/gather/pass_test.go
+++ b/internal/gather/pass_test.go
@@ -144,4 +144,20 @@
 		Expect(repeats).To(Equal(map[string]int{"s0": 1, "s1": 1}), "the other VM has not sent s2")
 		Expect(reported.At(1)).To(Equal([]byte{takeover.Hash("s1-b")}))
 	})
+
+	It("reports that its decision is due, and is answered with too few shards when asked to finish", func() {
+		f.serve["s1-a"], f.serve["s1-b"] = hang, hang
+		finish := make(chan struct{})
+		s := passThroughSearch(50*time.Millisecond, 2*time.Second)
+		s.PassThrough.Finish = finish
+		s.PassThrough.OnDue = func(covered int) {
+			Expect(covered).To(Equal(2))
+			close(finish)
+		}
+		start := time.Now()
+		o := run(s)
+		Expect(time.Since(start)).To(BeNumerically("~", 60*time.Millisecond, 30*time.Millisecond))
+		Expect(o.Kind).To(Equal(caller.OutcomeAnswered))
+		Expect(o.Coverage.ShardsCovered).To(Equal(2))
+	})
 })
--- a/internal/gather/query.go
+++ b/internal/gather/query.go
@@ -66,6 +66,8 @@
 	inflight          int
 	cancelledInflight int // attempts in flight that are cancelled already
 	attempts          int
+	finishRequested   bool          // PassThrough.Finish was closed
+	dueReported       bool          // PassThrough.OnDue was due
 	attemptsReported  int           // value of attempts at the last call of PassThrough.OnSent
 	used              takeover.Used // replicas that a pass-through search was sent to
 	mayHaveRun        bool          // an attempt that has ended may have run
@@ -215,6 +217,10 @@
 	case q.inflight == 0:
 		return q.notRun()
 	}
+	var finish <-chan struct{}
+	if q.s.PassThrough != nil {
+		finish = q.s.PassThrough.Finish
+	}
 	for {
 		if out, done := q.decide(); done {
 			return out
@@ -229,6 +235,8 @@
 			q.wake = time.Time{}
 			q.runDue(time.Now())
 			q.reportUsed()
+		case <-finish:
+			q.finishRequested, finish = true, nil
 		case <-q.ctx.Done():
 			return q.unknown(outcome.Canceled, "caller went away")
 		}
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -73,8 +73,10 @@
 		defer func() { <-c.handlerSlots }()
 		defer cancel()
 		if m.Delegate != nil && m.Id != 0 {
-			p := &progress{notify: func(a gen.Accepted) { c.notify(m.Id, a) }}
+			p := newProgress(func(a gen.Accepted) { c.notify(m.Id, a) })
 			ctx = context.WithValue(ctx, progressKey{}, p)
+			c.setFinish(m.Id, p.requestFinish)
+			defer c.setFinish(m.Id, nil)
 			stop := c.sendNotices(p)
 			defer stop()
 		}
@@ -106,6 +108,28 @@
 	c.cancels[id] = cancel
 }
 
+// setFinish records the function that asks a request's handler to finish. A nil function
+// removes the record.
+func (c *conn) setFinish(id int, finish func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if finish == nil {
+		delete(c.finishes, id)
+		return
+	}
+	c.finishes[id] = finish
+}
+
+// finishHandler asks the handler of a delegated request to finish.
+func (c *conn) finishHandler(id int) {
+	c.mu.Lock()
+	finish := c.finishes[id]
+	c.mu.Unlock()
+	if finish != nil {
+		finish()
+	}
+}
+
 // cancelHandler cancels the handler of a request whose reply the peer no longer wants.
 func (c *conn) cancelHandler(id int) {
 	c.mu.Lock()
@@ -130,7 +154,7 @@
 // sendNotices reports to the peer that its request runs, now and at each noticeInterval
 // until stop is called.
 func (c *conn) sendNotices(p *progress) (stop func()) {
-	p.report("")
+	p.repeat()
 	done := make(chan struct{})
 	go func() {
 		t := time.NewTicker(noticeInterval)
@@ -170,7 +194,7 @@
 
 // call sends a request and waits for its reply. If no reply comes in time, it sends a
 // cancel, so that the peer stops its work.
-func (c *conn) call(ctx context.Context, m *gen.Message, onNotice func(*gen.Accepted)) (*gen.Message, error) {
+func (c *conn) call(ctx context.Context, m *gen.Message, watch *Watch) (*gen.Message, error) {
 	c.markUsed()
 	w, err := c.newCall()
 	if err != nil {
@@ -182,7 +206,7 @@
 	if err := c.send(&request); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	reply, err := c.await(ctx, w, onNotice)
+	reply, err := c.await(ctx, w, watch)
 	if err != nil {
 		if err := c.send(&gen.Message{Cancel: &gen.Cancel{Request: w.id}}); err != nil {
 			c.node.log.Debug("cancel not sent", "peer", c.peer, "err", err)
@@ -192,11 +216,13 @@
 	return reply, nil
 }
 
-// await waits for the reply to a request. A watched call, which has a function for notices,
-// fails with ErrSilent if the first notice or a later one is overdue.
-func (c *conn) await(ctx context.Context, w *call, onNotice func(*gen.Accepted)) (*gen.Message, error) {
+// await waits for the reply to a request. A watched call fails with ErrSilent if the first
+// notice or a later one is overdue.
+func (c *conn) await(ctx context.Context, w *call, watch *Watch) (*gen.Message, error) {
 	var tick <-chan time.Time
-	if onNotice != nil {
+	var finish <-chan struct{}
+	if watch != nil {
+		finish = watch.Finish
 		t := time.NewTicker(watchTick)
 		defer t.Stop()
 		tick = t.C
@@ -209,13 +235,18 @@
 		case r := <-w.reply:
 			return r, nil
 		case notice := <-w.notices:
-			if onNotice != nil {
-				onNotice(notice)
+			if watch != nil && watch.OnNotice != nil {
+				watch.OnNotice(notice)
 			}
 			if !notice.Running {
 				return nil, fmt.Errorf("%w: VM busy", ErrNotSent)
 			}
 			silentTicks, limit = 0, laterNoticeTicks
+		case <-finish:
+			finish = nil
+			if err := c.send(&gen.Message{Finish: &gen.Finish{Request: w.id}}); err != nil {
+				return nil, err
+			}
 		case <-tick:
 			if silentTicks++; silentTicks > limit {
 				return nil, ErrSilent
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -135,6 +135,7 @@
 	{"cancel", func(m *gen.Message) bool { return m.Cancel != nil }},
 	{"delegate", func(m *gen.Message) bool { return m.Delegate != nil }},
 	{"accepted", func(m *gen.Message) bool { return m.Accepted != nil }},
+	{"finish", func(m *gen.Message) bool { return m.Finish != nil }},
 	{"delegated", func(m *gen.Message) bool { return m.Delegated != nil }},
 	{"hello", func(m *gen.Message) bool { return m.Hello != nil }},
 }
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -89,8 +89,10 @@
 	arrivals delegate.Arrivals
 	nextID   int
 	pending  map[int]*call
-	// cancels holds the functions that cancel the handlers of the peer's requests, by id.
-	cancels map[int]context.CancelFunc
+	// cancels holds the functions that cancel the handlers of the peer's requests, by id, and
+	// finishes those that ask the handlers of its delegated requests to finish.
+	cancels  map[int]context.CancelFunc
+	finishes map[int]func()
 }
 
 func newConn(n *Node, s socket, h *gen.Hello, dialed bool) *conn {
@@ -106,6 +108,7 @@
 		done:         make(chan struct{}),
 		pending:      map[int]*call{},
 		cancels:      map[int]context.CancelFunc{},
+		finishes:     map[int]func(){},
 		nextID:       2,
 	}
 	if dialed {
@@ -309,6 +312,8 @@
 		c.node.metrics.dropped.WithLabelValues("late_reply").Inc()
 	case m.Cancel != nil:
 		c.cancelHandler(m.Cancel.Request)
+	case m.Finish != nil:
+		c.finishHandler(m.Finish.Request)
 	case m.Digest != nil:
 		c.node.replyToDigest(c, m.Digest)
 	case m.Facts != nil && m.Id == 0:
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -296,26 +296,34 @@
 }
 
 // Delegate has another VM run a caller's request and waits for the reply as long as
-// notices come that the request runs; it calls onNotice with each. It fails with ErrNotSent if
-// the VM did not get the request or does not run it, and with ErrSilent if a notice is overdue.
-func (n *Node) Delegate(ctx context.Context, vm string, d *gen.Delegate, onNotice func(*gen.Accepted)) (*gen.Message, error) {
+// notices come that the request runs. It fails with ErrNotSent if the VM did not get the
+// request or does not run it, and with ErrSilent if a notice is overdue.
+func (n *Node) Delegate(ctx context.Context, vm string, d *gen.Delegate, w Watch) (*gen.Message, error) {
 	d.SentUs = int(n.now().Microseconds())
-	return n.call(ctx, vm, &gen.Message{Delegate: d}, onNotice)
+	return n.call(ctx, vm, &gen.Message{Delegate: d}, &w)
 }
 
-// call sends a request and returns its reply. A call with a function for notices is watched.
-func (n *Node) call(ctx context.Context, vm string, m *gen.Message, onNotice func(*gen.Accepted)) (*gen.Message, error) {
+// Watch is what the sender of a delegated request does while it runs.
+type Watch struct {
+	// OnNotice is called with each notice; may be nil.
+	OnNotice func(*gen.Accepted)
+	// Finish is closed to have the VM reply with what it has; may be nil.
+	Finish <-chan struct{}
+}
+
+// call sends a request and returns its reply. A call with a Watch is watched.
+func (n *Node) call(ctx context.Context, vm string, m *gen.Message, w *Watch) (*gen.Message, error) {
 	if vm == n.name {
 		if reply := n.serve(ctx, n.name, m); reply != nil {
 			return reply, nil
 		}
 		return nil, ErrUnknownVM
 	}
-	c, err := n.connectFor(ctx, vm, onNotice != nil)
+	c, err := n.connectFor(ctx, vm, w != nil)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return c.call(ctx, m, onNotice)
+	return c.call(ctx, m, w)
 }
 
 // connectFor is like connect, but limits the wait of a watched call to the time allowed for
--- a/internal/policy/answer/margin.go
+++ b/internal/policy/answer/margin.go
@@ -4,7 +4,7 @@
 
 const (
 	// sendMargin is reserved for the queues of both ends, beyond what is known of the way.
-	sendMargin = 3 * time.Millisecond
+	sendMargin = 5 * time.Millisecond
 	// defaultRoundTrip is assumed while the round trip to a caller is not known.
 	defaultRoundTrip = 6 * time.Millisecond
 	// maxReserveDivisor bounds the time reserved: 1/maxReserveDivisor of the objective.
--- a/schema/gen/peer/peer.go
+++ b/schema/gen/peer/peer.go
@@ -4,6 +4,10 @@
 
 // Progress notice about the delegated request with this id.
 type Accepted struct {
+	// Shards that a search covers when its decision is due and too few are covered to
+	// answer; 0 before. The sender of the request may have it finished then.
+	Covered int `json:"covered" toml:"covered" cbor:"covered"`
+
 	// Whether the request is running. If true, its reply follows; if false, nothing
 	// was done for it.
 	Running bool `json:"running" toml:"running" cbor:"running"`
@@ -183,6 +187,13 @@
 	Facts []Fact `json:"facts" toml:"facts" cbor:"facts"`
 }
 
+// Asks for the reply to a delegated search with the shards that are covered,
+// although they are too few.
+type Finish struct {
+	// Id of the request.
+	Request int `json:"request" toml:"request" cbor:"request"`
+}
+
 // Reply to a lookup.
 type Found struct {
 	// Whether the outcome is known.
@@ -284,6 +295,9 @@
 	// Facts corresponds to the JSON schema field "facts".
 	Facts *Facts `json:"facts,omitempty,omitzero" toml:"facts,omitempty" cbor:"facts,omitempty"`
 
+	// Finish corresponds to the JSON schema field "finish".
+	Finish *Finish `json:"finish,omitempty,omitzero" toml:"finish,omitempty" cbor:"finish,omitempty"`
+
 	// Found corresponds to the JSON schema field "found".
 	Found *Found `json:"found,omitempty,omitzero" toml:"found,omitempty" cbor:"found,omitempty"`
 
