A part's request is copied before the search goes on

Cause: go test -race found the copy of a search's request read by the part's goroutine while the search noted when another part was decided on. Change: awaitParts makes the copies before it starts the parts.

--- a/internal/forward/groups.go
+++ b/internal/forward/groups.go
@@ -25,13 +25,11 @@
 
 // searchGroups has a leaf of each group search its shards and merges the parts.
 func (s *Server) searchGroups(ctx context.Context, q *request, p *upstream.PassThroughRequest, groups []delegate.Group) outcome.Outcome {
-	parts := make([]partRunner, len(groups))
+	parts := make([]searchPart, len(groups))
 	for i, g := range groups {
-		parts[i] = func(ctx context.Context, c control) partOutcome {
-			part := q.part(g.Shards, c)
-			o := s.searchGroup(ctx, part, p, g)
-			return partOutcome{Outcome: o, decidedAt: part.decidedAt, ranElsewhere: part.ranElsewhere}
-		}
+		parts[i] = searchPart{shards: g.Shards, run: func(ctx context.Context, part *request) outcome.Outcome {
+			return s.searchGroup(ctx, part, p, g)
+		}}
 	}
 	return s.awaitParts(ctx, q, parts)
 }
--- a/internal/forward/parts.go
+++ b/internal/forward/parts.go
@@ -31,15 +31,17 @@
 	return &part
 }
 
-// partRunner runs a part of a search.
-type partRunner func(ctx context.Context, c control) partOutcome
+// searchPart is a part of a search: its shards, and how it is run.
+type searchPart struct {
+	shards []string
+	run    func(ctx context.Context, part *request) outcome.Outcome
+}
 
-// partOutcome is the outcome of a part of a search.
-type partOutcome struct {
+// endedPart is the outcome of a part of a search, with the request that ran as the part.
+type endedPart struct {
 	outcome.Outcome
-	index        int       // of the part
-	decidedAt    time.Time // when the VM that ran the part decided on it; zero if not known
-	ranElsewhere bool      // another VM ran the part
+	index   int
+	request *request
 }
 
 // duePart says how many shards a part covered when its decision was due.
@@ -59,12 +61,12 @@
 }
 
 // end records the outcome of a part.
-func (w *partsProgress) end(o partOutcome) {
+func (w *partsProgress) end(o endedPart) {
 	w.running--
 	w.ended = append(w.ended, o.Outcome)
 	delete(w.due, o.index)
-	if o.ranElsewhere && o.decidedAt.After(w.q.decidedAt) {
-		w.q.decidedAt, w.q.ranElsewhere = o.decidedAt, true
+	if o.request.ranElsewhere && o.request.decidedAt.After(w.q.decidedAt) {
+		w.q.decidedAt, w.q.ranElsewhere = o.request.decidedAt, true
 	}
 }
 
@@ -87,24 +89,21 @@
 // waits for its own minimum share; once the parts together cover that of the search when their
 // decisions are due, those that still run are asked to finish. From decideBy on, the search is
 // answered without the parts that it does not depend on.
-func (s *Server) awaitParts(ctx context.Context, q *request, run []partRunner) outcome.Outcome {
+func (s *Server) awaitParts(ctx context.Context, q *request, parts []searchPart) outcome.Outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results, due := make(chan partOutcome, len(run)), make(chan duePart, len(run))
+	results, due := make(chan endedPart, len(parts)), make(chan duePart, len(parts))
 	finish := make(chan struct{})
 	askToFinish := sync.OnceFunc(func() { close(finish) })
-	for i, f := range run {
+	for i, p := range parts {
 		var once sync.Once // a part that another VM takes over may report again
 		c := control{finish: finish, onDue: func(covered int) { once.Do(func() { due <- duePart{i, covered} }) }}
-		go func() {
-			o := f(ctx, c)
-			o.index = i
-			results <- o
-		}()
+		part := q.part(p.shards, c)
+		go func() { results <- endedPart{Outcome: p.run(ctx, part), index: i, request: part} }()
 	}
 	timer := time.NewTimer(time.Until(s.decideBy(q)) + partGrace)
 	defer timer.Stop()
-	w := partsProgress{q: q, running: len(run), due: map[int]int{}}
+	w := partsProgress{q: q, running: len(parts), due: map[int]int{}}
 	for !w.complete() {
 		select {
 		case <-timer.C:
--- a/internal/forward/split.go
+++ b/internal/forward/split.go
@@ -72,17 +72,16 @@
 // searchParts searches the local shards from this VM, delegates the others to gatherers in
 // their zones, and merges the results.
 func (s *Server) searchParts(ctx context.Context, q *request, p *upstream.PassThroughRequest, local []string, byZone map[string][]string) outcome.Outcome {
-	var parts []partRunner
+	var parts []searchPart
 	if len(local) > 0 {
-		parts = append(parts, func(ctx context.Context, c control) partOutcome {
-			part := q.part(local, c)
-			return partOutcome{Outcome: s.searchLocally(ctx, part, p, local)}
-		})
+		parts = append(parts, searchPart{shards: local, run: func(ctx context.Context, part *request) outcome.Outcome {
+			return s.searchLocally(ctx, part, p, part.shards)
+		}})
 	}
 	for zone, shards := range byZone {
-		parts = append(parts, func(ctx context.Context, c control) partOutcome {
-			return partOutcome{Outcome: s.searchInZone(ctx, q.part(shards, c), p, zone)}
-		})
+		parts = append(parts, searchPart{shards: shards, run: func(ctx context.Context, part *request) outcome.Outcome {
+			return s.searchInZone(ctx, part, p, zone)
+		}})
 	}
 	return s.awaitParts(ctx, q, parts)
 }
