--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -235,7 +235,7 @@
 	if limit == 0 {
 		limit = len(v.vms) * len(v.vms) // no shard is known: all VMs may gather
 	}
-	for _, vm := range delegate.Gatherers(v.vms, max(limit, 1)) {
+	for _, vm := range delegate.Gatherers(v.vms, max(limit, 1), f.node.JustStarted()) {
 		v.gathererCount++
 		if vm.Name == f.self.Name {
 			v.isGatherer = true
--- a/internal/policy/delegate/delegate_test.go
+++ b/internal/policy/delegate/delegate_test.go
@@ -123,20 +123,29 @@
 		}
 		return vms
 	}
+	// Load pattern: all VMs return at once. A VM that knew 20 of 295 took all of them for
+	// gatherers, as 46 may gather, and small VMs opened connections to 540 upstreams.
+	It("returns the able VMs only while a VM may know only some", func() {
+		Expect(delegate.Gatherers(fleet(17, 3), 175, true)).To(HaveLen(3))
+		Expect(delegate.Gatherers(fleet(17, 3), 175, false)).To(HaveLen(20))
+		Expect(delegate.Gatherers(fleet(5, 0), 175, true)).To(HaveLen(5))
+		Expect(delegate.Gatherers(nil, 175, true)).To(BeEmpty())
+	})
+
 	It("returns all VMs while each may hold enough connections", func() {
-		Expect(delegate.Gatherers(fleet(14, 0), 58)).To(HaveLen(14))
+		Expect(delegate.Gatherers(fleet(14, 0), 58, false)).To(HaveLen(14))
 	})
 	It("returns only the large VMs when the connections are too few for all", func() {
-		Expect(delegate.Gatherers(fleet(92, 6), 84)).To(HaveLen(6))
+		Expect(delegate.Gatherers(fleet(92, 6), 84, false)).To(HaveLen(6))
 	})
 	It("returns as many VMs of equal capacity as the connections allow", func() {
-		Expect(delegate.Gatherers(fleet(300, 0), 58)).To(HaveLen(15))
+		Expect(delegate.Gatherers(fleet(300, 0), 58, false)).To(HaveLen(15))
 	})
 	It("returns small VMs when there are no large ones", func() {
-		Expect(delegate.Gatherers(fleet(92, 0), 84)).To(HaveLen(22))
+		Expect(delegate.Gatherers(fleet(92, 0), 84, false)).To(HaveLen(22))
 	})
 	It("returns at least one VM however few the connections", func() {
-		Expect(delegate.Gatherers(fleet(5, 0), 1)).To(HaveLen(1))
+		Expect(delegate.Gatherers(fleet(5, 0), 1, false)).To(HaveLen(1))
 	})
 })
 
--- a/internal/policy/delegate/gatherers.go
+++ b/internal/policy/delegate/gatherers.go
@@ -31,16 +31,17 @@
 // Gatherers returns the VMs that run searches, where an upstream accepts limit
 // connections in total. If the limit allows every VM minConnections and connectionReserve,
 // all gather. Otherwise the VMs of largest capacity do: at least one, at most as many as the
-// limit allows, and none below minCapacityRatio.
-func Gatherers(vms []VM, limit int) []VM {
+// limit allows, and none below minCapacityRatio. partial says that the caller may know only
+// some of the VMs; then none below minCapacityRatio gathers either, since the VMs that are not
+// known yet would count against the limit.
+func Gatherers(vms []VM, limit int, partial bool) []VM {
 	maxGatherers := int(float64(limit) / (minConnections * (1 + connectionReserve)))
-	if len(vms) <= maxGatherers {
+	if len(vms) <= maxGatherers && !partial {
 		return vms
 	}
 	ranked := Rank(vms)
-	largest := ranked[0].Capacity
 	n := 0
-	for n < len(ranked) && n < max(maxGatherers, 1) && ranked[n].Capacity >= minCapacityRatio*largest {
+	for n < len(ranked) && n < max(maxGatherers, 1) && ranked[n].Capacity >= minCapacityRatio*ranked[0].Capacity {
 		n++
 	}
 	return ranked[:n]
