--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -303,3 +303,23 @@
 		}
 	})
 })
+
+var _ = Describe("Streams of one caller and workload", func() {
+	// A crashing request had run twice under the nonce of another stream's request that was
+	// truly not run, and the checker counted that as not_run_but_ran.
+	It("draw different nonces", func() {
+		d, err := NewDeployment(Klapka, 1)
+		Expect(err).NotTo(HaveOccurred())
+		l := newLoad(d, nil, 1)
+		seen := map[string]int{}
+		for i, s := range append(ordinaryLoad(Klapka), crashStreams(Klapka)...) {
+			rng := l.streamRand(i, s)
+			for range 20 {
+				seen[l.nextRequest(rng, s).Nonce]++
+			}
+		}
+		for n, k := range seen {
+			Expect(k).To(Equal(1), n)
+		}
+	})
+})
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -63,15 +63,20 @@
 func (l *load) run(ctx context.Context, streams []Stream) {
 	l.start = time.Now()
 	var wg sync.WaitGroup
-	for _, s := range streams {
-		wg.Go(func() { l.sendStream(ctx, s) })
+	for i, s := range streams {
+		wg.Go(func() { l.sendStream(ctx, s, l.streamRand(i, s)) })
 	}
 	wg.Wait()
 	l.wg.Wait()
 }
 
-func (l *load) sendStream(ctx context.Context, s Stream) {
-	rng := rand.New(rand.NewPCG(l.seed, standin.Hash64(s.Caller+"/"+s.Workload)))
+// streamRand returns the random numbers of the stream at an index. Two streams of one caller
+// and workload draw different nonces, so that the checker can tell their runs apart.
+func (l *load) streamRand(index int, s Stream) *rand.Rand {
+	return rand.New(rand.NewPCG(l.seed, standin.Hash64(fmt.Sprintf("%s/%s/%d", s.Caller, s.Workload, index))))
+}
+
+func (l *load) sendStream(ctx context.Context, s Stream, rng *rand.Rand) {
 	due := time.Now()
 	for n := 0; ; n++ {
 		due = due.Add(time.Duration(rng.ExpFloat64() / s.Rate * float64(time.Second)))
