A search in parts keeps its minimum share, and ends at once when that is out of reach

Cause: (1) a part that a second VM takes over may have reported what the first one covered; asked to finish, it replies with less, and merge checked the minimum share only if a part had failed: the answer could lie below the published minimum. (2) When a group failed without which the minimum is out of reach, the search still waited for its slowest group, up to the deadline. (3) Parts shared the backing array of 'tried' after three failed delegations, a data race. Change: merge checks the minimum always; awaitParts ends once it cannot be reached, unless all parts that ended were refused, since the others may be refused too and the search is then not run; parts clip 'tried'. A part that still runs counts as one that may have run. Ruled out: withdrawing a part's report at a takeover, which would need a message back.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -317,7 +317,8 @@
 	}
 }
 
-// sources returns where this VM learns the catalog. VMs that announced the store as unreachable are left out, unless all did.
+// sources returns where this VM learns the catalog. VMs that announced the store as unreachable
+// are left out, unless all did.
 func (f *fleet) sources() delegate.Sources {
 	unreachable := map[string]bool{}
 	for _, fact := range f.node.Facts().List(unreachablePrefix) {
--- a/internal/forward/groups_test.go
+++ b/internal/forward/groups_test.go
@@ -122,6 +122,46 @@
 		Expect(o.Coverage.Complete).To(BeTrue())
 	})
 
+	// A group that a second VM took over reported what the first one had covered. Asked to finish,
+	// it replied with less, and the search was answered below its minimum share.
+	It("is not answered if groups that were asked to finish cover less than they reported", func() {
+		q.route.MinimumShare = 0.95
+		others.delays["vm-1"], others.missing = time.Minute, map[string]int{"vm-1": 3}
+		others.lacking = map[string]int{"vm-1": 4}
+		o := run()
+		Expect(o.Kind).To(Equal(caller.OutcomeUnknown))
+		Expect(o.Reason).To(Equal(outcome.CoverageTooLow))
+		Expect(o.Coverage.ShardsCovered).To(Equal(83))
+		Expect(o.RetryAfter).To(BeNumerically(">", 0))
+	})
+
+	// Load pattern: the upstreams of one group are dark and those of another 8 times slower. The
+	// caller waited for the slow group although the search had failed.
+	It("ends at once when a group failed without which the minimum share is out of reach", func() {
+		q.route.MinimumShare = 0.95
+		others.failing = map[string]bool{"vm-1": true}
+		others.delays["vm-2"] = time.Minute
+		start := time.Now()
+		o := run()
+		Expect(time.Since(start)).To(BeNumerically("<", 100*time.Millisecond))
+		Expect(o.Kind).To(Equal(caller.OutcomeUnknown))
+	})
+
+	It("waits after a refusal for groups that may be refused too", func() {
+		q.route.MinimumShare = 0.95
+		others.shed = true
+		others.delays["vm-2"] = 20 * time.Millisecond
+		Expect(run().Kind).To(Equal(caller.OutcomeNotRun))
+	})
+
+	It("keeps the VMs that its groups tried apart", func() {
+		q.tried = append(make([]string, 0, 4), "vm-7")
+		a, b := q.part(nil, control{}), q.part(nil, control{})
+		a.tried = append(a.tried, "vm-1")
+		b.tried = append(b.tried, "vm-2")
+		Expect(a.tried).To(Equal([]string{"vm-7", "vm-1"}))
+	})
+
 	It("ends as unknown if a group was refused after others ran", func() {
 		q.route.MinimumShare = 0.95
 		others.shedBy = "vm-3"
--- a/internal/forward/parts.go
+++ b/internal/forward/parts.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
 )
 
 // control connects a part of a search with the search. The zero value is that of a request
@@ -28,6 +30,7 @@
 func (q *request) part(shards []string, c control) *request {
 	part := *q
 	part.shards, part.isPart, part.control = shards, true, c
+	part.tried = slices.Clip(q.tried) // each part appends its own
 	return &part
 }
 
@@ -53,17 +56,21 @@
 
 // partsProgress is the progress of the parts of a search.
 type partsProgress struct {
-	q       *request
-	running int
-	ended   []outcome.Outcome
-	due     map[int]int // shards covered, by part that runs on after its decision was due
-	timeUp  bool
+	q          *request
+	running    int
+	openShards int // of the parts that run
+	ended      []outcome.Outcome
+	mayHaveRun bool        // a part that has ended may have run
+	due        map[int]int // shards covered, by part that runs on after its decision was due
+	timeUp     bool
 }
 
 // end records the outcome of a part.
 func (w *partsProgress) end(o endedPart) {
 	w.running--
+	w.openShards -= o.request.totalShards()
 	w.ended = append(w.ended, o.Outcome)
+	w.mayHaveRun = w.mayHaveRun || o.Kind != caller.OutcomeNotRun
 	delete(w.due, o.index)
 	if o.request.ranElsewhere && o.request.decidedAt.After(w.q.decidedAt) {
 		w.q.decidedAt, w.q.ranElsewhere = o.request.decidedAt, true
@@ -72,7 +79,13 @@
 
 // complete reports whether the search need not wait any longer.
 func (w *partsProgress) complete() bool {
-	return w.running == 0 || w.timeUp && w.q.coveredShards(w.ended) >= w.q.minShards()
+	return w.running == 0 || w.timeUp && w.q.coveredShards(w.ended) >= w.q.minShards() || w.hasFailed()
+}
+
+// hasFailed reports whether the minimum share is out of reach. While all parts that have ended
+// were refused, the others may be too, and the search can still end as not run.
+func (w *partsProgress) hasFailed() bool {
+	return w.mayHaveRun && w.q.coveredShards(w.ended)+w.openShards < w.q.minShards()
 }
 
 // mayFinish reports whether the parts still running can be asked to finish: their decisions are
@@ -88,7 +101,8 @@
 // awaitParts runs the parts of a search at the same time and merges their outcomes. Each part
 // waits for its own minimum share; once the parts together cover that of the search when their
 // decisions are due, those that still run are asked to finish. From decideBy on, the search is
-// answered without the parts that it does not depend on.
+// answered without the parts that it does not depend on. A search that can no longer reach its
+// minimum share ends at once.
 func (s *Server) awaitParts(ctx context.Context, q *request, parts []searchPart) outcome.Outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -103,7 +117,7 @@
 	}
 	timer := time.NewTimer(time.Until(s.decideBy(q)) + partGrace)
 	defer timer.Stop()
-	w := partsProgress{q: q, running: len(parts), due: map[int]int{}}
+	w := partsProgress{q: q, running: len(parts), openShards: q.totalShards(), due: map[int]int{}}
 	for !w.complete() {
 		select {
 		case <-timer.C:
@@ -117,5 +131,5 @@
 			askToFinish()
 		}
 	}
-	return merge(q, w.ended)
+	return merge(q, w.ended, w.mayHaveRun || w.running > 0)
 }
--- a/internal/forward/split.go
+++ b/internal/forward/split.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -165,18 +166,16 @@
 }
 
 // merge combines the outcomes of a search's parts. The shards of a failed part count as
-// missing. If a part failed and too few shards are covered, the result is the last failed
-// part's outcome, but unknown instead of not_run if any part may have run.
-func merge(q *request, parts []outcome.Outcome) outcome.Outcome {
+// missing. If too few shards are covered, the result is the last failed part's outcome, but
+// unknown instead of not_run if any part may have run.
+func merge(q *request, parts []outcome.Outcome, mayHaveRun bool) outcome.Outcome {
 	out := outcome.Outcome{Kind: caller.OutcomeAnswered, Coverage: &caller.Coverage{}}
 	var bodies [][]byte
 	var failed *outcome.Outcome
-	mayHaveRun := false
 	for i := range parts {
 		part := &parts[i]
 		out.Cost.Sent += part.Cost.Sent
 		out.Cost.Shed += part.Cost.Shed
-		mayHaveRun = mayHaveRun || part.Kind != caller.OutcomeNotRun
 		if part.Kind != caller.OutcomeAnswered {
 			failed = part
 			continue
@@ -186,8 +185,8 @@
 	}
 	out.Coverage.ShardsTotal, out.Coverage.ShardsCovered = q.totalShards(), q.coveredShards(parts)
 	out.Coverage.Complete = out.Coverage.ShardsCovered == out.Coverage.ShardsTotal
-	if failed != nil && out.Coverage.ShardsCovered < q.minShards() {
-		o := *failed
+	if out.Coverage.ShardsCovered < q.minShards() {
+		o := belowMinimum(out.Coverage, failed)
 		if mayHaveRun && o.Kind == caller.OutcomeNotRun {
 			o = outcome.Unknown(o.Reason, o.Detail, o.RetryAfter)
 		}
@@ -197,3 +196,13 @@
 	out.Result = coverage.TopRecords(bodies, q.route.MaxRecords)
 	return out
 }
+
+// belowMinimum returns the outcome of a search that covers too few shards. failed is the
+// outcome of a part that failed; nil if each part replied with some shards.
+func belowMinimum(c *caller.Coverage, failed *outcome.Outcome) outcome.Outcome {
+	if failed != nil {
+		return *failed
+	}
+	detail := fmt.Sprintf("%d of %d shards covered by all parts together", c.ShardsCovered, c.ShardsTotal)
+	return outcome.Unknown(outcome.CoverageTooLow, detail, startRetryAfter)
+}
--- a/internal/forward/split_test.go
+++ b/internal/forward/split_test.go
@@ -69,6 +69,10 @@
 	silent  bool
 	shed    bool
 	shedBy  string // the VM that sheds
+	// failing are the VMs whose searches fail after they ran.
+	failing map[string]bool
+	// lacking is the number of shards that each VM lacks although it replies.
+	lacking map[string]int
 
 	mu        sync.Mutex // guards delegated
 	delegated []*gen.Delegate
@@ -95,11 +99,14 @@
 	if p.silent || p.errs[vm] != nil {
 		return nil, cmp.Or(p.errs[vm], peer.ErrSilent)
 	}
-	o := answered(d.Shards[:covered])
+	o := answered(d.Shards[:covered-p.lacking[vm]])
 	o.Coverage.ShardsTotal = len(d.Shards)
 	if p.shed || vm == p.shedBy {
 		o = outcome.NotRun(outcome.Overloaded, "too many", time.Second)
 	}
+	if p.failing[vm] {
+		o = outcome.Unknown(outcome.CoverageTooLow, "too few", time.Second)
+	}
 	return &gen.Message{Delegated: toDelegated(&o)}, nil
 }
 
