The soak plays wide searches and checks the minimum share

Ruled out: 100 searches a second with 60 shards, which measures the stand-ins' processor time; the rate falls so that shards get 600 requests a second.

--- a/cmd/spindlebench/soak.go
+++ b/cmd/spindlebench/soak.go
@@ -30,6 +30,8 @@
 	cmd.Flag("fresh", "Number of fresh seeds to draw.").IntVar(&fresh)
 	cmd.Flag("jobs", "Seeds played side by side.").Default("1").IntVar(&jobs)
 	cmd.Flag("vms", "Number of VMs.").Default("6").IntVar(&o.VMs)
+	cmd.Flag("shards", fmt.Sprintf("Number of shards of a search, at most %d; from 48 on, VMs run searches in groups.", bench.MaxSoakShards)).
+		Default(strconv.Itoa(bench.DefaultSoakShards)).IntVar(&o.Shards)
 	cmd.Flag("duration", "Time under faults of each seed.").Default("10s").DurationVar(&o.Duration)
 	cmd.Flag("disable", "Mechanisms to turn off, with commas between.").StringVar(&disable)
 	cmd.Flag("out", "Directory for settings and logs; those of seeds without a broken promise are removed.").Default("out/soak").StringVar(&out)
--- a/internal/bench/soak.go
+++ b/internal/bench/soak.go
@@ -23,10 +23,13 @@
 
 // SoakOptions configures the run of one seed of the soak on the users' platform.
 type SoakOptions struct {
-	BinDir   string
-	Dir      string
-	Seed     uint64
-	VMs      int
+	BinDir string
+	Dir    string
+	Seed   uint64
+	VMs    int
+	// Shards is the number of shards of a search, DefaultSoakShards to MaxSoakShards. From 48 on,
+	// gatherers run searches in groups.
+	Shards   int
 	Duration time.Duration
 	// Disable names mechanisms to switch off, to show that the soak then finds violations.
 	Disable []string
@@ -54,12 +57,14 @@
 
 // Sizes and times of the platform that the soak simulates.
 const (
-	soakShards       = 4
-	soakReplicas     = 2
-	soakOrderServers = 3
-	soakConnections  = 60
-	soakSeedVMs      = 3
-	soakZones        = 2
+	// The names of shards and of servers hold two digits for the shard.
+	DefaultSoakShards = 4
+	MaxSoakShards     = 99
+	soakReplicas      = 2
+	soakOrderServers  = 3
+	soakConnections   = 60
+	soakSeedVMs       = 3
+	soakZones         = 2
 	// serverNet and relayNet are the third octets of the addresses of the servers and of
 	// the relays to them.
 	serverNet = 10
@@ -102,9 +107,12 @@
 // Soak runs one seed: it starts a fleet of daemons, sends requests, injects faults
 // into VMs, servers, links and the store, and checks what callers and servers saw.
 func Soak(ctx context.Context, o SoakOptions) (*SoakResult, error) {
+	if o.Shards < 1 || o.Shards > MaxSoakShards {
+		return nil, fmt.Errorf("soak: %d shards, want 1 to %d", o.Shards, MaxSoakShards)
+	}
 	s := &soak{
 		opts: o, Cluster: &Cluster{Options: Options{BinDir: o.BinDir, Dir: o.Dir}, http: &http.Client{Timeout: callTimeout}},
-		store: standin.NewStore(), evidence: newEvidence(), version: 1,
+		store: standin.NewStore(), evidence: newEvidence(o.Shards), version: 1,
 	}
 	defer s.close()
 	if err := s.start(ctx); err != nil {
@@ -136,7 +144,7 @@
 	if err := s.serve(ctx, s.address(1, 250, platformPort), s.store); err != nil {
 		return err
 	}
-	for i := range soakShards*soakReplicas + soakOrderServers {
+	for i := range s.opts.Shards*soakReplicas + soakOrderServers {
 		if err := s.addServer(ctx, i); err != nil {
 			return err
 		}
@@ -306,11 +314,11 @@
 func (s *soak) publish() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.store.Put(standin.ConfigKey, standin.Config(s.version, soakShardNames(), s.extraPaths, soakConnections))
+	s.store.Put(standin.ConfigKey, standin.Config(s.version, s.shardNames(), s.extraPaths, soakConnections))
 }
 
-func soakShardNames() (names []string) {
-	for i := range soakShards {
+func (s *soak) shardNames() (names []string) {
+	for i := range s.opts.Shards {
 		names = append(names, fmt.Sprintf("shard-%d", i))
 	}
 	return names
--- a/internal/bench/soak_callers.go
+++ b/internal/bench/soak_callers.go
@@ -17,8 +17,13 @@
 
 // Behaviour of the soak's callers.
 const (
-	soakRate     = 100.0 // requests a second
-	soakDeadline = time.Second
+	// soakRate is in requests a second, and soakSearchRate in requests to shards a second: the
+	// callers send at the lower rate of both.
+	soakRate       = 100.0
+	soakSearchRate = 600.0
+	soakDeadline   = time.Second
+	// soakSearchShare is the share of searches among the requests.
+	soakSearchShare = 0.5
 	// keepAliveShare is the share of requests sent to any VM, ready or not: callers keep
 	// using their connections until the process ends.
 	keepAliveShare = 0.3
@@ -50,8 +55,9 @@
 	balancer := &balancerView{}
 	var wg sync.WaitGroup
 	wg.Go(func() { s.pollReadiness(ctx, balancer) })
+	rate := min(soakRate, soakSearchRate/(soakSearchShare*float64(s.opts.Shards)))
 	for n := 0; ctx.Err() == nil; n++ {
-		time.Sleep(time.Duration(rng.ExpFloat64() / soakRate * float64(time.Second)))
+		time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
 		q := soakRequest{id: fmt.Sprintf("%d-%d", s.opts.Seed, n), vm: s.pickVM(rng, balancer)}
 		switch n % 4 {
 		case 0, 1:
--- a/internal/bench/soak_check.go
+++ b/internal/bench/soak_check.go
@@ -18,6 +18,7 @@
 // Violations that the soak detects.
 const (
 	mixedAnswer    = "mixed"            // an answer holds data of another request, or its shards or records are wrong
+	belowMinimum   = "below_minimum"    // an answer covers less than the minimum share
 	deniedRoute    = "denied"           // a published route was rejected
 	ranTwice       = "ran_twice"        // an order ran more than once
 	refusedButRan  = "refused_but_ran"  // status 503 for a request that a server ran
@@ -43,6 +44,8 @@
 	soakSlack    = 40
 	soakWindow   = 10 * time.Second
 	soakAttempts = 2
+	// soakMinimumShare is the smallest share of shards in an answer.
+	soakMinimumShare = 0.5
 	// soakLateSlack is how long after its deadline an answer may still come.
 	soakLateSlack = 500 * time.Millisecond
 	// toleratedOverAttempts is how many requests may run on more than soakAttempts servers,
@@ -70,6 +73,7 @@
 // evidence records what callers and servers saw, and the violations found. One lock guards
 // it.
 type evidence struct {
+	shards     int // of a search
 	mu         sync.Mutex
 	requests   map[string]*soakRequest
 	arrivals   map[string][]*arrival // by request id
@@ -79,8 +83,9 @@
 	examples   []string
 }
 
-func newEvidence() *evidence {
+func newEvidence(shards int) *evidence {
 	return &evidence{
+		shards:   shards,
 		requests: map[string]*soakRequest{}, arrivals: map[string][]*arrival{},
 		drainedAt: map[string]time.Time{}, faults: map[string]int{}, violations: map[string]int{},
 	}
@@ -145,22 +150,19 @@
 	}
 	switch q.status {
 	case http.StatusOK:
-		if why := answerProblem(q); why != "" {
+		if why := answerProblem(q, e.shards); why != "" {
 			e.recordViolationLocked(mixedAnswer, "%s of %s through %s: %s", q.kind, q.id, q.vm.name, why)
 		}
+		if n := len(signingShards(q)); q.kind == "find" && float64(n) < soakMinimumShare*float64(e.shards) {
+			e.recordViolationLocked(belowMinimum, "%s through %s: %d of %d shards", q.id, q.vm.name, n, e.shards)
+		}
 	case http.StatusNotFound, http.StatusRequestEntityTooLarge, http.StatusBadRequest:
 		e.recordViolationLocked(deniedRoute, "%s of %s through %s: status %d", q.kind, q.id, q.vm.name, q.status)
 	}
 }
 
-// answerProblem describes what is wrong with an answer; it is "" for a right one.
-func answerProblem(q *soakRequest) string {
-	if q.kind != "find" {
-		if want := replyBody("orders", q.id); q.body != want {
-			return fmt.Sprintf("body %q, want %q", q.body, want)
-		}
-		return ""
-	}
+// signingShards returns the shards whose servers signed an answer.
+func signingShards(q *soakRequest) map[int]bool {
 	shards := map[int]bool{}
 	for signature := range strings.SplitSeq(q.header.Get(platform.CallerHeaders.Signatures), ",") {
 		index, _, _ := strings.Cut(strings.TrimPrefix(signature, "stamp-i-"), "-")
@@ -168,9 +170,22 @@
 			shards[n/soakReplicas] = true
 		}
 	}
+	return shards
+}
+
+// answerProblem describes what is wrong with an answer, which has all shards of the search or
+// says how many are missing; it is "" for a right one.
+func answerProblem(q *soakRequest, total int) string {
+	if q.kind != "find" {
+		if want := replyBody("orders", q.id); q.body != want {
+			return fmt.Sprintf("body %q, want %q", q.body, want)
+		}
+		return ""
+	}
+	shards := signingShards(q)
 	missing, _ := strconv.Atoi(q.header.Get(platform.CallerHeaders.Missing)) // absent if no shard is missing
-	if len(shards)+missing != soakShards {
-		return fmt.Sprintf("%d shards sign and %d are said to miss of %d", len(shards), missing, soakShards)
+	if len(shards)+missing != total {
+		return fmt.Sprintf("%d shards sign and %d are said to miss of %d", len(shards), missing, total)
 	}
 	last := "~" // sorts after every record
 	for at := 0; at+recordSize <= len(q.body); at += recordSize {
--- a/internal/bench/soak_servers.go
+++ b/internal/bench/soak_servers.go
@@ -63,8 +63,8 @@
 func (sv *soakServer) startServer(i int) {
 	sv.started++
 	service := "orders"
-	if i < soakShards*soakReplicas {
-		service = soakShardNames()[i/soakReplicas]
+	if i < sv.s.opts.Shards*soakReplicas {
+		service = sv.s.shardNames()[i/soakReplicas]
 	}
 	id := fmt.Sprintf("i-%d-%d", i, sv.started)
 	srv := &standin.Server{
--- a/internal/bench/soak_test.go
+++ b/internal/bench/soak_test.go
@@ -28,7 +28,7 @@
 	records := replyBody("shard-0", "x")
 
 	DescribeTable("when it checks one answer", func(q *soakRequest, ok bool) {
-		Expect(answerProblem(q) == "").To(Equal(ok), answerProblem(q))
+		Expect(answerProblem(q, DefaultSoakShards) == "").To(Equal(ok), answerProblem(q, DefaultSoakShards))
 	},
 		Entry("accepts a correct answer", find("x", records, all, ""), true),
 		Entry("accepts an answer that reports its missing shards", find("x", records, "stamp-i-0-1", "3"), true),
@@ -42,7 +42,7 @@
 	)
 
 	DescribeTable("when it compares what a caller saw with the runs at servers", func(q soakRequest, runs int, kind string) {
-		e := newEvidence()
+		e := newEvidence(DefaultSoakShards)
 		q.id, q.vm = "x", vm
 		if q.sent.IsZero() {
 			q.sent, q.end = at, at.Add(time.Millisecond)
@@ -68,14 +68,26 @@
 		Entry("accepts a closed connection for a request that did not run", soakRequest{kind: "read", err: io.EOF}, 0, ""),
 	)
 
+	DescribeTable("when it checks the shards of an answer", func(signatures, missing string, violations ...string) {
+		e := newEvidence(DefaultSoakShards)
+		e.recordResult(find("x", records, signatures, missing))
+		Expect(e.violations).To(HaveLen(len(violations)))
+		for _, kind := range violations {
+			Expect(e.violations).To(HaveKey(kind))
+		}
+	},
+		Entry("accepts the minimum share", "stamp-i-0-1,stamp-i-2-1", "2"),
+		Entry("reports fewer shards, even if it is said that the others are missing", "stamp-i-0-1", "3", belowMinimum),
+	)
+
 	It("reports a server's deadline that is longer than the caller's", func() {
-		e := newEvidence()
+		e := newEvidence(DefaultSoakShards)
 		e.recordArrival(arrival{id: "x", at: at, deadline: 2 * time.Second})
 		Expect(e.violations).To(HaveKey(overTime))
 	})
 
 	It("reports a request that reaches a server long after the server's drain", func() {
-		e := newEvidence()
+		e := newEvidence(DefaultSoakShards)
 		e.recordResult(&soakRequest{id: "x", kind: "read", vm: vm, sent: at, end: at, status: http.StatusBadGateway})
 		e.drainedAt["s"] = at.Add(-time.Minute)
 		e.recordArrival(arrival{id: "x", server: "s", at: at, deadline: time.Second})
@@ -83,7 +95,7 @@
 	})
 
 	It("reports repeats beyond the fleet's budget in any window", func() {
-		e := newEvidence()
+		e := newEvidence(DefaultSoakShards)
 		for i := range soakSlack + 30 {
 			id := fmt.Sprint(i)
 			e.recordResult(&soakRequest{id: id, kind: "read", vm: vm, sent: at, end: at, status: http.StatusBadGateway})
@@ -95,7 +107,7 @@
 	})
 
 	It("reports requests sent or worked on after their callers canceled", func() {
-		e := newEvidence()
+		e := newEvidence(DefaultSoakShards)
 		for i := range 10 {
 			id := fmt.Sprint(i)
 			e.recordResult(&soakRequest{id: id, kind: "read", vm: vm, sent: at, end: at, canceledAt: at, err: errors.New("left")})
