--- a/internal/policy/takeover/takeover.go
+++ b/internal/policy/takeover/takeover.go
@@ -10,8 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// perShard is the number of replicas recorded for each shard: with two attempts of a shard, all
-// that are allowed on most routes are used.
+// perShard is the most replicas that are recorded of a shard: most routes allow two attempts.
 const perShard = 2
 
 // Used records which replicas each shard of a search was sent to, by a hash of one byte each; 0
@@ -24,15 +23,12 @@
 // Hash returns the hash of a replica's address, which is not 0.
 func Hash(address string) byte { return byte(xxhash.Sum64String(address)%255) + 1 }
 
-// Add records that a shard was sent to a replica.
+// Add records that a shard was sent to a replica, unless the record of the shard is full. A
+// replica that is added twice counts twice, as another one of the same hash must.
 func (u Used) Add(shard int, address string) {
 	replicas := u[shard*perShard : (shard+1)*perShard]
-	h := Hash(address)
-	if slices.Contains(replicas, h) {
-		return
-	}
 	if i := slices.Index(replicas, 0); i >= 0 {
-		replicas[i] = h
+		replicas[i] = Hash(address)
 	}
 }
 
@@ -60,14 +56,15 @@
 
 // Allow returns the allowance for a shard of which at most maxAttempts replicas may run the
 // request. maybeSent says that another VM may have sent it; known that used holds what that VM
-// reported. Without a report, the shard counts as sent once.
+// reported. Without a report, the shard counts as sent once. A full record may lack replicas, so
+// only those in it may be used again.
 func Allow(maxAttempts int, maybeSent, known bool, used []byte) Allowance {
 	switch {
 	case !maybeSent || known && len(used) == 0:
 		return Allowance{Attempts: maxAttempts}
 	case !known:
 		return Allowance{Attempts: max(maxAttempts-1, 1), Repeats: true}
-	case len(used) < maxAttempts:
+	case len(used) < min(maxAttempts, perShard):
 		return Allowance{Attempts: maxAttempts - len(used), Repeats: true}
 	default:
 		return Allowance{Attempts: 1, Only: used, Repeats: true}
--- a/internal/policy/takeover/takeover_test.go
+++ b/internal/policy/takeover/takeover_test.go
@@ -19,8 +19,8 @@
 	// another gatherer, which knows only what the first one reported.
 	It("reaches no more replicas of a shard than it may, as far as the first VM reported them", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			replicas := []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"}
-			maxAttempts := rapid.IntRange(1, 2).Draw(t, "max")
+			replicas := []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80", "10.0.0.4:80", "10.0.0.5:80"}
+			maxAttempts := rapid.IntRange(1, 4).Draw(t, "max")
 			ran := map[byte]bool{}
 			u := takeover.NewUsed(3)
 			for range rapid.IntRange(0, maxAttempts).Draw(t, "first") {
