Split and groups divide shards by zone with one function

Cause: the loop that parts shards with a replica in a zone from the others stood three times in internal/policy/delegate. Change: partition. Ruled out: groups made by Split, which keeps leftovers at another place. Conclusion: behaviour as before.

--- a/internal/policy/delegate/gatherers.go
+++ b/internal/policy/delegate/gatherers.go
@@ -102,33 +102,30 @@
 // minPartShards. The others go to few zones, chosen greedily by the number of shards.
 // near holds the zones of each shard's replicas.
 func Split(own string, shards []string, near map[string][]string, gatherers map[string][]string) (here []string, byZone map[string][]string) {
-	var rest []string
-	for _, shard := range shards {
-		if slices.Contains(near[shard], own) {
-			here = append(here, shard)
-		} else {
-			rest = append(rest, shard)
-		}
-	}
+	here, rest := partition(shards, near, own)
 	byZone = map[string][]string{}
 	for len(rest) > 0 {
 		zone, count := nearestZone(rest, near, gatherers)
 		if count < minPartShards {
 			return append(here, rest...), byZone
 		}
-		var left []string
-		for _, shard := range rest {
-			if slices.Contains(near[shard], zone) {
-				byZone[zone] = append(byZone[zone], shard)
-			} else {
-				left = append(left, shard)
-			}
-		}
-		rest = left
+		byZone[zone], rest = partition(rest, near, zone)
 	}
 	return here, byZone
 }
 
+// partition divides shards into those with a replica in a zone and the others.
+func partition(shards []string, near map[string][]string, zone string) (inZone, rest []string) {
+	for _, shard := range shards {
+		if slices.Contains(near[shard], zone) {
+			inZone = append(inZone, shard)
+		} else {
+			rest = append(rest, shard)
+		}
+	}
+	return inZone, rest
+}
+
 // nearestZone returns the zone with gatherers that holds replicas of the most shards; of
 // equal ones, the first by name.
 func nearestZone(shards []string, near, gatherers map[string][]string) (zone string, count int) {
--- a/internal/policy/delegate/leaves.go
+++ b/internal/policy/delegate/leaves.go
@@ -20,7 +20,7 @@
 }
 
 // Groups divides the shards of a search among gatherers. Shards go to gatherers of their own
-// zones, as few zones as will do, so that sub-requests stay within a zone and only merged parts
+// zones, as few zones as possible, so that sub-requests stay within a zone and only merged parts
 // cross zones. Within a zone, each shard belongs to one group and each gatherer to one,
 // whichever search asks: a gatherer holds connections to the upstreams of its group and sees
 // most requests to them. near holds the zones of each shard's replicas. It returns nil if the
@@ -40,8 +40,8 @@
 }
 
 // assignZones assigns each shard to a zone with gatherers: to the own zone if a replica is
-// there, else to few others. Shards that no zone is worth a part for are assigned to the zone
-// with the most.
+// there, else to few others. Shards left over, too few for a part of their own, are assigned to
+// the zone with the most shards.
 func assignZones(own string, shards []string, near, gatherers map[string][]string) map[string][]string {
 	out := map[string][]string{}
 	rest := shards
@@ -50,15 +50,10 @@
 		zone, _ = nearestZone(rest, near, gatherers)
 	}
 	for zone != "" {
-		var left []string
-		for _, shard := range rest {
-			if slices.Contains(near[shard], zone) {
-				out[zone] = append(out[zone], shard)
-			} else {
-				left = append(left, shard)
-			}
+		var part []string
+		if part, rest = partition(rest, near, zone); len(part) > 0 {
+			out[zone] = part
 		}
-		rest = left
 		var count int
 		if zone, count = nearestZone(rest, near, gatherers); count < minPartShards {
 			break
