A peer's running request is one record: how to cancel it and how to finish it

Cause: two maps with the same keys and twin setters; the finish function was recorded only once the handler's goroutine ran, so a finish message read before that would have been lost. Change: runningRequest, recorded before the goroutine starts. Ruled out: nothing. Figures: tests of the package pass unchanged, also with the race detector.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -68,20 +68,23 @@
 	}
 	c.markUsed()
 	ctx, cancel := context.WithCancel(ctx)
-	c.setCancel(m.Id, cancel)
+	r := runningRequest{cancel: cancel, finish: func() {}}
+	var p *progress
+	if m.Delegate != nil && m.Id != 0 {
+		p = newProgress(func(a gen.Accepted) { c.notify(m.Id, a) })
+		ctx = context.WithValue(ctx, progressKey{}, p)
+		r.finish = p.requestFinish
+	}
+	c.addRunning(m.Id, r)
 	go func() {
 		defer func() { <-c.handlerSlots }()
 		defer cancel()
-		if m.Delegate != nil && m.Id != 0 {
-			p := newProgress(func(a gen.Accepted) { c.notify(m.Id, a) })
-			ctx = context.WithValue(ctx, progressKey{}, p)
-			c.setFinish(m.Id, p.requestFinish)
-			defer c.setFinish(m.Id, nil)
+		if p != nil {
 			stop := c.sendNotices(p)
 			defer stop()
 		}
 		reply := c.node.serve(ctx, c.peer, m)
-		c.setCancel(m.Id, nil)
+		c.removeRunning(m.Id)
 		if reply == nil || m.Id == 0 {
 			return
 		}
@@ -93,51 +96,36 @@
 	}()
 }
 
-// setCancel records the function that cancels a request's handler. A nil function removes
-// the record.
-func (c *conn) setCancel(id int, cancel context.CancelFunc) {
+// runningRequest is a request of the peer that a handler of this VM runs.
+type runningRequest struct {
+	cancel context.CancelFunc // for when the peer no longer wants the reply
+	finish func()             // asks the handler of a delegated request to finish
+}
+
+// addRunning records a running request, unless it has no id: the peer cannot refer to it.
+func (c *conn) addRunning(id int, r runningRequest) {
 	if id == 0 {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if cancel == nil {
-		delete(c.cancels, id)
-		return
-	}
-	c.cancels[id] = cancel
+	c.running[id] = r
 }
 
-// setFinish records the function that asks a request's handler to finish. A nil function
-// removes the record.
-func (c *conn) setFinish(id int, finish func()) {
+func (c *conn) removeRunning(id int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if finish == nil {
-		delete(c.finishes, id)
-		return
-	}
-	c.finishes[id] = finish
+	delete(c.running, id)
 }
 
-// finishHandler asks the handler of a delegated request to finish.
-func (c *conn) finishHandler(id int) {
+// runningRequest returns the running request with an id; one without effect if it has ended.
+func (c *conn) runningRequest(id int) runningRequest {
 	c.mu.Lock()
-	finish := c.finishes[id]
-	c.mu.Unlock()
-	if finish != nil {
-		finish()
-	}
-}
-
-// cancelHandler cancels the handler of a request whose reply the peer no longer wants.
-func (c *conn) cancelHandler(id int) {
-	c.mu.Lock()
-	cancel := c.cancels[id]
-	c.mu.Unlock()
-	if cancel != nil {
-		cancel()
+	defer c.mu.Unlock()
+	if r, ok := c.running[id]; ok {
+		return r
 	}
+	return runningRequest{cancel: func() {}, finish: func() {}}
 }
 
 // adjustForDelay corrects the times of a delegated request by the delay of its message. It
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -89,10 +89,7 @@
 	arrivals delegate.Arrivals
 	nextID   int
 	pending  map[int]*call
-	// cancels holds the functions that cancel the handlers of the peer's requests, by id, and
-	// finishes those that ask the handlers of its delegated requests to finish.
-	cancels  map[int]context.CancelFunc
-	finishes map[int]func()
+	running  map[int]runningRequest // requests of the peer, by id
 }
 
 func newConn(n *Node, s socket, h *gen.Hello, dialed bool) *conn {
@@ -107,8 +104,7 @@
 		spreads:      rate.NewLimiter(spreadRate, spreadBurst),
 		done:         make(chan struct{}),
 		pending:      map[int]*call{},
-		cancels:      map[int]context.CancelFunc{},
-		finishes:     map[int]func(){},
+		running:      map[int]runningRequest{},
 		nextID:       2,
 	}
 	if dialed {
@@ -311,9 +307,9 @@
 	case m.Accepted != nil:
 		c.node.metrics.dropped.WithLabelValues("late_reply").Inc()
 	case m.Cancel != nil:
-		c.cancelHandler(m.Cancel.Request)
+		c.runningRequest(m.Cancel.Request).cancel()
 	case m.Finish != nil:
-		c.finishHandler(m.Finish.Request)
+		c.runningRequest(m.Finish.Request).finish()
 	case m.Digest != nil:
 		c.node.replyToDigest(c, m.Digest)
 	case m.Facts != nil && m.Id == 0:
