The mirror chooses the newest configuration where it stores items

Cause: each change searched all items for a configuration, also when the catalog was compiled later. Change: merge keeps the newest; stored items no longer hold one. Ruled out: nothing. Conclusion: behaviour as before.

--- a/internal/catalog/mirror.go
+++ b/internal/catalog/mirror.go
@@ -57,10 +57,9 @@
 // hundred upstreams takes a small VM tens of milliseconds.
 const DefaultCompileInterval = 400 * time.Millisecond
 
-// storedItem is an item with its decoded value, so that each value is decoded only once.
+// storedItem is an item with its decoded entry, so that each value is decoded only once.
 type storedItem struct {
 	Item
-	config  *Config
 	entry   Entry
 	isEntry bool
 	err     error // why the value could not be decoded
@@ -130,7 +129,7 @@
 }
 
 // merge stores each item that is newer than the mirror's, unless only a heartbeat changed
-// it. The caller holds mu.
+// it. A configuration of an older version never replaces a newer one. The caller holds mu.
 func (m *Mirror) merge(items []Item) (changed bool) {
 	for _, it := range items {
 		old, ok := m.items[it.Key]
@@ -140,28 +139,33 @@
 		if ok && !old.Removed && !it.Removed && m.decoder.Equivalent(old.Value, it.Value) {
 			continue
 		}
-		m.items[it.Key] = m.decode(it)
+		stored, config := m.decode(it)
+		m.items[it.Key] = stored
+		if config != nil && (m.config == nil || config.Version > m.config.Version) {
+			m.config = config
+		}
 		changed = true
 	}
 	return changed
 }
 
-// decode returns an item with its decoded value. The caller holds mu.
-func (m *Mirror) decode(it Item) storedItem {
-	stored := storedItem{Item: it}
+// decode returns an item with its decoded entry, and the configuration if the item is one.
+// The caller holds mu.
+func (m *Mirror) decode(it Item) (stored storedItem, config *Config) {
+	stored = storedItem{Item: it}
 	if it.Removed {
-		return stored
+		return stored, nil
 	}
 	var errConfig, errEntry error
 	if c, ok, err := m.decoder.Config(it); err != nil {
 		errConfig = err
 	} else if ok {
-		stored.config = c
+		config = c
 	}
 	stored.entry, stored.isEntry, errEntry = m.decoder.Entry(it)
 	stored.entry.Revision = it.Revision
 	stored.err = cmp.Or(errEntry, errConfig)
-	return stored
+	return stored, config
 }
 
 // pruneTombstones drops the older half of the tombstones once there are more than
@@ -203,14 +207,9 @@
 	return changed
 }
 
-// publish closes the channel that Since returned, and compiles a catalog now or later. A
-// configuration of an older version never replaces a newer one. The caller holds mu.
+// publish closes the channel that Since returned, and compiles a catalog now or later. The
+// caller holds mu.
 func (m *Mirror) publish() {
-	for _, it := range m.items {
-		if c := it.config; c != nil && (m.config == nil || c.Version > m.config.Version) {
-			m.config = c
-		}
-	}
 	close(m.changed)
 	m.changed = make(chan struct{})
 	switch wait := m.compiledAt + m.compileInterval - m.now(); {
