A VM's announcement is read in one place; the gauge of connections is less nested

Cause: parse and latest number stood twice in fleet.go, the latter with a listing for each fact; the gauge was made in a nested condition. Change: announcement(), and two plain conditions. Ruled out: nothing. Conclusion: behaviour as before.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -143,7 +143,7 @@
 // refute announces this VM anew if another one states that it is unreachable.
 func (f *fleet) refute() {
 	f.announceMu.Lock()
-	number, needed := liveness.Refute(f.node.Incarnation(), f.number, f.statements()[f.self.Name])
+	number, needed := liveness.Refute(f.node.Incarnation(), f.number, f.statementsOf(lostPrefix)[f.self.Name])
 	f.announceMu.Unlock()
 	if needed {
 		back := liveness.Statement{Incarnation: f.node.Incarnation(), Number: number}
@@ -152,9 +152,6 @@
 	}
 }
 
-// statements returns the statements that VMs are unreachable, by VM.
-func (f *fleet) statements() map[string][]liveness.Statement { return f.statementsOf(lostPrefix) }
-
 // statementsOf returns the statements in facts of a kind, by the VM that they are about.
 func (f *fleet) statementsOf(prefix string) map[string][]liveness.Statement {
 	out := map[string][]liveness.Statement{}
@@ -167,17 +164,24 @@
 	return out
 }
 
+// announcement returns the announcement in a fact, with the number of its latest refutation in
+// back; false if the fact holds none.
+func announcement(fact facts.Fact, back map[string][]liveness.Statement) (liveness.Announcement, bool) {
+	a, ok := liveness.ParseAnnouncement(fact.Value)
+	a.Number = liveness.Latest(fact.Incarnation(), a.Number, back[fact.VM()])
+	return a, ok
+}
+
 // announced returns the VMs that announced themselves and whose announcement no statement
 // contradicts, by name. lost are the others.
 func (f *fleet) announced() (known map[string]delegate.VM, lost map[string]bool) {
 	known, lost = map[string]delegate.VM{}, map[string]bool{}
-	statements, back := f.statements(), f.statementsOf(backPrefix)
+	statements, back := f.statementsOf(lostPrefix), f.statementsOf(backPrefix)
 	for _, fact := range f.node.Facts().List(memberPrefix) {
-		a, ok := liveness.ParseAnnouncement(fact.Value)
+		a, ok := announcement(fact, back)
 		if !ok {
 			continue
 		}
-		a.Number = liveness.Latest(fact.Incarnation(), a.Number, back[fact.VM()])
 		if !liveness.Refuted(fact.Incarnation(), a, statements[fact.VM()]) {
 			lost[fact.VM()] = true
 			continue
@@ -192,10 +196,9 @@
 
 // reportLost states that a VM is unreachable, unless another VM has stated so already.
 func (f *fleet) reportLost(name string) {
-	statements := f.statements()[name]
+	statements, back := f.statementsOf(lostPrefix)[name], f.statementsOf(backPrefix)
 	for _, fact := range f.node.Facts().List(memberPrefix + name) {
-		a, ok := liveness.ParseAnnouncement(fact.Value)
-		a.Number = liveness.Latest(fact.Incarnation(), a.Number, f.statementsOf(backPrefix)[name])
+		a, ok := announcement(fact, back)
 		if ok && fact.VM() == name && liveness.Refuted(fact.Incarnation(), a, statements) {
 			s := liveness.Statement{Incarnation: fact.Incarnation(), Number: a.Number}
 			f.node.Facts().Put(lostPrefix+name, s.String(), lostTTL)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -261,10 +261,11 @@
 			share = connbudget.Connections(entry.ConnectionLimit, vms, s.address, c.opts.VM, members)
 		}
 		s.pool.setMaxOpen(share)
-		if size := s.pool.size(); size > 0 || s.openGauge != nil {
-			if s.openGauge == nil {
-				s.openGauge = c.metrics.connections.WithLabelValues(s.address)
-			}
+		size := s.pool.size()
+		if size > 0 && s.openGauge == nil {
+			s.openGauge = c.metrics.connections.WithLabelValues(s.address)
+		}
+		if s.openGauge != nil {
 			s.openGauge.Set(float64(size))
 		}
 	}
