Comments of the large fleet's code in exact terms

Cause: phrases such as 'knows itself', 'lately', 'the one in hand' have no exact meaning. Change: comments only. Conclusion: no change of code.

--- a/internal/catalog/sync.go
+++ b/internal/catalog/sync.go
@@ -58,9 +58,8 @@
 	failedSourceTTL = 5 * time.Second
 	// retryPause is the mean pause after a failure and the least pause after changes.
 	retryPause = 200 * time.Millisecond
-	// aloneWait is how long after its first read of the store a VM that knows no other waits for
-	// one to pull from before it uses the store again: a fleet that starts at once knows itself
-	// after a fraction of a second, and each call of the store is billed.
+	// A VM that knows no other VM calls the store again only aloneWait after its first read: VMs
+	// that start together learn of each other sooner, and each call of the store is billed.
 	aloneWait = 500 * time.Millisecond
 	// directReadInterval is the least time between two reads or watches of the store by a
 	// VM that has readers to pull from.
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -282,7 +282,7 @@
 	}
 }
 
-// hasNews reports whether this VM learned a fact lately, or has just begun to.
+// hasNews reports whether this VM learned a fact, or started, less than newsPeriod ago.
 func (n *Node) hasNews() bool {
 	return n.now()-max(time.Duration(n.learnedAt.Load()), n.started) < newsPeriod
 }
--- a/internal/policy/connbudget/warm.go
+++ b/internal/policy/connbudget/warm.go
@@ -4,11 +4,11 @@
 
 const (
 	// warmFor is how long after its last use an upstream keeps connections open ahead of need.
-	// Upstreams close idle connections after some seconds. If these were opened again for
-	// upstreams that are asked seldom, a VM of a large fleet would do little else.
+	// Upstreams close idle connections after some seconds. To reopen them to upstreams that are
+	// rarely asked would take most of the processor time of a small VM in a large fleet.
 	warmFor = 5 * time.Second
-	// initialConnections is the number opened to an upstream that was never used: a VM that
-	// starts must not meet its first requests without any.
+	// initialConnections is the number opened to an upstream that was never used, so that the
+	// first requests of a VM do not wait for a dial.
 	initialConnections = 2
 )
 
@@ -17,7 +17,7 @@
 	// Used says that a request has needed a connection, SinceUse how long ago the last one did.
 	Used     bool
 	SinceUse time.Duration
-	// Peak is the most connections that were needed at once lately.
+	// Peak is the most connections that were recently needed at once.
 	Peak int
 	// Near says that the upstream is in this VM's availability zone, and Dialed that a
 	// connection was opened before.
--- a/internal/policy/delegate/arrival.go
+++ b/internal/policy/delegate/arrival.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// MaxDelay is how long a delegated request may have been under way beyond the usual time. A VM
-// does not run one that took longer: the sender has given it up by the time the notice that it
+// MaxDelay is the longest delay of a delegated request that a VM still runs, beyond the fastest
+// message of its sender. It does not run a later one: the sender has given it up by the time the notice that it
 // runs would arrive, and another VM runs it.
 const MaxDelay = 50 * time.Millisecond
 
--- a/internal/policy/liveness/liveness.go
+++ b/internal/policy/liveness/liveness.go
@@ -1,4 +1,4 @@
-// Package liveness decides which announced VMs count as alive. A VM announces itself seldom. A
+// Package liveness decides which announced VMs count as alive. A VM announces itself rarely. A
 // VM that finds another one unreachable states so, and all others stop using it at once. The
 // announced VM, if it is alive, refutes such a statement by announcing itself anew. The
 // package is pure, so its functions may be called concurrently.
@@ -70,8 +70,8 @@
 	return true
 }
 
-// Latest returns the number of an incarnation's latest announcement, which is the one in hand or
-// one by which it refuted statements.
+// Latest returns the number of an incarnation's latest announcement: number, or the highest one
+// among its refutations of statements.
 func Latest(incarnation string, number int, refutations []Statement) int {
 	for _, r := range refutations {
 		if r.Incarnation == incarnation {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -147,7 +147,7 @@
 	}
 	p.used, p.usedAt = true, p.now()
 	for len(p.idle) > 0 {
-		// The one used last, since the upstream may have forgotten one that rested for long.
+		// The one used last: the upstream may have closed one that was idle for long.
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
 		if !c.sock.isClosed() {
