Logs and metrics tell which VMs ran a delegated request

For a search that ran on too many servers, the logs did not show whether a gatherer had refused a late delegation, how much it had reported when the search was taken back, or how many attempts it made before the cancel reached it: the three hypotheses looked alike. Change: a line for each refused delegation (late with its delay, or busy); 'request taken back' says for how many shards a report was there; 'request for another VM' says how many were sent; a counter of takeovers by whether there was a report. Ruled out: a line for each delegation that runs, which would cost one a request. Result: tests of peer, forward and takeover pass; no decision changes.

--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -163,11 +163,13 @@
 	if err == nil {
 		return outcome.Outcome{}, false
 	}
-	s.o.Log.Info("request taken back", "id", q.id, "by", vm, "err", err, "age_ms", time.Since(q.start).Milliseconds())
+	s.o.Log.Info("request taken back", "id", q.id, "by", vm, "err", err, "age_ms", time.Since(q.start).Milliseconds(),
+		"reported_shards", takeover.Used(used).Shards())
 	if errors.Is(err, peer.ErrNotSent) {
 		return q.unknownIfSent(outcome.NotRun(outcome.DeadlineExceeded, err.Error(), startRetryAfter)), late
 	}
 	q.maybeSent, q.used = true, takeover.Used(used)
+	s.metrics.observeTakeover(q.used)
 	if late {
 		return outcome.Unknown(outcome.DeadlineExceeded, err.Error(), startRetryAfter), true
 	}
@@ -264,7 +266,7 @@
 	decided := time.Since(q.start)
 	if o.Kind != caller.OutcomeAnswered {
 		s.o.Log.Info("request for another VM", "id", q.id, "from", from, "outcome", o.Kind, "reason", o.Reason,
-			"detail", o.Detail, "took_ms", time.Since(now).Milliseconds())
+			"detail", o.Detail, "took_ms", time.Since(now).Milliseconds(), "sent", o.Cost.Sent, "shed", o.Cost.Shed)
 	}
 	reply := toDelegated(&o)
 	reply.DecidedUs = int(decided.Microseconds())
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -1,11 +1,13 @@
 package forward
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/policy/takeover"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
 )
 
@@ -17,6 +19,7 @@
 	shardShare     prometheus.Histogram
 	repeats        prometheus.Counter
 	repeatsRefused prometheus.Counter
+	takeovers      *prometheus.CounterVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -38,13 +41,22 @@
 		repeatsRefused: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "spindle_forward_repeats_refused_total", Help: "Attempts beyond the first for which the budget was spent.",
 		}),
+		takeovers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "spindle_forward_takeovers_total",
+			Help: "Requests taken back from a VM that may have sent them, by whether it reported what it sent.",
+		}, []string{"reported"}),
 	}
 	if r != nil {
-		r.MustRegister(m.requests, m.latency, m.shardShare, m.repeats, m.repeatsRefused)
+		r.MustRegister(m.requests, m.latency, m.shardShare, m.repeats, m.repeatsRefused, m.takeovers)
 	}
 	return m
 }
 
+// observeTakeover counts a request that is taken back from a VM that may have sent it.
+func (m *metrics) observeTakeover(reported takeover.Used) {
+	m.takeovers.WithLabelValues(strconv.FormatBool(len(reported) > 0)).Inc()
+}
+
 func (m *metrics) observe(o *outcome.Outcome, took time.Duration) {
 	m.requests.WithLabelValues(string(o.Kind), string(o.Reason)).Inc()
 	m.latency.Observe(took.Seconds())
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -52,18 +52,17 @@
 // handle runs a request's handler in a new goroutine, at most maxRunningHandlers per
 // connection. Further requests are dropped, and the sender of a delegated one is notified.
 func (c *conn) handle(ctx context.Context, m *gen.Message) {
-	if m.Delegate != nil && m.Id != 0 && !c.adjustForDelay(m.Delegate) {
-		c.node.metrics.dropped.WithLabelValues("late").Inc()
-		c.notify(m.Id, gen.Accepted{})
-		return
+	var delay time.Duration
+	if m.Delegate != nil && m.Id != 0 {
+		if delay = c.adjustForDelay(m.Delegate); delay > delegate.MaxDelay {
+			c.refuse(m, "late", delay)
+			return
+		}
 	}
 	select {
 	case c.handlerSlots <- struct{}{}:
 	default:
-		c.node.metrics.dropped.WithLabelValues("busy").Inc()
-		if m.Delegate != nil && m.Id != 0 {
-			c.notify(m.Id, gen.Accepted{})
-		}
+		c.refuse(m, "busy", delay)
 		return
 	}
 	c.markUsed()
@@ -128,15 +127,26 @@
 	return runningRequest{cancel: func() {}, finish: func() {}}
 }
 
-// adjustForDelay corrects the times of a delegated request by the delay of its message. It
-// reports whether the request may run: a request that took too long was given up by its sender.
-func (c *conn) adjustForDelay(d *gen.Delegate) bool {
+// refuse drops a request, and tells the sender of a delegated one that nothing was done for it.
+func (c *conn) refuse(m *gen.Message, reason string, delay time.Duration) {
+	c.node.metrics.dropped.WithLabelValues(reason).Inc()
+	if m.Delegate == nil || m.Id == 0 {
+		return
+	}
+	c.node.log.Info("delegated request refused", "id", m.Delegate.RequestId, "from", c.peer, "reason", reason,
+		"delay_ms", delay.Milliseconds())
+	c.notify(m.Id, gen.Accepted{})
+}
+
+// adjustForDelay corrects the times of a delegated request by the delay of its message and
+// returns the delay. A request that took longer than delegate.MaxDelay was given up by its sender.
+func (c *conn) adjustForDelay(d *gen.Delegate) time.Duration {
 	c.mu.Lock()
 	delay := c.arrivals.Delay(time.Duration(d.SentUs)*time.Microsecond, c.node.now())
 	c.mu.Unlock()
 	us := int(delay.Microseconds())
 	d.ElapsedUs, d.AnswerUs, d.GiveUpUs = d.ElapsedUs+us, d.AnswerUs-us, d.GiveUpUs-us
-	return delay <= delegate.MaxDelay
+	return delay
 }
 
 // sendNotices reports to the peer that its request runs, now and at each noticeInterval
--- a/internal/peer/delay_test.go
+++ b/internal/peer/delay_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/peer"
 )
 
@@ -18,7 +19,7 @@
 		receive := func(after time.Duration) (*gen.Delegate, bool) {
 			d := &gen.Delegate{SentUs: int(now.Microseconds()) - 1_000_000_000, ElapsedUs: 4000, AnswerUs: 150_000, GiveUpUs: 2_000_000}
 			now += after
-			return d, c.adjustForDelay(d)
+			return d, c.adjustForDelay(d) <= delegate.MaxDelay
 		}
 		_, runs := receive(time.Millisecond)
 		Expect(runs).To(BeTrue())
--- a/internal/policy/takeover/takeover.go
+++ b/internal/policy/takeover/takeover.go
@@ -44,6 +44,16 @@
 	return replicas
 }
 
+// Shards returns how many shards were sent to a replica, as far as recorded.
+func (u Used) Shards() (n int) {
+	for i := range len(u) / perShard {
+		if len(u.At(i)) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Allowance says what a VM may send that takes a shard over.
 type Allowance struct {
 	// Attempts is the number of replicas that it may use.
