--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -138,12 +138,12 @@
 func (s *Server) delegateTo(ctx context.Context, q *request, p *upstream.PassThroughRequest, vm string) (o outcome.Outcome, done bool) {
 	callCtx, cancel := context.WithDeadline(ctx, q.deadline.Add(hopSlack))
 	defer cancel()
-	var used string
-	reply, err := s.o.Peers.Delegate(callCtx, vm, s.newDelegate(q, p), peer.Watch{Finish: q.control.finish, OnNotice: func(a *gen.Accepted) {
-		used = a.Used
+	track := s.trackSent(q)
+	reply, err := s.o.Peers.Delegate(callCtx, vm, s.newDelegate(q, p), peer.Watch{Finish: q.control.finish, OnNotice: func(a *gen.Accepted, confirm func()) {
 		if a.Covered > 0 {
 			q.control.reportDue(a.Covered)
 		}
+		track.record(a.Announced, confirm)
 	}})
 	if err == nil && reply.Delegated == nil {
 		err = errUnexpectedReply
@@ -164,12 +164,13 @@
 		return outcome.Outcome{}, false
 	}
 	s.o.Log.Info("request taken back", "id", q.id, "by", vm, "err", err, "age_ms", time.Since(q.start).Milliseconds(),
-		"reported_shards", takeover.Used(used).Shards())
+		"announced_shards", track.sent.Named())
 	if errors.Is(err, peer.ErrNotSent) {
 		return q.unknownIfSent(outcome.NotRun(outcome.DeadlineExceeded, err.Error(), startRetryAfter)), late
 	}
-	q.maybeSent, q.used = true, takeover.Used(used)
-	s.metrics.observeTakeover(q.used)
+	s.metrics.observeTakeover(track.sent.Named() > 0)
+	q.sent = track.sent
+	q.maybeSent = q.maybeSent || !q.route.Sharded() || q.sent.Sent()
 	if late {
 		return outcome.Unknown(outcome.DeadlineExceeded, err.Error(), startRetryAfter), true
 	}
@@ -197,10 +198,13 @@
 		ElapsedUs: int((time.Since(q.start) + hopSlack).Microseconds()),
 		AnswerUs:  int(time.Until(s.decideDelegatedBy(q)).Microseconds()),
 		GiveUpUs:  int((time.Until(q.deadline) - hopSlack).Microseconds()),
-		Used:      string(q.used),
 		Returning: q.callerResent,
 		Resent:    q.maybeSent,
 		Shards:    q.shards,
+		Replicas:  gen.Replicas(q.sent.Update()),
+	}
+	if q.route.Sharded() {
+		d.ConfirmFirst, d.ShardsHash = q.mustConfirmFirst(), takeover.HashShards(q.searchedShards())
 	}
 	if d.Shards == nil {
 		d.Shards = []string{}
@@ -225,7 +229,8 @@
 }
 
 // Handle runs a request that another VM delegates. It does not take a request that needs a
-// newer configuration, has no route or an unknown shard, or arrives after StopAccepting.
+// newer configuration, has no route or an unknown shard, arrives after StopAccepting, or comes
+// with a record of other shards.
 func (s *Server) Handle(ctx context.Context, from string, m *gen.Message) *gen.Message {
 	d := m.Delegate
 	if d == nil {
@@ -243,7 +248,6 @@
 		start:    now.Add(-time.Duration(d.ElapsedUs) * time.Microsecond),
 		deadline: now.Add(time.Duration(d.GiveUpUs) * time.Microsecond),
 		decideBy: now.Add(time.Duration(d.AnswerUs) * time.Microsecond),
-		used:     takeover.Used(d.Used),
 		control:  control{finish: peer.FinishRequested(ctx), onDue: func(covered int) { peer.ReportDue(ctx, covered) }},
 	}
 	path, _, _ := strings.Cut(d.Target, "?")
@@ -257,6 +261,9 @@
 			return notTaken()
 		}
 	}
+	if q.route.Sharded() && !q.readSent(ctx, d) {
+		return notTaken()
+	}
 	p := &upstream.PassThroughRequest{
 		Method: d.Method, Host: d.Host, Target: d.Target, Body: []byte(d.Body), ID: d.RequestId,
 		Header: fromHeaders(d.Headers),
--- a/internal/forward/delegate_test.go
+++ b/internal/forward/delegate_test.go
@@ -14,8 +14,10 @@
 	"github.com/sardinespindle/sardinespindle/internal/peer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/repeat"
 	"github.com/sardinespindle/sardinespindle/internal/policy/route"
+	"github.com/sardinespindle/sardinespindle/internal/policy/takeover"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/peer"
 )
 
 // noPoison never blocks a request.
@@ -42,7 +44,7 @@
 				return map[string][]string{"b": {"vm-1", "vm-2"}}, false
 			},
 		})
-		r := &route.Route{Name: "find", Shards: []string{"s1", "s2"}, Objective: 100 * time.Millisecond}
+		r := &route.Route{Name: "find", Shards: []string{"s1", "s2"}, Objective: 100 * time.Millisecond, MaxAttempts: 2}
 		q = &request{id: "id", start: time.Now(), route: r, shards: r.Shards, deadline: time.Now().Add(time.Second), catalog: &catalog.Catalog{
 			Config: &catalog.Config{Version: 1}, Manifest: &manifest.Manifest{}, ZoneCoverage: map[string]map[string]float64{"find": {"b": 1}},
 		}}
@@ -81,7 +83,7 @@
 	It("ends as unknown, not as not_run, if a gatherer may have run it", func() {
 		others.errs["vm-1"], others.shed = peer.ErrSilent, true
 		for range 20 { // until the silent gatherer is chosen first
-			q.tried, q.maybeSent, others.delegated = nil, false, nil
+			q.tried, q.maybeSent, q.sent, others.delegated = nil, false, nil, nil
 			s.peers.peers = nil
 			o := run()
 			if len(others.delegated) == 2 {
@@ -109,13 +111,60 @@
 		Expect(lost).To(Equal([]string{"vm-1"}))
 	})
 
-	It("passes on which replicas a silent gatherer has used", func() {
+	It("confirms what a gatherer announces, and passes it on to the next one", func() {
 		others.errs["vm-1"], others.errs["vm-2"] = peer.ErrSilent, peer.ErrSilent
-		others.used = map[string]string{"vm-1": "\x01\x00\x02\x03", "vm-2": "\x01\x00\x02\x03"}
+		others.announced = map[string]gen.Replicas{"vm-1": {{1, 7, 8}}, "vm-2": {{1, 7, 8}}}
 		run()
-		Expect(others.delegated[0].Used).To(BeEmpty())
-		Expect(others.delegated[1].Used).To(Equal("\x01\x00\x02\x03"))
-		Expect(q.used).To(HaveLen(4))
+		Expect(others.delegated[0].Replicas).To(BeEmpty())
+		Expect(others.delegated[0].ConfirmFirst).To(BeFalse())
+		Expect(others.delegated[1].Replicas).To(Equal(gen.Replicas{{0, 0}, {1, 7, 8}}))
+		Expect(others.delegated[1].ConfirmFirst).To(BeTrue())
+		Expect(others.confirmed).To(Equal(2))
+		Expect(q.sent).To(Equal(takeover.Record{{takeover.Unknown}, {7, 8}}))
+	})
+
+	It("does not count a gatherer that had to announce first and did not", func() {
+		others.errs["vm-1"], others.errs["vm-2"] = peer.ErrSilent, peer.ErrSilent
+		run()
+		Expect(others.delegated).To(HaveLen(2))
+		Expect(q.sent).To(Equal(takeover.Record{{takeover.Unknown}, {takeover.Unknown}}))
+	})
+
+	It("has each replica announced where a single one may run the request", func() {
+		q.route.MaxAttempts = 1
+		others.errs["vm-1"], others.errs["vm-2"] = peer.ErrSilent, peer.ErrSilent
+		run()
+		Expect(others.delegated[0].ConfirmFirst).To(BeTrue())
+		Expect(q.sent.Sent()).To(BeFalse())
+		Expect(q.maybeSent).To(BeFalse())
+		Expect(local.searches).To(HaveLen(1))
+	})
+
+	It("ignores an announcement that is older than the last one, or of other shards", func() {
+		t := s.trackSent(q)
+		var confirmed []int
+		record := func(sequence, hash int, replicas gen.Replicas) {
+			t.record(&gen.Announced{Sequence: sequence, ShardsHash: hash, Replicas: replicas}, func() { confirmed = append(confirmed, sequence) })
+		}
+		record(2, t.hash, gen.Replicas{{1, 7, 8}})
+		record(1, t.hash, gen.Replicas{{1, 7, 9}})
+		record(3, t.hash+1, gen.Replicas{{1, 7, 9}})
+		record(4, t.hash, gen.Replicas{{2, 7, 9}})
+		record(2, t.hash, gen.Replicas{{1, 7, 8}}) // repeated, as the confirmation may be under way
+		Expect(confirmed).To(Equal([]int{2, 2}))
+		Expect(t.sent).To(Equal(takeover.Record{{takeover.Unknown}, {7, 8}}))
+	})
+
+	It("joins the announcements of a search's parts by the indices of their shards", func() {
+		var updates []takeover.Update
+		q.announce = func(u takeover.Update, _ func()) { updates = append(updates, u) }
+		announcements := newPartAnnouncements(q)
+		a := q.part([]string{"s2"}, control{}, announcements)
+		b := q.part([]string{"s1"}, control{}, announcements)
+		a.announce(takeover.Update{{0, 7, 8}}, func() {})
+		b.announce(takeover.Update{{0, 9, 6}}, func() {})
+		Expect(updates[0]).To(Equal(takeover.Update{{1, 7, 8}}))
+		Expect(updates[1]).To(ConsistOf([]int{0, 9, 6}, []int{1, 7, 8}))
 	})
 
 	It("lets the gatherer decide early enough for the answer to return in time", func() {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -167,8 +167,12 @@
 	delegated, maybeSent bool
 	// ranElsewhere says that the outcome came from another VM.
 	ranElsewhere bool
-	// used holds what a VM that may have sent the request reported of the replicas used.
-	used takeover.Used
+	// sent holds the replicas that other VMs may have sent a search to, by the index of the shard;
+	// nil for none. announce announces those that this VM may send it to; nil if this VM took the
+	// search from its caller. With confirmFirst, it announces all of them.
+	sent         takeover.Record
+	announce     announce
+	confirmFirst bool
 	// opensConn says that the request is the first one on its connection. path is the way of
 	// the answer to the caller.
 	opensConn bool
--- a/internal/forward/groups_test.go
+++ b/internal/forward/groups_test.go
@@ -156,7 +156,7 @@
 
 	It("keeps the VMs that its groups tried apart", func() {
 		q.tried = append(make([]string, 0, 4), "vm-7")
-		a, b := q.part(nil, control{}), q.part(nil, control{})
+		a, b := q.part(nil, control{}, nil), q.part(nil, control{}, nil)
 		a.tried = append(a.tried, "vm-1")
 		b.tried = append(b.tried, "vm-2")
 		Expect(a.tried).To(Equal([]string{"vm-7", "vm-1"}))
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -7,7 +7,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
-	"github.com/sardinespindle/sardinespindle/internal/policy/takeover"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
 )
 
@@ -43,8 +42,8 @@
 		}),
 		takeovers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "spindle_forward_takeovers_total",
-			Help: "Requests taken back from a VM that may have sent them, by whether it reported what it sent.",
-		}, []string{"reported"}),
+			Help: "Requests taken back from a VM that may have sent them, by whether it announced replicas.",
+		}, []string{"announced"}),
 	}
 	if r != nil {
 		r.MustRegister(m.requests, m.latency, m.shardShare, m.repeats, m.repeatsRefused, m.takeovers)
@@ -53,8 +52,8 @@
 }
 
 // observeTakeover counts a request that is taken back from a VM that may have sent it.
-func (m *metrics) observeTakeover(reported takeover.Used) {
-	m.takeovers.WithLabelValues(strconv.FormatBool(len(reported) > 0)).Inc()
+func (m *metrics) observeTakeover(announced bool) {
+	m.takeovers.WithLabelValues(strconv.FormatBool(announced)).Inc()
 }
 
 func (m *metrics) observe(o *outcome.Outcome, took time.Duration) {
--- a/internal/forward/parts.go
+++ b/internal/forward/parts.go
@@ -26,11 +26,15 @@
 	}
 }
 
-// part returns the request for a part of the search q.
-func (q *request) part(shards []string, c control) *request {
+// part returns the request for a part of the search q, with the announcements of all its parts.
+func (q *request) part(shards []string, c control, announcements *partAnnouncements) *request {
 	part := *q
 	part.shards, part.isPart, part.control = shards, true, c
 	part.tried = slices.Clip(q.tried) // each part appends its own
+	if announcements != nil || q.sent != nil {
+		indices := q.indices(shards)
+		part.sent, part.announce = q.sent.Select(indices), announcements.of(indices)
+	}
 	return &part
 }
 
@@ -109,10 +113,11 @@
 	results, due := make(chan endedPart, len(parts)), make(chan duePart, len(parts))
 	finish := make(chan struct{})
 	askToFinish := sync.OnceFunc(func() { close(finish) })
+	announcements := newPartAnnouncements(q)
 	for i, p := range parts {
 		var once sync.Once // a part that another VM takes over may report again
 		c := control{finish: finish, onDue: func(covered int) { once.Do(func() { due <- duePart{i, covered} }) }}
-		part := q.part(p.shards, c)
+		part := q.part(p.shards, c, announcements)
 		go func() { results <- endedPart{Outcome: p.run(ctx, part), index: i, request: part} }()
 	}
 	timer := time.NewTimer(time.Until(s.decideBy(q)) + partGrace)
--- a/internal/forward/split.go
+++ b/internal/forward/split.go
@@ -10,11 +10,9 @@
 	"github.com/sardinespindle/sardinespindle/internal/gather"
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
-	"github.com/sardinespindle/sardinespindle/internal/peer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/answer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/coverage"
 	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
-	"github.com/sardinespindle/sardinespindle/internal/policy/takeover"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
 )
@@ -42,10 +40,7 @@
 // part cannot make up for shards that another part misses.
 func (s *Server) search(ctx context.Context, q *request, p *upstream.PassThroughRequest) outcome.Outcome {
 	defer func() { q.decidedAt = time.Now() }()
-	shards := q.shards
-	if shards == nil {
-		shards = q.route.Shards
-	}
+	shards := q.searchedShards()
 	if s.o.Peers == nil || q.isPart || q.maybeSent || !s.coverage.allowsSplit() {
 		return s.recordCoverage(q, s.searchLocally(ctx, q, p, shards))
 	}
@@ -89,10 +84,7 @@
 
 // totalShards returns the number of shards that the request searches.
 func (q *request) totalShards() int {
-	if q.shards != nil {
-		return len(q.shards)
-	}
-	return len(q.route.Shards)
+	return len(q.searchedShards())
 }
 
 // minShards returns the least number of shards that an answer must cover.
@@ -146,11 +138,11 @@
 			// A part is not shed for being late: other parts of the search may run already, and
 			// the search could not be refused as not run.
 			CallerResent: q.callerResent || q.isPart,
-			MaybeSent:    q.maybeSent,
-			Used:         q.used,
+			Before:       q.sent,
+			Announce:     q.announce,
+			ConfirmFirst: q.mustConfirmFirst(),
 			OnDue:        q.control.reportDue,
 			Finish:       q.control.finish,
-			OnSent:       func(used takeover.Used) { peer.ReportUsed(ctx, string(used)) },
 			TakeRepeat:   s.takeRepeat,
 		},
 	})
--- a/internal/forward/split_test.go
+++ b/internal/forward/split_test.go
@@ -63,7 +63,8 @@
 type fakePeers struct {
 	delays map[string]time.Duration
 	errs   map[string]error
-	used   map[string]string // reported by each VM before it replies
+	// announced is what each VM announces before it replies.
+	announced map[string]gen.Replicas
 	// missing is the number of shards that each VM lacks when its decision is due.
 	missing map[string]int
 	silent  bool
@@ -74,20 +75,27 @@
 	// lacking is the number of shards that each VM lacks although it replies.
 	lacking map[string]int
 
-	mu        sync.Mutex // guards delegated
+	mu        sync.Mutex // guards the fields below
 	delegated []*gen.Delegate
+	confirmed int
+}
+
+// announce has the VM announce, if it announces anything.
+func (p *fakePeers) announce(vm string, d *gen.Delegate, w peer.Watch) {
+	if replicas, ok := p.announced[vm]; ok {
+		a := &gen.Announced{Sequence: 1, ShardsHash: d.ShardsHash, Replicas: replicas}
+		w.OnNotice(&gen.Accepted{Running: true, Announced: a}, func() { p.confirmed++ })
+	}
 }
 
 func (p *fakePeers) Delegate(ctx context.Context, vm string, d *gen.Delegate, w peer.Watch) (*gen.Message, error) {
 	p.mu.Lock()
 	p.delegated = append(p.delegated, d)
 	p.mu.Unlock()
-	if used, ok := p.used[vm]; ok {
-		w.OnNotice(&gen.Accepted{Running: true, Used: used})
-	}
+	p.announce(vm, d, w)
 	covered := len(d.Shards)
 	if missing, ok := p.missing[vm]; ok && missing < covered {
-		time.AfterFunc(time.Duration(d.AnswerUs)*time.Microsecond, func() { w.OnNotice(&gen.Accepted{Running: true, Covered: covered - missing}) })
+		time.AfterFunc(time.Duration(d.AnswerUs)*time.Microsecond, func() { w.OnNotice(&gen.Accepted{Running: true, Covered: covered - missing}, func() {}) })
 	}
 	select {
 	case <-time.After(p.delays[vm]):
--- a/internal/gather/handle.go
+++ b/internal/gather/handle.go
@@ -156,7 +156,7 @@
 // cancelAttempts cancels a covered shard's attempts in flight and its scheduled hedge and
 // pick.
 func (q *query) cancelAttempts(sh *shard) {
-	sh.hedgeAt, sh.pickAt = time.Time{}, time.Time{}
+	sh.hedgeAt, sh.pickAt, sh.announced = time.Time{}, time.Time{}, nil
 	for _, a := range sh.inflight {
 		if !a.cancelled {
 			a.cancelled = true
--- a/internal/gather/pass.go
+++ b/internal/gather/pass.go
@@ -39,23 +39,24 @@
 	HedgeAfter time.Duration
 	// MaxAttempts is the most replicas of a shard that may run the request.
 	MaxAttempts int
-	// MaybeSent means that another VM may have sent the request to the shards before. Used
-	// holds what that VM reported, nil for nothing. First attempts of shards that may have
-	// received the request take from the budget of repeats.
-	MaybeSent bool
-	Used      takeover.Used
+	// Before holds the replicas that other VMs may have sent the request to, by the index of the
+	// shard; nil for none. First attempts of those shards take from the budget of repeats.
+	Before takeover.Record
+	// Announce announces replicas that the request may be sent to, in place of those announced
+	// before, and calls onConfirmed, on any goroutine, once they may be used. Nil if no other VM
+	// can take the search over. With ConfirmFirst, first attempts are announced too.
+	Announce     func(u takeover.Update, onConfirmed func())
+	ConfirmFirst bool
 	// OnDue is called once with the number of shards covered if they are too few to answer at
 	// AnswerAt; may be nil. When Finish is closed, the search is answered with what there is;
 	// may be nil.
 	OnDue  func(covered int)
 	Finish <-chan struct{}
-	// OnSent is called with the replicas used so far after attempts were sent; may be nil.
-	OnSent func(takeover.Used)
 	// CallerResent means that the request was shed before and the caller sent it again.
 	CallerResent bool
 	// TakeRepeat takes one repeat from the budget of a service and reports whether the budget
 	// allowed it. With hedge, the first attempt is slow; without, an attempt failed or another
-	// VM may have sent the request (see MaybeSent).
+	// VM may have sent the request (see Before).
 	TakeRepeat func(service string, hedge bool) bool
 }
 
@@ -69,11 +70,17 @@
 	sh.replicas = len(q.s.Workload.Replicas[sh.name])
 }
 
-// launchPassThrough sends the first attempt of each shard that plan.Decide chooses. If
-// plan.Decide sheds the search, nothing is sent.
+// launchPassThrough sends the first attempt of each shard that plan.Decide chooses, or announces
+// it. If plan.Decide sheds the search, nothing is sent.
 func (q *query) launchPassThrough() {
 	now := time.Now()
-	q.allowAttempts()
+	for i, sh := range q.plan {
+		sh.index = i
+	}
+	q.ledger = takeover.NewLedger(takeover.Options{
+		Shards: len(q.plan), MaxAttempts: q.s.PassThrough.MaxAttempts, Before: q.s.PassThrough.Before,
+		Alone: q.s.PassThrough.Announce == nil, ConfirmFirst: q.s.PassThrough.ConfirmFirst,
+	})
 	tickets := make([]Ticket, len(q.plan))
 	s := plan.Search{
 		Expected: make([]time.Duration, len(q.plan)), MinShards: q.minShards(),
@@ -81,7 +88,7 @@
 	}
 	for i, sh := range q.plan {
 		t, expected, err := q.pickPassThrough(sh)
-		if err == nil && sh.allowance.Repeats && !q.s.PassThrough.TakeRepeat(sh.name, false) {
+		if err == nil && q.ledger.MaybeSent(i) && !q.s.PassThrough.TakeRepeat(sh.name, false) {
 			t.Cancel()
 			t, err = nil, errNoBudget
 		}
@@ -100,41 +107,12 @@
 		case t == nil:
 			sh.gaveUp, sh.missingCause = true, cmp.Or(sh.missingCause, "no_replica")
 		case v.Ask[i] && !v.Shed:
-			q.send(sh, t, q.pin, false)
+			q.sendOrAnnounce(sh, t, announced{paid: true})
 		default:
 			sh.gaveUp, sh.missingCause = true, "expected_late"
 			t.Cancel()
 		}
 	}
-	q.reportUsed()
-}
-
-// allowAttempts sets how many attempts each shard may make, after what another VM may have
-// sent, and blocks the replicas that it may not use.
-func (q *query) allowAttempts() {
-	p := q.s.PassThrough
-	q.used = takeover.NewUsed(len(q.plan))
-	known := len(p.Used) == len(q.used)
-	for i, sh := range q.plan {
-		sh.index = i
-		sh.allowance = takeover.Allow(p.MaxAttempts, p.MaybeSent, known, p.Used.At(i))
-		if sh.allowance.Only == nil || sh.workload == nil {
-			continue
-		}
-		for _, u := range sh.workload.Upstreams {
-			if !slices.Contains(sh.allowance.Only, takeover.Hash(u.Address)) {
-				sh.blocked = append(sh.blocked, u.Address)
-			}
-		}
-	}
-}
-
-// reportUsed calls OnSent if attempts were sent since its last call.
-func (q *query) reportUsed() {
-	if p := q.s.PassThrough; p != nil && p.OnSent != nil && q.attempts != q.attemptsReported {
-		q.attemptsReported = q.attempts
-		p.OnSent(slices.Clone(q.used))
-	}
 }
 
 var (
@@ -146,7 +124,23 @@
 	if sh.workload == nil {
 		return nil, 0, errNotPublished
 	}
-	return q.e.client.PickPassThrough(sh.workload, q.workload, sh.blocked)
+	return q.e.client.PickPassThrough(sh.workload, q.workload, q.excluded(sh))
+}
+
+// excluded returns the replicas that get no attempt of a shard: those blocked, and those that may
+// not be used beside the ones that may have received the request.
+func (q *query) excluded(sh *shard) []string {
+	only, limited := q.ledger.Only(sh.index)
+	if !limited {
+		return sh.blocked
+	}
+	excluded := slices.Clone(sh.blocked)
+	for _, u := range sh.workload.Upstreams {
+		if !slices.Contains(only, takeover.Hash(u.Address)) {
+			excluded = append(excluded, u.Address)
+		}
+	}
+	return excluded
 }
 
 // minShards returns the least number of parts that reaches the minimum share of a
--- a/internal/gather/pass_test.go
+++ b/internal/gather/pass_test.go
@@ -95,7 +95,7 @@
 
 	It("reports no_budget when another VM may have sent the request and no budget is left", func() {
 		s := passThroughSearch(time.Second, 2*time.Second)
-		s.PassThrough.MaybeSent, s.PassThrough.TakeRepeat = true, func(string, bool) bool { return false }
+		s.PassThrough.Before, s.PassThrough.TakeRepeat = takeover.Record(nil).WithUnknown(3), func(string, bool) bool { return false }
 		Expect(run(s).Detail).To(ContainSubstring("no_budget:3"))
 	})
 
@@ -127,22 +127,94 @@
 		Expect(run(s).Detail).To(ContainSubstring("lost:3"))
 	})
 
+	// used is the record of a search that another VM has hedged at s1, may have sent to one replica
+	// of s0, and has not sent to s2.
+	used := func() takeover.Record {
+		hash := func(address string) int { return int(takeover.Hash(address)) }
+		r, ok := takeover.NewRecord(3).Apply(takeover.Update{{0, 0}, {1, hash("s1-b"), hash("s1-c")}})
+		Expect(ok).To(BeTrue())
+		return r
+	}
+
 	It("stays within the replicas that another VM has used, once they are as many as may be", func() {
-		used := takeover.NewUsed(3)
-		used.Add(0, "s0-b")         // sent once
-		used.Add(1, "s1-b")         // sent and hedged
-		used.Add(1, "s1-c")         // a replica that has left since
-		var reported takeover.Used  // of this VM
 		repeats := map[string]int{} // tokens taken
 		s := passThroughSearch(time.Second, 2*time.Second)
-		s.PassThrough.MaybeSent, s.PassThrough.Used = true, used
-		s.PassThrough.OnSent = func(u takeover.Used) { reported = u }
+		s.PassThrough.Before = used()
 		s.PassThrough.TakeRepeat = func(service string, _ bool) bool { repeats[service]++; return true }
 		Expect(run(s).Kind).To(Equal(caller.OutcomeAnswered))
 		Expect(f.count("s1-a")).To(BeZero())
 		Expect(f.count("s1-b")).To(Equal(1))
 		Expect(repeats).To(Equal(map[string]int{"s0": 1, "s1": 1}), "the other VM has not sent s2")
-		Expect(reported.At(1)).To(Equal([]byte{takeover.Hash("s1-b")}))
+	})
+
+	It("announces each replica that the record does not name before it takes a search over", func() {
+		var announced []takeover.Update
+		sent := -1 // attempts sent when it announces
+		s := passThroughSearch(time.Second, 2*time.Second)
+		s.PassThrough.Before = used()
+		s.PassThrough.Announce = func(u takeover.Update, onConfirmed func()) {
+			announced = append(announced, u)
+			time.AfterFunc(30*time.Millisecond, func() {
+				sent = f.total()
+				onConfirmed()
+			})
+		}
+		Expect(run(s).Kind).To(Equal(caller.OutcomeAnswered))
+		Expect(announced).To(Equal([]takeover.Update{{
+			{0, 0, int(takeover.Hash("s0-a"))}, {2, int(takeover.Hash("s2-a"))},
+		}}))
+		Expect(sent).To(Equal(1), "s1 needs no announcement")
+	})
+
+	It("sends its first attempts at once, and a hedge once both replicas are confirmed", func() {
+		f.serve["s1-a"] = hang
+		var announced []takeover.Update
+		var confirm func()
+		s := passThroughSearch(time.Second, 2*time.Second)
+		s.PassThrough.HedgeAfter = 40 * time.Millisecond
+		s.PassThrough.Announce = func(u takeover.Update, onConfirmed func()) {
+			announced, confirm = append(announced, u), onConfirmed
+			time.AfterFunc(60*time.Millisecond, func() {
+				defer GinkgoRecover()
+				Expect(f.total()).To(Equal(3))
+				confirm()
+			})
+		}
+		start := time.Now()
+		Expect(run(s).Kind).To(Equal(caller.OutcomeAnswered))
+		Expect(time.Since(start)).To(BeNumerically(">", 90*time.Millisecond))
+		Expect(announced).To(Equal([]takeover.Update{{{1, int(takeover.Hash("s1-a")), int(takeover.Hash("s1-b"))}}}))
+		Expect(f.count("s1-b")).To(Equal(1))
+	})
+
+	It("does not hedge before the hedge is due, although it is confirmed earlier", func() {
+		f.serve["s1-a"] = hang
+		s := passThroughSearch(time.Second, 2*time.Second)
+		s.PassThrough.HedgeAfter = 100 * time.Millisecond
+		s.PassThrough.Announce = func(_ takeover.Update, onConfirmed func()) { onConfirmed() }
+		start := time.Now()
+		Expect(run(s).Kind).To(Equal(caller.OutcomeAnswered))
+		Expect(time.Since(start)).To(BeNumerically("~", 105*time.Millisecond, 5*time.Millisecond))
+	})
+
+	It("asks another replica at once if the first did not run the request, without an announcement", func() {
+		f.serve["s1-a"] = endsWith(upstream.Shed)
+		s := passThroughSearch(time.Second, 2*time.Second)
+		s.PassThrough.Announce = func(takeover.Update, func()) { Fail("announced") }
+		Expect(run(s).Kind).To(Equal(caller.OutcomeAnswered))
+		Expect(f.count("s1-b")).To(Equal(1))
+	})
+
+	It("is answered without a shard whose retry is not confirmed, from the objective on", func() {
+		f.serve["s1-a"] = endsWith(upstream.Lost)
+		s := passThroughSearch(60*time.Millisecond, 2*time.Second)
+		s.PassThrough.MinimumShare = 0.6
+		s.PassThrough.Announce = func(takeover.Update, func()) {}
+		start := time.Now()
+		o := run(s)
+		Expect(o.Kind).To(Equal(caller.OutcomeAnswered))
+		Expect(o.Coverage.ShardsCovered).To(Equal(2))
+		Expect(time.Since(start)).To(BeNumerically("<", 200*time.Millisecond))
 	})
 
 	It("reports that its decision is due, and is answered with too few shards when asked to finish", func() {
--- a/internal/gather/query.go
+++ b/internal/gather/query.go
@@ -66,12 +66,12 @@
 	inflight          int
 	cancelledInflight int // attempts in flight that are cancelled already
 	attempts          int
-	finishRequested   bool          // PassThrough.Finish was closed
-	dueReported       bool          // PassThrough.OnDue was due
-	attemptsReported  int           // value of attempts at the last call of PassThrough.OnSent
-	used              takeover.Used // replicas that a pass-through search was sent to
-	mayHaveRun        bool          // an attempt that has ended may have run
-	replied           bool          // a good reply arrived
+	finishRequested   bool             // PassThrough.Finish was closed
+	dueReported       bool             // PassThrough.OnDue was due
+	ledger            *takeover.Ledger // of a pass-through search
+	confirmed         *confirmations   // of the ledger's announcements
+	mayHaveRun        bool             // an attempt that has ended may have run
+	replied           bool             // a good reply arrived
 	goodReplies       int
 	unknownMapReplies int // replies of an unknown partition map while no part of the target had arrived
 	crashedAttempts   int // pass-through attempts during which the upstream crashed
@@ -115,13 +115,12 @@
 	gaveUp          bool          // no further attempt is sent, except by askLeftOut
 	retries         int
 	reasks          int
-	missingCause    string             // why a pass-through search has no part of the shard
-	index           int                // in the plan
-	allowance       takeover.Allowance // of a pass-through search
-	notRunBy        string             // the last replica that did not run a pass-through attempt
-	countedAttempts int                // pass-through attempts, without those that did not run
-	repeatDenied    string             // why the last repeat of a pass-through attempt was not sent, see pickRepeat
-	reachedAttempts int                // ended attempts that may have reached a replica
+	missingCause    string     // why a pass-through search has no part of the shard
+	index           int        // in the plan
+	announced       *announced // pass-through attempt that waits to be sent; nil for none
+	notRunBy        string     // the last replica that did not run a pass-through attempt
+	repeatDenied    string     // why the last repeat of a pass-through attempt was not sent, see pickRepeat
+	reachedAttempts int        // ended attempts that may have reached a replica
 
 	failedHedgePicks int // hedges that found no replica
 
@@ -160,6 +159,9 @@
 	q.plan = make([]*shard, 0, n)
 	q.reports = make(chan lossReport, maxReports)
 	q.events = make(chan *attempt, n+n/extraEventsDivisor+1)
+	if s.PassThrough != nil && s.PassThrough.Announce != nil {
+		q.confirmed = &confirmations{wake: make(chan struct{}, 1)}
+	}
 	q.setPlan()
 	q.timer = time.NewTimer(remaining)
 	return q, nil
@@ -212,16 +214,23 @@
 func (q *query) loop() outcome.Outcome {
 	q.launchAll()
 	switch {
-	case q.inflight == 0 && q.s.PassThrough != nil:
+	case q.counts[open] == 0 && q.s.PassThrough != nil:
 		return q.failPassThrough()
-	case q.inflight == 0:
+	case q.inflight == 0 && q.s.PassThrough == nil:
 		return q.notRun()
 	}
 	var finish <-chan struct{}
 	if q.s.PassThrough != nil {
 		finish = q.s.PassThrough.Finish
 	}
+	var confirmed <-chan struct{}
+	if q.confirmed != nil {
+		confirmed = q.confirmed.wake
+	}
 	for {
+		if q.ledger != nil {
+			q.reportAnnounced()
+		}
 		if out, done := q.decide(); done {
 			return out
 		}
@@ -234,7 +243,8 @@
 		case <-q.timer.C:
 			q.wake = time.Time{}
 			q.runDue(time.Now())
-			q.reportUsed()
+		case <-confirmed:
+			q.sendConfirmed(time.Now())
 		case <-finish:
 			q.finishRequested, finish = true, nil
 		case <-q.ctx.Done():
@@ -285,7 +295,7 @@
 	switch {
 	case q.merge.Has(q.target, sh.name):
 		return covered
-	case len(sh.inflight) > 0 || sh.awaitingPermit || sh.deferred || !sh.pickAt.IsZero():
+	case len(sh.inflight) > 0 || sh.announced != nil || sh.awaitingPermit || sh.deferred || !sh.pickAt.IsZero():
 		return open
 	default:
 		return idle
--- a/internal/gather/repeat.go
+++ b/internal/gather/repeat.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sardinespindle/sardinespindle/internal/policy/plan"
+	"github.com/sardinespindle/sardinespindle/internal/policy/takeover"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 )
 
@@ -14,9 +15,7 @@
 		return
 	}
 	sh.hedged = true
-	if q.repeat(sh, true) {
-		q.counters.hedged.Inc()
-	}
+	q.repeat(sh, true)
 }
 
 // retryPassThrough decides what follows an attempt that gave no part: another one, after
@@ -52,13 +51,13 @@
 	q.askLeftOut()
 }
 
-// unblock subtracts an attempt that did not run from countedAttempts. Its replica stays
-// blocked only until another replica does not run the request either.
+// unblock records that an attempt did not run. Its replica stays blocked only until another
+// replica does not run the request either.
 func (q *query) unblock(sh *shard, at *attempt, c upstream.Class) {
 	if c.MayHaveRun() {
 		return
 	}
-	sh.countedAttempts--
+	q.ledger.RecordNotRun(sh.index, takeover.Hash(at.address))
 	sh.blocked = slices.DeleteFunc(sh.blocked, func(a string) bool { return a == sh.notRunBy })
 	sh.notRunBy = at.address
 }
@@ -71,7 +70,7 @@
 		var ticket Ticket
 		least := plan.Never
 		for _, sh := range q.plan {
-			if len(sh.tried) > 0 {
+			if len(sh.tried) > 0 || sh.announced != nil {
 				continue
 			}
 			t, expected, err := q.pickPassThrough(sh)
@@ -90,7 +89,7 @@
 		if best == nil {
 			return
 		}
-		q.send(best, ticket, q.pin, false)
+		q.sendOrAnnounce(best, ticket, announced{paid: true})
 	}
 }
 
@@ -114,29 +113,35 @@
 // a replica did not run.
 const maxSends = 4
 
-// repeat sends the shard's request to one more replica and reports whether it did. If not,
-// sh.repeatDenied holds the reason.
+// repeat sends the shard's request to one more replica, or announces it, and reports whether it
+// did. If not, sh.repeatDenied holds the reason.
 func (q *query) repeat(sh *shard, hedge bool) bool {
-	t, denied := q.pickRepeat(sh, hedge)
+	t, denied := q.pickRepeat(sh)
 	if denied != "" {
 		sh.repeatDenied = denied
 		return false
 	}
-	q.send(sh, t, q.pin, hedge)
-	return true
+	// If no attempt reached a replica, this one counts as the first.
+	a := announced{hedge: hedge, paid: sh.reachedAttempts == 0 && len(sh.inflight) == 0}
+	if hedge {
+		a.notFrom = sh.started.Add(q.s.PassThrough.HedgeAfter)
+	}
+	return q.sendOrAnnounce(sh, t, a)
 }
 
 // pickRepeat picks a replica for one more attempt; denied is the reason if there is none,
-// and empty otherwise. The attempt takes from the budget of repeats if the shard may have
-// received the request before.
-func (q *query) pickRepeat(sh *shard, hedge bool) (t Ticket, denied string) {
+// and empty otherwise.
+func (q *query) pickRepeat(sh *shard) (t Ticket, denied string) {
 	p := q.s.PassThrough
 	now := time.Now()
-	if sh.countedAttempts >= sh.allowance.Attempts || len(sh.tried) >= maxSends || !now.Before(p.GiveUpAt) {
+	if len(sh.tried) >= maxSends || !now.Before(p.GiveUpAt) {
 		return nil, "attempts"
 	}
 	t, expected, err := q.pickPassThrough(sh)
 	if err != nil {
+		if _, limited := q.ledger.Only(sh.index); limited {
+			return nil, "attempts"
+		}
 		return nil, "replica"
 	}
 	reach := q.counts[covered] + q.counts[open]
@@ -144,11 +149,5 @@
 		t.Cancel()
 		return nil, "late"
 	}
-	// If no attempt reached a replica, this one counts as the first.
-	repeats := sh.reachedAttempts > 0 || len(sh.inflight) > 0
-	if repeats && !p.TakeRepeat(string(sh.workload.Name), hedge) {
-		t.Cancel()
-		return nil, "budget"
-	}
 	return t, ""
 }
--- a/internal/gather/send.go
+++ b/internal/gather/send.go
@@ -132,8 +132,6 @@
 	}
 	sh.tried = append(sh.tried, at.address)
 	if q.s.PassThrough != nil {
-		sh.countedAttempts++
-		q.used.Add(sh.index, at.address)
 		sh.blocked = append(sh.blocked, at.address)
 	}
 	sh.inflight = append(sh.inflight, at)
@@ -153,7 +151,7 @@
 		return
 	}
 	if q.s.PassThrough != nil {
-		sh.hedgeAt = sh.started.Add(q.s.PassThrough.HedgeAfter)
+		sh.hedgeAt = sh.started.Add(q.s.PassThrough.HedgeAfter - q.confirmLead())
 		q.wakeAt(sh.hedgeAt)
 		return
 	}
@@ -254,6 +252,9 @@
 
 // runDue runs the picks and hedges that are due at now.
 func (q *query) runDue(now time.Time) {
+	if q.s.PassThrough != nil {
+		defer q.sendConfirmed(now)
+	}
 	for _, sh := range q.plan {
 		if sh.status != open {
 			continue
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -67,12 +67,12 @@
 	}
 	c.markUsed()
 	ctx, cancel := context.WithCancel(ctx)
-	r := runningRequest{cancel: cancel, finish: func() {}}
+	r := runningRequest{cancel: cancel, finish: func() {}, confirm: func(int) {}}
 	var p *progress
 	if m.Delegate != nil && m.Id != 0 {
 		p = newProgress(func(a gen.Accepted) { c.notify(m.Id, a) })
 		ctx = context.WithValue(ctx, progressKey{}, p)
-		r.finish = p.requestFinish
+		r.finish, r.confirm = p.requestFinish, p.confirm
 	}
 	c.addRunning(m.Id, r)
 	go func() {
@@ -97,8 +97,9 @@
 
 // runningRequest is a request of the peer that a handler of this VM runs.
 type runningRequest struct {
-	cancel context.CancelFunc // for when the peer no longer wants the reply
-	finish func()             // asks the handler of a delegated request to finish
+	cancel  context.CancelFunc // for when the peer no longer wants the reply
+	finish  func()             // asks the handler of a delegated request to finish
+	confirm func(sequence int) // confirms what the handler of a delegated search announced
 }
 
 // addRunning records a running request, unless it has no id: the peer cannot refer to it.
@@ -124,7 +125,7 @@
 	if r, ok := c.running[id]; ok {
 		return r
 	}
-	return runningRequest{cancel: func() {}, finish: func() {}}
+	return runningRequest{cancel: func() {}, finish: func() {}, confirm: func(int) {}}
 }
 
 // refuse drops a request, and tells the sender of a delegated one that nothing was done for it.
@@ -234,7 +235,7 @@
 			return r, nil
 		case notice := <-w.notices:
 			if watch != nil && watch.OnNotice != nil {
-				watch.OnNotice(notice)
+				watch.OnNotice(notice, func() { c.confirm(w.id, notice.Announced) })
 			}
 			if !notice.Running {
 				return nil, fmt.Errorf("%w: VM busy", ErrNotSent)
@@ -257,6 +258,16 @@
 	}
 }
 
+// confirm tells the peer that what it announced about a request is recorded.
+func (c *conn) confirm(request int, a *gen.Announced) {
+	if a == nil {
+		return
+	}
+	if err := c.send(&gen.Message{Confirmed: &gen.Confirmed{Request: request, Sequence: a.Sequence}}); err != nil {
+		c.node.log.Debug("confirmation not sent", "peer", c.peer, "err", err)
+	}
+}
+
 func (c *conn) newCall() (*call, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/peer/call_test.go
+++ b/internal/peer/call_test.go
@@ -52,21 +52,32 @@
 		Expect(time.Since(start)).To(BeNumerically("<", time.Second))
 	})
 
-	It("tells its sender which replicas it used, again with each later notice", func() {
+	It("announces replicas with each notice until its sender confirms them", func() {
+		confirmed := make(chan int, 2)
 		f.vms[1].Handle(func(ctx context.Context, _ string, m *gen.Message) *gen.Message {
 			if m.Delegate == nil {
 				return nil
 			}
-			peer.ReportUsed(ctx, "\x07\x00")
+			peer.Announce(ctx, 5, gen.Replicas{{0, 7}}, func() { confirmed <- 1 })
+			peer.Announce(ctx, 5, gen.Replicas{{0, 7}, {1, 8}}, func() { confirmed <- 2 })
+			defer GinkgoRecover()
+			Eventually(confirmed, "2s").Should(Receive(Equal(1)))
+			Eventually(confirmed, "2s").Should(Receive(Equal(2)), "the later one includes the earlier")
 			time.Sleep(250 * time.Millisecond)
 			return &gen.Message{Delegated: &gen.Delegated{Taken: true, Headers: []gen.Header{}, Signatures: []string{}}}
 		})
-		var used []string
-		watch.OnNotice = func(a *gen.Accepted) { used = append(used, a.Used) }
+		var announced []*gen.Announced // by notice
+		watch.OnNotice = func(a *gen.Accepted, confirm func()) {
+			announced = append(announced, a.Announced)
+			if n := len(announced); n == 5 {
+				confirm()
+			}
+		}
 		_, err := delegate()
 		Expect(err).NotTo(HaveOccurred())
-		Expect(len(used)).To(BeNumerically(">=", 3))
-		Expect(used[len(used)-1]).To(Equal("\x07\x00"))
+		Expect(len(announced)).To(BeNumerically(">=", 7))
+		Expect(announced[4]).To(Equal(&gen.Announced{Sequence: 2, ShardsHash: 5, Replicas: gen.Replicas{{0, 7}, {1, 8}}}))
+		Expect(announced[len(announced)-1]).To(BeNil())
 	})
 
 	It("learns that its sender wants it finished, and tells how much it covers", func() {
@@ -80,7 +91,7 @@
 			return &gen.Message{Delegated: &gen.Delegated{Taken: true, Headers: []gen.Header{}, Signatures: []string{}}}
 		})
 		watch.Finish = finish
-		watch.OnNotice = func(a *gen.Accepted) {
+		watch.OnNotice = func(a *gen.Accepted, _ func()) {
 			if a.Covered == 17 {
 				close(finish)
 				watch.OnNotice = nil
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -136,6 +136,7 @@
 	{"delegate", func(m *gen.Message) bool { return m.Delegate != nil }},
 	{"accepted", func(m *gen.Message) bool { return m.Accepted != nil }},
 	{"finish", func(m *gen.Message) bool { return m.Finish != nil }},
+	{"confirmed", func(m *gen.Message) bool { return m.Confirmed != nil }},
 	{"delegated", func(m *gen.Message) bool { return m.Delegated != nil }},
 	{"hello", func(m *gen.Message) bool { return m.Hello != nil }},
 }
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -310,6 +310,8 @@
 		c.runningRequest(m.Cancel.Request).cancel()
 	case m.Finish != nil:
 		c.runningRequest(m.Finish.Request).finish()
+	case m.Confirmed != nil:
+		c.runningRequest(m.Confirmed.Request).confirm(m.Confirmed.Sequence)
 	case m.Digest != nil:
 		c.node.replyToDigest(c, m.Digest)
 	case m.Facts != nil && m.Id == 0:
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -305,8 +305,9 @@
 
 // Watch is what the sender of a delegated request does while it runs.
 type Watch struct {
-	// OnNotice is called with each notice; may be nil.
-	OnNotice func(*gen.Accepted)
+	// OnNotice is called with each notice; may be nil. confirm confirms what the notice announces;
+	// it may be called later and from any goroutine.
+	OnNotice func(a *gen.Accepted, confirm func())
 	// Finish is closed to have the VM reply with what it has; may be nil.
 	Finish <-chan struct{}
 }
--- a/schema/gen/peer/peer.go
+++ b/schema/gen/peer/peer.go
@@ -4,6 +4,9 @@
 
 // Progress notice about the delegated request with this id.
 type Accepted struct {
+	// Announced corresponds to the JSON schema field "announced".
+	Announced *Announced `json:"announced,omitempty,omitzero" toml:"announced,omitempty" cbor:"announced,omitempty"`
+
 	// Shards that a search covers when its decision is due and too few are covered to
 	// answer; 0 before. The sender of the request may have it finished then.
 	Covered int `json:"covered" toml:"covered" cbor:"covered"`
@@ -11,11 +14,20 @@
 	// Whether the request is running. If true, its reply follows; if false, nothing
 	// was done for it.
 	Running bool `json:"running" toml:"running" cbor:"running"`
+}
+
+// Replicas that a delegated search may be sent to once they are confirmed.
+type Announced struct {
+	// Replicas corresponds to the JSON schema field "replicas".
+	Replicas Replicas `json:"replicas" toml:"replicas" cbor:"replicas"`
+
+	// Number by which the sender of the search confirms this announcement and those
+	// before it.
+	Sequence int `json:"sequence" toml:"sequence" cbor:"sequence"`
 
-	// Replicas that each shard was sent to so far, in the order of the request's
-	// shards: two hashes of one byte a shard, 0 for none. Empty if the request is no
-	// search or was not sent yet.
-	Used string `json:"used" toml:"used" cbor:"used"`
+	// Hash of the names of the search's shards in the configuration of the VM that
+	// runs it.
+	ShardsHash int `json:"shards_hash" toml:"shards_hash" cbor:"shards_hash"`
 }
 
 // Reports that the sender no longer waits for the reply to one of its requests.
@@ -46,6 +58,16 @@
 	WindowMs int `json:"window_ms" toml:"window_ms" cbor:"window_ms"`
 }
 
+// Confirms that the sender of a delegated search has recorded what the VM that
+// runs it announced.
+type Confirmed struct {
+	// Id of the request.
+	Request int `json:"request" toml:"request" cbor:"request"`
+
+	// Sequence number of the announcement.
+	Sequence int `json:"sequence" toml:"sequence" cbor:"sequence"`
+}
+
 // Delegates a caller's request to a VM that is closer to the request's upstreams
 // or has connections to them.
 type Delegate struct {
@@ -56,6 +78,10 @@
 	// Request body.
 	Body string `json:"body" toml:"body" cbor:"body"`
 
+	// Whether each replica must be announced and confirmed before it is used. If not,
+	// one replica of each shard may be used without.
+	ConfirmFirst bool `json:"confirm_first" toml:"confirm_first" cbor:"confirm_first"`
+
 	// Time since the request arrived at the sender, plus an allowance for the hop, in
 	// microseconds.
 	ElapsedUs int `json:"elapsed_us" toml:"elapsed_us" cbor:"elapsed_us"`
@@ -73,6 +99,9 @@
 	// HTTP method.
 	Method string `json:"method" toml:"method" cbor:"method"`
 
+	// Replicas that other VMs may have sent the search to.
+	Replicas Replicas `json:"replicas" toml:"replicas" cbor:"replicas"`
+
 	// Id that the caller gave the request.
 	RequestId string `json:"request_id" toml:"request_id" cbor:"request_id"`
 
@@ -90,13 +119,14 @@
 	// Shards to search; empty for all shards of the route.
 	Shards []string `json:"shards" toml:"shards" cbor:"shards"`
 
+	// Hash of the names of the search's shards in the sender's configuration; 0 if
+	// the request is no search. A VM whose shards differ does not take a request with
+	// replicas.
+	ShardsHash int `json:"shards_hash" toml:"shards_hash" cbor:"shards_hash"`
+
 	// Path and query, as in the caller's request line.
 	Target string `json:"target" toml:"target" cbor:"target"`
 
-	// What the VM that may have sent the request reported of the replicas used, as in
-	// Accepted; empty if nothing is known.
-	Used string `json:"used" toml:"used" cbor:"used"`
-
 	// Version of the configuration in force at the sender; a VM with an older one
 	// does not take the request.
 	Version int `json:"version" toml:"version" cbor:"version"`
@@ -283,6 +313,9 @@
 	// Claim corresponds to the JSON schema field "claim".
 	Claim *Claim `json:"claim,omitempty,omitzero" toml:"claim,omitempty" cbor:"claim,omitempty"`
 
+	// Confirmed corresponds to the JSON schema field "confirmed".
+	Confirmed *Confirmed `json:"confirmed,omitempty,omitzero" toml:"confirmed,omitempty" cbor:"confirmed,omitempty"`
+
 	// Delegate corresponds to the JSON schema field "delegate".
 	Delegate *Delegate `json:"delegate,omitempty,omitzero" toml:"delegate,omitempty" cbor:"delegate,omitempty"`
 
@@ -432,6 +465,10 @@
 	Key string `json:"key" toml:"key" cbor:"key"`
 }
 
+// For each shard that is listed, its index and the hashes of all replicas that it
+// may have been sent to, 0 for an unknown one.
+type Replicas [][]int
+
 // A guard's reply to a claim.
 type Vote struct {
 	// Other claimant that has the vote, where the verdict is held.
