--- a/internal/bench/soak.go
+++ b/internal/bench/soak.go
@@ -91,7 +91,8 @@
 
 	mu          sync.Mutex // guards the fields below
 	proc        *process
-	unavailable []Span // while the VM was paused, stopped, starting or cut off from others
+	unavailable []Span // while the VM was paused, stopped or starting
+	cutOff      []Span // while links to other VMs were broken
 	kills       []Span // kills without warning
 }
 
@@ -130,6 +131,9 @@
 	defer stop()
 	var calling sync.WaitGroup
 	calling.Go(func() { s.sendLoad(callers, rand.New(rand.NewPCG(o.Seed, 1))) })
+	for i, sv := range s.servers {
+		calling.Go(func() { sv.sendHeartbeats(callers, rand.New(rand.NewPCG(o.Seed, uint64(2+i)))) })
+	}
 	err := s.injectFaults(ctx, rng)
 	s.clearFaults()
 	s.checkRecovery(ctx)
@@ -297,18 +301,30 @@
 }
 
 // markUnavailable records that the VM is unavailable until end is called.
-func (vm *soakVM) markUnavailable() (end func()) {
+func (vm *soakVM) markUnavailable() (end func()) { return vm.mark(&vm.unavailable) }
+
+// markCutOff records that links from or to the VM are broken until end is called.
+func (vm *soakVM) markCutOff() (end func()) { return vm.mark(&vm.cutOff) }
+
+func (vm *soakVM) mark(spans *[]Span) (end func()) {
 	vm.mu.Lock()
 	defer vm.mu.Unlock()
-	i := len(vm.unavailable)
-	vm.unavailable = append(vm.unavailable, Span{From: time.Now()})
+	i := len(*spans)
+	*spans = append(*spans, Span{From: time.Now()})
 	return func() {
 		vm.mu.Lock()
 		defer vm.mu.Unlock()
-		vm.unavailable[i].To = time.Now()
+		(*spans)[i].To = time.Now()
 	}
 }
 
+// wasCutOff reports whether links from or to the VM were broken at any time from a to b.
+func (vm *soakVM) wasCutOff(a, b time.Time) bool {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	return overlapsAny(vm.cutOff, a, b)
+}
+
 // wasUnavailable reports whether the VM was unavailable at any time from a to b.
 func (vm *soakVM) wasUnavailable(a, b time.Time) bool {
 	vm.mu.Lock()
--- a/internal/bench/soak_check.go
+++ b/internal/bench/soak_check.go
@@ -26,6 +26,7 @@
 	cutOff         = "cut_off"          // a VM that was not killed closed the connection of a request that ran
 	workAfterDrain = "work_after_drain" // a request reached a server long after its drain was published
 	configLate     = "config_late"      // a new route was not served in time
+	configReverted = "config_reverted"  // a VM took a route out of force that it had served
 	overBudget     = "over_budget"      // more repeats to a service than the fleet's budget allows
 	overAttempts   = "over_attempts"    // too many servers of one service ran a request
 	overTime       = "over_time"        // a server got a longer deadline than the caller set, or none
@@ -296,12 +297,13 @@
 }
 
 // checkCancellations looks for requests sent or worked on after their callers canceled
-// them. Orders may run to their end. It skips VMs that were unavailable at the time. The
-// lock is held.
+// them. Orders may run to their end. It skips VMs that were unavailable or cut off from others at
+// the time. The lock is held.
 func (e *evidence) checkCancellations() {
 	sent, long, worked := 0, 0, 0
 	for id, q := range e.requests {
-		if q.canceledAt.IsZero() || q.vm.wasUnavailable(q.sent, q.canceledAt.Add(cancelPropagation)) {
+		until := q.canceledAt.Add(cancelPropagation)
+		if q.canceledAt.IsZero() || q.vm.wasUnavailable(q.sent, until) || q.vm.wasCutOff(q.sent, until) {
 			continue
 		}
 		limit := q.canceledAt.Add(cancelPropagation)
--- a/internal/bench/soak_faults.go
+++ b/internal/bench/soak_faults.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
-
-	"github.com/sardinespindle/sardinespindle/platform/standin"
 )
 
+// drillSeeds is the number of seeds of which one has drills of the store. Checks of configurations
+// and drains do not count around a drill, so the other seeds have none.
+const drillSeeds = 3
+
 // fault is one kind of fault; inject returns once the fault is over.
 type fault struct {
 	name   string
@@ -23,6 +27,10 @@
 // and for the store with its configuration. A fault listed twice is drawn twice as often.
 func (s *soak) injectFaults(ctx context.Context, rng *rand.Rand) error {
 	vms := []fault{{"pause", s.pauseFault}, {"kill", s.killFault}, {"stop", s.stopFault}, {"hup", s.reloadFault}}
+	store := []fault{{"store", s.storeFault}, {"forget", s.compactFault}, {"config", s.configFault}, {"config", s.configFault}}
+	if s.opts.Seed%drillSeeds == 0 {
+		store = []fault{{"drill", s.drillFault}, {"drill", s.drillFault}, {"config", s.configFault}, {"store", s.storeFault}}
+	}
 	actors := [][]fault{
 		vms, vms,
 		{{"mood", s.misbehaveFault}},
@@ -30,7 +38,7 @@
 		{{"link", s.linkFault}, {"reset", s.resetFault}},
 		{{"peers", s.peersFault}},
 		{{"peers", s.peersFault}},
-		{{"store", s.storeFault}, {"forget", s.compactFault}, {"config", s.configFault}, {"config", s.configFault}},
+		store,
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	for _, faults := range actors {
@@ -134,6 +142,8 @@
 const (
 	soakApplyTime  = 3 * time.Second
 	soakReuseDelay = 2 * time.Second
+	// soakHeartbeat is the longest time after which servers write their entries again.
+	soakHeartbeat = 1200 * time.Millisecond
 )
 
 // replaceFault drains a server, removes it, and starts another one at its address.
@@ -143,7 +153,7 @@
 	s.servers[i].publishState("draining")
 	s.evidence.recordDrain(old.ID)
 	time.Sleep(soakApplyTime + randomDuration(rng, 300, 800))
-	s.store.Remove(standin.EntryKey(old.ID))
+	s.servers[i].remove()
 	s.servers[i].startServer(i)
 	return nil
 }
@@ -157,7 +167,7 @@
 	for _, as := range []int{other, i} {
 		old := sv.current.Load()
 		sv.link.setFault(linkFault{Cut: true})
-		s.store.Remove(standin.EntryKey(old.ID))
+		sv.remove()
 		s.evidence.recordDrain(old.ID)
 		time.Sleep(soakReuseDelay)
 		sv.startServer(as)
@@ -193,13 +203,13 @@
 	}
 	f, d := faults[rng.IntN(len(faults))], randomDuration(rng, 150, 1200)
 	one := rng.IntN(len(s.vms))
-	defer s.vms[one].markUnavailable()()
+	defer s.vms[one].markCutOff()()
 	var links []*relay
 	for n, vm := range s.vms {
 		if n == one || rng.IntN(2) == 0 {
 			continue
 		}
-		defer vm.markUnavailable()()
+		defer vm.markCutOff()()
 		links = append(links, s.vms[one].peerLinks[n], vm.peerLinks[one])
 	}
 	for _, l := range links {
@@ -257,15 +267,21 @@
 	return nil
 }
 
-// configFault adds a route, and checks that every VM that was available and could read the
-// store serves it in time.
-func (s *soak) configFault(context.Context, *rand.Rand) error {
+// addRoute publishes a version with one more route and returns the route's path.
+func (s *soak) addRoute() (path string) {
 	s.mu.Lock()
 	s.version++
-	path := "/extra-" + time.Now().Format("150405.000000") + "/"
+	path = "/extra-" + time.Now().Format("150405.000000") + "/"
 	s.extraPaths = append(s.extraPaths, path)
 	s.mu.Unlock()
 	s.publish()
+	return path
+}
+
+// configFault adds a route, and checks that every VM that was available and could read the
+// store serves it in time.
+func (s *soak) configFault(context.Context, *rand.Rand) error {
+	path := s.addRoute()
 	start := time.Now()
 	time.Sleep(soakApplyTime + deadlineSlack)
 	s.mu.Lock()
@@ -283,6 +299,66 @@
 	return nil
 }
 
+// drillFault takes the store away for a moment and brings it back from a copy made some time
+// before. The servers write their entries again, and the operators the configuration; until then
+// no VM may take a version out of force that it had.
+func (s *soak) drillFault(ctx context.Context, rng *rand.Rand) error {
+	backup := s.store.Copy()
+	time.Sleep(randomDuration(rng, 100, 1500))
+	if rng.IntN(2) == 0 {
+		s.addRoute()
+		time.Sleep(soakApplyTime + deadlineSlack)
+	}
+	defer s.recordOutage()()
+	s.store.Intercept(func(w http.ResponseWriter, _ *http.Request) bool {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	})
+	time.Sleep(randomDuration(rng, 50, 800))
+	s.store.Restore(backup)
+	s.store.Intercept(nil)
+	back := time.Now()
+	time.AfterFunc(3*soakHeartbeat, func() {
+		for _, sv := range s.servers {
+			sv.removeEarlier()
+		}
+	})
+	time.Sleep(randomDuration(rng, 500, 1500))
+	s.checkRoutes(ctx, configReverted, back.Add(-2*soakApplyTime))
+	s.addRoute()
+	published := time.Now()
+	time.Sleep(soakApplyTime + deadlineSlack)
+	if !s.otherOutage(back, published.Add(soakApplyTime)) {
+		s.checkRoutes(ctx, configLate, back)
+	}
+	return nil
+}
+
+// otherOutage reports whether another outage than one that began before a overlaps a to b.
+func (s *soak) otherOutage(a, b time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.outages, func(o Span) bool { return o.From.After(a) && o.From.Before(b) })
+}
+
+// checkRoutes checks that each VM that has been available since a time serves all routes.
+func (s *soak) checkRoutes(ctx context.Context, violation string, since time.Time) {
+	s.mu.Lock()
+	paths := slices.Clone(s.extraPaths)
+	s.mu.Unlock()
+	client := &http.Client{Timeout: soakDeadline + replySlack}
+	defer client.CloseIdleConnections()
+	for _, vm := range s.vms {
+		for _, path := range paths {
+			q := soakRequest{id: fmt.Sprintf("drill-%d%s%s", time.Now().UnixNano(), path, vm.name), kind: "extra", vm: vm}
+			s.send(client, &q, path+"x")
+			if q.status == http.StatusNotFound && ctx.Err() == nil && !vm.wasUnavailable(since, q.end) {
+				s.evidence.recordViolation(violation, "%s answers 404 to %s after the store came back from a copy", vm.name, path)
+			}
+		}
+	}
+}
+
 // clearFaults ends the faults of the store, the links and the servers.
 func (s *soak) clearFaults() {
 	s.store.Intercept(nil)
--- a/internal/bench/soak_servers.go
+++ b/internal/bench/soak_servers.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +27,10 @@
 	current atomic.Pointer[standin.Server]
 	fault   atomic.Pointer[serverFault]
 	slots   chan struct{} // holds an element for each running request
+
+	stateMu sync.Mutex // guards the fields below, and that the state is published in order
+	state   string     // published last; empty while no server is there
+	ids     []string   // of all servers that were at the address
 }
 
 // serverFault says how a server misbehaves. The zero value is a healthy server.
@@ -73,14 +79,57 @@
 		},
 	}
 	srv.Intercept(func(w http.ResponseWriter, r *http.Request) bool { return sv.intercept(srv, w, r) })
+	sv.stateMu.Lock()
+	sv.ids = append(sv.ids, id)
 	sv.current.Store(srv)
+	sv.stateMu.Unlock()
 	sv.publishState("ready")
 }
 
 // publishState publishes the current server with a state.
 func (sv *soakServer) publishState(state string) {
+	sv.stateMu.Lock()
+	defer sv.stateMu.Unlock()
+	sv.state = state
+	sv.publishLocked()
+}
+
+func (sv *soakServer) publishLocked() {
 	srv := sv.current.Load()
-	sv.s.store.Put(standin.EntryKey(srv.ID), srv.Entry(sv.address, state))
+	sv.s.store.Put(standin.EntryKey(srv.ID), srv.Entry(sv.address, sv.state))
+}
+
+// remove removes the current server's entry.
+func (sv *soakServer) remove() {
+	sv.stateMu.Lock()
+	defer sv.stateMu.Unlock()
+	sv.state = ""
+	sv.s.store.Remove(standin.EntryKey(sv.current.Load().ID))
+}
+
+// sendHeartbeats writes the current server's entry again at intervals until ctx ends.
+func (sv *soakServer) sendHeartbeats(ctx context.Context, rng *rand.Rand) {
+	interval := soakHeartbeat/2 + time.Duration(rng.Int64N(int64(soakHeartbeat/2)))
+	for ctx.Err() == nil {
+		time.Sleep(interval)
+		sv.stateMu.Lock()
+		if sv.state != "" {
+			sv.publishLocked()
+		}
+		sv.stateMu.Unlock()
+	}
+}
+
+// removeEarlier removes the entries of earlier servers at the address, which a copy of the store
+// may hold: without heartbeats, they lapse.
+func (sv *soakServer) removeEarlier() {
+	sv.stateMu.Lock()
+	defer sv.stateMu.Unlock()
+	for _, id := range sv.ids {
+		if id != sv.current.Load().ID || sv.state == "" {
+			sv.s.store.Remove(standin.EntryKey(id))
+		}
+	}
 }
 
 // ServeHTTP implements http.Handler. It reads the body first, since net/http notices a
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -48,9 +48,9 @@
 	WarmupLeft time.Duration
 	// StartedUnixMs is 0 if the upstream does not publish it.
 	StartedUnixMs int64
-	// Revision is the store's revision at the entry's last change that the mirror stored. A
-	// mirror that already has the entry does not store a heartbeat.
-	Revision int64
+	// Position is the point of the entry's last change that the mirror stored. A mirror that
+	// already has the entry does not store a heartbeat.
+	Position
 }
 
 // Catalog holds the lookup tables of one revision of the configuration and the upstreams.
@@ -159,7 +159,7 @@
 func latestPerAddress(entries []Entry) []Entry {
 	last := make(map[string]Entry, len(entries))
 	for _, e := range entries {
-		if old, ok := last[e.Address]; !ok || e.Revision > old.Revision {
+		if old, ok := last[e.Address]; !ok || old.before(e.Position) {
 			last[e.Address] = e
 		}
 	}
--- a/internal/catalog/mirror.go
+++ b/internal/catalog/mirror.go
@@ -7,16 +7,19 @@
 	"time"
 )
 
-// Item is one item of the store as published. A Removed item is a tombstone without a value.
+// Item is one item of the store as published at a position. A Removed item is a tombstone
+// without a value.
 type Item struct {
-	Key      string
-	Revision int64
-	Value    []byte
-	Removed  bool
+	Position
+	Key     string
+	Value   []byte
+	Removed bool
 }
 
 // Decoder decodes the values of the platform's items.
 type Decoder interface {
+	// IsConfig reports whether the item with a key is the configuration.
+	IsConfig(key string) bool
 	// Config decodes the configuration; false if the item is of another kind.
 	Config(Item) (*Config, bool, error)
 	// Entry decodes an upstream's entry; false if the item is of another kind.
@@ -26,8 +29,12 @@
 	Equivalent(a, b []byte) bool
 }
 
-// Mirror is a local copy of the store's items up to one revision. It is safe for
+// Mirror is a local copy of the store's items up to one position. It is safe for
 // concurrent use.
+//
+// When the store comes back from a copy, the mirror keeps what the copy lacks: the configuration in
+// force until a newer one is published, an upstream's entry for keepTime. An upstream that the
+// mirror knows as draining or gone stays so for doubtTime, unless its entry changes in the new era.
 type Mirror struct {
 	decoder         Decoder
 	now             func() time.Duration
@@ -37,13 +44,19 @@
 	mu     sync.Mutex // guards the fields below
 	items  map[string]storedItem
 	config *Config
-	// revision is the store's revision up to which items include all changes except
-	// heartbeats; confirmedAt is when the store last confirmed that revision as its latest.
-	revision    int64
+	// position is the point up to which items include all changes except heartbeats;
+	// confirmedAt is when the store last confirmed that position as its latest.
+	position    Position
 	confirmedAt time.Duration
-	// compacted is the revision up to which tombstones may be missing. Changes can be
+	// eraSince is when the mirror first got content of the current era, eraStart the store's
+	// revision when a VM first listed it then: later changes are not of the copy.
+	eraSince time.Duration
+	eraStart int64
+	// doubted are the entries of the copy that contradict what the mirror knows.
+	doubted map[string]Item
+	// compacted is the position up to which tombstones may be missing. Changes can be
 	// listed only from there on.
-	compacted int64
+	compacted Position
 	changed   chan struct{} // closed at the next change
 	// compiledAt is when the last catalog was compiled, compiledVersion the version of its
 	// configuration. delayed says that a timer compiles the next one.
@@ -57,6 +70,15 @@
 // hundred upstreams takes a small VM tens of milliseconds.
 const DefaultCompileInterval = 400 * time.Millisecond
 
+const (
+	// keepTime is how long entries that a copy lacks are kept: upstreams that live and reach the
+	// store write theirs again within 2 s, and a reader gets them within minWatchInterval.
+	keepTime = 2500 * time.Millisecond
+	// doubtTime is longer than the store keeps the entry of an upstream that is gone: three
+	// heartbeats after its return.
+	doubtTime = 6 * time.Second
+)
+
 // storedItem is an item with its decoded entry, so that each value is decoded only once.
 type storedItem struct {
 	Item
@@ -71,8 +93,8 @@
 
 // Change summarizes a new catalog for the log.
 type Change struct {
-	Revision int64
-	Version  int
+	Position
+	Version int
 	// Upstreams counts the valid entries of upstreams, Draining those of them that drain.
 	Upstreams, Draining int
 	// Refused maps the key of each item that could not be decoded to the reason.
@@ -85,42 +107,50 @@
 func NewMirror(d Decoder, now func() time.Duration, compileInterval time.Duration, onChange func(*Catalog, Change)) *Mirror {
 	return &Mirror{
 		decoder: d, now: now, compileInterval: compileInterval, onChange: onChange,
-		items: map[string]storedItem{}, changed: make(chan struct{}),
+		items: map[string]storedItem{}, doubted: map[string]Item{}, changed: make(chan struct{}),
 	}
 }
 
 // Update is the full content of the store, or the changes after a revision.
 type Update struct {
-	// After is the revision after which the items changed; 0 for the full content.
+	// Position is the point up to which the update includes all changes.
+	Position
+	// After is the revision, of the same era, after which the items changed; 0 for the full
+	// content.
 	After int64
-	// Revision is the store's revision up to which the update includes all changes.
-	Revision int64
+	// EraStart is the store's revision when it was first listed in the era; 0 if the update is
+	// from the store itself.
+	EraStart int64
 	Items    []Item
-	// Age is how long ago the store confirmed Revision.
+	// Age is how long ago the store confirmed Position.
 	Age time.Duration
 }
 
 // Apply merges an update. It reports false and changes no item in two cases: the update
-// starts after the mirror's revision, so changes in between would be lost, or it is full
-// content older than that revision.
+// starts after the mirror's position, so changes in between would be lost, or it is full
+// content older than that position.
 func (m *Mirror) Apply(u Update) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if u.After > m.revision {
+	if u.After > 0 && (u.Era != m.position.Era || u.After > m.position.Revision) || u.After == 0 && u.before(m.position) {
 		return false
 	}
-	if at := m.now() - u.Age; u.Revision >= m.revision && at > m.confirmedAt {
+	if at := m.now() - u.Age; !u.before(m.position) && at > m.confirmedAt {
 		m.confirmedAt = at
 	}
-	if u.After == 0 && u.Revision < m.revision {
-		return false
+	newEra := u.Era > m.position.Era
+	if newEra {
+		m.eraSince, m.eraStart, m.doubted = m.now(), cmp.Or(u.EraStart, u.Revision), map[string]Item{}
 	}
 	changed := m.merge(u.Items)
 	if u.After == 0 {
 		changed = m.dropUnlisted(u) || changed
-		m.compacted = u.Revision
+		m.compacted = u.Position
 	}
-	m.revision = max(m.revision, u.Revision)
+	if m.position.before(u.Position) {
+		m.position = u.Position
+	}
+	changed = m.endEraChange() || changed
 	if changed {
 		m.pruneTombstones()
 		m.publish()
@@ -129,79 +159,133 @@
 }
 
 // merge stores each item that is newer than the mirror's, unless only a heartbeat changed
-// it. A configuration of an older version never replaces a newer one. The caller holds mu.
+// it. The caller holds mu.
 func (m *Mirror) merge(items []Item) (changed bool) {
 	for _, it := range items {
 		old, ok := m.items[it.Key]
-		if ok && old.Revision >= it.Revision {
+		switch {
+		case m.decoder.IsConfig(it.Key):
+			changed = m.mergeConfig(it) || changed
 			continue
-		}
-		if ok && !old.Removed && !it.Removed && m.decoder.Equivalent(old.Value, it.Value) {
+		case ok && !old.before(it.Position):
+			continue
+		case ok && !old.Removed && !it.Removed && old.Era == it.Era && m.decoder.Equivalent(old.Value, it.Value):
+			continue
+		case ok && m.contradictsCopy(old, it):
+			m.doubted[it.Key] = it
 			continue
 		}
-		stored, config := m.decode(it)
-		m.items[it.Key] = stored
-		if config != nil && (m.config == nil || config.Version > m.config.Version) {
-			m.config = config
-		}
+		delete(m.doubted, it.Key)
+		m.items[it.Key] = m.decodeEntry(it)
 		changed = true
 	}
 	return changed
 }
 
-// decode returns an item with its decoded entry, and the configuration if the item is one.
-// The caller holds mu.
-func (m *Mirror) decode(it Item) (stored storedItem, config *Config) {
-	stored = storedItem{Item: it}
+// mergeConfig stores the configuration if it is newer than the one in force. An item of the
+// same or an older version never replaces that: a store that has come back from a copy may hold
+// one. The caller holds mu.
+func (m *Mirror) mergeConfig(it Item) (changed bool) {
 	if it.Removed {
-		return stored, nil
+		return false
 	}
-	var errConfig, errEntry error
-	if c, ok, err := m.decoder.Config(it); err != nil {
-		errConfig = err
-	} else if ok {
-		config = c
+	old, known := m.items[it.Key]
+	config, _, err := m.decoder.Config(it)
+	switch {
+	case err == nil && (m.config == nil || config.Version > m.config.Version):
+		m.config = config
+		m.items[it.Key] = storedItem{Item: it}
+		return true
+	case err != nil && !known:
+		m.items[it.Key] = storedItem{Item: it, err: err}
+		return true
+	case err != nil && old.err == nil:
+		old.err = err
+		m.items[it.Key] = old
+		return true
 	}
-	stored.entry, stored.isEntry, errEntry = m.decoder.Entry(it)
-	stored.entry.Revision = it.Revision
-	stored.err = cmp.Or(errEntry, errConfig)
-	return stored, config
+	return false
+}
+
+// contradictsCopy reports whether an upstream was draining or gone in an earlier era, and an item
+// that may come from the copy says otherwise. The caller holds mu.
+func (m *Mirror) contradictsCopy(old storedItem, it Item) bool {
+	if old.Era >= it.Era || it.Removed || it.Revision > m.eraStart || m.now()-m.eraSince >= doubtTime {
+		return false
+	}
+	return old.Removed || old.isEntry && old.entry.Draining
+}
+
+// endEraChange drops what the copy of a new era lacks once it would be back, and gives up doubts
+// about what it holds. It relies on content that the store confirmed after that time. It reports
+// whether an item changed. The caller holds mu.
+func (m *Mirror) endEraChange() (changed bool) {
+	since := m.confirmedAt - m.eraSince
+	if since >= keepTime {
+		for key, it := range m.items {
+			if it.Era < m.position.Era && !it.Removed && !m.decoder.IsConfig(key) && m.doubted[key].Key == "" {
+				m.items[key] = storedItem{Item: Item{Position: m.position, Key: key, Removed: true}}
+				changed = true
+			}
+		}
+	}
+	if since >= doubtTime {
+		for key, it := range m.doubted {
+			m.items[key] = m.decodeEntry(it)
+			changed = true
+		}
+		clear(m.doubted)
+	}
+	return changed
+}
+
+// decodeEntry returns an item with its decoded entry.
+func (m *Mirror) decodeEntry(it Item) storedItem {
+	stored := storedItem{Item: it}
+	if !it.Removed {
+		stored.entry, stored.isEntry, stored.err = m.decoder.Entry(it)
+		stored.entry.Position = it.Position
+	}
+	return stored
 }
 
 // pruneTombstones drops the older half of the tombstones once there are more than
 // maxTombstones. The caller holds mu.
 func (m *Mirror) pruneTombstones() {
-	var revisions []int64
+	var removed []Position
 	for _, it := range m.items {
 		if it.Removed {
-			revisions = append(revisions, it.Revision)
+			removed = append(removed, it.Position)
 		}
 	}
-	if len(revisions) <= maxTombstones {
+	if len(removed) <= maxTombstones {
 		return
 	}
-	slices.Sort(revisions)
-	upTo := revisions[len(revisions)/2]
+	slices.SortFunc(removed, Position.Compare)
+	upTo := removed[len(removed)/2]
 	for key, it := range m.items {
-		if it.Removed && it.Revision <= upTo {
+		if it.Removed && it.Compare(upTo) <= 0 {
 			delete(m.items, key)
 		}
 	}
-	m.compacted = max(m.compacted, upTo)
+	if m.compacted.before(upTo) {
+		m.compacted = upTo
+	}
 }
 
 // dropUnlisted replaces each item that the full content does not list with a tombstone,
-// except items newer than that content. The caller holds mu.
+// except the configuration, items newer than that content, and those of an earlier era, which
+// endEraChange drops. The caller holds mu.
 func (m *Mirror) dropUnlisted(u Update) (changed bool) {
 	listed := make(map[string]bool, len(u.Items))
 	for _, it := range u.Items {
 		listed[it.Key] = true
 	}
 	for key, it := range m.items {
-		if listed[key] || it.Removed || it.Revision > u.Revision {
+		if listed[key] || it.Removed || it.Era != u.Era || it.Revision > u.Revision || m.decoder.IsConfig(key) {
 			continue
 		}
-		m.items[key] = storedItem{Item: Item{Key: key, Revision: u.Revision, Removed: true}}
+		m.items[key] = storedItem{Item: Item{Position: u.Position, Key: key, Removed: true}}
 		changed = true
 	}
 	return changed
@@ -231,7 +315,7 @@
 // compile passes a new catalog to onChange. The caller holds mu.
 func (m *Mirror) compile() {
 	m.compiledAt, m.compiledVersion, m.delayed = m.now(), m.config.Version, false
-	change := Change{Revision: m.revision, Refused: map[string]error{}}
+	change := Change{Position: m.position, Refused: map[string]error{}}
 	entries := make([]Entry, 0, len(m.items))
 	for key, it := range m.items {
 		if it.err != nil {
@@ -250,34 +334,29 @@
 	m.onChange(compile(m.config, entries), change)
 }
 
-// Cursor is the position after an item in the order of revision and key. The zero value is
-// the position before all items.
-type Cursor struct {
-	Revision int64
-	Key      string
-}
-
-// cursorAfter returns the position after an item.
-func cursorAfter(it Item) Cursor { return Cursor{Revision: it.Revision, Key: it.Key} }
-
-func (c Cursor) compare(d Cursor) int {
-	return cmp.Or(cmp.Compare(c.Revision, d.Revision), cmp.Compare(c.Key, d.Key))
-}
-
-// Since returns the changes after a revision that come after from in the order of revision
+// Since returns the changes after a position that come after from in the order of position
 // and key, and a channel that is closed at the next change. If tombstones after that
-// revision may be missing, it returns the full content. Of the full content, items removed
-// while it is read page by page are listed as tombstones on the later pages.
-func (m *Mirror) Since(after int64, from Cursor) (Update, <-chan struct{}) {
+// position may be missing, it returns the full content. Of the full content, items removed
+// while it is read page by page are listed as tombstones on the later pages. The configuration is
+// listed as well if its version is newer than version. To a VM that knows a later era, it
+// returns nothing.
+func (m *Mirror) Since(after Position, version int, from Cursor) (Update, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if after < m.compacted {
-		after = 0
+	u := Update{Position: m.position, EraStart: m.eraStart, Age: m.now() - m.confirmedAt}
+	if after.Era > m.position.Era {
+		u.After = after.Revision
+		return u, m.changed
 	}
-	u := Update{After: after, Revision: m.revision, Age: m.now() - m.confirmedAt}
-	for _, it := range m.items {
-		listed := after > 0 || !it.Removed || from != Cursor{}
-		if it.Revision > after && listed && cursorAfter(it.Item).compare(from) > 0 {
+	if !after.before(m.compacted) {
+		u.After = after.Revision
+	} else {
+		after = Position{}
+	}
+	for key, it := range m.items {
+		changed := u.After == 0 && (!it.Removed || from != Cursor{}) || u.After > 0 && after.before(it.Position)
+		newer := m.config != nil && m.config.Version > version && m.decoder.IsConfig(key)
+		if (changed || newer) && cursorAfter(it.Item).compare(from) > 0 {
 			u.Items = append(u.Items, it.Item)
 		}
 	}
@@ -295,9 +374,9 @@
 	return m.config.Version
 }
 
-// State returns the mirror's revision and how long ago the store confirmed it.
-func (m *Mirror) State() (revision int64, age time.Duration) {
+// State returns the mirror's position and how long ago the store confirmed it.
+func (m *Mirror) State() (at Position, age time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.revision, m.now() - m.confirmedAt
+	return m.position, m.now() - m.confirmedAt
 }
--- a/internal/catalog/pack.go
+++ b/internal/catalog/pack.go
@@ -88,7 +88,7 @@
 func (p *packer) compress(items []Item) (string, error) {
 	published := make([]peer.Published, len(items))
 	for i, it := range items {
-		published[i] = peer.Published{Key: it.Key, Revision: int(it.Revision), Value: string(it.Value), Removed: it.Removed}
+		published[i] = peer.Published{Key: it.Key, Era: int(it.Era), Revision: int(it.Revision), Value: string(it.Value), Removed: it.Removed}
 	}
 	encoded, err := cbor.Marshal(published)
 	if err != nil {
@@ -143,7 +143,7 @@
 	}
 	items := make([]Item, len(published))
 	for i, it := range published {
-		items[i] = Item{Key: it.Key, Revision: int64(it.Revision), Value: []byte(it.Value), Removed: it.Removed}
+		items[i] = Item{Key: it.Key, Position: Position{Era: int64(it.Era), Revision: int64(it.Revision)}, Value: []byte(it.Value), Removed: it.Removed}
 	}
 	return items, nil
 }
--- a/internal/catalog/pack_test.go
+++ b/internal/catalog/pack_test.go
@@ -13,7 +13,7 @@
 func entries(n int) []Item {
 	out := make([]Item, n)
 	for i := range out {
-		out[i] = Item{Key: fmt.Sprintf("servers/i-%08x", i*2654435761), Revision: int64(i + 1), Value: fmt.Appendf(nil,
+		out[i] = Item{Key: fmt.Sprintf("servers/i-%08x", i*2654435761), Position: Position{Revision: int64(i + 1)}, Value: fmt.Appendf(nil,
 			`{"service":"part%d","address":"10.%d.%d.%d:8780","zone":"brno-a","version":"v1","slots":3,"state":"ready","warmupLeftMs":0,"sequence":%d,"born":1790000%06d}`,
 			i/3, i%5, i%200, i%250, i%17, i)}
 	}
--- a/internal/catalog/pull.go
+++ b/internal/catalog/pull.go
@@ -21,8 +21,8 @@
 // content, once all pages of it are there. The other VM may hold the pull for up to wait,
 // while its content is younger than maxAge.
 func (s *Sync) pull(ctx context.Context, vm string, wait, maxAge time.Duration) (Update, error) {
-	revision, _ := s.o.Mirror.State()
-	request := peer.Pull{After: int(revision), WaitMs: int(wait.Milliseconds()), MaxAgeMs: int(maxAge.Milliseconds())}
+	at, _ := s.o.Mirror.State()
+	request := peer.Pull{Era: int(at.Era), After: int(at.Revision), Version: s.o.Mirror.Version(), WaitMs: int(wait.Milliseconds()), MaxAgeMs: int(maxAge.Milliseconds())}
 	var u Update
 	for page := range maxPullPages {
 		p, err := s.pullPage(ctx, vm, request)
@@ -33,10 +33,11 @@
 		if err != nil {
 			return Update{}, fmt.Errorf("pull from %s: %w", vm, err)
 		}
-		if page > 0 && int64(p.After) != u.After {
+		if page > 0 && (int64(p.After) != u.After || int64(p.Era) != u.Era) {
 			break
 		}
-		u.After, u.Revision, u.Age = int64(p.After), int64(p.Revision), time.Duration(p.AgeMs)*time.Millisecond
+		u.After, u.Position, u.EraStart = int64(p.After), Position{Era: int64(p.Era), Revision: int64(p.Revision)}, int64(p.EraStart)
+		u.Age = time.Duration(p.AgeMs) * time.Millisecond
 		u.Items = append(u.Items, items...)
 		if !p.More {
 			return u, nil
@@ -45,7 +46,7 @@
 			break
 		}
 		last := items[len(items)-1]
-		request.FromRevision, request.FromKey, request.WaitMs = int(last.Revision), last.Key, 0
+		request.FromEra, request.FromRevision, request.FromKey, request.WaitMs = int(last.Era), int(last.Revision), last.Key, 0
 	}
 	return Update{}, fmt.Errorf("pull from %s: %w", vm, errPages)
 }
@@ -70,8 +71,9 @@
 	if m.Pull == nil {
 		return nil
 	}
-	from := Cursor{Revision: int64(m.Pull.FromRevision), Key: m.Pull.FromKey}
-	u, changed := s.o.Mirror.Since(int64(m.Pull.After), from)
+	from := Cursor{Position{int64(m.Pull.FromEra), int64(m.Pull.FromRevision)}, m.Pull.FromKey}
+	after := Position{Era: int64(m.Pull.Era), Revision: int64(m.Pull.After)}
+	u, changed := s.o.Mirror.Since(after, m.Pull.Version, from)
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	wait := min(ms(m.Pull.WaitMs), pullWait, ms(m.Pull.MaxAgeMs)-u.Age)
 	if len(u.Items) == 0 && wait > 0 {
@@ -83,7 +85,7 @@
 		case <-ctx.Done():
 			return nil
 		}
-		u, _ = s.o.Mirror.Since(int64(m.Pull.After), from)
+		u, _ = s.o.Mirror.Since(after, m.Pull.Version, from)
 	}
 	items, more := firstPage(u.Items)
 	packed, err := s.packer.pack(items)
@@ -92,6 +94,6 @@
 		return nil
 	}
 	return &peer.Message{Pulled: &peer.Pulled{
-		After: int(u.After), Revision: int(u.Revision), AgeMs: int(u.Age.Milliseconds()), Packed: packed, More: more,
+		Era: int(u.Era), EraStart: int(u.EraStart), After: int(u.After), Revision: int(u.Revision), AgeMs: int(u.Age.Milliseconds()), Packed: packed, More: more,
 	}}
 }
--- a/internal/catalog/sync.go
+++ b/internal/catalog/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -17,11 +18,14 @@
 // full content must be read.
 var ErrHistoryGone = errors.New("the store's history does not reach back to the revision")
 
+var errEarlierEra = errors.New("the store replies from an earlier era")
+
 // Source is the platform's store.
 type Source interface {
 	// Read returns the full content.
 	Read(ctx context.Context) (Update, error)
-	// Watch returns the changes after a revision. It waits up to wait for the first one.
+	// Watch returns the changes after a revision. It waits up to wait for the first one. If the
+	// store is in another era now, they are changes of that one.
 	Watch(ctx context.Context, after int64, wait time.Duration) (Update, error)
 }
 
@@ -61,6 +65,10 @@
 	// A VM that knows no other VM calls the store again only aloneWait after its first read: VMs
 	// that start together learn of each other sooner, and each call of the store is billed.
 	aloneWait = 500 * time.Millisecond
+	// For announceAfterCopy after the store came back from a copy, its reader announces the version
+	// in force each announceInterval: the operators may take that long to publish it again.
+	announceAfterCopy = 30 * time.Second
+	announceInterval  = 4 * time.Second
 	// directReadInterval is the least time between two reads or watches of the store by a
 	// VM that has readers to pull from.
 	directReadInterval = 1200 * time.Millisecond
@@ -92,6 +100,8 @@
 	announced    announcements
 	firstReadAt  time.Duration // when the store first replied; 0 if it has not
 	directReadAt time.Duration // when readDirectly last accessed the store
+	eraAt        time.Duration // when this VM saw that the store came back from a copy; 0 for never
+	announcedAt  time.Duration // when this VM last announced a version
 	lastSource   string        // for the log
 	lastFailed   string        // for the log; empty once that source works again
 	packer       packer
@@ -158,13 +168,9 @@
 // syncWithStore applies one read or watch of the store, then pauses if it failed or
 // brought changes.
 func (s *Sync) syncWithStore(ctx context.Context) {
-	revision, _ := s.o.Mirror.State()
+	at, _ := s.o.Mirror.State()
 	start := s.o.Now()
-	u, err := s.fetch(ctx, revision)
-	if errors.Is(err, ErrHistoryGone) {
-		s.o.Log.Info("history gone, reading anew", "revision", revision)
-		u, err = s.read(ctx)
-	}
+	u, err := s.fetch(ctx, at)
 	if ctx.Err() != nil {
 		return
 	}
@@ -180,22 +186,49 @@
 	}
 	before := s.o.Mirror.Version()
 	s.applyFrom("store", u)
-	// A first read is not announced: when a whole fleet starts, every VM reads the store.
-	if version := s.o.Mirror.Version(); before > 0 && version > before {
-		s.o.AnnounceVersion(version)
+	if at.Era > 0 && u.Era > at.Era {
+		s.eraAt, s.announcedAt = s.o.Now(), 0
+		s.o.Log.Warn("the store came back from a copy", "era", u.Era, "revision", u.Revision,
+			"era_before", at.Era, "revision_before", at.Revision, "version", before)
 	}
+	s.announceVersion(before)
 	if len(u.Items) > 0 {
 		pause.Sleep(ctx, max(minWatchInterval-(s.o.Now()-start), retryPause))
 	}
 }
 
-func (s *Sync) fetch(ctx context.Context, revision int64) (Update, error) {
-	if revision == 0 {
+// announceVersion announces the version in force if it is newer than before, and at intervals for
+// a while after the store came back from a copy, which may hold an older one. A first read
+// is not announced: when a whole fleet starts, every VM reads the store.
+func (s *Sync) announceVersion(before int) {
+	now, version := s.o.Now(), s.o.Mirror.Version()
+	again := s.eraAt > 0 && now-s.eraAt < announceAfterCopy && (s.announcedAt == 0 || now-s.announcedAt >= announceInterval)
+	if before > 0 && (version > before || again) {
+		s.announcedAt = now
+		s.o.AnnounceVersion(version)
+	}
+}
+
+// fetch reads or watches the store, for a VM that knows it up to a position.
+func (s *Sync) fetch(ctx context.Context, at Position) (u Update, err error) {
+	if at.Revision == 0 {
 		return s.read(ctx)
 	}
+	u, err = s.watch(ctx, at.Revision)
+	if errors.Is(err, ErrHistoryGone) || err == nil && u.Era != at.Era {
+		s.o.Log.Info("history gone, reading anew", "era", at.Era, "revision", at.Revision, "watch", err)
+		u, err = s.read(ctx)
+	}
+	if err == nil && u.Era < at.Era {
+		return Update{}, fmt.Errorf("%w: %d, known %d", errEarlierEra, u.Era, at.Era)
+	}
+	return u, err
+}
+
+func (s *Sync) watch(ctx context.Context, after int64) (Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+callSlack)
 	defer cancel()
-	return s.o.Source.Watch(ctx, revision, watchWait)
+	return s.o.Source.Watch(ctx, after, watchWait)
 }
 
 func (s *Sync) read(ctx context.Context) (Update, error) {
@@ -237,10 +270,11 @@
 			s.failedAt[vm] = s.o.Now()
 			continue
 		}
-		if u.Revision > 0 {
-			s.applyFrom(vm, u)
+		if at, _ := s.o.Mirror.State(); u.Revision == 0 || u.Era < at.Era {
+			continue
 		}
-		if u.Revision > 0 && u.Age < maxAge {
+		s.applyFrom(vm, u)
+		if u.Age < maxAge {
 			return true
 		}
 	}
@@ -250,11 +284,11 @@
 // applyFrom applies an update and logs a change of source.
 func (s *Sync) applyFrom(source string, u Update) {
 	if s.lastSource != source || s.lastFailed == source {
-		s.o.Log.Info("following", "source", source, "revision", u.Revision, "age_ms", u.Age.Milliseconds())
+		s.o.Log.Info("following", "source", source, "era", u.Era, "revision", u.Revision, "age_ms", u.Age.Milliseconds())
 		s.lastSource, s.lastFailed = source, ""
 	}
 	if !s.o.Mirror.Apply(u) {
-		s.o.Log.Debug("update not applied", "source", source, "after", u.After, "revision", u.Revision)
+		s.o.Log.Debug("update not applied", "source", source, "era", u.Era, "after", u.After, "revision", u.Revision)
 	}
 }
 
--- a/internal/catalog/sync_test.go
+++ b/internal/catalog/sync_test.go
@@ -45,12 +45,14 @@
 // item's revision, and any other item as an upstream's entry.
 type plainDecoder struct{}
 
+func (plainDecoder) IsConfig(key string) bool { return key == "config" }
+
 func (plainDecoder) Config(it Item) (*Config, bool, error) {
 	return &Config{Version: int(it.Revision)}, it.Key == "config", nil
 }
 
 func (plainDecoder) Entry(it Item) (Entry, bool, error) {
-	return Entry{Identity: it.Key, Address: it.Key, Revision: it.Revision}, it.Key != "config", nil
+	return Entry{Identity: it.Key, Address: it.Key, Position: Position{Revision: it.Revision}}, it.Key != "config", nil
 }
 
 func (plainDecoder) Equivalent(_, _ []byte) bool { return false }
@@ -88,15 +90,15 @@
 		peers := &fakePeers{}
 		source, puller := newTestSync(peers, clock), newTestSync(peers, clock)
 		peers.syncs = map[string]*Sync{"source": source}
-		full := Update{Revision: items + 1, Items: []Item{{Key: "config", Revision: items + 1}}}
+		full := Update{Position: Position{Revision: items + 1}, Items: []Item{{Key: "config", Position: Position{Revision: items + 1}}}}
 		for i := range items {
-			full.Items = append(full.Items, Item{Key: fmt.Sprintf("i-%04d", i), Revision: int64(i/2 + 1)})
+			full.Items = append(full.Items, Item{Key: fmt.Sprintf("i-%04d", i), Position: Position{Revision: int64(i/2 + 1)}})
 		}
 		Expect(source.o.Mirror.Apply(full)).To(BeTrue())
 		Expect(puller.pullAny(context.Background(), []string{"source"}, staleAfter)).To(BeTrue())
 		Expect(puller.o.Mirror.items).To(HaveLen(items + 1))
-		revision, _ := puller.o.Mirror.State()
-		Expect(revision).To(BeEquivalentTo(items + 1))
+		at, _ := puller.o.Mirror.State()
+		Expect(at.Revision).To(BeEquivalentTo(items + 1))
 	})
 
 	ginkgo.It("keeps its revision if the pages of an update do not belong together", func() {
@@ -104,8 +106,8 @@
 		peers := &cutPeers{}
 		puller := newTestSync(peers, clock)
 		Expect(puller.pullAny(context.Background(), []string{"source"}, staleAfter)).To(BeFalse())
-		revision, _ := puller.o.Mirror.State()
-		Expect(revision).To(BeZero())
+		at, _ := puller.o.Mirror.State()
+		Expect(at).To(BeZero())
 		Expect(peers.calls).To(Equal(2))
 	})
 })
@@ -115,7 +117,7 @@
 
 func (o *cutPeers) Call(_ context.Context, _ string, _ *peer.Message) (*peer.Message, error) {
 	o.calls++
-	packed, err := (&packer{}).pack([]Item{{Key: "i", Revision: int64(o.calls)}})
+	packed, err := (&packer{}).pack([]Item{{Key: "i", Position: Position{Revision: int64(o.calls)}}})
 	return &peer.Message{Pulled: &peer.Pulled{After: o.calls - 1, Revision: 9, More: true, Packed: packed}}, err
 }
 
@@ -126,10 +128,10 @@
 	ginkgo.It("ends a held pull as soon as the content of the source becomes stale", func() {
 		var now time.Duration
 		s := newTestSync(nil, func() time.Duration { return now })
-		Expect(s.o.Mirror.Apply(Update{Revision: 5, Items: []Item{{Key: "config", Revision: 5}}})).To(BeTrue())
+		Expect(s.o.Mirror.Apply(Update{Position: Position{Revision: 5}, Items: []Item{{Key: "config", Position: Position{Revision: 5}}}})).To(BeTrue())
 		now += staleAfter - 50*time.Millisecond
 		start := time.Now()
-		reply := s.Handle(context.Background(), "puller", &peer.Message{Pull: &peer.Pull{After: 5, WaitMs: 1000, MaxAgeMs: int(staleAfter.Milliseconds())}})
+		reply := s.Handle(context.Background(), "puller", &peer.Message{Pull: &peer.Pull{After: 5, Version: 5, WaitMs: 1000, MaxAgeMs: int(staleAfter.Milliseconds())}})
 		Expect(time.Since(start)).To(BeNumerically("<", 500*time.Millisecond))
 		Expect(reply.Pulled.Packed).To(BeEmpty())
 	})
@@ -139,7 +141,7 @@
 		peers := &fakePeers{hanging: "reader"}
 		source, puller := newTestSync(peers, clock), newTestSync(peers, clock)
 		peers.syncs = map[string]*Sync{"other": source}
-		Expect(source.o.Mirror.Apply(Update{Revision: 8, Items: []Item{{Key: "config", Revision: 8}}})).To(BeTrue())
+		Expect(source.o.Mirror.Apply(Update{Position: Position{Revision: 8}, Items: []Item{{Key: "config", Position: Position{Revision: 8}}}})).To(BeTrue())
 		puller.o.Sources = func() delegate.Sources { return delegate.Sources{VMs: []string{"reader"}} }
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
@@ -160,7 +162,7 @@
 		peers := &fakePeers{}
 		source, puller := newTestSync(peers, clock), newTestSync(peers, clock)
 		peers.syncs = map[string]*Sync{"other": source}
-		Expect(source.o.Mirror.Apply(Update{Revision: 8, Items: []Item{{Key: "config", Revision: 8}}})).To(BeTrue())
+		Expect(source.o.Mirror.Apply(Update{Position: Position{Revision: 8}, Items: []Item{{Key: "config", Position: Position{Revision: 8}}}})).To(BeTrue())
 		puller.Announced("other", 30)
 		vm, version := puller.announced.newest(0, func() {})
 		Expect(vm).To(Equal("other"))
@@ -174,11 +176,11 @@
 		var announced []int
 		s := newTestSync(nil, func() time.Duration { return time.Second })
 		s.o.AnnounceVersion = func(version int) { announced = append(announced, version) }
-		source := &fixedSource{Revision: 4, Items: []Item{{Key: "config", Revision: 4}}}
+		source := &fixedSource{Position: Position{Revision: 4}, Items: []Item{{Key: "config", Position: Position{Revision: 4}}}}
 		s.o.Source = source
 		s.syncWithStore(context.Background())
 		Expect(announced).To(BeEmpty())
-		*source = fixedSource{After: 4, Revision: 6, Items: []Item{{Key: "config", Revision: 6}}}
+		*source = fixedSource{After: 4, Position: Position{Revision: 6}, Items: []Item{{Key: "config", Position: Position{Revision: 6}}}}
 		s.syncWithStore(context.Background())
 		source.Items = nil
 		s.syncWithStore(context.Background())
@@ -210,12 +212,12 @@
 
 func (c *countingSource) Read(context.Context) (Update, error) {
 	c.calls++
-	return Update{Revision: 1}, nil
+	return Update{Position: Position{Revision: 1}}, nil
 }
 
 func (c *countingSource) Watch(context.Context, int64, time.Duration) (Update, error) {
 	c.calls++
-	return Update{After: 1, Revision: 1}, nil
+	return Update{After: 1, Position: Position{Revision: 1}}, nil
 }
 
 // fixedSource is a store that replies to each read and watch with the same update.
@@ -226,3 +228,67 @@
 func (f *fixedSource) Watch(context.Context, int64, time.Duration) (Update, error) {
 	return Update(*f), nil
 }
+
+// Some VMs see the store in a new era, others still know the one before.
+var _ = ginkgo.Describe("Sync of a store that came back from a copy", func() {
+	at := func(era, revision int64) Position { return Position{Era: era, Revision: revision} }
+	full := func(p Position, version int64) Update {
+		return Update{Position: p, Items: []Item{{Position: Position{Era: p.Era, Revision: version}, Key: "config"}}}
+	}
+
+	ginkgo.It("passes over a source that still knows an earlier era, however fresh it is", func() {
+		clock := func() time.Duration { return time.Second }
+		peers := &fakePeers{}
+		behind, ahead, puller := newTestSync(peers, clock), newTestSync(peers, clock), newTestSync(peers, clock)
+		peers.syncs = map[string]*Sync{"behind": behind, "ahead": ahead}
+		Expect(behind.o.Mirror.Apply(full(at(1, 90), 5))).To(BeTrue())
+		Expect(ahead.o.Mirror.Apply(full(at(2, 40), 5))).To(BeTrue())
+		Expect(puller.o.Mirror.Apply(full(at(2, 30), 5))).To(BeTrue())
+		Expect(puller.pullAny(context.Background(), []string{"behind", "ahead"}, staleAfter)).To(BeTrue())
+		Expect(peers.called).To(Equal([]string{"behind", "ahead"}))
+		known, _ := puller.o.Mirror.State()
+		Expect(known).To(Equal(at(2, 40)))
+	})
+
+	ginkgo.It("lists the store anew if a watch shows another era, and announces the version in force for a while", func() {
+		now := time.Second
+		var announced []int
+		s := newTestSync(nil, func() time.Duration { return now })
+		s.o.AnnounceVersion = func(version int) { announced = append(announced, version) }
+		source := &eraSource{content: full(at(1, 90), 5)}
+		s.o.Source = source
+		s.syncWithStore(context.Background())
+		source.content = full(at(2, 95), 3)
+		s.syncWithStore(context.Background())
+		known, _ := s.o.Mirror.State()
+		Expect(known).To(Equal(at(2, 95)))
+		Expect(s.o.Mirror.Version()).To(Equal(5))
+		Expect(announced).To(Equal([]int{5}))
+		now += announceInterval
+		s.syncWithStore(context.Background())
+		Expect(announced).To(Equal([]int{5, 5}))
+		now += announceAfterCopy
+		s.syncWithStore(context.Background())
+		Expect(announced).To(HaveLen(2))
+	})
+
+	ginkgo.It("takes nothing from a store that replies from an earlier era", func() {
+		s := newTestSync(nil, func() time.Duration { return time.Second })
+		var unreachable []bool
+		s.o.SetStoreUnreachable = func(u bool) { unreachable = append(unreachable, u) }
+		Expect(s.o.Mirror.Apply(full(at(2, 40), 5))).To(BeTrue())
+		s.o.Source = &eraSource{content: full(at(1, 90), 9)}
+		s.syncWithStore(context.Background())
+		Expect(s.o.Mirror.Version()).To(Equal(5))
+		Expect(unreachable).To(Equal([]bool{true}))
+	})
+})
+
+// eraSource is a store whose watches return no changes.
+type eraSource struct{ content Update }
+
+func (e *eraSource) Read(context.Context) (Update, error) { return e.content, nil }
+
+func (e *eraSource) Watch(_ context.Context, after int64, _ time.Duration) (Update, error) {
+	return Update{Position: e.content.Position, After: after}, nil
+}
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -202,7 +202,7 @@
 	f.fleet.setShardLimits(c.ShardLimits)
 	f.upstreams.Apply(c.Manifest)
 	f.served.Store(c)
-	f.log.Info("catalog in force", "revision", change.Revision, "version", change.Version,
+	f.log.Info("catalog in force", "era", change.Era, "revision", change.Revision, "version", change.Version,
 		"upstreams", change.Upstreams, "draining", change.Draining)
 	for key, err := range change.Refused {
 		f.log.Warn("item refused", "key", key, "err", err)
--- a/schema/gen/peer/peer.go
+++ b/schema/gen/peer/peer.go
@@ -388,6 +388,9 @@
 
 // One item as the platform published it.
 type Published struct {
+	// Era of the platform's store in which the item last changed.
+	Era int `json:"era" toml:"era" cbor:"era"`
+
 	// Key of the item.
 	Key string `json:"key" toml:"key" cbor:"key"`
 
@@ -403,9 +406,16 @@
 
 // Asks a peer for the items that the platform has published since a revision.
 type Pull struct {
-	// Revision up to which the sender has all items; 0 for none.
+	// Revision of that era up to which the sender has all items; 0 for none.
 	After int `json:"after" toml:"after" cbor:"after"`
 
+	// Era of the platform's store that the sender knows; it rises when the store
+	// comes back from a copy.
+	Era int `json:"era" toml:"era" cbor:"era"`
+
+	// Era of the last item of the page before; 0 for the first page.
+	FromEra int `json:"from_era" toml:"from_era" cbor:"from_era"`
+
 	// Key of the last item of the page before; empty for the first page.
 	FromKey string `json:"from_key" toml:"from_key" cbor:"from_key"`
 
@@ -416,19 +426,31 @@
 	// sender then asks another VM.
 	MaxAgeMs int `json:"max_age_ms" toml:"max_age_ms" cbor:"max_age_ms"`
 
+	// Version of the configuration in force at the sender; a peer with a newer one
+	// includes it.
+	Version int `json:"version" toml:"version" cbor:"version"`
+
 	// How long the peer may wait for a change, in milliseconds.
 	WaitMs int `json:"wait_ms" toml:"wait_ms" cbor:"wait_ms"`
 }
 
 // Reply to a pull.
 type Pulled struct {
-	// Revision since which the items changed; 0 if they are the full content.
+	// Revision of that era since which the items changed; 0 if they are the full
+	// content.
 	After int `json:"after" toml:"after" cbor:"after"`
 
 	// How long ago the platform confirmed the revision as its latest, in
 	// milliseconds.
 	AgeMs int `json:"age_ms" toml:"age_ms" cbor:"age_ms"`
 
+	// Era of the platform's store in which the items are current.
+	Era int `json:"era" toml:"era" cbor:"era"`
+
+	// Revision at which a VM first listed the store in that era; later changes are
+	// not of the copy that the store came back from.
+	EraStart int `json:"era_start" toml:"era_start" cbor:"era_start"`
+
 	// Whether further pages follow. The revision covers all pages.
 	More bool `json:"more" toml:"more" cbor:"more"`
 
