--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -96,7 +96,7 @@
 		}
 		u := &gen.Upstream{
 			Address: e.Address, Identity: e.Identity, Zone: gen.Name(e.Zone),
-			Workload: gen.Name(e.Service), Slots: max(e.Slots, 1), ConnectionLimit: limits[e.Service],
+			Workload: gen.Name(e.Service), Slots: max(e.Slots, 1), ConnectionLimit: limits[e.Service], StartedMs: int(e.StartedUnixMs),
 		}
 		m.Upstreams[e.Address] = u
 		w.Upstreams = append(w.Upstreams, u)
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -20,6 +20,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
 	"github.com/sardinespindle/sardinespindle/internal/policy/liveness"
 	"github.com/sardinespindle/sardinespindle/internal/policy/roster"
+	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
 )
 
@@ -54,6 +55,11 @@
 	unreachablePrefix = "blind/"
 	unreachableTTL    = 4 * time.Second
 	unreachableValue  = "yes"
+	// leavingPrefix starts the key of the fact by which a VM states that an upstream, whose address
+	// follows, said in a reply that it leaves. The value is its incarnation. leavingUpstreamTTL is
+	// how long it may serve after that; what is published then lacks it.
+	leavingPrefix      = "leaving/"
+	leavingUpstreamTTL = 30 * time.Second
 	// versionPrefix starts the key of the fact by which a VM announces the newest version of
 	// the configuration that it has read from the store. versionTTL allows for a VM that
 	// learns of the fact by a digest only.
@@ -305,6 +311,40 @@
 	})
 }
 
+// tellLeaving states to the fleet that an upstream leaves, unless another VM has.
+func (f *fleet) tellLeaving(i upstream.Incarnation) {
+	value := leavingValue(i)
+	for _, fact := range f.node.Facts().List(leavingPrefix + i.Address) {
+		if fact.Key == leavingPrefix+i.Address && fact.Value == value {
+			return
+		}
+	}
+	f.node.Facts().Put(leavingPrefix+i.Address, value, leavingUpstreamTTL)
+}
+
+// leavingValue returns the value of the fact about an upstream that leaves.
+func leavingValue(i upstream.Incarnation) string { return strconv.Itoa(i.StartedMs) + " " + i.Identity }
+
+// watchLeaving calls fn with each upstream that another VM found leaving.
+func (f *fleet) watchLeaving(fn func(upstream.Incarnation)) {
+	f.node.Facts().Watch(leavingPrefix, func(fact facts.Fact) { f.readLeaving(fact, fn) })
+}
+
+// eachLeaving calls fn with each upstream that other VMs are known to have found leaving.
+func (f *fleet) eachLeaving(fn func(upstream.Incarnation)) {
+	for _, fact := range f.node.Facts().List(leavingPrefix) {
+		f.readLeaving(fact, fn)
+	}
+}
+
+func (f *fleet) readLeaving(fact facts.Fact, fn func(upstream.Incarnation)) {
+	started, identity, ok := strings.Cut(fact.Value, " ")
+	ms, err := strconv.Atoi(started)
+	if ok && err == nil && fact.VM() != f.self.Name {
+		fn(upstream.Incarnation{Address: strings.TrimPrefix(fact.Key, leavingPrefix), Identity: identity, StartedMs: ms})
+	}
+}
+
 // setStoreUnreachable announces that the store does not reply to this VM, or withdraws the
 // announcement. An announcement is repeated only when less than half of its TTL is left, not
 // at each failure.
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -101,6 +102,19 @@
 	return nil
 }
 
+// maxTellDelay spreads the facts about an upstream that several VMs find leaving at about the same
+// time: all but the first then know that the fleet is told.
+const maxTellDelay = 300 * time.Millisecond
+
+// tellLeaving tells the fleet that an upstream leaves, unless that is published or told by then.
+func (f *Forwarder) tellLeaving(i upstream.Incarnation) {
+	time.AfterFunc(rand.N(maxTellDelay), func() {
+		if c := f.catalog.Load(); c != nil && c.Manifest.Upstreams[i.Address] != nil {
+			f.fleet.tellLeaving(i)
+		}
+	})
+}
+
 // peerPort returns the port at which this VM reaches the others; own is the one it listens on.
 func peerPort(s *settings.Settings, own uint16) uint16 {
 	if s.Experiment != nil && s.Experiment.PeerPort != 0 {
@@ -134,11 +148,12 @@
 	var err error
 	f.upstreams, err = upstream.New(upstream.Options{
 		VM: f.node.Name(), Zone: f.s.Zone, Mechanisms: mechanism.New(f.s.Experiment), VMs: f.fleet.size, Members: f.fleet.names,
-		Share: f.connectionShare, MayPreconnect: f.fleet.converged, ManifestOnly: true, Headers: platform.UpstreamHeaders, Log: f.log, Registerer: f.registry,
+		Share: f.connectionShare, MayPreconnect: f.fleet.converged, ManifestOnly: true, Headers: platform.UpstreamHeaders, OnLeaving: f.tellLeaving, Log: f.log, Registerer: f.registry,
 	})
 	if err != nil {
 		return err
 	}
+	f.fleet.watchLeaving(f.upstreams.RecordPeerLeaving)
 	engine := gather.New(gather.Options{
 		Upstream: gather.Adapt(f.upstreams), Log: f.log, Registerer: f.registry,
 	})
@@ -201,6 +216,7 @@
 	f.catalog.Store(c)
 	f.fleet.setShardLimits(c.ShardLimits)
 	f.upstreams.Apply(c.Manifest)
+	f.fleet.eachLeaving(f.upstreams.RecordPeerLeaving) // facts may be older than the upstreams
 	f.served.Store(c)
 	f.log.Info("catalog in force", "era", change.Era, "revision", change.Revision, "version", change.Version,
 		"upstreams", change.Upstreams, "draining", change.Draining)
--- a/internal/gather/handle.go
+++ b/internal/gather/handle.go
@@ -41,7 +41,11 @@
 // account adds an attempt's result to cost, mayHaveRun and maxRetryAfter.
 func (q *query) account(r *upstream.Result) {
 	q.mayHaveRun = q.mayHaveRun || r.Class.MayHaveRun()
-	q.maxRetryAfter = max(q.maxRetryAfter, r.RetryAfter)
+	if q.s.PassThrough == nil {
+		q.maxRetryAfter = max(q.maxRetryAfter, r.RetryAfter)
+	} else if r.RetryAfter > 0 {
+		q.restSeen = true // untilEnough asks how long the pauses still last
+	}
 	if r.Class != upstream.NotSent {
 		q.cost.Sent++
 	}
--- a/internal/gather/pass.go
+++ b/internal/gather/pass.go
@@ -12,6 +12,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
 	"github.com/sardinespindle/sardinespindle/internal/policy/answer"
+	"github.com/sardinespindle/sardinespindle/internal/policy/backoff"
 	"github.com/sardinespindle/sardinespindle/internal/policy/coverage"
 	"github.com/sardinespindle/sardinespindle/internal/policy/plan"
 	"github.com/sardinespindle/sardinespindle/internal/policy/takeover"
@@ -99,6 +100,9 @@
 		if errors.Is(err, errNoBudget) {
 			sh.missingCause = "no_budget"
 		}
+		if upstream.RestLeft(err) > 0 {
+			sh.missingCause, q.restSeen = "resting", true
+		}
 	}
 	v := plan.Decide(s)
 	q.maxRetryAfter = max(q.maxRetryAfter, v.TimeToMinShare)
@@ -115,6 +119,29 @@
 	}
 }
 
+// untilEnough returns how long it takes until enough replicas end their pauses for the minimum
+// share; 0 if it does not depend on them.
+func (q *query) untilEnough() time.Duration {
+	if !q.restSeen {
+		return 0
+	}
+	need := q.minShards()
+	var rests []time.Duration
+	for _, sh := range q.plan {
+		if sh.workload == nil {
+			continue
+		}
+		t, _, err := q.e.client.PickPassThrough(sh.workload, q.workload, nil)
+		if err == nil {
+			t.Cancel()
+			need--
+		} else if rest := upstream.RestLeft(err); rest > 0 {
+			rests = append(rests, rest)
+		}
+	}
+	return backoff.UntilEnough(need, rests)
+}
+
 var (
 	errNotPublished = errors.New("gather: shard is not published")
 	errNoBudget     = errors.New("gather: budget of repeats is spent")
@@ -248,6 +275,7 @@
 func (q *query) failPassThrough() outcome.Outcome {
 	cov := caller.Coverage{ShardsTotal: len(q.plan), ShardsCovered: q.counts[covered]}
 	detail := coverageDetail(cov) + ": " + q.missingCauses()
+	q.maxRetryAfter = max(q.maxRetryAfter, q.untilEnough())
 	out := outcome.NotRun(outcome.Overloaded, detail, q.retryAfter())
 	if q.crashesUpstreams() {
 		out = crashSuspected()
--- a/internal/single/pass.go
+++ b/internal/single/pass.go
@@ -1,6 +1,7 @@
 package single
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -34,7 +35,7 @@
 	defer cancel()
 	run := &passThroughRun{Runner: r, q: q, results: make(chan upstream.Result, maxStarts)}
 	if !run.start(ctx, false) {
-		return outcome.NotRun(outcome.NoUpstream, fmt.Sprintf("nothing sent: %v", run.startErr), retryAfter)
+		return outcome.NotRun(outcome.NoUpstream, fmt.Sprintf("nothing sent: %v", run.startErr), cmp.Or(upstream.RestLeft(run.startErr), retryAfter))
 	}
 	timer := time.NewTimer(q.PassThrough.HedgeAfter)
 	defer timer.Stop()
@@ -127,6 +128,16 @@
 // because the request itself may be crashing the upstreams.
 const maxLosses = 2
 
+// retryAfter returns when the request may come back: once the first upstream ends the pause that it
+// asked for, if all of them did; else after what one of them asked for, but retryAfter at most.
+func (p *passThroughRun) retryAfter(asked time.Duration) time.Duration {
+	t, _, err := p.o.Upstream.PickPassThrough(p.q.Workload, p.q.PassThrough.Route, nil)
+	if err == nil {
+		t.Cancel()
+	}
+	return cmp.Or(upstream.RestLeft(err), min(asked, retryAfter))
+}
+
 // finish returns the outcome of the request. res is the result of the deciding attempt and
 // o its outcome. o is replaced if res carries a reply or reports a crash, or if o is "not run" and
 // an earlier attempt may have run.
@@ -141,6 +152,9 @@
 	case p.state.mayHaveRun && o.Kind == caller.OutcomeNotRun:
 		o = outcome.Unknown(o.Reason, o.Detail, o.RetryAfter)
 	}
+	if o.Kind == caller.OutcomeNotRun {
+		o.RetryAfter = p.retryAfter(o.RetryAfter)
+	}
 	o.Cost = p.state.cost
 	return o
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -17,6 +17,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/clock"
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/mechanism"
+	"github.com/sardinespindle/sardinespindle/internal/policy/backoff"
 	"github.com/sardinespindle/sardinespindle/internal/policy/connbudget"
 	"github.com/sardinespindle/sardinespindle/internal/policy/forecast"
 	"github.com/sardinespindle/sardinespindle/internal/policy/limit"
@@ -50,6 +51,9 @@
 	Headers    HeaderNames
 	Log        *log.Logger
 	Registerer prometheus.Registerer
+	// OnLeaving is called when an upstream's reply to a pass-through request says for the first
+	// time that it leaves, for the VM to tell the others.
+	OnLeaving func(Incarnation)
 	// OnDrainChange is called when an upstream's reply shows that the upstream started or
 	// stopped draining, for the VM to notify its peers.
 	OnDrainChange func(DrainEvidence)
@@ -58,6 +62,12 @@
 	Now func() time.Duration
 }
 
+// Incarnation is one run of an upstream's process at an address.
+type Incarnation struct {
+	Address, Identity string
+	StartedMs         int // as published; 0 if not known
+}
+
 // DrainEvidence states whether an upstream drains.
 type DrainEvidence struct {
 	Address  string
@@ -125,6 +135,9 @@
 	if o.MayPreconnect == nil {
 		o.MayPreconnect = func() bool { return true }
 	}
+	if o.OnLeaving == nil {
+		o.OnLeaving = func(Incarnation) {}
+	}
 	if o.OnDrainChange == nil {
 		o.OnDrainChange = func(DrainEvidence) {}
 	}
@@ -163,7 +176,7 @@
 	}
 	for address, u := range m.Upstreams {
 		s := old.servers[address]
-		if s == nil || s.identity != u.Identity {
+		if s == nil || s.identity != u.Identity || s.started != u.StartedMs {
 			s = c.newServer(u, len(old.servers) == 0)
 		}
 		s.update(u, next.zone(old, string(u.Zone)), string(u.Zone) == c.opts.Zone)
@@ -225,6 +238,7 @@
 	return &server{
 		address:  u.Address,
 		identity: u.Identity,
+		started:  u.StartedMs,
 		health:   replica.New(c.opts.Now(), atStart),
 		limit:    limit.New(u.Slots),
 		pool: &pool{
@@ -340,6 +354,8 @@
 	Suspect      bool    `json:"suspect"`
 	PeerReported bool    `json:"doubted"`
 	Shedding     bool    `json:"shedding"`
+	Leaving      bool    `json:"leaving"`
+	RestLeftMs   int64   `json:"rest_left_ms"`
 	Connections  int     `json:"connections"`
 	Share        int     `json:"share"`
 }
@@ -360,6 +376,7 @@
 func (s *server) state(now time.Duration) State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	verdict, restLeft := s.backoff.Verdict(now)
 	return State{
 		Address:      s.address,
 		Identity:     s.identity,
@@ -373,18 +390,20 @@
 		Suspect:      s.health.Suspect(),
 		PeerReported: s.lease.PeerReported(),
 		Shedding:     s.health.Shedding(now),
+		Leaving:      verdict == backoff.Leaving,
+		RestLeftMs:   restLeft.Milliseconds(),
 		Connections:  s.pool.size(),
 		Share:        int(s.pool.share.Load()),
 	}
 }
 
-// Errors of Pick and PickPassThrough; Do returns some of them with class NotSent. Nothing was
-// sent when one is returned. If the upstreams' reasons differ, ErrLimited takes
-// precedence; without it, any one of them is returned.
+// Errors of Pick and PickPassThrough, besides RestError; Do returns some of them with class NotSent.
+// Nothing was sent when one is returned. If the upstreams' reasons differ, ErrLimited takes
+// precedence, then RestError; without them, any one is returned.
 var (
 	// ErrNoReplica: the manifest has no other upstream for the shard.
 	ErrNoReplica = errors.New("upstream: no replica")
-	// ErrDraining: the remaining upstreams are draining.
+	// ErrDraining: the remaining upstreams are draining or say that they leave.
 	ErrDraining = errors.New("upstream: every replica is draining")
 	// ErrNoShare: this VM may open no connection to the remaining upstreams.
 	ErrNoShare = errors.New("upstream: no connection share")
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -88,6 +88,10 @@
 			r.Err = errLeaseExpired
 			continue
 		}
+		if err := s.refuses(c.opts.Now()); err != nil {
+			s.pool.put(cn)
+			return Result{Class: NotSent, Err: err}, 0
+		}
 		r, sentAt = c.send(ctx, s, cn, a)
 		if !errors.Is(r.Err, errNotWritten) {
 			return r, sentAt
@@ -113,6 +117,7 @@
 	}
 	read := readBody
 	if a.Kind == PassThrough {
+		c.recordReplyHead(s, resp)
 		read = readPassThrough
 	}
 	body, err := read(resp, maxReplyBody)
@@ -152,6 +157,9 @@
 	if !c.hasLease(s) {
 		return errLeaseExpired
 	}
+	if err := s.refuses(c.opts.Now()); err != nil {
+		return fmt.Errorf("%w: %w", errBeforeWrite, err)
+	}
 	if a.BeforeWrite == nil {
 		return nil
 	}
--- a/internal/upstream/metrics.go
+++ b/internal/upstream/metrics.go
@@ -16,6 +16,7 @@
 	dials       *prometheus.CounterVec
 	probes      *prometheus.CounterVec
 	refusals    *prometheus.CounterVec
+	backoffs    *prometheus.CounterVec
 	seconds     *prometheus.HistogramVec
 }
 
@@ -37,6 +38,9 @@
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "spindle_upstream_refusals_total", Help: "Attempts for which no replica was picked, by reason.",
 		}, []string{"workload", "reason"}),
+		backoffs: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "spindle_upstream_backoffs_total", Help: "Upstreams that said that they leave or want a pause, by which.",
+		}, []string{"kind"}),
 		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "spindle_upstream_attempt_seconds", Help: "Time from picking a replica to the end of its reply.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
@@ -45,7 +49,7 @@
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.connections, m.attempts, m.dials, m.probes, m.refusals, m.seconds} {
+	for _, c := range []prometheus.Collector{m.connections, m.attempts, m.dials, m.probes, m.refusals, m.backoffs, m.seconds} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/internal/upstream/pass.go
+++ b/internal/upstream/pass.go
@@ -37,6 +37,8 @@
 	// Load is the upstream's running requests, waiting requests and slots, separated by
 	// commas.
 	Load string
+	// Leaving is "1" on each reply of an upstream that is about to stop.
+	Leaving string
 }
 
 // PassThroughRequest is a request that is forwarded unchanged. The attempts of one request share
@@ -254,6 +256,9 @@
 	if s.pool.share.Load() == 0 {
 		return 0, false, ErrNoShare
 	}
+	if err := s.refusal(now); err != nil {
+		return 0, false, err
+	}
 	if !s.limit.Allows(s.health.Outstanding) {
 		return 0, false, ErrLimited
 	}
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -71,6 +71,8 @@
 		reason = "unfit"
 	case errors.Is(err, ErrNoShare):
 		reason = "no_share"
+	case RestLeft(err) > 0:
+		reason = "resting"
 	}
 	c.metrics.refusals.WithLabelValues(string(w.Name), reason).Inc()
 	return err
@@ -163,10 +165,18 @@
 }
 
 // preferredPickError returns which of two errors to report: ErrLimited first, since a
-// slot becomes free sooner than a drain ends, and ErrNoReplica last.
+// slot becomes free sooner than a pause or a drain ends, then the shorter pause, and ErrNoReplica
+// last.
 func preferredPickError(a, b error) error {
-	if errors.Is(a, ErrLimited) || errors.Is(b, ErrNoReplica) {
+	restA, restB := RestLeft(a), RestLeft(b)
+	switch {
+	case errors.Is(a, ErrLimited) || errors.Is(b, ErrNoReplica):
 		return a
+	case errors.Is(b, ErrLimited):
+		return b
+	case restA > 0 && (restB == 0 || restA <= restB):
+		return a
+	default:
+		return b
 	}
-	return b
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -341,16 +341,23 @@
 		excess = append(excess, p.idle[0])
 		p.idle = p.idle[1:]
 	}
-	var failed []*waiter
-	if maxOpen <= 0 {
-		failed, p.waiters = p.waiters, nil
-	}
 	p.mu.Unlock()
 	for _, c := range excess {
 		c.drop()
 	}
+	if maxOpen <= 0 {
+		p.failWaiters(ErrNoShare)
+	}
+}
+
+// failWaiters ends all waits for a connection.
+func (p *pool) failWaiters(err error) {
+	p.mu.Lock()
+	failed := p.waiters
+	p.waiters = nil
+	p.mu.Unlock()
 	for _, w := range failed {
-		w.err = ErrNoShare
+		w.err = err
 		close(w.ready)
 	}
 }
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -26,10 +26,11 @@
 )
 
 const (
-	maxReplyBody  = 8 << 20
-	maxProbeBody  = 4 << 10
-	maxDocuments  = 1000
-	maxRetryAfter = time.Hour
+	maxReplyBody = 8 << 20
+	maxProbeBody = 4 << 10
+	maxDocuments = 1000
+	// maxRetryAfter is longer than any process runs, and fits a time.Duration.
+	maxRetryAfter = 20 * 365 * 24 * time.Hour
 	maxLoad       = 1e6
 )
 
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/sardinespindle/sardinespindle/internal/policy/backoff"
 	"github.com/sardinespindle/sardinespindle/internal/policy/drain"
 	"github.com/sardinespindle/sardinespindle/internal/policy/forecast"
 	"github.com/sardinespindle/sardinespindle/internal/policy/limit"
@@ -17,6 +18,7 @@
 type server struct {
 	address  string
 	identity string // the name under which the upstream was published; empty for none
+	started  int    // when its process started, as published; 0 if not known
 	pool     *pool
 	// openGauge counts open connections; nil until one was open. Client.applyMu guards it.
 	openGauge prometheus.Gauge
@@ -28,6 +30,7 @@
 	health           replica.State
 	limit            limit.Limit
 	lease            drain.State
+	backoff          backoff.State
 	latencies        histogram
 	probe            *probeCall // nil if none is under way
 	probedAt         time.Duration
--- a/schema/gen/manifest/manifest.go
+++ b/schema/gen/manifest/manifest.go
@@ -153,6 +153,11 @@
 	// Number of requests that the upstream serves at a time.
 	Slots int `json:"slots" toml:"slots" cbor:"slots"`
 
+	// When the upstream's process started, as Unix time in milliseconds: a change
+	// means that it has started again under the same identity. 0 if that is not
+	// known.
+	StartedMs int `json:"started_ms,omitempty,omitzero" toml:"started_ms,omitempty" cbor:"started_ms,omitempty"`
+
 	// Workload that the upstream serves.
 	Workload Name `json:"workload" toml:"workload" cbor:"workload"`
 
