--- a/internal/upstream/backoff.go
+++ b/internal/upstream/backoff.go
@@ -59,6 +59,7 @@
 	if c.opts.Headers.Leaving != "" && resp.Header.Get(c.opts.Headers.Leaving) == "1" {
 		c.recordLeaving(s, "itself")
 	}
+	c.recordNamedLimit(s, resp.Header)
 	if pause := parseRetryAfter(resp); resp.StatusCode == http.StatusServiceUnavailable && pause > 0 {
 		c.recordRest(s, pause)
 	}
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -160,11 +160,13 @@
 	if err := s.refuses(c.opts.Now()); err != nil {
 		return fmt.Errorf("%w: %w", errBeforeWrite, err)
 	}
-	if a.BeforeWrite == nil {
-		return nil
+	if a.BeforeWrite != nil {
+		if err := a.BeforeWrite(); err != nil {
+			return fmt.Errorf("%w: %w", errBeforeWrite, err)
+		}
 	}
-	if err := a.BeforeWrite(); err != nil {
-		return fmt.Errorf("%w: %w", errBeforeWrite, err)
+	if a.Kind == PassThrough {
+		c.countSent(s)
 	}
 	return nil
 }
--- a/internal/upstream/metrics.go
+++ b/internal/upstream/metrics.go
@@ -17,7 +17,10 @@
 	probes      *prometheus.CounterVec
 	refusals    *prometheus.CounterVec
 	backoffs    *prometheus.CounterVec
-	seconds     *prometheus.HistogramVec
+	// namedLimits and sentToLimited have a series for each upstream that named a limit.
+	namedLimits   *prometheus.GaugeVec
+	sentToLimited *prometheus.CounterVec
+	seconds       *prometheus.HistogramVec
 }
 
 // newMetrics creates the metrics and registers them with r unless it is nil.
@@ -41,6 +44,12 @@
 		backoffs: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "spindle_upstream_backoffs_total", Help: "Upstreams that said that they leave or want a pause, by which.",
 		}, []string{"kind"}),
+		namedLimits: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "spindle_upstream_limit_per_second", Help: "Requests a second that an upstream in need takes from all VMs together.",
+		}, []string{"address"}),
+		sentToLimited: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "spindle_upstream_limited_sent_total", Help: "Requests that this VM sent to an upstream that named a limit.",
+		}, []string{"address"}),
 		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "spindle_upstream_attempt_seconds", Help: "Time from picking a replica to the end of its reply.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
@@ -49,7 +58,7 @@
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.connections, m.attempts, m.dials, m.probes, m.refusals, m.backoffs, m.seconds} {
+	for _, c := range []prometheus.Collector{m.connections, m.attempts, m.dials, m.probes, m.refusals, m.backoffs, m.namedLimits, m.sentToLimited, m.seconds} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/internal/upstream/pass.go
+++ b/internal/upstream/pass.go
@@ -39,6 +39,9 @@
 	Load string
 	// Leaving is "1" on each reply of an upstream that is about to stop.
 	Leaving string
+	// Limit is the requests a second that the upstream takes from all VMs together, as a
+	// decimal number. A reply without it names no limit.
+	Limit string
 }
 
 // PassThroughRequest is a request that is forwarded unchanged. The attempts of one request share
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -31,6 +31,7 @@
 	limit            limit.Limit
 	lease            drain.State
 	backoff          backoff.State
+	named            namedLimit
 	latencies        histogram
 	probe            *probeCall // nil if none is under way
 	probedAt         time.Duration
