--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -60,6 +60,11 @@
 	// how long it may serve after that; what is published then lacks it.
 	leavingPrefix      = "leaving/"
 	leavingUpstreamTTL = 30 * time.Second
+	// limitPrefix starts the key of the fact by which a VM states which limit an upstream, whose
+	// address follows, names in its replies. The value is its incarnation and the limit. limitTTL is
+	// longer than the time after which a limit that lasts is told again.
+	limitPrefix = "limit/"
+	limitTTL    = time.Minute
 	// versionPrefix starts the key of the fact by which a VM announces the newest version of
 	// the configuration that it has read from the store. versionTTL allows for a VM that
 	// learns of the fact by a digest only.
@@ -90,6 +95,7 @@
 type fleetView struct {
 	vms           []delegate.VM       // live; this VM included unless it is leaving
 	names         []string            // VMs that may be alive, this one included
+	mayGather     []string            // VMs that may be alive and gather, this one included if it does
 	gatherers     map[string][]string // by zone; this VM only if it is the one gatherer of its zone
 	gathererCount int                 // number of gatherers, this VM counted if it is one
 	isGatherer    bool                // whether this VM is a gatherer
@@ -180,21 +186,22 @@
 
 // announced returns the VMs that announced themselves and whose announcement no statement
 // contradicts, by name. lost are the others.
-func (f *fleet) announced() (known map[string]delegate.VM, lost map[string]bool) {
-	known, lost = map[string]delegate.VM{}, map[string]bool{}
+func (f *fleet) announced() (known, lost map[string]delegate.VM) {
+	known, lost = map[string]delegate.VM{}, map[string]delegate.VM{}
 	statements, back := f.statementsOf(lostPrefix), f.statementsOf(backPrefix)
 	for _, fact := range f.node.Facts().List(memberPrefix) {
 		a, ok := announcement(fact, back)
 		if !ok {
 			continue
 		}
+		vm := delegate.VM{Name: fact.VM(), Zone: a.Zone, Capacity: a.Capacity}
 		if !liveness.Refuted(fact.Incarnation(), a, statements[fact.VM()]) {
-			lost[fact.VM()] = true
+			lost[fact.VM()] = vm
 			continue
 		}
-		known[fact.VM()] = delegate.VM{Name: fact.VM(), Zone: a.Zone, Capacity: a.Capacity}
+		known[fact.VM()] = vm
 	}
-	maps.DeleteFunc(lost, func(name string, _ bool) bool { return known[name].Name != "" })
+	maps.DeleteFunc(lost, func(name string, _ delegate.VM) bool { return known[name].Name != "" })
 	known[f.self.Name] = f.self
 	delete(lost, f.self.Name)
 	return known, lost
@@ -231,7 +238,7 @@
 }
 
 // computeView computes the view from the VMs that announced themselves and the roster.
-func (f *fleet) computeView(known map[string]delegate.VM, lost map[string]bool) {
+func (f *fleet) computeView(known, lost map[string]delegate.VM) {
 	names := slices.AppendSeq(slices.Collect(maps.Keys(known)), maps.Keys(lost))
 	slices.Sort(names)
 	v := &fleetView{gatherers: map[string][]string{}, names: names}
@@ -252,12 +259,29 @@
 		}
 		v.gatherers[vm.Zone] = append(v.gatherers[vm.Zone], vm.Name)
 	}
+	v.mayGather = f.mayGather(v, lost, max(limit, 1))
 	if v.isGatherer && len(v.gatherers[f.self.Zone]) == 0 {
 		v.gatherers[f.self.Zone] = []string{f.self.Name}
 	}
 	f.view.Store(v)
 }
 
+// mayGather returns the gatherers of a view, and the lost VMs that would be gatherers if they were
+// live: to themselves they may be.
+func (f *fleet) mayGather(v *fleetView, lost map[string]delegate.VM, limit int) []string {
+	names := slices.Concat(slices.Collect(maps.Values(v.gatherers))...)
+	if v.isGatherer {
+		names = append(names, f.self.Name)
+	}
+	all := slices.AppendSeq(slices.Clone(v.vms), maps.Values(lost))
+	for _, vm := range delegate.Gatherers(all, limit, f.node.JustStarted()) {
+		if _, isLost := lost[vm.Name]; isLost {
+			names = append(names, vm.Name)
+		}
+	}
+	return names
+}
+
 // leave announces that this VM is leaving.
 func (f *fleet) leave() { f.node.Facts().Put("vm/"+f.self.Name, "leaving", leavingTTL) }
 
@@ -313,7 +337,7 @@
 
 // tellLeaving states to the fleet that an upstream leaves, unless another VM has.
 func (f *fleet) tellLeaving(i upstream.Incarnation) {
-	value := leavingValue(i)
+	value := incarnationValue(i)
 	for _, fact := range f.node.Facts().List(leavingPrefix + i.Address) {
 		if fact.Key == leavingPrefix+i.Address && fact.Value == value {
 			return
@@ -322,8 +346,18 @@
 	f.node.Facts().Put(leavingPrefix+i.Address, value, leavingUpstreamTTL)
 }
 
-// leavingValue returns the value of the fact about an upstream that leaves.
-func leavingValue(i upstream.Incarnation) string { return strconv.Itoa(i.StartedMs) + " " + i.Identity }
+// incarnationValue returns an incarnation without its address, for the value of a fact.
+func incarnationValue(i upstream.Incarnation) string {
+	return strconv.Itoa(i.StartedMs) + " " + i.Identity
+}
+
+// parseIncarnation returns the incarnation at an address from the value of a fact; false if it holds
+// none.
+func parseIncarnation(address, value string) (upstream.Incarnation, bool) {
+	started, identity, ok := strings.Cut(value, " ")
+	ms, err := strconv.Atoi(started)
+	return upstream.Incarnation{Address: address, Identity: identity, StartedMs: ms}, ok && err == nil
+}
 
 // watchLeaving calls fn with each upstream that another VM found leaving.
 func (f *fleet) watchLeaving(fn func(upstream.Incarnation)) {
@@ -338,11 +372,38 @@
 }
 
 func (f *fleet) readLeaving(fact facts.Fact, fn func(upstream.Incarnation)) {
-	started, identity, ok := strings.Cut(fact.Value, " ")
-	ms, err := strconv.Atoi(started)
-	if ok && err == nil && fact.VM() != f.self.Name {
-		fn(upstream.Incarnation{Address: strings.TrimPrefix(fact.Key, leavingPrefix), Identity: identity, StartedMs: ms})
+	i, ok := parseIncarnation(strings.TrimPrefix(fact.Key, leavingPrefix), fact.Value)
+	if ok && fact.VM() != f.self.Name {
+		fn(i)
+	}
+}
+
+// tellLimit states to the fleet which limit an upstream names; 0 for none.
+func (f *fleet) tellLimit(i upstream.Incarnation, perSecond float64) {
+	value := strconv.FormatFloat(perSecond, 'g', 4, 64) + " " + incarnationValue(i)
+	f.node.Facts().Put(limitPrefix+i.Address, value, limitTTL)
+}
+
+// watchLimits calls fn with each limit that another VM states, and how long ago it did.
+func (f *fleet) watchLimits(fn func(i upstream.Incarnation, perSecond float64, age time.Duration)) {
+	f.node.Facts().Watch(limitPrefix, func(fact facts.Fact) { f.readLimit(fact, fn) })
+}
+
+// eachLimit calls fn with each limit that other VMs are known to have stated.
+func (f *fleet) eachLimit(fn func(i upstream.Incarnation, perSecond float64, age time.Duration)) {
+	for _, fact := range f.node.Facts().List(limitPrefix) {
+		f.readLimit(fact, fn)
+	}
+}
+
+func (f *fleet) readLimit(fact facts.Fact, fn func(i upstream.Incarnation, perSecond float64, age time.Duration)) {
+	number, incarnation, _ := strings.Cut(fact.Value, " ")
+	perSecond, err := strconv.ParseFloat(number, 64)
+	i, ok := parseIncarnation(strings.TrimPrefix(fact.Key, limitPrefix), incarnation)
+	if !ok || err != nil || !(perSecond >= 0) || fact.VM() == f.self.Name {
+		return
 	}
+	fn(i, perSecond, clock.Boot()-(fact.Expires-limitTTL))
 }
 
 // setStoreUnreachable announces that the store does not reply to this VM, or withdraws the
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -115,6 +115,25 @@
 	})
 }
 
+// tellLimit tells the fleet which limit an upstream names, unless another VM has told it by then.
+func (f *Forwarder) tellLimit(i upstream.Incarnation) {
+	time.AfterFunc(rand.N(maxTellDelay), func() {
+		if perSecond, due := f.upstreams.TakeLimitToTell(i); due {
+			f.fleet.tellLimit(i, perSecond)
+		}
+	})
+}
+
+// limitSenders returns the VMs that may send requests to an upstream and share its limit.
+func (f *Forwarder) limitSenders(u *gen.Upstream) []string {
+	if c := f.catalog.Load(); c != nil {
+		if _, ok := c.ShardLimits[string(u.Workload)]; ok {
+			return f.fleet.view.Load().mayGather
+		}
+	}
+	return f.fleet.names()
+}
+
 // peerPort returns the port at which this VM reaches the others; own is the one it listens on.
 func peerPort(s *settings.Settings, own uint16) uint16 {
 	if s.Experiment != nil && s.Experiment.PeerPort != 0 {
@@ -148,12 +167,14 @@
 	var err error
 	f.upstreams, err = upstream.New(upstream.Options{
 		VM: f.node.Name(), Zone: f.s.Zone, Mechanisms: mechanism.New(f.s.Experiment), VMs: f.fleet.size, Members: f.fleet.names,
-		Share: f.connectionShare, MayPreconnect: f.fleet.converged, ManifestOnly: true, Headers: platform.UpstreamHeaders, OnLeaving: f.tellLeaving, Log: f.log, Registerer: f.registry,
+		Share: f.connectionShare, MayPreconnect: f.fleet.converged, ManifestOnly: true, Headers: platform.UpstreamHeaders, OnLeaving: f.tellLeaving,
+		Senders: f.limitSenders, OnLimit: f.tellLimit, Log: f.log, Registerer: f.registry,
 	})
 	if err != nil {
 		return err
 	}
 	f.fleet.watchLeaving(f.upstreams.RecordPeerLeaving)
+	f.fleet.watchLimits(f.upstreams.RecordPeerLimit)
 	engine := gather.New(gather.Options{
 		Upstream: gather.Adapt(f.upstreams), Log: f.log, Registerer: f.registry,
 	})
@@ -217,6 +238,7 @@
 	f.fleet.setShardLimits(c.ShardLimits)
 	f.upstreams.Apply(c.Manifest)
 	f.fleet.eachLeaving(f.upstreams.RecordPeerLeaving) // facts may be older than the upstreams
+	f.fleet.eachLimit(f.upstreams.RecordPeerLimit)
 	f.served.Store(c)
 	f.log.Info("catalog in force", "era", change.Era, "revision", change.Revision, "version", change.Version,
 		"upstreams", change.Upstreams, "draining", change.Draining)
--- a/internal/gather/handle.go
+++ b/internal/gather/handle.go
@@ -44,7 +44,7 @@
 	if q.s.PassThrough == nil {
 		q.maxRetryAfter = max(q.maxRetryAfter, r.RetryAfter)
 	} else if r.RetryAfter > 0 {
-		q.restSeen = true // untilEnough asks how long the pauses still last
+		q.waitSeen = true // untilEnough asks how long the pauses still last
 	}
 	if r.Class != upstream.NotSent {
 		q.cost.Sent++
--- a/internal/gather/pass.go
+++ b/internal/gather/pass.go
@@ -100,8 +100,8 @@
 		if errors.Is(err, errNoBudget) {
 			sh.missingCause = "no_budget"
 		}
-		if upstream.RestLeft(err) > 0 {
-			sh.missingCause, q.restSeen = "resting", true
+		if cause := upstream.WaitReason(err); cause != "" {
+			sh.missingCause, q.waitSeen = cause, true
 		}
 	}
 	v := plan.Decide(s)
@@ -119,14 +119,14 @@
 	}
 }
 
-// untilEnough returns how long it takes until enough replicas end their pauses for the minimum
-// share; 0 if it does not depend on them.
+// untilEnough returns how long it takes until enough replicas that want a pause, or are at their
+// limit, take requests for the minimum share; 0 if it does not depend on them.
 func (q *query) untilEnough() time.Duration {
-	if !q.restSeen {
+	if !q.waitSeen {
 		return 0
 	}
 	need := q.minShards()
-	var rests []time.Duration
+	var waits []time.Duration
 	for _, sh := range q.plan {
 		if sh.workload == nil {
 			continue
@@ -135,11 +135,11 @@
 		if err == nil {
 			t.Cancel()
 			need--
-		} else if rest := upstream.RestLeft(err); rest > 0 {
-			rests = append(rests, rest)
+		} else if wait := upstream.WaitLeft(err); wait > 0 {
+			waits = append(waits, wait)
 		}
 	}
-	return backoff.UntilEnough(need, rests)
+	return backoff.UntilEnough(need, waits)
 }
 
 var (
--- a/internal/policy/connbudget/connbudget.go
+++ b/internal/policy/connbudget/connbudget.go
@@ -37,19 +37,22 @@
 // Holds reports whether self is among the VMs that get a connection to address: the
 // MaxHolders members with the highest rendezvous weights.
 func Holds(limit int, address, self string, members []string) bool {
-	maxHolders := MaxHolders(limit, len(members))
-	ownWeight := weight(address, self)
-	heavier := 0
+	return Rank(address, self, members) < MaxHolders(limit, len(members))
+}
+
+// Rank returns how many members other than self have a higher rendezvous weight for key.
+func Rank(key, self string, members []string) (rank int) {
+	ownWeight := weight(key, self)
 	for _, m := range members {
 		if m == self {
 			continue
 		}
-		w := weight(address, m)
+		w := weight(key, m)
 		if w > ownWeight || (w == ownWeight && m < self) {
-			heavier++
+			rank++
 		}
 	}
-	return heavier < maxHolders
+	return rank
 }
 
 // Connections returns the connections that self may open to address: its Share or, where
--- a/internal/single/pass.go
+++ b/internal/single/pass.go
@@ -35,7 +35,7 @@
 	defer cancel()
 	run := &passThroughRun{Runner: r, q: q, results: make(chan upstream.Result, maxStarts)}
 	if !run.start(ctx, false) {
-		return outcome.NotRun(outcome.NoUpstream, fmt.Sprintf("nothing sent: %v", run.startErr), cmp.Or(upstream.RestLeft(run.startErr), retryAfter))
+		return outcome.NotRun(outcome.NoUpstream, fmt.Sprintf("nothing sent: %v", run.startErr), cmp.Or(upstream.WaitLeft(run.startErr), retryAfter))
 	}
 	timer := time.NewTimer(q.PassThrough.HedgeAfter)
 	defer timer.Stop()
@@ -135,7 +135,7 @@
 	if err == nil {
 		t.Cancel()
 	}
-	return cmp.Or(upstream.RestLeft(err), min(asked, retryAfter))
+	return cmp.Or(upstream.WaitLeft(err), min(asked, retryAfter))
 }
 
 // finish returns the outcome of the request. res is the result of the deciding attempt and
--- a/internal/upstream/backoff.go
+++ b/internal/upstream/backoff.go
@@ -9,34 +9,54 @@
 	"github.com/sardinespindle/sardinespindle/internal/policy/backoff"
 )
 
-// RestError is the error of a pick where each remaining upstream has asked this VM for a pause.
-type RestError struct {
-	// Left is how long the first of these pauses still lasts.
+// WaitError is the error of a pick where each remaining upstream has asked for a pause, or gets all
+// the requests that it takes.
+type WaitError struct {
+	// Left is how long it takes until the first of them may be sent a request.
 	Left time.Duration
+	// AtLimit is set if that one takes no more requests a second, and not if it wants a pause.
+	AtLimit bool
 }
 
-func (e *RestError) Error() string {
-	return fmt.Sprintf("upstream: every replica wants a pause, for %v more", e.Left.Round(time.Millisecond))
+func (e *WaitError) Error() string {
+	left := e.Left.Round(time.Millisecond)
+	if e.AtLimit {
+		return fmt.Sprintf("upstream: every replica gets the requests a second that it takes, the next in %v", left)
+	}
+	return fmt.Sprintf("upstream: every replica wants a pause, for %v more", left)
 }
 
-// RestLeft returns how long it takes until an upstream may be asked again, if err says that all of
-// them want a pause; 0 otherwise.
-func RestLeft(err error) time.Duration {
-	var rest *RestError
-	if errors.As(err, &rest) {
-		return rest.Left
+// WaitLeft returns how long it takes until an upstream may be asked again, if err is a WaitError; 0
+// otherwise.
+func WaitLeft(err error) time.Duration {
+	var wait *WaitError
+	if errors.As(err, &wait) {
+		return wait.Left
 	}
 	return 0
 }
 
-// refusal returns why the upstream gets no pass-through request at now; nil if it may get one. The
-// lock is held.
+// WaitReason returns the reason of a WaitError for metrics and details; empty for other errors.
+func WaitReason(err error) string {
+	var wait *WaitError
+	switch {
+	case !errors.As(err, &wait):
+		return ""
+	case wait.AtLimit:
+		return "at_limit"
+	default:
+		return "resting"
+	}
+}
+
+// refusal returns why the upstream gets no pass-through request at now, whatever its rate; nil if
+// it may get one. The lock is held.
 func (s *server) refusal(now time.Duration) error {
 	switch verdict, left := s.backoff.Verdict(now); verdict {
 	case backoff.Leaving:
 		return ErrDraining
 	case backoff.Resting:
-		return &RestError{Left: left}
+		return &WaitError{Left: left}
 	default:
 		return nil
 	}
@@ -52,14 +72,14 @@
 // recordReplyHead records what the head of a reply to a pass-through request says of its upstream.
 // Another upstream at the address speaks for itself only. Attempts that wait for a connection end
 // at once if they may not be sent any more.
-func (c *Client) recordReplyHead(s *server, resp *http.Response) {
+func (c *Client) recordReplyHead(s *server, resp *http.Response, sentAt time.Duration) {
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
 	if c.opts.Headers.Leaving != "" && resp.Header.Get(c.opts.Headers.Leaving) == "1" {
 		c.recordLeaving(s, "itself")
 	}
-	c.recordNamedLimit(s, resp.Header)
+	c.recordLimit(s, resp.Header, sentAt)
 	if pause := parseRetryAfter(resp); resp.StatusCode == http.StatusServiceUnavailable && pause > 0 {
 		c.recordRest(s, pause)
 	}
@@ -79,7 +99,7 @@
 	}
 	s.pool.failWaiters(ErrDraining)
 	if source == "itself" {
-		c.opts.OnLeaving(Incarnation{Address: s.address, Identity: s.identity, StartedMs: s.started})
+		c.opts.OnLeaving(s.incarnation())
 	}
 }
 
@@ -95,14 +115,13 @@
 	if c.opts.Log != nil {
 		c.opts.Log.Info("upstream wants a pause", "address", s.address, "identity", s.identity, "pause_ms", pause.Milliseconds())
 	}
-	s.pool.failWaiters(&RestError{Left: pause})
+	s.pool.failWaiters(&WaitError{Left: pause})
 }
 
 // RecordPeerLeaving records that another VM got a reply of an upstream that leaves. It does nothing
 // for another incarnation than the one published.
 func (c *Client) RecordPeerLeaving(i Incarnation) {
-	s := c.current.Load().servers[i.Address]
-	if s != nil && s.identity == i.Identity && s.started == i.StartedMs {
+	if s := c.find(i); s != nil {
 		c.recordLeaving(s, "peer")
 	}
 }
--- a/internal/upstream/backoff_test.go
+++ b/internal/upstream/backoff_test.go
@@ -111,7 +111,7 @@
 			return err
 		}).Should(HaveOccurred())
 		_, err := pick()
-		Expect(RestLeft(err)).To(Equal(2500 * time.Millisecond))
+		Expect(WaitLeft(err)).To(Equal(2500 * time.Millisecond))
 		now.Add(int64(2500 * time.Millisecond))
 		t, err := pick()
 		Expect(err).NotTo(HaveOccurred())
@@ -120,7 +120,7 @@
 		now.Add(int64(99_000 * time.Second))
 		c.RecordPeerLeaving(Incarnation{a.address(), "i", 7})
 		_, err = pick()
-		Expect(RestLeft(err)).To(Equal(100_000*time.Second - 99_002_500*time.Millisecond))
+		Expect(WaitLeft(err)).To(Equal(100_000*time.Second - 99_002_500*time.Millisecond))
 	})
 
 	It("ignores what another upstream at the address says of itself", func() {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -51,6 +51,12 @@
 	Headers    HeaderNames
 	Log        *log.Logger
 	Registerer prometheus.Registerer
+	// Senders returns the VMs that may send requests to an upstream, this one included if it
+	// may; they share the limit that the upstream names. The default is Members.
+	Senders func(u *gen.Upstream) []string
+	// OnLimit is called when the fleet should be told of an upstream's limit: TakeLimitToTell
+	// then returns it, if no other VM has told it by then.
+	OnLimit func(Incarnation)
 	// OnLeaving is called when an upstream's reply to a pass-through request says for the first
 	// time that it leaves, for the VM to tell the others.
 	OnLeaving func(Incarnation)
@@ -135,6 +141,12 @@
 	if o.MayPreconnect == nil {
 		o.MayPreconnect = func() bool { return true }
 	}
+	if o.Senders == nil {
+		o.Senders = func(*gen.Upstream) []string { return o.Members() }
+	}
+	if o.OnLimit == nil {
+		o.OnLimit = func(Incarnation) {}
+	}
 	if o.OnLeaving == nil {
 		o.OnLeaving = func(Incarnation) {}
 	}
@@ -267,7 +279,11 @@
 	for _, s := range t.servers {
 		s.mu.Lock()
 		entry := s.entry
+		limited := s.rate.PerSecond() > 0
 		s.mu.Unlock()
+		if limited {
+			c.setRateShare(s)
+		}
 		share := 0
 		if c.opts.Share != nil {
 			share = c.opts.Share(entry)
@@ -356,6 +372,8 @@
 	Shedding     bool    `json:"shedding"`
 	Leaving      bool    `json:"leaving"`
 	RestLeftMs   int64   `json:"rest_left_ms"`
+	RateLimit    float64 `json:"rate_limit"` // requests a second from all VMs; 0 for none
+	RateShare    float64 `json:"rate_share"` // of this VM
 	Connections  int     `json:"connections"`
 	Share        int     `json:"share"`
 }
@@ -392,14 +410,16 @@
 		Shedding:     s.health.Shedding(now),
 		Leaving:      verdict == backoff.Leaving,
 		RestLeftMs:   restLeft.Milliseconds(),
+		RateLimit:    s.rate.PerSecond(),
+		RateShare:    s.rate.Share(),
 		Connections:  s.pool.size(),
 		Share:        int(s.pool.share.Load()),
 	}
 }
 
-// Errors of Pick and PickPassThrough, besides RestError; Do returns some of them with class NotSent.
+// Errors of Pick and PickPassThrough, besides WaitError; Do returns some of them with class NotSent.
 // Nothing was sent when one is returned. If the upstreams' reasons differ, ErrLimited takes
-// precedence, then RestError; without them, any one is returned.
+// precedence, then WaitError; without them, any one is returned.
 var (
 	// ErrNoReplica: the manifest has no other upstream for the shard.
 	ErrNoReplica = errors.New("upstream: no replica")
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -53,6 +53,9 @@
 	if a.Kind == PassThrough {
 		c.recordPassThrough(s, t, &a, &r, now, now-sentAt)
 	}
+	if t.rateTaken && r.Class == NotSent {
+		s.returnRate()
+	}
 	s.recordResult(now, recordedClass(&r), now-sentAt, r.Latency, r.RetryAfter)
 	t.metrics.count(r.Class, r.Latency)
 	return r
@@ -117,7 +120,7 @@
 	}
 	read := readBody
 	if a.Kind == PassThrough {
-		c.recordReplyHead(s, resp)
+		c.recordReplyHead(s, resp, cn.sock.attemptSentAt())
 		read = readPassThrough
 	}
 	body, err := read(resp, maxReplyBody)
--- a/internal/upstream/metrics.go
+++ b/internal/upstream/metrics.go
@@ -17,8 +17,8 @@
 	probes      *prometheus.CounterVec
 	refusals    *prometheus.CounterVec
 	backoffs    *prometheus.CounterVec
-	// namedLimits and sentToLimited have a series for each upstream that named a limit.
-	namedLimits   *prometheus.GaugeVec
+	// limits and sentToLimited have a series for each upstream that names a limit.
+	limits        *prometheus.GaugeVec
 	sentToLimited *prometheus.CounterVec
 	seconds       *prometheus.HistogramVec
 }
@@ -44,7 +44,7 @@
 		backoffs: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "spindle_upstream_backoffs_total", Help: "Upstreams that said that they leave or want a pause, by which.",
 		}, []string{"kind"}),
-		namedLimits: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		limits: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "spindle_upstream_limit_per_second", Help: "Requests a second that an upstream in need takes from all VMs together.",
 		}, []string{"address"}),
 		sentToLimited: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -58,7 +58,7 @@
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.connections, m.attempts, m.dials, m.probes, m.refusals, m.backoffs, m.namedLimits, m.sentToLimited, m.seconds} {
+	for _, c := range []prometheus.Collector{m.connections, m.attempts, m.dials, m.probes, m.refusals, m.backoffs, m.limits, m.sentToLimited, m.seconds} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/internal/upstream/pass.go
+++ b/internal/upstream/pass.go
@@ -212,15 +212,19 @@
 	}
 	now := c.opts.Now()
 	typical := c.typicalLatency(route)
-	best, err := c.choosePassThrough(g, now, typical, exclude)
-	if best == nil {
-		return nil, 0, c.countPickError(w, err)
-	}
-	cost, ok := best.takePassThroughSlot(now, typical)
-	if !ok {
-		return nil, 0, c.countPickError(w, ErrLimited)
+	for tried := 0; ; tried++ {
+		best, err := c.choosePassThrough(g, now, typical, exclude)
+		if best == nil {
+			return nil, 0, c.countPickError(w, err)
+		}
+		if t, cost, ok := best.takePassThroughSlot(now, typical); ok {
+			t.metrics = g.metrics.get()
+			return t, cost, nil
+		}
+		if tried == maxCandidates {
+			return nil, 0, c.countPickError(w, ErrLimited)
+		}
 	}
-	return &Ticket{server: best, metrics: g.metrics.get(), pickedAt: now, passThrough: true}, cost, nil
 }
 
 // choosePassThrough picks one of a group's upstreams for a pass-through request by cost.
@@ -265,6 +269,9 @@
 	if !s.limit.Allows(s.health.Outstanding) {
 		return 0, false, ErrLimited
 	}
+	if left := s.rate.Wait(now); left > 0 {
+		return 0, false, &WaitError{Left: left, AtLimit: true}
+	}
 	cost = s.forecast.Cost(now, typical, s.passThroughInFlight(now))
 	if string(s.entry.Zone) != zone {
 		cost += plan.OtherZoneCost(typical)
@@ -281,13 +288,18 @@
 	return f
 }
 
-// takePassThroughSlot takes a concurrency slot for a pass-through request and returns the
-// expected time to its reply; false if the limit was reached since the pick.
-func (s *server) takePassThroughSlot(now, typical time.Duration) (time.Duration, bool) {
+// takePassThroughSlot takes a concurrency slot, and a request of the upstream's rate, for a
+// pass-through request, and returns its ticket and the expected time to its reply; false if a limit
+// was reached since the choice.
+func (s *server) takePassThroughSlot(now, typical time.Duration) (*Ticket, time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.limit.Allows(s.health.Outstanding) {
-		return 0, false
+		return nil, 0, false
+	}
+	taken, ok := s.rate.Take(now)
+	if !ok {
+		return nil, 0, false
 	}
 	expected := s.forecast.Cost(now, typical, s.passThroughInFlight(now))
 	if s.health.Suspect() {
@@ -295,5 +307,5 @@
 	}
 	s.health.Outstanding++
 	s.passThroughPicks = append(s.passThroughPicks, now)
-	return expected, true
+	return &Ticket{server: s, pickedAt: now, passThrough: true, rateTaken: taken}, expected, true
 }
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -20,6 +20,7 @@
 	pickedAt    time.Duration
 	used        atomic.Bool
 	passThrough bool // picked by PickPassThrough
+	rateTaken   bool // one request of the share of the upstream's limit was taken
 }
 
 // Address returns the address of the picked replica.
@@ -71,8 +72,8 @@
 		reason = "unfit"
 	case errors.Is(err, ErrNoShare):
 		reason = "no_share"
-	case RestLeft(err) > 0:
-		reason = "resting"
+	case WaitLeft(err) > 0:
+		reason = WaitReason(err)
 	}
 	c.metrics.refusals.WithLabelValues(string(w.Name), reason).Inc()
 	return err
@@ -165,16 +166,16 @@
 }
 
 // preferredPickError returns which of two errors to report: ErrLimited first, since a
-// slot becomes free sooner than a pause or a drain ends, then the shorter pause, and ErrNoReplica
+// slot becomes free sooner than a pause or a drain ends, then the shorter wait, and ErrNoReplica
 // last.
 func preferredPickError(a, b error) error {
-	restA, restB := RestLeft(a), RestLeft(b)
+	waitA, waitB := WaitLeft(a), WaitLeft(b)
 	switch {
 	case errors.Is(a, ErrLimited) || errors.Is(b, ErrNoReplica):
 		return a
 	case errors.Is(b, ErrLimited):
 		return b
-	case restA > 0 && (restB == 0 || restA <= restB):
+	case waitA > 0 && (waitB == 0 || waitA <= waitB):
 		return a
 	default:
 		return b
--- /dev/null
+++ b/internal/upstream/ratelimit.go
@@ -0,0 +1,148 @@
+package upstream
+
+import (
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/policy/ratelimit"
+)
+
+// sendsWindow is the span over which a log line about a limit counts the requests sent.
+const sendsWindow = 4 * time.Second
+
+// recentSends holds when requests were sent to an upstream, within sendsWindow.
+type recentSends []time.Duration
+
+func (r *recentSends) add(now time.Duration) {
+	for len(*r) > 0 && now-(*r)[0] >= sendsWindow {
+		*r = (*r)[1:]
+	}
+	*r = append(*r, now)
+}
+
+// countSent counts a request that is about to be sent.
+func (c *Client) countSent(s *server) {
+	s.mu.Lock()
+	s.rateSent.add(c.opts.Now())
+	limited := s.rate.PerSecond() > 0
+	s.mu.Unlock()
+	if limited {
+		c.metrics.sentToLimited.WithLabelValues(s.address).Inc()
+	}
+}
+
+// parseLimit returns the limit that a reply names, in requests a second; 0 if it names none.
+func (c *Client) parseLimit(h http.Header) float64 {
+	perSecond, err := strconv.ParseFloat(h.Get(c.opts.Headers.Limit), 64)
+	if err != nil || !(perSecond > 0) || math.IsInf(perSecond, 1) {
+		return 0
+	}
+	return perSecond
+}
+
+// recordLimit records the limit that the reply to a request sent at sentAt names, or that it names
+// none. A reply that the upstream did not make says nothing.
+func (c *Client) recordLimit(s *server, h http.Header, sentAt time.Duration) {
+	if c.opts.Headers.Limit == "" || h.Get(c.opts.Headers.Signature) == "" && h.Get(c.opts.Headers.NotRun) == "" {
+		return
+	}
+	perSecond, now := c.parseLimit(h), c.opts.Now()
+	s.mu.Lock()
+	changed := s.rate.Replied(sentAt, now, perSecond)
+	tell := !s.tellingRate && s.rate.TellDue(now)
+	s.tellingRate = s.tellingRate || tell
+	s.mu.Unlock()
+	if changed {
+		c.limitChanged(s, "itself")
+	}
+	if tell {
+		c.opts.OnLimit(s.incarnation())
+	}
+}
+
+// limitChanged applies and logs a new limit of an upstream; source says who told.
+func (c *Client) limitChanged(s *server, source string) {
+	c.setRateShare(s)
+	s.mu.Lock()
+	perSecond, share, sent := s.rate.PerSecond(), s.rate.Share(), len(s.rateSent)
+	s.mu.Unlock()
+	if perSecond > 0 {
+		c.metrics.limits.WithLabelValues(s.address).Set(perSecond)
+	} else {
+		c.metrics.limits.DeleteLabelValues(s.address)
+	}
+	if c.opts.Log != nil {
+		c.opts.Log.Info("upstream names a limit", "address", s.address, "identity", s.identity, "source", source,
+			"per_second", perSecond, "share", share, "sent_4s", sent)
+	}
+}
+
+// setRateShare sets this VM's share of an upstream's limit.
+func (c *Client) setRateShare(s *server) {
+	s.mu.Lock()
+	entry, perSecond := s.entry, s.rate.PerSecond()
+	s.mu.Unlock()
+	share := 0.0
+	if perSecond > 0 {
+		share = ratelimit.Share(perSecond, s.address, c.opts.VM, c.opts.Senders(entry))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rate.SetShare(c.opts.Now(), share, rand.Float64())
+}
+
+// returnRate returns a request of the rate that was not sent.
+func (s *server) returnRate() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rate.Return()
+}
+
+func (s *server) incarnation() Incarnation {
+	return Incarnation{Address: s.address, Identity: s.identity, StartedMs: s.started}
+}
+
+// find returns the state of an incarnation; nil if it is not published.
+func (c *Client) find(i Incarnation) *server {
+	s := c.current.Load().servers[i.Address]
+	if s == nil || s.incarnation() != i {
+		return nil
+	}
+	return s
+}
+
+// TakeLimitToTell returns the limit of an upstream, 0 for none, for the fleet to be told of; false
+// if there is nothing to tell, because another VM has told it or the upstream is gone.
+func (c *Client) TakeLimitToTell(i Incarnation) (perSecond float64, due bool) {
+	s := c.find(i)
+	if s == nil {
+		return 0, false
+	}
+	now := c.opts.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tellingRate = false
+	if !s.rate.TellDue(now) {
+		return 0, false
+	}
+	s.rate.RecordTold(now)
+	return s.rate.PerSecond(), true
+}
+
+// RecordPeerLimit records that another VM told the fleet, age ago, which limit an upstream names; 0
+// for none. It does nothing for another incarnation than the one published.
+func (c *Client) RecordPeerLimit(i Incarnation, perSecond float64, age time.Duration) {
+	s := c.find(i)
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	changed := s.rate.Told(c.opts.Now()-age, perSecond)
+	s.mu.Unlock()
+	if changed {
+		c.limitChanged(s, "peer")
+	}
+}
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -10,6 +10,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/policy/drain"
 	"github.com/sardinespindle/sardinespindle/internal/policy/forecast"
 	"github.com/sardinespindle/sardinespindle/internal/policy/limit"
+	"github.com/sardinespindle/sardinespindle/internal/policy/ratelimit"
 	"github.com/sardinespindle/sardinespindle/internal/policy/replica"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
 )
@@ -31,7 +32,9 @@
 	limit            limit.Limit
 	lease            drain.State
 	backoff          backoff.State
-	named            namedLimit
+	rate             ratelimit.State
+	rateSent         recentSends
+	tellingRate      bool // OnLimit was called, and TakeLimitToTell was not
 	latencies        histogram
 	probe            *probeCall // nil if none is under way
 	probedAt         time.Duration
@@ -126,6 +129,9 @@
 	if t.passThrough {
 		s.removePassThrough(t.pickedAt)
 	}
+	if t.rateTaken {
+		s.rate.Return()
+	}
 }
 
 // Classes that only recordResult uses.
--- a/internal/upstream/sock.go
+++ b/internal/upstream/sock.go
@@ -52,6 +52,13 @@
 	return s.wrote || s.writing, s.read, s.sentAt
 }
 
+// attemptSentAt returns when the first write of the attempt under way started.
+func (s *sock) attemptSentAt() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sentAt
+}
+
 // Write implements net.Conn.
 func (s *sock) Write(p []byte) (int, error) {
 	if err := s.beginWrite(); err != nil {
