--- a/internal/bench/relay.go
+++ b/internal/bench/relay.go
@@ -26,7 +26,7 @@
 // fault and the fields after it.
 type relay struct {
 	target      string
-	dialer      net.Dialer
+	from        net.IP // source address to the target; nil for that of the incoming connection
 	listen      net.Listener
 	bytes       atomic.Int64 // forwarded, in both directions
 	mu          sync.Mutex
@@ -36,15 +36,15 @@
 }
 
 // newRelay listens on an address and forwards connections to target, with the source IP
-// address from. On links between VMs, that is the sender's IP address in the VM list of the
-// target.
+// address from, or that of the incoming connection if from is empty. On links between VMs, that is
+// the sender's IP address in the VM list of the target.
 func newRelay(ctx context.Context, address, target, from string) (*relay, error) {
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
-	r := &relay{target: target, dialer: net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}, listen: l, conns: map[net.Conn]bool{}}
+	r := &relay{target: target, from: net.ParseIP(from), listen: l, conns: map[net.Conn]bool{}}
 	go r.accept()
 	return r, nil
 }
@@ -65,7 +65,12 @@
 	if !r.track(in) {
 		return
 	}
-	out, err := r.dialer.Dial("tcp", r.target) //nolint:noctx // loopback, refused at once
+	source := r.from
+	if remote, ok := in.RemoteAddr().(*net.TCPAddr); ok && source == nil {
+		source = remote.IP
+	}
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: source}}
+	out, err := d.Dial("tcp", r.target) //nolint:noctx // loopback, refused at once
 	if err != nil {
 		return
 	}
--- a/internal/bench/soak.go
+++ b/internal/bench/soak.go
@@ -110,6 +110,7 @@
 	version    int
 	extraPaths []string // paths of the routes that configFault added
 	outages    []Span   // while the store failed for some VM
+	limits     []*soakLimit
 }
 
 // Soak runs one seed: it starts a fleet of daemons, sends requests, injects faults
@@ -142,6 +143,7 @@
 	if err := errors.Join(err, s.stopAll()); err != nil {
 		return nil, fmt.Errorf("soak, seed %d: %w", o.Seed, err)
 	}
+	s.checkLimits()
 	return s.evidence.evaluate(o.Seed, s.outages), nil
 }
 
@@ -230,7 +232,7 @@
 	for n := range min(soakSeedVMs, s.opts.VMs) {
 		set.Fleet.Seeds = append(set.Fleet.Seeds, settings.Address(s.address(0, n+1, peerPort)))
 	}
-	set.Experiment = &settings.Experiment{Policy: settings.ExperimentPolicyCurrent, PeerPort: peerLinkPort + i}
+	set.Experiment = &settings.Experiment{Policy: settings.ExperimentPolicyCurrent, PeerPort: peerLinkPort + i, BindUpstreams: true}
 	for _, m := range s.opts.Disable {
 		set.Experiment.Disable = append(set.Experiment.Disable, settings.ExperimentDisableElem(m))
 	}
--- a/internal/bench/soak_check.go
+++ b/internal/bench/soak_check.go
@@ -35,6 +35,7 @@
 	notRecovered   = "not_recovered"    // requests still failed long after the last fault
 	sentAfterGone  = "sent_after_gone"  // requests reached servers long after their callers had canceled
 	workAfterGone  = "work_after_gone"  // servers kept working on canceled requests
+	overLimit      = "over_limit"       // a server got far more requests than the limit that it had named
 )
 
 // Bounds of the checks, as the users publish them.
@@ -65,6 +66,7 @@
 	at, end             time.Time // end is zero if the server did not run it or still works on it
 	deadline            time.Duration
 	workTime            time.Duration // how long the server works on it unless it is canceled
+	vm                  string        // that sent it
 	ran                 bool
 }
 
@@ -359,9 +361,14 @@
 }
 
 // countInWindow counts the times in the window that starts at from.
-func countInWindow(times []time.Time, from time.Time) (n int) {
+func countInWindow(times []time.Time, from time.Time) int {
+	return countInSpan(times, from, soakWindow)
+}
+
+// countInSpan counts the times in the span of a length that starts at from.
+func countInSpan(times []time.Time, from time.Time, length time.Duration) (n int) {
 	for _, t := range times {
-		if !t.Before(from) && t.Before(from.Add(soakWindow)) {
+		if !t.Before(from) && t.Before(from.Add(length)) {
 			n++
 		}
 	}
--- a/internal/bench/soak_faults.go
+++ b/internal/bench/soak_faults.go
@@ -16,6 +16,13 @@
 // and drains do not count around a drill, so the other seeds have none.
 const drillSeeds = 3
 
+// limitSeeds is the number of seeds of which one has servers that name limits. A fault of a VM or of
+// its links excuses it there, so in these seeds only faultyVMs of the VMs have any.
+const (
+	limitSeeds = 5
+	faultyVMs  = 2
+)
+
 // fault is one kind of fault; inject returns once the fault is over.
 type fault struct {
 	name   string
@@ -23,8 +30,9 @@
 }
 
 // injectFaults runs actors that inject faults at random until the duration is over: two each for
-// VMs and for links between VMs, and one each for misbehaving servers, for replaced servers, for links to servers,
-// and for the store with its configuration. A fault listed twice is drawn twice as often.
+// VMs and for links between VMs, and one each for misbehaving servers, for replaced servers, for
+// links to servers, and for the store with its configuration. A fault listed twice is drawn twice as often.
+// Servers that name limits take the place of broken links between VMs in some seeds.
 func (s *soak) injectFaults(ctx context.Context, rng *rand.Rand) error {
 	vms := []fault{{"pause", s.pauseFault}, {"kill", s.killFault}, {"stop", s.stopFault}, {"hup", s.reloadFault}}
 	store := []fault{{"store", s.storeFault}, {"forget", s.compactFault}, {"config", s.configFault}, {"config", s.configFault}}
@@ -36,10 +44,13 @@
 		{{"mood", s.misbehaveFault}},
 		{{"replace", s.replaceFault}, {"reuse", s.reuseFault}},
 		{{"link", s.linkFault}, {"reset", s.resetFault}},
-		{{"peers", s.peersFault}},
-		{{"peers", s.peersFault}},
 		store,
 	}
+	if s.namesLimits() {
+		actors = append(actors, []fault{{"limit", s.limitFault}})
+	} else {
+		actors = append(actors, []fault{{"peers", s.peersFault}}, []fault{{"peers", s.peersFault}})
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	for _, faults := range actors {
 		own := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
@@ -55,7 +66,17 @@
 	return group.Wait()
 }
 
-func (s *soak) randomVM(rng *rand.Rand) *soakVM { return s.vms[rng.IntN(len(s.vms))] }
+// namesLimits reports whether servers name limits in this seed.
+func (s *soak) namesLimits() bool { return s.opts.Seed%limitSeeds == 0 }
+
+// randomVM returns a VM for a fault.
+func (s *soak) randomVM(rng *rand.Rand) *soakVM {
+	n := len(s.vms)
+	if s.namesLimits() {
+		n = min(n, faultyVMs)
+	}
+	return s.vms[rng.IntN(n)]
+}
 
 // randomDuration returns a duration from minMs up to, but not including, maxMs.
 func randomDuration(rng *rand.Rand, minMs, maxMs int) time.Duration {
--- a/internal/bench/soak_servers.go
+++ b/internal/bench/soak_servers.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -26,7 +27,8 @@
 	started int // servers started so far
 	current atomic.Pointer[standin.Server]
 	fault   atomic.Pointer[serverFault]
-	slots   chan struct{} // holds an element for each running request
+	limit   atomic.Pointer[soakLimit] // named by the server that it is of; nil for none
+	slots   chan struct{}             // holds an element for each running request
 
 	stateMu sync.Mutex // guards the fields below, and that the state is published in order
 	state   string     // published last; empty while no server is there
@@ -55,7 +57,7 @@
 	sv := &soakServer{s: s, address: s.address(relayNet, i+1, upstreamPort), slots: make(chan struct{}, soakSlots+soakQueue)}
 	target := s.address(serverNet, i+1, upstreamPort)
 	var err error
-	if sv.link, err = s.startRelay(ctx, sv.address, target); err != nil {
+	if sv.link, err = s.startRelayFrom(ctx, sv.address, target, ""); err != nil { // from the VM's address
 		return err
 	}
 	sv.fault.Store(&serverFault{})
@@ -145,7 +147,11 @@
 	fault := *sv.fault.Load()
 	a := arrival{
 		id: r.Header.Get(platform.RequestID), service: srv.Service, server: srv.ID, at: time.Now(),
-		deadline: parseMilliseconds(r.Header.Get(platform.Deadline)),
+		deadline: parseMilliseconds(r.Header.Get(platform.Deadline)), vm: sourceVM(r),
+	}
+	if l := sv.limit.Load(); l != nil && l.server == srv.ID {
+		w.Header().Set(platform.UpstreamHeaders.Limit, strconv.FormatFloat(l.perSecond, 'f', 1, 64))
+		defer func() { l.recordTold(a.vm) }()
 	}
 	select {
 	case sv.slots <- struct{}{}:
@@ -184,6 +190,12 @@
 	return true
 }
 
+// sourceVM returns the IP address of the VM that sent a request.
+func sourceVM(r *http.Request) string {
+	ip, _, _ := net.SplitHostPort(r.RemoteAddr) // always a valid address
+	return ip
+}
+
 // replyBody returns a service's reply to a request. A shard replies with records in descending
 // order, each made of a rank, the request's hash, the shard and the record's number.
 func replyBody(service, id string) string {
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -162,13 +162,21 @@
 	}
 }
 
+// dialIP returns the IP address that connections to upstreams are dialed from; empty for any.
+func (f *Forwarder) dialIP() string {
+	if f.s.Experiment != nil && f.s.Experiment.BindUpstreams {
+		return f.node.Name()
+	}
+	return ""
+}
+
 // wireRequests creates the parts that serve callers and send requests to upstreams.
 func (f *Forwarder) wireRequests() error {
 	var err error
 	f.upstreams, err = upstream.New(upstream.Options{
 		VM: f.node.Name(), Zone: f.s.Zone, Mechanisms: mechanism.New(f.s.Experiment), VMs: f.fleet.size, Members: f.fleet.names,
 		Share: f.connectionShare, MayPreconnect: f.fleet.converged, ManifestOnly: true, Headers: platform.UpstreamHeaders, OnLeaving: f.tellLeaving,
-		Senders: f.limitSenders, OnLimit: f.tellLimit, Log: f.log, Registerer: f.registry,
+		Senders: f.limitSenders, OnLimit: f.tellLimit, DialIP: f.dialIP(), Log: f.log, Registerer: f.registry,
 	})
 	if err != nil {
 		return err
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -47,6 +47,8 @@
 	// ManifestOnly says that each upstream in the manifest takes new work, even one marked
 	// as draining: no probes are sent and no lease is needed.
 	ManifestOnly bool
+	// DialIP is the IP address that connections are dialed from; empty for any.
+	DialIP string
 	// Headers names the headers of attempts of kind PassThrough.
 	Headers    HeaderNames
 	Log        *log.Logger
@@ -160,7 +162,7 @@
 	c := &Client{
 		opts:         o,
 		metrics:      m,
-		transport:    newTransport(o.Now),
+		transport:    newTransport(o.Now, o.DialIP),
 		probeSlots:   make(chan struct{}, maxProbes),
 		routeLatency: sharded.New[string, forecast.TypicalLatency](maxRoutes),
 		rules: rules{
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -49,7 +49,7 @@
 
 // newTransport returns the transport that dials connections. It uses no proxy and
 // no compression, and its own connection pool is not used.
-func newTransport(now func() time.Duration) *http.Transport {
+func newTransport(now func() time.Duration, dialIP string) *http.Transport {
 	d := &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -57,6 +57,9 @@
 		},
 		Control: setUserTimeout,
 	}
+	if dialIP != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(dialIP)}
+	}
 	return &http.Transport{
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxReplyHeader,
--- a/schema/gen/settings/settings.go
+++ b/schema/gen/settings/settings.go
@@ -7,6 +7,11 @@
 
 // Switches for measurements; leave this table out in production.
 type Experiment struct {
+	// Whether connections to upstreams are dialed from the IP address of
+	// listen.peers, so that an upstream on the same machine can tell VMs apart. Kind
+	// catalog only.
+	BindUpstreams bool `json:"bind_upstreams,omitempty,omitzero" toml:"bind_upstreams,omitempty" cbor:"bind_upstreams,omitempty"`
+
 	// Mechanisms that are turned off, to show that the checks for them can fail.
 	Disable []ExperimentDisableElem `json:"disable,omitempty,omitzero" toml:"disable,omitempty" cbor:"disable,omitempty"`
 
