--- /dev/null
+++ b/internal/policy/reach/reach.go
@@ -0,0 +1,120 @@
+// Package reach decides whether a VM reaches its upstreams at all. An upstream that is silent or
+// refuses connections may be at fault itself; if every upstream that the VM tries is, the fault is
+// the VM's own path to them. Passive evidence is only a suspicion: a VM may talk to few upstreams,
+// all of which fail. A check decides, which opens connections to several others. Times must come
+// from a clock that advances while the VM is paused. The package is pure; the owner guards each
+// State.
+package reach
+
+import "time"
+
+const (
+	// silenceTime is how long nothing is heard from any upstream, though something was asked,
+	// until the VM checks. A single slow reply causes a check at most.
+	silenceTime = 250 * time.Millisecond
+	// minFailedDials is the number of upstreams to which connections failed, without one that was
+	// opened since, from which on the VM checks.
+	minFailedDials = 3
+	// failedDialTTL is how long a failed connection counts.
+	failedDialTTL = 5 * time.Second
+	// checkInterval is the least time from one check to the next: while the VM reaches
+	// upstreams, checks cost connections; while it does not, requests are passed on.
+	checkInterval   = time.Second
+	recheckInterval = 500 * time.Millisecond
+)
+
+// State is what one VM knows of its path to the upstreams. The zero value reaches them.
+type State struct {
+	askedAt time.Duration // of the first request or connection since something was heard; 0 for none
+	// failed holds when connections to upstreams failed, since one was opened.
+	failed    map[string]time.Duration
+	checkedAt time.Duration
+	checking  bool
+	stranded  bool
+	since     time.Duration // when stranded changed
+}
+
+// Asked records that a request is sent to an upstream, or a connection opened, at now.
+func (s *State) Asked(now time.Duration) {
+	if s.askedAt == 0 {
+		s.askedAt = now
+	}
+}
+
+// Heard records that an upstream replied, or ended a connection that had carried a reply.
+func (s *State) Heard() { s.askedAt = 0 }
+
+// Connected records that a connection was opened.
+func (s *State) Connected() {
+	s.askedAt = 0
+	clear(s.failed)
+}
+
+// ConnectFailed records that no connection to an upstream could be opened.
+func (s *State) ConnectFailed(now time.Duration, address string) {
+	if s.failed == nil {
+		s.failed = map[string]time.Duration{}
+	}
+	s.failed[address] = now
+}
+
+// Silent reports whether nothing has been heard for a while from the upstreams that were asked.
+func (s *State) Silent(now time.Duration) bool {
+	return s.askedAt > 0 && now-s.askedAt >= silenceTime
+}
+
+// StartCheck reports whether the VM should check now; Checked follows.
+func (s *State) StartCheck(now time.Duration) bool {
+	interval := checkInterval
+	if s.stranded {
+		interval = recheckInterval
+	}
+	if s.checking || s.checkedAt > 0 && now-s.checkedAt < interval || !s.stranded && !s.suspicious(now) {
+		return false
+	}
+	s.checking, s.checkedAt = true, now
+	return true
+}
+
+func (s *State) suspicious(now time.Duration) bool {
+	for address, at := range s.failed {
+		if now-at >= failedDialTTL {
+			delete(s.failed, address)
+		}
+	}
+	return s.Silent(now) || len(s.failed) >= minFailedDials
+}
+
+// Checked records at now whether a check opened a connection. It reports whether the VM lost or
+// regained the upstreams by that.
+func (s *State) Checked(now time.Duration, connected bool) (changed bool) {
+	s.checking = false
+	if connected {
+		s.Connected()
+	}
+	if s.stranded != connected {
+		return false
+	}
+	s.stranded, s.since = !connected, now
+	return true
+}
+
+// Stranded reports whether the VM reaches no upstream, and since when that or the opposite holds.
+func (s *State) Stranded() (stranded bool, since time.Duration) { return s.stranded, s.since }
+
+// Sample returns the upstreams that a check tries to connect to, of those given in order of
+// preference with their zones: at most n, from as many zones as there are.
+func Sample(n int, addresses, zones []string) []string {
+	var out, rest []string
+	seen := map[string]bool{}
+	for i, a := range addresses {
+		if !seen[zones[i]] {
+			seen[zones[i]] = true
+			out = append(out, a)
+		} else {
+			rest = append(rest, a)
+		}
+	}
+	out = append(out, rest...)
+	return out[:min(n, len(out))]
+}
--- /dev/null
+++ b/internal/policy/reach/reach_test.go
@@ -0,0 +1,98 @@
+package reach_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinespindle/sardinespindle/internal/policy/reach"
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
+)
+
+func TestReach(t *testing.T) { testkit.Run(t, "policy/reach") }
+
+var _ = Describe("A VM's path to its upstreams", func() {
+	const t0 = time.Hour
+	const ms = time.Millisecond
+	var s reach.State
+	BeforeEach(func() { s = reach.State{} })
+	stranded := func() bool { is, _ := s.Stranded(); return is }
+
+	It("is not checked while replies arrive, nor while nothing is asked", func() {
+		for now := t0; now < t0+10*time.Second; now += 50 * ms {
+			s.Asked(now)
+			s.Heard()
+			Expect(s.StartCheck(now)).To(BeFalse())
+		}
+		Expect(s.StartCheck(t0 + time.Hour)).To(BeFalse())
+	})
+
+	// Load pattern: a small VM of a large fleet sends a request to a single service each few seconds, of
+	// which some take several hundred milliseconds.
+	It("is checked once a second at most if single replies are slow, and not doubted if a check connects", func() {
+		checks := 0
+		for now := t0; now < t0+10*time.Second; now += 100 * ms {
+			s.Asked(now)
+			if s.StartCheck(now) {
+				checks++
+				Expect(s.Checked(now, true)).To(BeFalse())
+			}
+		}
+		Expect(checks).To(BeNumerically("<=", 10))
+		Expect(stranded()).To(BeFalse())
+	})
+
+	It("is lost if nothing is heard and a check fails, and back at the first check that connects", func() {
+		s.Asked(t0)
+		Expect(s.StartCheck(t0 + 200*ms)).To(BeFalse())
+		Expect(s.StartCheck(t0 + 250*ms)).To(BeTrue())
+		Expect(s.StartCheck(t0+5*time.Second)).To(BeFalse(), "one runs")
+		Expect(s.Checked(t0+550*ms, false)).To(BeTrue())
+		Expect(stranded()).To(BeTrue())
+		Expect(s.StartCheck(t0 + 700*ms)).To(BeFalse())
+		Expect(s.StartCheck(t0 + 750*ms)).To(BeTrue())
+		Expect(s.Checked(t0+800*ms, false)).To(BeFalse())
+		Expect(s.StartCheck(t0 + 1250*ms)).To(BeTrue())
+		Expect(s.Checked(t0+1260*ms, true)).To(BeTrue())
+		Expect(stranded()).To(BeFalse())
+		Expect(s.StartCheck(t0+10*time.Second)).To(BeFalse(), "nothing is asked")
+	})
+
+	// Load pattern: open connections live on and carry replies, new ones are refused.
+	It("is checked if connections to three upstreams fail, though others reply, unless one is opened", func() {
+		for i := range 3 {
+			Expect(s.StartCheck(t0)).To(BeFalse())
+			s.Asked(t0)
+			s.Heard()
+			s.ConnectFailed(t0, fmt.Sprint("upstream-", i))
+			s.ConnectFailed(t0, fmt.Sprint("upstream-", i))
+		}
+		Expect(s.StartCheck(t0 + ms)).To(BeTrue())
+		s.Checked(t0+ms, true)
+		for i := range 10 {
+			s.ConnectFailed(t0+2*time.Second, fmt.Sprint("upstream-", i%2))
+		}
+		Expect(s.StartCheck(t0 + 2*time.Second)).To(BeFalse())
+		s.ConnectFailed(t0+2*time.Second, "upstream-2")
+		s.Connected()
+		Expect(s.StartCheck(t0 + 3*time.Second)).To(BeFalse())
+	})
+
+	It("is not doubted for connections that failed long ago", func() {
+		for i := range 10 {
+			now := t0 + time.Duration(i)*4*time.Second
+			s.ConnectFailed(now, fmt.Sprint("upstream-", i))
+			Expect(s.StartCheck(now)).To(BeFalse())
+		}
+	})
+
+	It("is checked at upstreams of several zones", func() {
+		addresses := []string{"a1", "a2", "a3", "b1", "c1", "a4"}
+		zones := []string{"a", "a", "a", "b", "c", "a"}
+		Expect(reach.Sample(4, addresses, zones)).To(Equal([]string{"a1", "b1", "c1", "a2"}))
+		Expect(reach.Sample(4, addresses[:1], zones[:1])).To(Equal([]string{"a1"}))
+	})
+})
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sort"
 	"sync"
@@ -115,7 +116,9 @@
 	opts      Options
 	rules     rules
 	metrics   *metrics
+	dialer    *net.Dialer
 	transport *http.Transport
+	path      pathState
 
 	applyMu      sync.Mutex // held while a manifest is applied or shares are set
 	current      atomic.Pointer[table]
@@ -159,10 +162,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("register upstream metrics: %w", err)
 	}
+	dialer := newDialer(o.DialIP)
 	c := &Client{
 		opts:         o,
 		metrics:      m,
-		transport:    newTransport(o.Now, o.DialIP),
+		dialer:       dialer,
+		transport:    newTransport(o.Now, dialer),
+		path:         pathState{now: o.Now},
 		probeSlots:   make(chan struct{}, maxProbes),
 		routeLatency: sharded.New[string, forecast.TypicalLatency](maxRoutes),
 		rules: rules{
@@ -259,6 +265,7 @@
 			address:   u.Address,
 			transport: c.transport,
 			now:       c.opts.Now,
+			path:      &c.path,
 			onDial:    c.countDial,
 		},
 	}
@@ -311,6 +318,9 @@
 // Run probes upstreams, keeps connections warm and adapts the connection shares to the
 // VM list until ctx ends.
 func (c *Client) Run(ctx context.Context) {
+	if c.opts.ManifestOnly && !c.rules.baseline {
+		go c.watchReach(ctx)
+	}
 	tick := time.NewTicker(maintenanceInterval)
 	defer tick.Stop()
 	var sharedAt time.Duration
--- a/internal/upstream/metrics.go
+++ b/internal/upstream/metrics.go
@@ -20,6 +20,8 @@
 	// limits and sentToLimited have a series for each upstream that names a limit.
 	limits        *prometheus.GaugeVec
 	sentToLimited *prometheus.CounterVec
+	reached       prometheus.Gauge
+	reachChecks   *prometheus.CounterVec
 	seconds       *prometheus.HistogramVec
 }
 
@@ -50,15 +52,22 @@
 		sentToLimited: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "spindle_upstream_limited_sent_total", Help: "Requests that this VM sent to an upstream that named a limit.",
 		}, []string{"address"}),
+		reached: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "spindle_upstream_reached", Help: "1 if this VM reaches upstreams, 0 if none replies or accepts a connection.",
+		}),
+		reachChecks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "spindle_upstream_reach_checks_total", Help: "Checks of whether any upstream accepts a connection, by result.",
+		}, []string{"result"}),
 		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "spindle_upstream_attempt_seconds", Help: "Time from picking a replica to the end of its reply.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
 		}, []string{"workload"}),
 	}
+	m.reached.Set(1)
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.connections, m.attempts, m.dials, m.probes, m.refusals, m.backoffs, m.limits, m.sentToLimited, m.seconds} {
+	for _, c := range []prometheus.Collector{m.connections, m.attempts, m.dials, m.probes, m.refusals, m.backoffs, m.limits, m.sentToLimited, m.reached, m.reachChecks, m.seconds} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -47,9 +47,8 @@
 // sockKey is the context key of a **sock that receives the dialed socket.
 type sockKey struct{}
 
-// newTransport returns the transport that dials connections. It uses no proxy and
-// no compression, and its own connection pool is not used.
-func newTransport(now func() time.Duration, dialIP string) *http.Transport {
+// newDialer returns what opens connections, from dialIP unless it is empty.
+func newDialer(dialIP string) *net.Dialer {
 	d := &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -60,6 +59,12 @@
 	if dialIP != "" {
 		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(dialIP)}
 	}
+	return d
+}
+
+// newTransport returns the transport that dials connections. It uses no proxy and
+// no compression, and its own connection pool is not used.
+func newTransport(now func() time.Duration, d *net.Dialer) *http.Transport {
 	return &http.Transport{
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxReplyHeader,
@@ -103,6 +108,7 @@
 	address   string
 	transport *http.Transport
 	now       func() time.Duration
+	path      *pathState
 	onDial    func(error)
 
 	share          atomic.Int64 // equal to maxOpen, read without the lock
@@ -278,7 +284,9 @@
 	defer cancel()
 	var s *sock
 	ctx = context.WithValue(ctx, sockKey{}, &s)
+	p.path.asked()
 	cc, err := p.transport.NewClientConn(ctx, "http", p.address)
+	p.path.dialed(p.address, err)
 	p.onDial(err)
 	p.mu.Lock()
 	p.dialing--
--- a/internal/upstream/ratelimit.go
+++ b/internal/upstream/ratelimit.go
@@ -25,6 +25,7 @@
 
 // countSent counts a request that is about to be sent.
 func (c *Client) countSent(s *server) {
+	c.path.asked()
 	s.mu.Lock()
 	s.rateSent.add(c.opts.Now())
 	limited := s.rate.PerSecond() > 0
--- /dev/null
+++ b/internal/upstream/reach.go
@@ -0,0 +1,162 @@
+package upstream
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/policy/reach"
+)
+
+const (
+	// reachInterval is the time between two looks at whether a check is due.
+	reachInterval = 100 * time.Millisecond
+	// A check tries to connect to one upstream, and to all of checkSample after checkHeadStart. It
+	// fails if none accepts a connection within checkTimeout.
+	checkSample    = 4
+	checkHeadStart = 100 * time.Millisecond
+	checkTimeout   = 300 * time.Millisecond
+)
+
+// pathState is what this VM knows of its path to all upstreams.
+type pathState struct {
+	now func() time.Duration
+
+	mu    sync.Mutex // guards state
+	state reach.State
+}
+
+// asked records that a request is sent or a connection dialed.
+func (p *pathState) asked() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.Asked(p.now())
+}
+
+// heard records that an upstream replied.
+func (p *pathState) heard() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.Heard()
+}
+
+// dialed records the result of a dial.
+func (p *pathState) dialed(address string, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err == nil {
+		p.state.Connected()
+	} else {
+		p.state.ConnectFailed(p.now(), address)
+	}
+}
+
+func (p *pathState) startCheck() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.StartCheck(p.now())
+}
+
+// watchReach checks whether this VM reaches upstreams, whenever that is in doubt, until ctx ends.
+func (c *Client) watchReach(ctx context.Context) {
+	tick := time.NewTicker(reachInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if c.path.startCheck() {
+			go c.checkReach(ctx)
+		}
+	}
+}
+
+// checkReach connects to some upstreams and records whether any accepts the connection.
+func (c *Client) checkReach(ctx context.Context) {
+	sample := c.reachSample()
+	connected := len(sample) == 0 || c.connectsToAny(ctx, sample)
+	if ctx.Err() != nil {
+		connected = true // this VM stops
+	}
+	c.metrics.reachChecks.WithLabelValues(checkResult(connected)).Inc()
+	c.path.mu.Lock()
+	silent := c.path.state.Silent(c.path.now())
+	changed := c.path.state.Checked(c.path.now(), connected)
+	c.path.mu.Unlock()
+	if !changed {
+		return
+	}
+	if connected {
+		c.metrics.reached.Set(1)
+	} else {
+		c.metrics.reached.Set(0)
+	}
+	if c.opts.Log != nil {
+		c.opts.Log.Warn("path to upstreams changed", "reached", connected, "silent", silent, "tried", sample)
+	}
+}
+
+func checkResult(connected bool) string {
+	if connected {
+		return "connected"
+	}
+	return "failed"
+}
+
+// reachSample returns the addresses of upstreams to check, first those that replied last.
+func (c *Client) reachSample() []string {
+	type candidate struct {
+		address, zone string
+		repliedAt     time.Duration
+	}
+	var all []candidate
+	for address, s := range c.current.Load().servers {
+		s.mu.Lock()
+		all = append(all, candidate{address, string(s.entry.Zone), s.repliedAt})
+		s.mu.Unlock()
+	}
+	slices.SortFunc(all, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.repliedAt, a.repliedAt), cmp.Compare(a.address, b.address))
+	})
+	addresses, zones := make([]string, len(all)), make([]string, len(all))
+	for i, x := range all {
+		addresses[i], zones[i] = x.address, x.zone
+	}
+	return reach.Sample(checkSample, addresses, zones)
+}
+
+// connectsToAny reports whether any of the addresses accepts a connection within checkTimeout.
+func (c *Client) connectsToAny(ctx context.Context, addresses []string) bool {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	results := make(chan bool, len(addresses))
+	dial := func(address string) {
+		nc, err := c.dialer.DialContext(ctx, "tcp", address)
+		if err == nil {
+			_ = nc.Close() // it carried nothing
+		}
+		results <- err == nil
+	}
+	go dial(addresses[0])
+	headStart := time.NewTimer(checkHeadStart)
+	defer headStart.Stop()
+	for started, ended := 1, 0; ended < len(addresses); {
+		var connected bool
+		select {
+		case <-headStart.C:
+		case connected = <-results:
+			ended++
+		}
+		if connected {
+			return true
+		}
+		for ; started < len(addresses); started++ {
+			go dial(addresses[started])
+		}
+	}
+	return false
+}
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -38,6 +38,7 @@
 	latencies        histogram
 	probe            *probeCall // nil if none is under way
 	probedAt         time.Duration
+	repliedAt        time.Duration // to a pass-through request
 	forecast         forecast.Server
 	passThroughPicks []time.Duration // pick times of the pass-through requests under way
 }
@@ -72,6 +73,13 @@
 	return s.lease.Reply(sent, received, draining)
 }
 
+// recordReplied records that the upstream replied to a pass-through request.
+func (s *server) recordReplied(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.repliedAt = now
+}
+
 // candidate is a replica considered by a pick. If err is set, the replica may not be
 // picked.
 type candidate struct {
