The relay of links is a package of its own (moved)

Tests of the platform need links that break, as the soak has them. Moved from internal/bench and exported; an unused count of connections went. No other change.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	accept "github.com/sardinespindle/sardinespindle/internal/manifest"
+	"github.com/sardinespindle/sardinespindle/internal/relay"
 	"github.com/sardinespindle/sardinespindle/internal/standin"
 	"github.com/sardinespindle/sardinespindle/internal/testkit"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
@@ -235,11 +236,11 @@
 				_, _ = c.Write([]byte("x"))
 			}
 		}()
-		r, err := newRelay(GinkgoT().Context(), "127.0.0.1:0", l.Addr().String(), "127.0.0.2")
+		r, err := relay.New(GinkgoT().Context(), "127.0.0.1:0", l.Addr().String(), "127.0.0.2")
 		Expect(err).NotTo(HaveOccurred())
-		defer r.close()
+		defer r.Close()
 		read := func() (net.Conn, error) {
-			c, err := net.Dial("tcp", r.listen.Addr().String())
+			c, err := net.Dial("tcp", r.Addr())
 			Expect(err).NotTo(HaveOccurred())
 			_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
 			_, err = c.Read(make([]byte, 1))
@@ -247,12 +248,12 @@
 		}
 		c, err := read()
 		Expect(err).NotTo(HaveOccurred())
-		r.cut(true)
+		r.Cut(true)
 		_, err = c.Read(make([]byte, 1))
 		Expect(err).To(HaveOccurred())
 		_, err = read()
 		Expect(err).To(HaveOccurred())
-		r.cut(false)
+		r.Cut(false)
 		_, err = read()
 		Expect(err).NotTo(HaveOccurred())
 	})
--- a/internal/bench/chaos.go
+++ b/internal/bench/chaos.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sardinespindle/sardinespindle/internal/relay"
 	"github.com/sardinespindle/sardinespindle/internal/standin"
 )
 
@@ -139,14 +140,14 @@
 	if r == nil {
 		return nil // a VM has no link to itself
 	}
-	faults := []linkFault{{StallToTarget: true}, {StallFromTarget: true}, {Delay: 50 * time.Millisecond}, {Delay: 500 * time.Millisecond}}
+	faults := []relay.Fault{{StallToTarget: true}, {StallFromTarget: true}, {Delay: 50 * time.Millisecond}, {Delay: 500 * time.Millisecond}}
 	if n := rng.IntN(len(faults) + 1); n < len(faults) {
-		r.impair(&faults[n])
+		r.Impair(&faults[n])
 		time.Sleep(time.Duration(rng.IntN(2500)) * time.Millisecond)
-		r.impair(nil)
+		r.Impair(nil)
 		return nil
 	}
-	r.reset()
+	r.Reset()
 	return nil
 }
 
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/sardinespindle/sardinespindle/internal/relay"
 	"github.com/sardinespindle/sardinespindle/internal/standin"
 )
 
@@ -71,7 +72,7 @@
 	lock       net.Listener
 	http       *http.Client
 	servers    []*http.Server
-	links      [][]*relay
+	links      [][]*relay.Relay
 	upstreams  *process
 	parts      map[string]bool // digests already published
 }
@@ -263,7 +264,7 @@
 	for _, row := range c.links {
 		for _, r := range row {
 			if r != nil {
-				r.close()
+				r.Close()
 			}
 		}
 	}
--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -106,7 +106,7 @@
 	for i, row := range s.links {
 		for j, r := range row {
 			if r != nil && (i < n) != (j < n) {
-				r.cut(cut)
+				r.Cut(cut)
 			}
 		}
 	}
--- a/internal/bench/soak.go
+++ b/internal/bench/soak.go
@@ -17,6 +17,7 @@
 	"github.com/pelletier/go-toml/v2"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sardinespindle/sardinespindle/internal/relay"
 	"github.com/sardinespindle/sardinespindle/platform/standin"
 	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
 )
@@ -85,9 +86,9 @@
 type soakVM struct {
 	name, zone   string
 	settingsFile string
-	storeLink    *relay     // link from the VM to the store
-	peerLinks    []*relay   // links from the VM to each other VM; nil for itself
-	lifecycle    sync.Mutex // held while a fault stops, pauses, signals or restarts the VM
+	storeLink    *relay.Relay   // link from the VM to the store
+	peerLinks    []*relay.Relay // links from the VM to each other VM; nil for itself
+	lifecycle    sync.Mutex     // held while a fault stops, pauses, signals or restarts the VM
 
 	mu          sync.Mutex // guards the fields below
 	proc        *process
@@ -188,7 +189,7 @@
 	return nil
 }
 
-func (s *soak) startRelay(ctx context.Context, address, target string) (*relay, error) {
+func (s *soak) startRelay(ctx context.Context, address, target string) (*relay.Relay, error) {
 	from, _, err := net.SplitHostPort(target)
 	if err != nil {
 		return nil, fmt.Errorf("relay to %s: %w", target, err)
@@ -197,10 +198,10 @@
 }
 
 // startRelayFrom starts a relay that dials target from a source IP address.
-func (s *soak) startRelayFrom(ctx context.Context, address, target, from string) (*relay, error) {
-	r, err := newRelay(ctx, address, target, from)
+func (s *soak) startRelayFrom(ctx context.Context, address, target, from string) (*relay.Relay, error) {
+	r, err := relay.New(ctx, address, target, from)
 	if err == nil {
-		s.closers = append(s.closers, r.close)
+		s.closers = append(s.closers, r.Close)
 	}
 	return r, err
 }
@@ -250,7 +251,7 @@
 
 // addPeerLinks starts the links from VM i to the others.
 func (s *soak) addPeerLinks(ctx context.Context, vm *soakVM, i int) error {
-	vm.peerLinks = make([]*relay, s.opts.VMs)
+	vm.peerLinks = make([]*relay.Relay, s.opts.VMs)
 	for n := range vm.peerLinks {
 		if n == i {
 			continue
--- a/internal/bench/soak_faults.go
+++ b/internal/bench/soak_faults.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/sardinespindle/sardinespindle/internal/relay"
 )
 
 // drillSeeds is the number of seeds of which one has drills of the store. Checks of configurations
@@ -187,12 +189,12 @@
 	sv := s.servers[i]
 	for _, as := range []int{other, i} {
 		old := sv.current.Load()
-		sv.link.setFault(linkFault{Cut: true})
+		sv.link.SetFault(relay.Fault{Cut: true})
 		sv.remove()
 		s.evidence.recordDrain(old.ID)
 		time.Sleep(soakReuseDelay)
 		sv.startServer(as)
-		sv.link.setFault(linkFault{})
+		sv.link.SetFault(relay.Fault{})
 		time.Sleep(randomDuration(rng, 200, 800))
 	}
 	return nil
@@ -200,7 +202,7 @@
 
 // linkFault breaks the link to a server, or that from a VM to the store.
 func (s *soak) linkFault(_ context.Context, rng *rand.Rand) error {
-	faults := []linkFault{
+	faults := []relay.Fault{
 		{Cut: true}, {StallToTarget: true}, {StallFromTarget: true}, {StallToTarget: true, StallFromTarget: true},
 		{Delay: 20 * time.Millisecond}, {Delay: 200 * time.Millisecond},
 	}
@@ -210,22 +212,22 @@
 		return nil
 	}
 	r := s.servers[rng.IntN(len(s.servers))].link
-	r.setFault(f)
+	r.SetFault(f)
 	time.Sleep(d)
-	r.setFault(linkFault{})
+	r.SetFault(relay.Fault{})
 	return nil
 }
 
 // peersFault breaks the links between a VM and about half of the others, in both directions or in
 // one, while all of them reach the store and the servers.
 func (s *soak) peersFault(_ context.Context, rng *rand.Rand) error {
-	faults := []linkFault{
+	faults := []relay.Fault{
 		{StallToTarget: true, StallFromTarget: true}, {StallToTarget: true}, {StallFromTarget: true}, {Delay: 150 * time.Millisecond},
 	}
 	f, d := faults[rng.IntN(len(faults))], randomDuration(rng, 150, 1200)
 	one := rng.IntN(len(s.vms))
 	defer s.vms[one].markCutOff()()
-	var links []*relay
+	var links []*relay.Relay
 	for n, vm := range s.vms {
 		if n == one || rng.IntN(2) == 0 {
 			continue
@@ -234,21 +236,21 @@
 		links = append(links, s.vms[one].peerLinks[n], vm.peerLinks[one])
 	}
 	for _, l := range links {
-		l.setFault(f)
+		l.SetFault(f)
 	}
 	time.Sleep(d)
 	for _, l := range links {
-		l.setFault(linkFault{})
+		l.SetFault(relay.Fault{})
 	}
 	return nil
 }
 
 // breakStoreLink breaks a VM's link to the store for a while, and records the outage.
-func (s *soak) breakStoreLink(r *relay, f linkFault, d time.Duration) {
+func (s *soak) breakStoreLink(r *relay.Relay, f relay.Fault, d time.Duration) {
 	defer s.recordOutage()()
-	r.setFault(f)
+	r.SetFault(f)
 	time.Sleep(d)
-	r.setFault(linkFault{})
+	r.SetFault(relay.Fault{})
 }
 
 // recordOutage records that the store fails for some VM until end is called. The outage
@@ -266,7 +268,7 @@
 }
 
 func (s *soak) resetFault(_ context.Context, rng *rand.Rand) error {
-	s.servers[rng.IntN(len(s.servers))].link.reset()
+	s.servers[rng.IntN(len(s.servers))].link.Reset()
 	return nil
 }
 
@@ -384,15 +386,15 @@
 func (s *soak) clearFaults() {
 	s.store.Intercept(nil)
 	for _, vm := range s.vms {
-		vm.storeLink.setFault(linkFault{})
+		vm.storeLink.SetFault(relay.Fault{})
 		for _, l := range vm.peerLinks {
 			if l != nil {
-				l.setFault(linkFault{})
+				l.SetFault(relay.Fault{})
 			}
 		}
 	}
 	for _, sv := range s.servers {
-		sv.link.setFault(linkFault{})
+		sv.link.SetFault(relay.Fault{})
 		sv.fault.Store(&serverFault{})
 	}
 }
--- a/internal/bench/soak_servers.go
+++ b/internal/bench/soak_servers.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sardinespindle/sardinespindle/internal/relay"
 	"github.com/sardinespindle/sardinespindle/platform"
 	"github.com/sardinespindle/sardinespindle/platform/standin"
 )
@@ -23,7 +24,7 @@
 type soakServer struct {
 	s       *soak
 	address string // published address, which is that of the relay
-	link    *relay
+	link    *relay.Relay
 	started int // servers started so far
 	current atomic.Pointer[standin.Server]
 	fault   atomic.Pointer[serverFault]
--- a/internal/bench/usage.go
+++ b/internal/bench/usage.go
@@ -49,7 +49,7 @@
 	for _, row := range c.links {
 		for _, r := range row {
 			if r != nil {
-				s.peerBytes += r.bytes.Load()
+				s.peerBytes += r.Bytes()
 			}
 		}
 	}
--- a/internal/bench/vms.go
+++ b/internal/bench/vms.go
@@ -12,6 +12,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"github.com/sardinespindle/sardinespindle/internal/relay"
 	"github.com/sardinespindle/sardinespindle/schema/gen/platform"
 	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
 )
@@ -54,13 +55,13 @@
 
 // link creates the relays from one VM to every other.
 func (c *Cluster) link(ctx context.Context, i int) error {
-	row := make([]*relay, len(c.VMs))
+	row := make([]*relay.Relay, len(c.VMs))
 	c.links = append(c.links, row)
 	for j, vm := range c.VMs {
 		if i == j {
 			continue
 		}
-		r, err := newRelay(ctx, c.address(linkNet+i, j+1, peerPort), vm.Peers, c.ip(linkNet+j, i+1))
+		r, err := relay.New(ctx, c.address(linkNet+i, j+1, peerPort), vm.Peers, c.ip(linkNet+j, i+1))
 		if err != nil {
 			return err
 		}
--- a/internal/bench/relay.go
+++ b/internal/relay/relay.go
@@ -1,4 +1,6 @@
-package bench
+// Package relay forwards connections to one address, as a link that an experiment or a test can
+// break. It serves experiments and tests only. A Relay is safe for concurrent use.
+package relay
 
 import (
 	"context"
@@ -11,8 +13,8 @@
 	"time"
 )
 
-// linkFault describes how a link is broken. The zero value is a link without fault.
-type linkFault struct {
+// Fault describes how a link is broken. The zero value is a link without fault.
+type Fault struct {
 	// Cut closes the connections and refuses new ones.
 	Cut bool
 	// StallToTarget holds back bytes sent to the target until the fault is over, and
@@ -22,34 +24,39 @@
 	Delay time.Duration
 }
 
-// relay forwards connections to one address and applies a linkFault to them. mu guards
+// Relay forwards connections to one address and applies a Fault to them. mu guards
 // fault and the fields after it.
-type relay struct {
-	target      string
-	from        net.IP // source address to the target; nil for that of the incoming connection
-	listen      net.Listener
-	bytes       atomic.Int64 // forwarded, in both directions
-	mu          sync.Mutex
-	fault       linkFault
-	conns       map[net.Conn]bool
-	targetConns int // open connections to the target
+type Relay struct {
+	target string
+	from   net.IP // source address to the target; nil for that of the incoming connection
+	listen net.Listener
+	bytes  atomic.Int64
+	mu     sync.Mutex
+	fault  Fault
+	conns  map[net.Conn]bool
 }
 
-// newRelay listens on an address and forwards connections to target, with the source IP
+// New listens on an address and forwards connections to target, with the source IP
 // address from, or that of the incoming connection if from is empty. On links between VMs, that is
 // the sender's IP address in the VM list of the target.
-func newRelay(ctx context.Context, address, target, from string) (*relay, error) {
+func New(ctx context.Context, address, target, from string) (*Relay, error) {
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
-	r := &relay{target: target, from: net.ParseIP(from), listen: l, conns: map[net.Conn]bool{}}
+	r := &Relay{target: target, from: net.ParseIP(from), listen: l, conns: map[net.Conn]bool{}}
 	go r.accept()
 	return r, nil
 }
 
-func (r *relay) accept() {
+// Addr returns the address that the relay listens on.
+func (r *Relay) Addr() string { return r.listen.Addr().String() }
+
+// Bytes returns how many bytes were forwarded, in both directions.
+func (r *Relay) Bytes() int64 { return r.bytes.Load() }
+
+func (r *Relay) accept() {
 	for {
 		c, err := r.listen.Accept()
 		if err != nil {
@@ -60,7 +67,7 @@
 }
 
 // forward copies in both directions until either side ends or the link is cut.
-func (r *relay) forward(in net.Conn) {
+func (r *Relay) forward(in net.Conn) {
 	defer r.closeConn(in)
 	if !r.track(in) {
 		return
@@ -78,25 +85,16 @@
 	if !r.track(out) {
 		return
 	}
-	r.addTargetConns(1)
-	defer r.addTargetConns(-1)
 	done := make(chan struct{}, 2)
-	pipe := func(dst, src net.Conn, stalled func(linkFault) bool) {
+	pipe := func(dst, src net.Conn, stalled func(Fault) bool) {
 		r.copy(dst, src, stalled)
 		done <- struct{}{}
 	}
-	go pipe(out, in, func(f linkFault) bool { return f.StallToTarget })
-	go pipe(in, out, func(f linkFault) bool { return f.StallFromTarget })
+	go pipe(out, in, func(f Fault) bool { return f.StallToTarget })
+	go pipe(in, out, func(f Fault) bool { return f.StallFromTarget })
 	<-done
 }
 
-// addTargetConns adds n to targetConns.
-func (r *relay) addTargetConns(n int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.targetConns += n
-}
-
 const (
 	bufferBytes = 16 << 10
 	// stallPoll is how often a stalled direction checks whether the fault is over.
@@ -104,7 +102,7 @@
 )
 
 // copy forwards bytes in one direction until either side ends.
-func (r *relay) copy(dst, src net.Conn, stalled func(linkFault) bool) {
+func (r *Relay) copy(dst, src net.Conn, stalled func(Fault) bool) {
 	buf := make([]byte, bufferBytes)
 	for {
 		n, err := src.Read(buf)
@@ -126,13 +124,13 @@
 	}
 }
 
-func (r *relay) currentFault() linkFault {
+func (r *Relay) currentFault() Fault {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.fault
 }
 
-func (r *relay) track(c net.Conn) bool {
+func (r *Relay) track(c net.Conn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.fault.Cut {
@@ -142,41 +140,41 @@
 	return true
 }
 
-func (r *relay) closeConn(c net.Conn) {
+func (r *Relay) closeConn(c net.Conn) {
 	r.mu.Lock()
 	delete(r.conns, c)
 	r.mu.Unlock()
 	_ = c.Close()
 }
 
-// cut closes the connections and refuses new ones, or accepts them again.
-func (r *relay) cut(on bool) { r.setFault(linkFault{Cut: on}) }
+// Cut closes the connections and refuses new ones, or accepts them again.
+func (r *Relay) Cut(on bool) { r.SetFault(Fault{Cut: on}) }
 
-// impair applies a fault that closes no connection, or removes it if f is nil; a cut link
+// Impair applies a fault that closes no connection, or removes it if f is nil; a cut link
 // stays cut.
-func (r *relay) impair(f *linkFault) {
+func (r *Relay) Impair(f *Fault) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if f == nil {
-		f = &linkFault{}
+		f = &Fault{}
 	}
 	cut := r.fault.Cut
 	r.fault = *f
 	r.fault.Cut = cut
 }
 
-// setFault replaces the fault of the link. The fault Cut closes the connections.
-func (r *relay) setFault(f linkFault) {
+// SetFault replaces the fault of the link. The fault Cut closes the connections.
+func (r *Relay) SetFault(f Fault) {
 	r.mu.Lock()
 	r.fault = f
 	r.mu.Unlock()
 	if f.Cut {
-		r.reset()
+		r.Reset()
 	}
 }
 
-// reset closes all connections with a TCP reset, so that bytes under way are lost.
-func (r *relay) reset() {
+// Reset closes all connections with a TCP reset, so that bytes under way are lost.
+func (r *Relay) Reset() {
 	r.mu.Lock()
 	conns := slices.Collect(maps.Keys(r.conns))
 	r.mu.Unlock()
@@ -188,7 +186,8 @@
 	}
 }
 
-func (r *relay) close() {
+// Close closes the relay and its connections.
+func (r *Relay) Close() {
 	_ = r.listen.Close()
-	r.cut(true)
+	r.Cut(true)
 }
