--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -162,21 +162,26 @@
 	}
 }
 
-// dialIP returns the IP address that connections to upstreams are dialed from; empty for any.
-func (f *Forwarder) dialIP() string {
-	if f.s.Experiment != nil && f.s.Experiment.BindUpstreams {
-		return f.node.Name()
+// dialing returns the IP address that upstreams are dialed from, empty for any, and what is added to
+// their ports.
+func (f *Forwarder) dialing() (fromIP string, portOffset int) {
+	if f.s.Experiment == nil {
+		return "", 0
 	}
-	return ""
+	if f.s.Experiment.BindUpstreams {
+		fromIP = f.node.Name()
+	}
+	return fromIP, f.s.Experiment.UpstreamPortOffset
 }
 
 // wireRequests creates the parts that serve callers and send requests to upstreams.
 func (f *Forwarder) wireRequests() error {
 	var err error
+	dialIP, portOffset := f.dialing()
 	f.upstreams, err = upstream.New(upstream.Options{
 		VM: f.node.Name(), Zone: f.s.Zone, Mechanisms: mechanism.New(f.s.Experiment), VMs: f.fleet.size, Members: f.fleet.names,
 		Share: f.connectionShare, MayPreconnect: f.fleet.converged, ManifestOnly: true, Headers: platform.UpstreamHeaders, OnLeaving: f.tellLeaving,
-		Senders: f.limitSenders, OnLimit: f.tellLimit, DialIP: f.dialIP(), Log: f.log, Registerer: f.registry,
+		Senders: f.limitSenders, OnLimit: f.tellLimit, DialIP: dialIP, DialPortOffset: portOffset, Log: f.log, Registerer: f.registry,
 	})
 	if err != nil {
 		return err
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"maps"
 	"net"
 	"slices"
@@ -15,8 +16,12 @@
 
 // Fault describes how a link is broken. The zero value is a link without fault.
 type Fault struct {
-	// Cut closes the connections and refuses new ones.
+	// Cut closes the connections; those opened later are closed at once.
 	Cut bool
+	// Refuse refuses new connections, as a host without a listener; open ones live on.
+	Refuse bool
+	// Blackhole leaves new connections without a reply and stalls open ones, as a partition.
+	Blackhole bool
 	// StallToTarget holds back bytes sent to the target until the fault is over, and
 	// StallFromTarget those sent by the target, as on a network that loses packets.
 	StallToTarget, StallFromTarget bool
@@ -24,16 +29,19 @@
 	Delay time.Duration
 }
 
-// Relay forwards connections to one address and applies a Fault to them. mu guards
-// fault and the fields after it.
+// Relay forwards connections to one address and applies a Fault to them.
 type Relay struct {
-	target string
-	from   net.IP // source address to the target; nil for that of the incoming connection
-	listen net.Listener
-	bytes  atomic.Int64
-	mu     sync.Mutex
-	fault  Fault
-	conns  map[net.Conn]bool
+	address string
+	target  string
+	from    net.IP // source address to the target; nil for that of the incoming connection
+	bytes   atomic.Int64
+
+	listening sync.Mutex // held while the listener is replaced
+	listen    io.Closer  // nil while the link refuses connections
+
+	mu    sync.Mutex // guards the fields below
+	fault Fault
+	conns map[net.Conn]bool
 }
 
 // New listens on an address and forwards connections to target, with the source IP
@@ -45,20 +53,20 @@
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
-	r := &Relay{target: target, from: net.ParseIP(from), listen: l, conns: map[net.Conn]bool{}}
-	go r.accept()
+	r := &Relay{address: l.Addr().String(), target: target, from: net.ParseIP(from), listen: l, conns: map[net.Conn]bool{}}
+	go r.accept(l)
 	return r, nil
 }
 
 // Addr returns the address that the relay listens on.
-func (r *Relay) Addr() string { return r.listen.Addr().String() }
+func (r *Relay) Addr() string { return r.address }
 
 // Bytes returns how many bytes were forwarded, in both directions.
 func (r *Relay) Bytes() int64 { return r.bytes.Load() }
 
-func (r *Relay) accept() {
+func (r *Relay) accept(l net.Listener) {
 	for {
-		c, err := r.listen.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -90,8 +98,8 @@
 		r.copy(dst, src, stalled)
 		done <- struct{}{}
 	}
-	go pipe(out, in, func(f Fault) bool { return f.StallToTarget })
-	go pipe(in, out, func(f Fault) bool { return f.StallFromTarget })
+	go pipe(out, in, func(f Fault) bool { return f.StallToTarget || f.Blackhole })
+	go pipe(in, out, func(f Fault) bool { return f.StallFromTarget || f.Blackhole })
 	<-done
 }
 
@@ -163,14 +171,44 @@
 	r.fault.Cut = cut
 }
 
-// SetFault replaces the fault of the link. The fault Cut closes the connections.
+// SetFault replaces the fault of the link. It panics if the link can't listen again.
 func (r *Relay) SetFault(f Fault) {
+	r.listening.Lock()
+	defer r.listening.Unlock()
 	r.mu.Lock()
+	old := r.fault
 	r.fault = f
 	r.mu.Unlock()
 	if f.Cut {
 		r.Reset()
 	}
+	if f.Refuse != old.Refuse || f.Blackhole != old.Blackhole {
+		r.listenAs(f)
+	}
+}
+
+// listenAs replaces the listener by what a fault needs.
+func (r *Relay) listenAs(f Fault) {
+	if r.listen != nil {
+		_ = r.listen.Close()
+		r.listen = nil
+	}
+	switch {
+	case f.Refuse:
+	case f.Blackhole:
+		b, err := newBlackhole(r.address)
+		if err != nil {
+			panic(fmt.Errorf("relay: %w", err))
+		}
+		r.listen = b
+	default:
+		l, err := net.Listen("tcp", r.address) //nolint:noctx // loopback
+		if err != nil {
+			panic(fmt.Errorf("relay: %w", err))
+		}
+		r.listen = l
+		go r.accept(l)
+	}
 }
 
 // Reset closes all connections with a TCP reset, so that bytes under way are lost.
@@ -188,6 +226,5 @@
 
 // Close closes the relay and its connections.
 func (r *Relay) Close() {
-	_ = r.listen.Close()
-	r.Cut(true)
+	r.SetFault(Fault{Cut: true, Refuse: true})
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sort"
 	"sync"
@@ -48,8 +47,10 @@
 	// ManifestOnly says that each upstream in the manifest takes new work, even one marked
 	// as draining: no probes are sent and no lease is needed.
 	ManifestOnly bool
-	// DialIP is the IP address that connections are dialed from; empty for any.
-	DialIP string
+	// DialIP is the IP address that connections are dialed from; empty for any. DialPortOffset
+	// is added to the port of each upstream that is dialed.
+	DialIP         string
+	DialPortOffset int
 	// Headers names the headers of attempts of kind PassThrough.
 	Headers    HeaderNames
 	Log        *log.Logger
@@ -116,7 +117,7 @@
 	opts      Options
 	rules     rules
 	metrics   *metrics
-	dialer    *net.Dialer
+	dialer    *dialer
 	transport *http.Transport
 	path      pathState
 
@@ -162,7 +163,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("register upstream metrics: %w", err)
 	}
-	dialer := newDialer(o.DialIP)
+	dialer := newDialer(o.DialIP, o.DialPortOffset)
 	c := &Client{
 		opts:         o,
 		metrics:      m,
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -47,31 +48,49 @@
 // sockKey is the context key of a **sock that receives the dialed socket.
 type sockKey struct{}
 
-// newDialer returns what opens connections, from dialIP unless it is empty.
-func newDialer(dialIP string) *net.Dialer {
-	d := &net.Dialer{
+// dialer opens connections to upstreams.
+type dialer struct {
+	net.Dialer
+	portOffset int // added to the port of each upstream
+}
+
+// newDialer returns a dialer that dials from fromIP, unless that is empty.
+func newDialer(fromIP string, portOffset int) *dialer {
+	d := &dialer{portOffset: portOffset, Dialer: net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
 		Control: setUserTimeout,
-	}
-	if dialIP != "" {
-		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(dialIP)}
+	}}
+	if fromIP != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(fromIP)}
 	}
 	return d
 }
 
+// dial opens a connection to the upstream at an address.
+func (d *dialer) dial(ctx context.Context, address string) (net.Conn, error) {
+	if d.portOffset != 0 {
+		ap, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, fmt.Errorf("dial %s: %w", address, err)
+		}
+		address = netip.AddrPortFrom(ap.Addr(), ap.Port()+uint16(d.portOffset)).String()
+	}
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // newTransport returns the transport that dials connections. It uses no proxy and
 // no compression, and its own connection pool is not used.
-func newTransport(now func() time.Duration, d *net.Dialer) *http.Transport {
+func newTransport(now func() time.Duration, d *dialer) *http.Transport {
 	return &http.Transport{
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxReplyHeader,
 		ReadBufferSize:         connBuffer,
 		WriteBufferSize:        connBuffer,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			nc, err := d.DialContext(ctx, network, address)
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			nc, err := d.dial(ctx, address)
 			if err != nil {
 				return nil, err
 			}
--- a/internal/upstream/reach.go
+++ b/internal/upstream/reach.go
@@ -135,7 +135,7 @@
 	defer cancel()
 	results := make(chan bool, len(addresses))
 	dial := func(address string) {
-		nc, err := c.dialer.DialContext(ctx, "tcp", address)
+		nc, err := c.dialer.dial(ctx, address)
 		if err == nil {
 			_ = nc.Close() // it carried nothing
 		}
--- a/schema/gen/settings/settings.go
+++ b/schema/gen/settings/settings.go
@@ -22,6 +22,10 @@
 	// Policy in force: current, or baseline (wait for all shards, no hedges, random
 	// replicas, no limits).
 	Policy ExperimentPolicy `json:"policy,omitempty,omitzero" toml:"policy,omitempty" cbor:"policy,omitempty"`
+
+	// Added to the port of each upstream when it is dialed, where links that an
+	// experiment can break lead to the upstreams. Kind catalog only.
+	UpstreamPortOffset int `json:"upstream_port_offset,omitempty,omitzero" toml:"upstream_port_offset,omitempty" cbor:"upstream_port_offset,omitempty"`
 }
 
 type ExperimentDisableElem string
