--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -55,6 +55,11 @@
 	unreachablePrefix = "blind/"
 	unreachableTTL    = 4 * time.Second
 	unreachableValue  = "yes"
+	// strandedPrefix starts the key of the fact by which a VM announces that it reaches no
+	// upstream: no other VM gives it work. It announces that again when half of strandedTTL is left.
+	strandedPrefix = "stranded/"
+	strandedTTL    = 10 * time.Second
+	strandedValue  = "yes"
 	// leavingPrefix starts the key of the fact by which a VM states that an upstream, whose address
 	// follows, said in a reply that it leaves. The value is its incarnation. leavingUpstreamTTL is
 	// how long it may serve after that; what is published then lacks it.
@@ -84,6 +89,10 @@
 	shardLimit atomic.Int64 // lowest connection limit of the upstreams of shards; 0 if unknown
 	view       atomic.Pointer[fleetView]
 
+	strandedMu    sync.Mutex // guards the fields below
+	stranded      bool       // this VM reaches no upstream
+	strandedUntil time.Duration
+
 	announceMu sync.Mutex // guards number
 	number     int        // of this VM's last announcement
 
@@ -96,15 +105,22 @@
 	vms           []delegate.VM       // live; this VM included unless it is leaving
 	names         []string            // VMs that may be alive, this one included
 	mayGather     []string            // VMs that may be alive and gather, this one included if it does
-	gatherers     map[string][]string // by zone; this VM only if it is the one gatherer of its zone
+	gatherers     map[string][]string // that reach upstreams, by zone; this VM only if it is the one of its zone
 	gathererCount int                 // number of gatherers, this VM counted if it is one
 	isGatherer    bool                // whether this VM is a gatherer
+	others        map[string][]string // live VMs that reach upstreams, by zone, without this one
+	stranded      map[string]bool     // VMs that reach no upstream
 }
 
 func newFleet(node *peer.Node, self delegate.VM, port uint16, seeds []settings.Address) *fleet {
 	f := &fleet{node: node, self: self, port: port, started: clock.Boot()}
 	f.setSeeds(seeds)
 	node.Facts().Watch(lostPrefix+self.Name, func(facts.Fact) { f.refute() })
+	node.Facts().Watch(strandedPrefix, func(fact facts.Fact) {
+		if f.view.Load().stranded[fact.VM()] != (fact.Value == strandedValue) {
+			f.update()
+		}
+	})
 	f.update()
 	return f
 }
@@ -132,6 +148,7 @@
 			nextAnnouncement = now + pause.Jitter(announceInterval)
 			f.announce(0)
 		}
+		f.announceStranded()
 		f.update()
 		interval := updateInterval
 		if f.node.JustStarted() {
@@ -251,29 +268,42 @@
 	if limit == 0 {
 		limit = len(v.vms) * len(v.vms) // no shard is known: all VMs may gather
 	}
-	for _, vm := range delegate.Gatherers(v.vms, max(limit, 1), f.node.JustStarted()) {
-		v.gathererCount++
-		if vm.Name == f.self.Name {
-			v.isGatherer = true
-			continue
-		}
-		v.gatherers[vm.Zone] = append(v.gatherers[vm.Zone], vm.Name)
-	}
-	v.mayGather = f.mayGather(v, lost, max(limit, 1))
-	if v.isGatherer && len(v.gatherers[f.self.Zone]) == 0 {
+	v.stranded = f.strandedVMs()
+	reaching := slices.DeleteFunc(slices.Clone(v.vms), func(vm delegate.VM) bool { return v.stranded[vm.Name] })
+	v.others = namesByZone(reaching, f.self.Name)
+	gatherers := delegate.ChooseGatherers(v.vms, reaching, max(limit, 1), f.node.JustStarted())
+	v.gathererCount = len(gatherers)
+	v.isGatherer = slices.ContainsFunc(gatherers, func(vm delegate.VM) bool { return vm.Name == f.self.Name })
+	v.mayGather = f.mayGather(v.vms, lost, gatherers, max(limit, 1))
+	gatherers = slices.DeleteFunc(gatherers, func(vm delegate.VM) bool { return v.stranded[vm.Name] })
+	v.gatherers = namesByZone(gatherers, f.self.Name)
+	if v.runsSearches(f.self.Name) && len(v.gatherers[f.self.Zone]) == 0 {
 		v.gatherers[f.self.Zone] = []string{f.self.Name}
 	}
 	f.view.Store(v)
 }
 
-// mayGather returns the gatherers of a view, and the lost VMs that would be gatherers if they were
-// live: to themselves they may be.
-func (f *fleet) mayGather(v *fleetView, lost map[string]delegate.VM, limit int) []string {
-	names := slices.Concat(slices.Collect(maps.Values(v.gatherers))...)
-	if v.isGatherer {
-		names = append(names, f.self.Name)
+// runsSearches reports whether self runs searches: it is a gatherer and reaches upstreams.
+func (v *fleetView) runsSearches(self string) bool { return v.isGatherer && !v.stranded[self] }
+
+// namesByZone returns the names of VMs but one, by zone.
+func namesByZone(vms []delegate.VM, except string) map[string][]string {
+	out := map[string][]string{}
+	for _, vm := range vms {
+		if vm.Name != except {
+			out[vm.Zone] = append(out[vm.Zone], vm.Name)
+		}
 	}
-	all := slices.AppendSeq(slices.Clone(v.vms), maps.Values(lost))
+	return out
+}
+
+// mayGather returns the names of the gatherers, and of the lost VMs that would be gatherers if they
+// were live: to themselves they may be.
+func (f *fleet) mayGather(live []delegate.VM, lost map[string]delegate.VM, gatherers []delegate.VM, limit int) (names []string) {
+	for _, vm := range gatherers {
+		names = append(names, vm.Name)
+	}
+	all := slices.AppendSeq(slices.Clone(live), maps.Values(lost))
 	for _, vm := range delegate.Gatherers(all, limit, f.node.JustStarted()) {
 		if _, isLost := lost[vm.Name]; isLost {
 			names = append(names, vm.Name)
@@ -282,6 +312,55 @@
 	return names
 }
 
+// strandedVMs returns the VMs that announced that they reach no upstream, this one by what it knows.
+func (f *fleet) strandedVMs() map[string]bool {
+	out := map[string]bool{}
+	for _, fact := range f.node.Facts().List(strandedPrefix) {
+		if fact.Value == strandedValue && fact.Key == strandedPrefix+fact.VM() {
+			out[fact.VM()] = true
+		}
+	}
+	f.strandedMu.Lock()
+	defer f.strandedMu.Unlock()
+	out[f.self.Name] = f.stranded
+	return out
+}
+
+// setReached announces whether this VM reaches upstreams.
+func (f *fleet) setReached(reached bool) {
+	f.strandedMu.Lock()
+	f.stranded, f.strandedUntil = !reached, 0
+	f.strandedMu.Unlock()
+	if reached {
+		f.node.Facts().Put(strandedPrefix+f.self.Name, "", strandedTTL)
+	} else {
+		f.announceStranded()
+	}
+	f.update()
+}
+
+// announceStranded announces that this VM reaches no upstream, if it does not and has not announced
+// that lately.
+func (f *fleet) announceStranded() {
+	now := clock.Boot()
+	f.strandedMu.Lock()
+	due := f.stranded && f.strandedUntil-now < strandedTTL/2
+	if due {
+		f.strandedUntil = now + strandedTTL
+	}
+	f.strandedMu.Unlock()
+	if due {
+		f.node.Facts().Put(strandedPrefix+f.self.Name, strandedValue, strandedTTL)
+	}
+}
+
+// others returns the live VMs that reach upstreams, by zone, without this one, and whether this VM
+// does.
+func (f *fleet) others() (byZone map[string][]string, reached bool) {
+	v := f.view.Load()
+	return v.others, !v.stranded[f.self.Name]
+}
+
 // leave announces that this VM is leaving.
 func (f *fleet) leave() { f.node.Facts().Put("vm/"+f.self.Name, "leaving", leavingTTL) }
 
@@ -300,11 +379,11 @@
 // names returns the VMs that may be alive, this one included.
 func (f *fleet) names() []string { return f.view.Load().names }
 
-// gatherers returns the names of the gatherers by zone, and whether this VM is one. This VM
-// is listed only if it is the one gatherer of its zone.
+// gatherers returns the names of the gatherers that reach upstreams, by zone, and whether this VM is
+// one. This VM is listed only if it is the one of its zone.
 func (f *fleet) gatherers() (byZone map[string][]string, self bool) {
 	v := f.view.Load()
-	return v.gatherers, v.isGatherer
+	return v.gatherers, v.runsSearches(f.self.Name)
 }
 
 // gathererCount returns the number of gatherers, or connbudget.DefaultFleetSize while no other VM
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -181,7 +181,7 @@
 	f.upstreams, err = upstream.New(upstream.Options{
 		VM: f.node.Name(), Zone: f.s.Zone, Mechanisms: mechanism.New(f.s.Experiment), VMs: f.fleet.size, Members: f.fleet.names,
 		Share: f.connectionShare, MayPreconnect: f.fleet.converged, ManifestOnly: true, Headers: platform.UpstreamHeaders, OnLeaving: f.tellLeaving,
-		Senders: f.limitSenders, OnLimit: f.tellLimit, DialIP: dialIP, DialPortOffset: portOffset, Log: f.log, Registerer: f.registry,
+		OnReach: f.fleet.setReached, Senders: f.limitSenders, OnLimit: f.tellLimit, DialIP: dialIP, DialPortOffset: portOffset, Log: f.log, Registerer: f.registry,
 	})
 	if err != nil {
 		return err
@@ -207,6 +207,7 @@
 		LinkMbps:   f.s.Fleet.LinkMbps,
 		Zone:       f.s.Zone,
 		Gatherers:  f.fleet.gatherers,
+		Others:     f.fleet.others,
 		Peers:      f.node,
 		ReportLost: f.reportLost,
 		Now:        clock.Boot,
--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -37,7 +37,10 @@
 // are silent, the waits for their first notices fit into a search's timeout.
 const maxDelegations = 3
 
-var errUnexpectedReply = errors.New("reply of another kind")
+var (
+	errUnexpectedReply = errors.New("reply of another kind")
+	errUnreached       = errors.New("VM lost its path to the upstreams")
+)
 
 // peerTable holds the load and the failures of the gatherers, as seen by this VM.
 type peerTable struct {
@@ -88,35 +91,59 @@
 }
 
 // runOrDelegate runs a request on this VM or delegates it to VMs near its upstreams. After
-// maxDelegations failures, or if no other VM is left, the request runs here.
+// maxDelegations failures, or if no other VM is left, the request runs here. If this VM finds only
+// then that it reaches no upstream, the request is passed on.
 func (s *Server) runOrDelegate(ctx context.Context, q *request, p *upstream.PassThroughRequest) outcome.Outcome {
 	if groups := s.groups(q); groups != nil {
 		return s.searchGroups(ctx, q, p, groups)
 	}
+	if o, done := s.delegate(ctx, q, p); done {
+		return o
+	}
+	return s.passOnUnreached(ctx, q, p, q.unknownIfSent(s.run(ctx, q, p)))
+}
+
+// delegate delegates a request to up to maxDelegations VMs in turn; done is false if it runs here.
+func (s *Server) delegate(ctx context.Context, q *request, p *upstream.PassThroughRequest) (o outcome.Outcome, done bool) {
 	for range maxDelegations {
-		vm, ok := s.chooseGatherer(q)
+		vm, ok := s.chooseVM(q)
 		if !ok {
-			break
+			return outcome.Outcome{}, false
 		}
-		o, done := s.delegateTo(ctx, q, p, vm)
-		if done {
-			return o
+		if o, done := s.delegateTo(ctx, q, p, vm); done {
+			return o, true
 		}
 	}
-	return q.unknownIfSent(s.run(ctx, q, p))
+	return outcome.Outcome{}, false
 }
 
-// chooseGatherer returns the VM to delegate a request to; false if it runs here. A request
-// to a single service is delegated only if this VM is not a gatherer and the service is
-// also a shard of a search: only gatherers have connections to the upstreams of shards.
-func (s *Server) chooseGatherer(q *request) (vm string, ok bool) {
+// passOnUnreached passes a request on whose outcome is that it did not run because this VM reaches no
+// upstream. It returns the outcome of any other request, and of one that no other VM takes.
+func (s *Server) passOnUnreached(ctx context.Context, q *request, p *upstream.PassThroughRequest, o outcome.Outcome) outcome.Outcome {
+	if o.Kind != caller.OutcomeNotRun || o.Reason != outcome.Unreachable || ctx.Err() != nil {
+		return o
+	}
+	if passed, done := s.delegate(ctx, q, p); done {
+		return passed
+	}
+	return o
+}
+
+// chooseVM returns the VM to delegate a request to; false if it runs here. A request to a single
+// service is delegated if this VM reaches no upstream, or if this VM is not a gatherer and the service
+// is also a shard of a search: only gatherers have connections to the upstreams of shards.
+func (s *Server) chooseVM(q *request) (vm string, ok bool) {
 	if s.o.Peers == nil || q.delegated {
 		return "", false
 	}
 	gatherers, self := s.o.Gatherers()
 	coverage := q.catalog.ZoneCoverage[q.route.Name]
 	if !q.route.Sharded() {
-		if _, shard := q.catalog.ShardLimits[q.service]; !shard || self {
+		_, shard := q.catalog.ShardLimits[q.service]
+		if others, reached := s.o.Others(); !shard && !reached {
+			return s.acquireNear(others, q.tried)
+		}
+		if !shard || self {
 			return "", false
 		}
 	}
@@ -131,6 +158,14 @@
 	return vm, ok
 }
 
+// acquireNear acquires a VM of this zone, or of any other if none is usable there.
+func (s *Server) acquireNear(byZone map[string][]string, tried []string) (vm string, ok bool) {
+	if vm, ok = s.peers.acquire(byZone[s.o.Zone], tried, s.o.Now()); ok {
+		return vm, true
+	}
+	return s.peers.acquire(slices.Concat(slices.Collect(maps.Values(byZone))...), tried, s.o.Now())
+}
+
 // delegateTo delegates a request to a VM. done reports that o is the request's outcome:
 // the VM returned it, the time is up, or a second run is not safe. If not done, the request
 // can run elsewhere; q.maybeSent says whether a VM that was tried may have sent it to
@@ -139,25 +174,17 @@
 	callCtx, cancel := context.WithDeadline(ctx, q.deadline.Add(hopSlack))
 	defer cancel()
 	track := s.trackSent(q)
-	reply, err := s.o.Peers.Delegate(callCtx, vm, s.newDelegate(q, p), peer.Watch{Finish: q.control.finish, OnNotice: func(a *gen.Accepted, confirm func()) {
-		if a.Covered > 0 {
-			q.control.reportDue(a.Covered)
-		}
-		track.record(a.Announced, confirm)
-	}})
-	if err == nil && reply.Delegated == nil {
-		err = errUnexpectedReply
-	}
+	reply, err := s.callVM(callCtx, q, p, vm, track)
 	// A VM that has not replied when the time is up does not count as failed: for a silent
 	// VM, Delegate usually returns ErrSilent earlier.
 	late := callCtx.Err() != nil
-	if s.peers.release(vm, s.o.Now(), err == nil || late) {
+	if s.peers.release(vm, s.o.Now(), err == nil || late || errors.Is(err, errUnreached)) {
 		s.o.ReportLost(vm)
 	}
-	if err == nil && reply.Delegated.Taken {
+	if err == nil && reply.Taken {
 		q.ranElsewhere = true
-		q.decidedAt = q.start.Add(time.Duration(reply.Delegated.DecidedUs) * time.Microsecond)
-		return q.unknownIfSent(fromDelegated(reply.Delegated)), true
+		q.decidedAt = q.start.Add(time.Duration(reply.DecidedUs) * time.Microsecond)
+		return q.unknownIfSent(fromDelegated(reply)), true
 	}
 	q.tried = append(q.tried, vm)
 	if err == nil {
@@ -190,6 +217,29 @@
 	return unknown
 }
 
+// callVM delegates a request to a VM and returns its reply. A VM that reaches no upstream has not
+// taken the request, or lost it if it may have run it.
+func (s *Server) callVM(ctx context.Context, q *request, p *upstream.PassThroughRequest, vm string, track *sentTracker) (*gen.Delegated, error) {
+	m, err := s.o.Peers.Delegate(ctx, vm, s.newDelegate(q, p), peer.Watch{Finish: q.control.finish, OnNotice: func(a *gen.Accepted, confirm func()) {
+		if a.Covered > 0 {
+			q.control.reportDue(a.Covered)
+		}
+		track.record(a.Announced, confirm)
+	}})
+	switch {
+	case err != nil:
+		return nil, err
+	case m.Delegated == nil:
+		return nil, errUnexpectedReply
+	case m.Delegated.Reason != string(outcome.Unreachable):
+		return m.Delegated, nil
+	case m.Delegated.Outcome == string(caller.OutcomeNotRun):
+		return notTaken().Delegated, nil
+	default:
+		return nil, errUnreached
+	}
+}
+
 func (s *Server) newDelegate(q *request, p *upstream.PassThroughRequest) *gen.Delegate {
 	d := &gen.Delegate{
 		RequestId: q.id, Method: p.Method, Host: p.Host, Target: p.Target, Body: string(p.Body),
@@ -229,8 +279,8 @@
 }
 
 // Handle runs a request that another VM delegates. It does not take a request that needs a
-// newer configuration, has no route or an unknown shard, arrives after StopAccepting, or comes
-// with a record of other shards.
+// newer configuration, has no route or an unknown shard, arrives after StopAccepting or while this
+// VM reaches no upstream, or comes with a record of other shards.
 func (s *Server) Handle(ctx context.Context, from string, m *gen.Message) *gen.Message {
 	d := m.Delegate
 	if d == nil {
@@ -239,7 +289,7 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	c := s.o.Catalog()
-	if c == nil || c.Config.Version < d.Version || s.stopping.Load() {
+	if _, reached := s.o.Others(); !reached || c == nil || c.Config.Version < d.Version || s.stopping.Load() {
 		return notTaken()
 	}
 	now := time.Now()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -84,7 +84,10 @@
 	// LinkMbps is the rate of this VM's link in Mbit/s; 0 if it is not known.
 	LinkMbps  float64
 	Gatherers func() (byZone map[string][]string, self bool)
-	Peers     Peers
+	// Others returns the other VMs that reach upstreams, by zone, and whether this VM does. Nil if
+	// it always does.
+	Others func() (byZone map[string][]string, reached bool)
+	Peers  Peers
 	// ReportLost states to the fleet that a VM is unreachable; may be nil.
 	ReportLost func(vm string)
 	Now        func() time.Duration
@@ -111,6 +114,9 @@
 
 // New returns a Server and registers its metrics.
 func New(o Options) *Server {
+	if o.Others == nil {
+		o.Others = func() (map[string][]string, bool) { return nil, true }
+	}
 	if o.ReportLost == nil {
 		o.ReportLost = func(string) {}
 	}
--- a/internal/forward/groups.go
+++ b/internal/forward/groups.go
@@ -38,7 +38,7 @@
 // leaf that fails is replaced by another one of the group, then by any other gatherer.
 func (s *Server) searchGroup(ctx context.Context, part *request, p *upstream.PassThroughRequest, g delegate.Group) outcome.Outcome {
 	if slices.Contains(g.Leaves, s.o.VM) {
-		return s.run(ctx, part, p)
+		return s.passOnUnreached(ctx, part, p, s.run(ctx, part, p))
 	}
 	for range maxDelegations {
 		vm, ok := s.peers.acquire(g.Leaves, part.tried, s.o.Now())
--- a/internal/forward/split.go
+++ b/internal/forward/split.go
@@ -71,7 +71,7 @@
 	var parts []searchPart
 	if len(local) > 0 {
 		parts = append(parts, searchPart{shards: local, run: func(ctx context.Context, part *request) outcome.Outcome {
-			return s.searchLocally(ctx, part, p, part.shards)
+			return s.passOnUnreached(ctx, part, p, s.searchLocally(ctx, part, p, part.shards))
 		}})
 	}
 	for zone, shards := range byZone {
--- /dev/null
+++ b/internal/forward/unreached_test.go
@@ -0,0 +1,139 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinespindle/sardinespindle/internal/catalog"
+	"github.com/sardinespindle/sardinespindle/internal/gather"
+	"github.com/sardinespindle/sardinespindle/internal/manifest"
+	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/peer"
+	"github.com/sardinespindle/sardinespindle/internal/policy/repeat"
+	"github.com/sardinespindle/sardinespindle/internal/policy/route"
+	"github.com/sardinespindle/sardinespindle/internal/single"
+	"github.com/sardinespindle/sardinespindle/internal/upstream"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/peer"
+)
+
+// cutOff is a VM whose requests all end with an outcome, as it reaches no upstream.
+type cutOff struct {
+	o    outcome.Outcome
+	runs int
+}
+
+func (c *cutOff) Search(context.Context, gather.Search) outcome.Outcome {
+	c.runs++
+	return c.o
+}
+
+func (c *cutOff) Run(context.Context, single.Request) outcome.Outcome {
+	c.runs++
+	return c.o
+}
+
+// replies are VMs that reply to a delegated request with an outcome each; others answer it.
+type replies struct {
+	by    map[string]outcome.Outcome
+	asked []string
+}
+
+func (r *replies) Delegate(_ context.Context, vm string, _ *gen.Delegate, _ peer.Watch) (*gen.Message, error) {
+	r.asked = append(r.asked, vm)
+	o, ok := r.by[vm]
+	if !ok {
+		o = outcome.Outcome{Kind: caller.OutcomeAnswered, ResultStatus: 200, Coverage: &caller.Coverage{ShardsTotal: 2, ShardsCovered: 2, Complete: true}}
+	}
+	return &gen.Message{Delegated: toDelegated(&o)}, nil
+}
+
+var _ = Describe("A VM that reaches no upstream", func() {
+	notRun := outcome.NotRun(outcome.Unreachable, "none", time.Second)
+	unknown := outcome.Unknown(outcome.Unreachable, "lost on the way", time.Second)
+	var local *cutOff
+	var others *replies
+	var reached bool // as known before a request
+	var s *Server
+	var lost []string
+	newRequest := func(sharded bool) *request {
+		r := &route.Route{Name: "find", Objective: 100 * time.Millisecond, MaxAttempts: 2, Targets: []route.Target{{Service: "s1", Weight: 1}}}
+		if sharded {
+			r.Shards, r.Targets = []string{"s1", "s2"}, nil
+		}
+		return &request{id: "id", start: time.Now(), route: r, shards: r.Shards, service: "s1", deadline: time.Now().Add(time.Second), catalog: &catalog.Catalog{
+			Config: &catalog.Config{Version: 1}, Manifest: &manifest.Manifest{Workloads: map[string]*manifest.Workload{"s1": {}}},
+			ZoneCoverage: map[string]map[string]float64{"find": {"a": 1, "b": 1}},
+		}}
+	}
+	BeforeEach(func() {
+		local, others, reached = &cutOff{o: notRun}, &replies{by: map[string]outcome.Outcome{}}, false
+		lost = nil
+		byZone := map[string][]string{"a": {"vm-1"}, "b": {"vm-2", "vm-3"}}
+		s = New(Options{
+			Searcher: local, Runner: local, Peers: others, VM: "vm-0", Zone: "a", Log: log.New(GinkgoWriter), Poison: noPoison{},
+			VMs: func(string) int { return 4 }, Repeats: repeat.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+			Now:        func() time.Duration { return time.Second },
+			Gatherers:  func() (map[string][]string, bool) { return byZone, reached },
+			Others:     func() (map[string][]string, bool) { return byZone, reached },
+			ReportLost: func(vm string) { lost = append(lost, vm) },
+		})
+	})
+	run := func(q *request) outcome.Outcome {
+		return s.runOrDelegate(context.Background(), q, &upstream.PassThroughRequest{})
+	}
+
+	DescribeTable("passes requests on without trying them, to a VM of its zone", func(sharded bool) {
+		Expect(run(newRequest(sharded)).Kind).To(Equal(caller.OutcomeAnswered))
+		Expect(others.asked).To(Equal([]string{"vm-1"}))
+		Expect(local.runs).To(BeZero())
+	}, Entry("searches", true), Entry("requests to a single service", false))
+
+	DescribeTable("passes requests on that found it out and did not run", func(sharded bool) {
+		reached = true
+		local.o = notRun
+		s.o.Others = func() (map[string][]string, bool) { return map[string][]string{"a": {"vm-2"}}, local.runs == 0 }
+		s.o.Gatherers = func() (map[string][]string, bool) { return map[string][]string{"a": {"vm-2"}}, local.runs == 0 }
+		q := newRequest(sharded)
+		Expect(run(q).Kind).To(Equal(caller.OutcomeAnswered))
+		Expect(local.runs).To(Equal(1))
+		Expect(others.asked).To(Equal([]string{"vm-2"}))
+	}, Entry("searches", true), Entry("requests to a single service", false))
+
+	// An order that may have run must not run again.
+	It("passes no request on that may have run", func() {
+		reached = true
+		local.o = unknown
+		Expect(run(newRequest(false))).To(HaveField("Kind", caller.OutcomeUnknown))
+		Expect(others.asked).To(BeEmpty())
+	})
+
+	It("goes to the next VM if one finds that it reaches none either, with a search also if that may have run it", func() {
+		others.by["vm-1"] = notRun
+		Expect(run(newRequest(false)).Kind).To(Equal(caller.OutcomeAnswered))
+		Expect(others.asked).To(HaveLen(2))
+		others.asked, others.by["vm-1"] = nil, unknown
+		q := newRequest(true)
+		Expect(run(q).Kind).To(Equal(caller.OutcomeAnswered))
+		Expect(others.asked).To(HaveLen(2))
+		Expect(q.sent.Sent()).To(BeTrue())
+		Expect(lost).To(BeEmpty(), "the VM is alive")
+	})
+
+	It("refuses if no other VM is known, and takes no request of others", func() {
+		s.o.Others = func() (map[string][]string, bool) { return nil, false }
+		s.o.Gatherers = func() (map[string][]string, bool) { return nil, false }
+		for _, sharded := range []bool{true, false} {
+			o := run(newRequest(sharded))
+			Expect(o.Kind).To(Equal(caller.OutcomeNotRun))
+			Expect(o.RetryAfter).To(Equal(time.Second))
+		}
+		s.o.Catalog = func() *catalog.Catalog { return newRequest(true).catalog }
+		reply := s.Handle(context.Background(), "vm-1", &gen.Message{Delegate: &gen.Delegate{Version: 1}})
+		Expect(reply.Delegated.Taken).To(BeFalse())
+	})
+})
--- a/internal/gather/pass.go
+++ b/internal/gather/pass.go
@@ -97,8 +97,11 @@
 			expected = plan.Never
 		}
 		tickets[i], s.Expected[i] = t, expected
-		if errors.Is(err, errNoBudget) {
+		switch {
+		case errors.Is(err, errNoBudget):
 			sh.missingCause = "no_budget"
+		case errors.Is(err, upstream.ErrUnreachable):
+			sh.missingCause = "unreachable"
 		}
 		if cause := upstream.WaitReason(err); cause != "" {
 			sh.missingCause, q.waitSeen = cause, true
@@ -151,7 +154,9 @@
 	if sh.workload == nil {
 		return nil, 0, errNotPublished
 	}
-	return q.e.client.PickPassThrough(sh.workload, q.workload, q.excluded(sh))
+	t, expected, err := q.e.client.PickPassThrough(sh.workload, q.workload, q.excluded(sh))
+	q.unreachable = q.unreachable || errors.Is(err, upstream.ErrUnreachable)
+	return t, expected, err
 }
 
 // excluded returns the replicas that get no attempt of a shard: those blocked, and those that may
@@ -282,6 +287,9 @@
 	} else if q.mayHaveRun || q.inflight > 0 {
 		out = outcome.Unknown(outcome.CoverageTooLow, detail, q.retryAfter())
 	}
+	if q.unreachable {
+		out.Reason = outcome.Unreachable
+	}
 	out.Coverage = &cov
 	return out
 }
--- a/internal/gather/query.go
+++ b/internal/gather/query.go
@@ -79,6 +79,7 @@
 	cost              outcome.Cost
 	losses            int
 	lossRetries       int           // retries since the first loss
+	unreachable       bool          // this VM reaches no upstream
 	waitSeen          bool          // a replica of a pass-through search wants a pause, or is at its limit
 	maxRetryAfter     time.Duration // longest wait that an upstream asked for or plan.Decide estimates
 }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -29,6 +29,7 @@
 	Overloaded       Reason = "overloaded"
 	NoManifest       Reason = "no_manifest"
 	NoUpstream       Reason = "no_upstream"
+	Unreachable      Reason = "upstreams_unreachable" // this VM reaches no upstream; others may
 	NoQuorum         Reason = "no_quorum"
 	InProgress       Reason = "in_progress"
 	ClaimHeld        Reason = "claim_held"
--- a/internal/policy/delegate/delegate_test.go
+++ b/internal/policy/delegate/delegate_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -144,6 +145,15 @@
 	It("returns small VMs when there are no large ones", func() {
 		Expect(delegate.Gatherers(fleet(92, 0), 84, false)).To(HaveLen(22))
 	})
+	It("stay gatherers while they reach no upstream, beside the able VMs that do if none of them is left", func() {
+		vms := fleet(92, 6)
+		able, small := vms[:6], vms[6:]
+		Expect(delegate.ChooseGatherers(vms, append(slices.Clone(small), able[0]), 84, false)).To(ConsistOf(able))
+		got := delegate.ChooseGatherers(vms, small, 84, false)
+		Expect(got).To(HaveLen(6 + 22))
+		Expect(got).To(ContainElements(able))
+		Expect(delegate.ChooseGatherers(vms, nil, 84, false)).To(ConsistOf(able))
+	})
 	It("returns at least one VM however few the connections", func() {
 		Expect(delegate.Gatherers(fleet(5, 0), 1, false)).To(HaveLen(1))
 	})
--- a/internal/policy/delegate/gatherers.go
+++ b/internal/policy/delegate/gatherers.go
@@ -47,6 +47,17 @@
 	return ranked[:n]
 }
 
+// ChooseGatherers returns the Gatherers of vms, or, if none of them is in reaching, those and the
+// Gatherers of reaching, the VMs that reach upstreams. A gatherer that reaches none keeps its place: it
+// may hold connections that still count against the limit, and is soon back.
+func ChooseGatherers(vms, reaching []VM, limit int, partial bool) []VM {
+	gatherers := Gatherers(vms, limit, partial)
+	if slices.ContainsFunc(gatherers, func(vm VM) bool { return slices.Contains(reaching, vm) }) {
+		return slices.Clone(gatherers)
+	}
+	return append(slices.Clone(gatherers), Gatherers(reaching, limit, partial)...)
+}
+
 // Rank returns the VMs by descending capacity. Equal capacities are ordered by a hash of
 // the name, so that every VM computes the same order.
 func Rank(vms []VM) []VM {
--- a/internal/policy/reach/reach.go
+++ b/internal/policy/reach/reach.go
@@ -19,7 +19,7 @@
 	failedDialTTL = 5 * time.Second
 	// checkInterval is the least time from one check to the next: while the VM reaches
 	// upstreams, checks cost connections; while it does not, requests are passed on.
-	checkInterval   = time.Second
+	checkInterval   = 400 * time.Millisecond
 	recheckInterval = 500 * time.Millisecond
 )
 
@@ -63,6 +63,9 @@
 	return s.askedAt > 0 && now-s.askedAt >= silenceTime
 }
 
+// Doubtful reports whether connections to so many upstreams failed that the VM should check soon.
+func (s *State) Doubtful() bool { return !s.stranded && len(s.failed) >= minFailedDials }
+
 // StartCheck reports whether the VM should check now; Checked follows.
 func (s *State) StartCheck(now time.Duration) bool {
 	interval := checkInterval
--- a/internal/single/pass.go
+++ b/internal/single/pass.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -35,7 +36,7 @@
 	defer cancel()
 	run := &passThroughRun{Runner: r, q: q, results: make(chan upstream.Result, maxStarts)}
 	if !run.start(ctx, false) {
-		return outcome.NotRun(outcome.NoUpstream, fmt.Sprintf("nothing sent: %v", run.startErr), cmp.Or(upstream.WaitLeft(run.startErr), retryAfter))
+		return outcome.NotRun(run.reason(outcome.NoUpstream), fmt.Sprintf("nothing sent: %v", run.startErr), cmp.Or(upstream.WaitLeft(run.startErr), retryAfter))
 	}
 	timer := time.NewTimer(q.PassThrough.HedgeAfter)
 	defer timer.Stop()
@@ -138,6 +139,14 @@
 	return cmp.Or(upstream.WaitLeft(err), min(asked, retryAfter))
 }
 
+// reason returns the reason of a request that did not run, which is otherwise r.
+func (p *passThroughRun) reason(r outcome.Reason) outcome.Reason {
+	if errors.Is(p.startErr, upstream.ErrUnreachable) {
+		return outcome.Unreachable
+	}
+	return r
+}
+
 // finish returns the outcome of the request. res is the result of the deciding attempt and
 // o its outcome. o is replaced if res carries a reply or reports a crash, or if o is "not run" and
 // an earlier attempt may have run.
@@ -153,7 +162,7 @@
 		o = outcome.Unknown(o.Reason, o.Detail, o.RetryAfter)
 	}
 	if o.Kind == caller.OutcomeNotRun {
-		o.RetryAfter = p.retryAfter(o.RetryAfter)
+		o.Reason, o.RetryAfter = p.reason(o.Reason), p.retryAfter(o.RetryAfter)
 	}
 	o.Cost = p.state.cost
 	return o
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -61,6 +61,8 @@
 	// OnLimit is called when the fleet should be told of an upstream's limit: TakeLimitToTell
 	// then returns it, if no other VM has told it by then.
 	OnLimit func(Incarnation)
+	// OnReach is called when this VM has lost or regained its path to the upstreams.
+	OnReach func(reached bool)
 	// OnLeaving is called when an upstream's reply to a pass-through request says for the first
 	// time that it leaves, for the VM to tell the others.
 	OnLeaving func(Incarnation)
@@ -150,6 +152,9 @@
 	if o.Senders == nil {
 		o.Senders = func(*gen.Upstream) []string { return o.Members() }
 	}
+	if o.OnReach == nil {
+		o.OnReach = func(bool) {}
+	}
 	if o.OnLimit == nil {
 		o.OnLimit = func(Incarnation) {}
 	}
@@ -169,7 +174,7 @@
 		metrics:      m,
 		dialer:       dialer,
 		transport:    newTransport(o.Now, dialer),
-		path:         pathState{now: o.Now},
+		path:         pathState{now: o.Now, doubt: make(chan struct{}, 1)},
 		probeSlots:   make(chan struct{}, maxProbes),
 		routeLatency: sharded.New[string, forecast.TypicalLatency](maxRoutes),
 		rules: rules{
@@ -351,7 +356,7 @@
 	members := c.opts.Members()
 	warm := c.opts.MayPreconnect()
 	for _, s := range c.current.Load().servers {
-		if warm && rand.Float64() < warmProbability && s.verdict(now) != drainVerdict {
+		if warm && !c.path.isStranded() && rand.Float64() < warmProbability && s.verdict(now) != drainVerdict {
 			s.pool.warm(s.isNear())
 		}
 		if !c.opts.ManifestOnly && c.probeDue(s, now, members) {
@@ -443,6 +448,8 @@
 	// ErrNoHedgeTarget: the remaining upstreams are suspect, shed or queue requests, so that no
 	// hedge may go there.
 	ErrNoHedgeTarget = errors.New("upstream: no replica fit for a hedge")
+	// ErrUnreachable: this VM reaches no upstream, of any workload.
+	ErrUnreachable = errors.New("upstream: no upstream can be reached from this VM")
 	// ErrLimited: a remaining upstream is at its concurrency limit and no other is available.
 	ErrLimited = errors.New("upstream: every replica is at its limit")
 )
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -47,7 +47,7 @@
 	now := c.opts.Now()
 	r.Address = s.address
 	r.Latency = now - t.pickedAt
-	if a.Kind == PassThrough && r.Class == Lost {
+	if a.Kind == PassThrough && r.Class == Lost && !c.path.isStranded() {
 		r.Crashed = s.pool.refusesConnections(ctx)
 	}
 	if a.Kind == PassThrough {
@@ -81,6 +81,9 @@
 		if err := c.ensureLease(ctx, s); err != nil {
 			return Result{Class: NotSent, Err: err}, 0
 		}
+		if a.Kind == PassThrough && c.path.isStranded() {
+			return Result{Class: NotSent, Err: ErrUnreachable}, 0
+		}
 		cn, err := s.pool.get(ctx)
 		if err != nil {
 			return Result{Class: NotSent, Err: err}, 0
--- a/internal/upstream/pass.go
+++ b/internal/upstream/pass.go
@@ -210,6 +210,9 @@
 	if g == nil {
 		return nil, 0, c.countPickError(w, ErrNoReplica)
 	}
+	if c.path.isStranded() {
+		return nil, 0, c.countPickError(w, ErrUnreachable)
+	}
 	now := c.opts.Now()
 	typical := c.typicalLatency(route)
 	for tried := 0; ; tried++ {
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -72,6 +72,8 @@
 		reason = "unfit"
 	case errors.Is(err, ErrNoShare):
 		reason = "no_share"
+	case errors.Is(err, ErrUnreachable):
+		reason = "unreachable"
 	case WaitLeft(err) > 0:
 		reason = WaitReason(err)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -139,6 +141,7 @@
 	closing             int // open connections that the pool is about to close
 	dialing             int
 	idle                []*conn
+	socks               map[*sock]bool // of the open connections
 	waiters             []*waiter
 	peakDemand          int // most connections in demand within peakWindow
 	peakAt              time.Duration
@@ -320,6 +323,12 @@
 		return
 	}
 	p.mu.Unlock()
+	p.mu.Lock()
+	if p.socks == nil {
+		p.socks = map[*sock]bool{}
+	}
+	p.socks[s] = true
+	p.mu.Unlock()
 	if !p.watchClose(s) {
 		p.connClosed(s)
 	}
@@ -341,6 +350,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.recordRefusal(s)
+	delete(p.socks, s)
 	p.open--
 	if s.closing {
 		s.closing = false
@@ -392,6 +402,24 @@
 	}
 }
 
+// resetAll resets all connections, in use or not.
+func (p *pool) resetAll() {
+	p.mu.Lock()
+	socks := slices.Collect(maps.Keys(p.socks))
+	p.mu.Unlock()
+	for _, s := range socks {
+		s.reset()
+	}
+}
+
+// clearFailures forgets that dials failed and that the upstream refused connections.
+func (p *pool) clearFailures() {
+	p.clearSaturation()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialFailed = false
+}
+
 // size returns the number of connections open or being dialed.
 func (p *pool) size() int {
 	p.mu.Lock()
--- a/internal/upstream/reach.go
+++ b/internal/upstream/reach.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sardinespindle/sardinespindle/internal/policy/reach"
@@ -22,12 +23,17 @@
 
 // pathState is what this VM knows of its path to all upstreams.
 type pathState struct {
-	now func() time.Duration
+	now      func() time.Duration
+	stranded atomic.Bool   // equal to that of state, read without the lock
+	doubt    chan struct{} // holds an element if a check may be due at once
 
 	mu    sync.Mutex // guards state
 	state reach.State
 }
 
+// isStranded reports whether this VM reaches no upstream.
+func (p *pathState) isStranded() bool { return p.stranded.Load() }
+
 // asked records that a request is sent or a connection dialed.
 func (p *pathState) asked() {
 	p.mu.Lock()
@@ -48,8 +54,14 @@
 	defer p.mu.Unlock()
 	if err == nil {
 		p.state.Connected()
-	} else {
-		p.state.ConnectFailed(p.now(), address)
+		return
+	}
+	p.state.ConnectFailed(p.now(), address)
+	if p.state.Doubtful() {
+		select {
+		case p.doubt <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -68,6 +80,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+		case <-c.path.doubt:
 		}
 		if c.path.startCheck() {
 			go c.checkReach(ctx)
@@ -86,17 +99,48 @@
 	c.path.mu.Lock()
 	silent := c.path.state.Silent(c.path.now())
 	changed := c.path.state.Checked(c.path.now(), connected)
+	if changed {
+		c.path.stranded.Store(!connected)
+	}
 	c.path.mu.Unlock()
 	if !changed {
 		return
 	}
+	if c.opts.Log != nil {
+		c.opts.Log.Warn("path to upstreams changed", "reached", connected, "silent", silent, "tried", sample)
+	}
 	if connected {
 		c.metrics.reached.Set(1)
+		c.forgetFailures()
 	} else {
 		c.metrics.reached.Set(0)
+		c.endWaits(silent)
 	}
-	if c.opts.Log != nil {
-		c.opts.Log.Warn("path to upstreams changed", "reached", connected, "silent", silent, "tried", sample)
+	c.opts.OnReach(connected)
+}
+
+// endWaits ends the attempts that wait for a connection. With abort, nothing is heard on the open
+// connections either: they are reset, which ends the attempts on them, so that no byte that the
+// network holds up arrives later.
+func (c *Client) endWaits(abort bool) {
+	for _, s := range c.current.Load().servers {
+		s.pool.failWaiters(ErrUnreachable)
+		if abort {
+			s.pool.resetAll()
+		}
+	}
+}
+
+// forgetFailures forgets how upstreams seemed to fail while this VM reached none.
+func (c *Client) forgetFailures() {
+	t := c.current.Load()
+	now := c.opts.Now()
+	for _, z := range t.zones {
+		z.reset()
+	}
+	for _, s := range t.servers {
+		s.forgetFailures(now)
+		s.pool.clearFailures()
 	}
 }
 
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -73,6 +73,18 @@
 	return s.lease.Reply(sent, received, draining)
 }
 
+// forgetFailures resets the estimates of the upstream's state to those of one that was there when
+// the VM started.
+func (s *server) forgetFailures(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	outstanding := s.health.Outstanding
+	s.health = replica.New(now, true)
+	s.health.Outstanding = outstanding
+	s.limit = limit.New(s.entry.Slots)
+	s.forecast = forecast.Server{}
+}
+
 // recordReplied records that the upstream replied to a pass-through request.
 func (s *server) recordReplied(now time.Duration) {
 	s.mu.Lock()
--- a/internal/upstream/sock.go
+++ b/internal/upstream/sock.go
@@ -117,6 +117,14 @@
 	return err
 }
 
+// reset closes the connection with a reset, so that bytes under way are lost.
+func (s *sock) reset() {
+	if tcp, ok := s.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = s.Close()
+}
+
 // refused reports whether the peer ended the connection without ever sending a byte.
 func (s *sock) refused() bool {
 	s.mu.Lock()
--- a/internal/upstream/warm.go
+++ b/internal/upstream/warm.go
@@ -23,6 +23,9 @@
 // replaceDropped dials a replacement for a connection that was dropped because its
 // attempt was cancelled or timed out, so that the next request does not wait for a dial.
 func (p *pool) replaceDropped() {
+	if p.path.isStranded() {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open < p.warmTarget(p.now(), false) && !p.saturated(p.now()) {
--- a/internal/upstream/zone.go
+++ b/internal/upstream/zone.go
@@ -20,6 +20,12 @@
 	z.state.Replied()
 }
 
+func (z *zone) reset() {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.state = replica.Zone{}
+}
+
 func (z *zone) failed() {
 	z.mu.Lock()
 	defer z.mu.Unlock()
