--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -47,8 +47,8 @@
 	now := c.opts.Now()
 	r.Address = s.address
 	r.Latency = now - t.pickedAt
-	if a.Kind == PassThrough && r.Class == Lost && !c.path.isStranded() {
-		r.Crashed = s.pool.refusesConnections(ctx)
+	if a.Kind == PassThrough && r.Class == Lost {
+		r.Crashed = s.pool.refusesConnections(ctx) && c.reachesOther(ctx, s)
 	}
 	if a.Kind == PassThrough {
 		c.recordPassThrough(s, t, &a, &r, now, now-sentAt)
--- a/internal/upstream/reach.go
+++ b/internal/upstream/reach.go
@@ -144,6 +144,13 @@
 	}
 }
 
+// reachesOther reports whether another upstream than s accepts a connection now, or there is none.
+// Otherwise a refused connection says nothing of s.
+func (c *Client) reachesOther(ctx context.Context, s *server) bool {
+	sample := slices.DeleteFunc(c.reachSample(), func(address string) bool { return address == s.address })
+	return len(sample) == 0 || c.connectsToAny(context.WithoutCancel(ctx), sample)
+}
+
 func checkResult(connected bool) string {
 	if connected {
 		return "connected"
