--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -117,16 +117,29 @@
 	return outcome.Outcome{}, false
 }
 
-// passOnUnreached passes a request on whose outcome is that it did not run because this VM reaches no
-// upstream. It returns the outcome of any other request, and of one that no other VM takes.
+// passOnUnreached passes a request on that ended without an answer because this VM reaches no
+// upstream. It returns the outcome of any other request, of one that no other VM takes, and of one
+// that may have run and must not run again.
 func (s *Server) passOnUnreached(ctx context.Context, q *request, p *upstream.PassThroughRequest, o outcome.Outcome) outcome.Outcome {
-	if o.Kind != caller.OutcomeNotRun || o.Reason != outcome.Unreachable || ctx.Err() != nil {
+	if o.Reason != outcome.Unreachable || ctx.Err() != nil || o.Kind != caller.OutcomeNotRun && !q.recordUsed(&o) {
 		return o
 	}
 	if passed, done := s.delegate(ctx, q, p); done {
 		return passed
 	}
-	return o
+	return q.unknownIfSent(o)
+}
+
+// recordUsed records what a run used that may have reached upstreams, and reports whether another VM
+// may run the request after it.
+func (q *request) recordUsed(o *outcome.Outcome) bool {
+	q.maybeSent = true
+	if q.route.Sharded() {
+		q.sent = o.MaybeSent
+		return true
+	}
+	q.attempts += o.Cost.Sent
+	return q.route.Idempotent && q.attempts < q.route.MaxAttempts
 }
 
 // chooseVM returns the VM to delegate a request to; false if it runs here. A request to a single
@@ -196,14 +209,28 @@
 		return q.unknownIfSent(outcome.NotRun(outcome.DeadlineExceeded, err.Error(), startRetryAfter)), late
 	}
 	s.metrics.observeTakeover(track.sent.Named() > 0)
-	q.sent = track.sent
-	q.maybeSent = q.maybeSent || !q.route.Sharded() || q.sent.Sent()
+	mayRunAgain := q.recordTaken(reply, track)
 	if late {
 		return outcome.Unknown(outcome.DeadlineExceeded, err.Error(), startRetryAfter), true
 	}
-	// The VM may have run the request, so only a search, which is safe to run twice,
-	// runs again.
-	return outcome.Unknown(outcome.ConnectionLost, err.Error(), startRetryAfter), !q.route.Sharded()
+	return outcome.Unknown(outcome.ConnectionLost, err.Error(), startRetryAfter), !mayRunAgain
+}
+
+// recordTaken records what a VM may have sent that did not return the outcome of the request, and
+// reports whether another VM may run it. reply is set if that VM lost its path to the upstreams and
+// says what it used; else, only a search may run again, which is safe to run twice.
+func (q *request) recordTaken(reply *gen.Delegated, track *sentTracker) bool {
+	switch {
+	case q.route.Sharded():
+		q.sent = track.sent
+		q.maybeSent = q.maybeSent || q.sent.Sent()
+		return true
+	case reply != nil:
+		return q.recordUsed(&outcome.Outcome{Cost: outcome.Cost{Sent: reply.Sent}})
+	default:
+		q.maybeSent = true
+		return false
+	}
 }
 
 // unknownIfSent turns not_run into unknown if another VM may have sent the request to
@@ -218,7 +245,7 @@
 }
 
 // callVM delegates a request to a VM and returns its reply. A VM that reaches no upstream has not
-// taken the request, or lost it if it may have run it.
+// taken the request or, if it may have run it, lost it; then the reply is returned with the error.
 func (s *Server) callVM(ctx context.Context, q *request, p *upstream.PassThroughRequest, vm string, track *sentTracker) (*gen.Delegated, error) {
 	m, err := s.o.Peers.Delegate(ctx, vm, s.newDelegate(q, p), peer.Watch{Finish: q.control.finish, OnNotice: func(a *gen.Accepted, confirm func()) {
 		if a.Covered > 0 {
@@ -236,7 +263,7 @@
 	case m.Delegated.Outcome == string(caller.OutcomeNotRun):
 		return notTaken().Delegated, nil
 	default:
-		return nil, errUnreached
+		return m.Delegated, errUnreached
 	}
 }
 
@@ -250,6 +277,7 @@
 		GiveUpUs:  int((time.Until(q.deadline) - hopSlack).Microseconds()),
 		Returning: q.callerResent,
 		Resent:    q.maybeSent,
+		Attempts:  q.attempts,
 		Shards:    q.shards,
 		Replicas:  gen.Replicas(q.sent.Update()),
 	}
@@ -294,7 +322,7 @@
 	}
 	now := time.Now()
 	q := &request{
-		id: d.RequestId, catalog: c, delegated: true, callerResent: d.Returning, maybeSent: d.Resent,
+		id: d.RequestId, catalog: c, delegated: true, callerResent: d.Returning, maybeSent: d.Resent, attempts: d.Attempts,
 		start:    now.Add(-time.Duration(d.ElapsedUs) * time.Microsecond),
 		deadline: now.Add(time.Duration(d.GiveUpUs) * time.Microsecond),
 		decideBy: now.Add(time.Duration(d.AnswerUs) * time.Microsecond),
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -171,6 +171,8 @@
 	// delegated says that another VM delegated the request to this one; maybeSent that a
 	// VM to which it was delegated may have sent it to upstreams.
 	delegated, maybeSent bool
+	// attempts is how many upstreams other VMs may have sent a request to a single service to.
+	attempts int
 	// ranElsewhere says that the outcome came from another VM.
 	ranElsewhere bool
 	// sent holds the replicas that other VMs may have sent a search to, by the index of the shard;
@@ -347,7 +349,9 @@
 	if workload == nil {
 		return outcome.NotRun(outcome.NoUpstream, fmt.Sprintf("service %s is not published", q.service), startRetryAfter)
 	}
-	s.earnRepeats(q.service)
+	if !q.maybeSent {
+		s.earnRepeats(q.service)
+	}
 	return s.o.Runner.Run(ctx, single.Request{
 		ID:          q.id,
 		Fingerprint: q.fingerprint,
@@ -359,6 +363,7 @@
 			Idempotent:  q.route.Idempotent,
 			HedgeAfter:  scale(q.objective(), singleHedgeShare),
 			MaxAttempts: q.route.MaxAttempts,
+			Used:        q.attempts,
 			Repeat:      func(hedge bool) bool { return s.takeRepeat(q.service, hedge) },
 		},
 	})
--- a/internal/gather/pass.go
+++ b/internal/gather/pass.go
@@ -288,7 +288,7 @@
 		out = outcome.Unknown(outcome.CoverageTooLow, detail, q.retryAfter())
 	}
 	if q.unreachable {
-		out.Reason = outcome.Unreachable
+		out.Reason, out.MaybeSent = outcome.Unreachable, q.ledger.Record()
 	}
 	out.Coverage = &cov
 	return out
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/sardinespindle/sardinespindle/internal/policy/takeover"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
 )
 
@@ -72,7 +73,10 @@
 	// Replayed means that an earlier request with the same idempotency key recorded the
 	// outcome.
 	Replayed bool
-	Cost     Cost
+	// MaybeSent is set for a pass-through search with reason Unreachable: the replicas that it may
+	// have been sent to.
+	MaybeSent takeover.Record
+	Cost      Cost
 }
 
 // Cost counts the attempts made for one request.
--- a/internal/policy/takeover/ledger.go
+++ b/internal/policy/takeover/ledger.go
@@ -117,6 +117,15 @@
 	l.changed = true
 }
 
+// Record returns the replicas that the request of each shard may have been sent to, by any VM.
+func (l *Ledger) Record() Record {
+	out := NewRecord(len(l.shards))
+	for i := range l.shards {
+		out[i] = slices.Concat(l.shards[i].before, l.shards[i].own)
+	}
+	return out
+}
+
 // Report returns what was announced, and a sequence number that confirms it; false if nothing was
 // announced since the last Report.
 func (l *Ledger) Report() (u Update, sequence int, ok bool) {
--- a/internal/single/pass.go
+++ b/internal/single/pass.go
@@ -24,6 +24,8 @@
 	HedgeAfter time.Duration
 	// MaxAttempts is the maximum number of upstreams that the request is sent to.
 	MaxAttempts int
+	// Used is how many of them other VMs may have sent it to.
+	Used int
 	// Repeat takes budget for one attempt beyond the first: a hedge or a retry. It reports
 	// false if the budget is used up.
 	Repeat func(hedge bool) bool
@@ -81,7 +83,7 @@
 // no upstream can be picked or the budget is used up.
 func (p *passThroughRun) start(ctx context.Context, hedged bool) bool {
 	// An attempt that reached no upstream doesn't count, so its successor needs no budget.
-	attempts := p.state.cost.Sent + p.inFlight
+	attempts := p.q.PassThrough.Used + p.state.cost.Sent + p.inFlight
 	if attempts >= max(p.q.PassThrough.MaxAttempts, 1) || p.state.started >= maxStarts {
 		return false
 	}
@@ -139,7 +141,7 @@
 	return cmp.Or(upstream.WaitLeft(err), min(asked, retryAfter))
 }
 
-// reason returns the reason of a request that did not run, which is otherwise r.
+// reason returns the reason of a request without an answer, which is otherwise r.
 func (p *passThroughRun) reason(r outcome.Reason) outcome.Reason {
 	if errors.Is(p.startErr, upstream.ErrUnreachable) {
 		return outcome.Unreachable
@@ -161,8 +163,11 @@
 	case p.state.mayHaveRun && o.Kind == caller.OutcomeNotRun:
 		o = outcome.Unknown(o.Reason, o.Detail, o.RetryAfter)
 	}
+	if o.Kind != caller.OutcomeAnswered {
+		o.Reason = p.reason(o.Reason)
+	}
 	if o.Kind == caller.OutcomeNotRun {
-		o.Reason, o.RetryAfter = p.reason(o.Reason), p.retryAfter(o.RetryAfter)
+		o.RetryAfter = p.retryAfter(o.RetryAfter)
 	}
 	o.Cost = p.state.cost
 	return o
--- a/schema/gen/peer/peer.go
+++ b/schema/gen/peer/peer.go
@@ -75,6 +75,10 @@
 	// within the objective, in microseconds; negative once that has passed.
 	AnswerUs int `json:"answer_us" toml:"answer_us" cbor:"answer_us"`
 
+	// How many upstreams other VMs may have sent the request to; 0 for a search,
+	// which lists them in replicas.
+	Attempts int `json:"attempts" toml:"attempts" cbor:"attempts"`
+
 	// Request body.
 	Body string `json:"body" toml:"body" cbor:"body"`
 
