--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -100,7 +100,8 @@
 	if o, done := s.delegate(ctx, q, p); done {
 		return o
 	}
-	return s.passOnUnreached(ctx, q, p, q.unknownIfSent(s.run(ctx, q, p)))
+	o := s.passOnUnreached(ctx, q, p, q.unknownIfSent(s.run(ctx, q, p)))
+	return s.passOnAtLimit(ctx, q, p, o)
 }
 
 // delegate delegates a request to up to maxDelegations VMs in turn; done is false if it runs here.
@@ -130,6 +131,47 @@
 	return q.unknownIfSent(o)
 }
 
+// maxLimitTries is the number of VMs that are tried for a request that this one may not send.
+const maxLimitTries = 2
+
+// passOnAtLimit passes a request to a single service on that did not run, if some of its upstreams name
+// limits that other VMs hold. It returns the outcome of any other request, and of one that those VMs
+// can't send either.
+func (s *Server) passOnAtLimit(ctx context.Context, q *request, p *upstream.PassThroughRequest, o outcome.Outcome) outcome.Outcome {
+	lacksUpstream := o.Kind == caller.OutcomeNotRun && (o.Reason == outcome.NoUpstream || o.Reason == outcome.Overloaded)
+	if !lacksUpstream || q.route.Sharded() || q.delegated || s.o.Peers == nil {
+		return o
+	}
+	holders := s.limitHolders(q.service, q.catalog)
+	for range maxLimitTries {
+		vm, ok := s.peers.acquire(holders, q.tried, s.o.Now())
+		if !ok {
+			break
+		}
+		if passed, done := s.delegateTo(ctx, q, p, vm); done && passed.Kind != caller.OutcomeNotRun {
+			return passed
+		}
+		q.tried = append(q.tried, vm)
+	}
+	return q.unknownIfSent(o)
+}
+
+// limitHolders returns the other VMs that may send requests to upstreams of a service that name a limit,
+// and reach upstreams.
+func (s *Server) limitHolders(service string, c *catalog.Catalog) []string {
+	workload := c.Manifest.Workloads[service]
+	if workload == nil {
+		return nil
+	}
+	holders := s.o.LimitHolders(workload)
+	if len(holders) == 0 {
+		return nil
+	}
+	others, _ := s.o.Others()
+	live := slices.Concat(slices.Collect(maps.Values(others))...)
+	return slices.DeleteFunc(holders, func(vm string) bool { return !slices.Contains(live, vm) })
+}
+
 // recordUsed records what a run used that may have reached upstreams, and reports whether another VM
 // may run the request after it.
 func (q *request) recordUsed(o *outcome.Outcome) bool {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -18,6 +18,7 @@
 
 	"github.com/sardinespindle/sardinespindle/internal/catalog"
 	"github.com/sardinespindle/sardinespindle/internal/gather"
+	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
 	"github.com/sardinespindle/sardinespindle/internal/policy/answer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/repeat"
@@ -87,7 +88,10 @@
 	// Others returns the other VMs that reach upstreams, by zone, and whether this VM does. Nil if
 	// it always does.
 	Others func() (byZone map[string][]string, reached bool)
-	Peers  Peers
+	// LimitHolders returns the other VMs that may send requests to upstreams of a workload that
+	// name a limit; may be nil.
+	LimitHolders func(w *manifest.Workload) []string
+	Peers        Peers
 	// ReportLost states to the fleet that a VM is unreachable; may be nil.
 	ReportLost func(vm string)
 	Now        func() time.Duration
@@ -117,6 +121,9 @@
 	if o.Others == nil {
 		o.Others = func() (map[string][]string, bool) { return nil, true }
 	}
+	if o.LimitHolders == nil {
+		o.LimitHolders = func(*manifest.Workload) []string { return nil }
+	}
 	if o.ReportLost == nil {
 		o.ReportLost = func(string) {}
 	}
--- a/internal/policy/connbudget/connbudget.go
+++ b/internal/policy/connbudget/connbudget.go
@@ -4,7 +4,12 @@
 // also miss at most limit-MaxHolders VMs. The functions are pure and may be called concurrently.
 package connbudget
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // DefaultFleetSize is the number of VMs assumed while the VM list is not known.
 const DefaultFleetSize = 32
@@ -55,6 +60,14 @@
 	return rank
 }
 
+// Top returns the n members with the highest rendezvous weights for key, or all if there are fewer.
+func Top(key string, members []string, n int) []string {
+	ranked := slices.SortedFunc(slices.Values(members), func(a, b string) int {
+		return cmp.Or(cmp.Compare(weight(key, b), weight(key, a)), cmp.Compare(a, b))
+	})
+	return ranked[:min(n, len(ranked))]
+}
+
 // Connections returns the connections that self may open to address: its Share or, where
 // that is 0, one or none according to Holds. If Share is 0 and members lists fewer than
 // vms VMs, self gets none.
--- a/internal/policy/ratelimit/ratelimit.go
+++ b/internal/policy/ratelimit/ratelimit.go
@@ -36,11 +36,21 @@
 	case !slices.Contains(senders, self):
 		return 0
 	}
-	holders := min(max(1, int(perSecond*holderTime.Seconds())), len(senders))
-	if connbudget.Rank(address, self, senders) >= holders {
+	n := holders(perSecond, len(senders))
+	if connbudget.Rank(address, self, senders) >= n {
 		return 0
 	}
-	return perSecond / float64(holders)
+	return perSecond / float64(n)
+}
+
+// holders returns how many of the given number of senders share a limit.
+func holders(perSecond float64, senders int) int {
+	return min(max(1, int(perSecond*holderTime.Seconds())), senders)
+}
+
+// Holders returns the senders whose Share of a limit is not 0.
+func Holders(perSecond float64, address string, senders []string) []string {
+	return connbudget.Top(address, senders, holders(perSecond, len(senders)))
 }
 
 // State is what one VM knows of the limit of one incarnation of an upstream, and how many requests
--- a/internal/policy/ratelimit/ratelimit_test.go
+++ b/internal/policy/ratelimit/ratelimit_test.go
@@ -102,6 +102,19 @@
 		})
 	})
 
+	It("know from each other who may send", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			vms := names(rapid.IntRange(2, 50).Draw(t, "VMs"))
+			perSecond := rapid.Float64Range(0.1, 100).Draw(t, "limit")
+			holders := ratelimit.Holders(perSecond, address, vms)
+			for _, vm := range vms {
+				if slices.Contains(holders, vm) != (ratelimit.Share(perSecond, address, vm, vms) > 0) {
+					t.Fatalf("%s", vm)
+				}
+			}
+		})
+	})
+
 	It("assume a fleet of the default size while they know no other", func() {
 		Expect(ratelimit.Share(64, address, "a", nil)).To(Equal(64.0 / connbudget.DefaultFleetSize))
 		Expect(ratelimit.Share(64, address, "a", []string{"a"})).To(Equal(64.0 / connbudget.DefaultFleetSize))
--- a/internal/upstream/ratelimit.go
+++ b/internal/upstream/ratelimit.go
@@ -4,9 +4,11 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/policy/ratelimit"
 )
 
@@ -95,6 +97,26 @@
 	s.rate.SetShare(c.opts.Now(), share, rand.Float64())
 }
 
+// LimitHolders returns the VMs that may send requests to upstreams of a workload that name a limit,
+// this one not included.
+func (c *Client) LimitHolders(w *manifest.Workload) []string {
+	g := c.current.Load().groups[groupKey{workload: string(w.Name)}]
+	if g == nil {
+		return nil
+	}
+	var out []string
+	for _, s := range g.servers {
+		s.mu.Lock()
+		perSecond, entry := s.rate.PerSecond(), s.entry
+		s.mu.Unlock()
+		if perSecond > 0 {
+			out = append(out, ratelimit.Holders(perSecond, s.address, c.opts.Senders(entry))...)
+		}
+	}
+	slices.Sort(out)
+	return slices.DeleteFunc(slices.Compact(out), func(vm string) bool { return vm == c.opts.VM })
+}
+
 // returnRate returns a request of the rate that was not sent.
 func (s *server) returnRate() {
 	s.mu.Lock()
