--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Fault describes how a link is broken. The zero value is a link without fault.
@@ -20,7 +22,8 @@
 	Cut bool
 	// Refuse refuses new connections, as a host without a listener; open ones live on.
 	Refuse bool
-	// Blackhole leaves new connections without a reply and stalls open ones, as a partition.
+	// Blackhole leaves new connections without a reply and stalls open ones, as a partition. Bytes
+	// that are held up are lost if their sender resets the connection meanwhile.
 	Blackhole bool
 	// StallToTarget holds back bytes sent to the target until the fault is over, and
 	// StallFromTarget those sent by the target, as on a network that loses packets.
@@ -115,10 +118,14 @@
 	for {
 		n, err := src.Read(buf)
 		f := r.currentFault()
+		held := stalled(f)
 		for stalled(f) && !f.Cut {
 			time.Sleep(stallPoll)
 			f = r.currentFault()
 		}
+		if held && wasReset(src) {
+			return
+		}
 		time.Sleep(f.Delay)
 		if n > 0 {
 			if _, err := dst.Write(buf[:n]); err != nil {
@@ -132,6 +139,27 @@
 	}
 }
 
+// wasReset reports whether the peer has reset a connection from which nothing more is read.
+func wasReset(c net.Conn) bool {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	reset := true
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err != nil || info.State == tcpClose
+	})
+	return err != nil || reset
+}
+
+// tcpClose is the state of a connection that was reset, TCP_CLOSE.
+const tcpClose = 7
+
 func (r *Relay) currentFault() Fault {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/upstream/sock.go
+++ b/internal/upstream/sock.go
@@ -106,12 +106,17 @@
 	return n, err
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. While an attempt is under way, it resets the connection: after a plain
+// close, the network would still deliver a request that it holds up.
 func (s *sock) Close() error {
 	s.mu.Lock()
 	s.closed = true
 	onClose := s.onClose
+	abort := s.active && (s.wrote || s.writing)
 	s.mu.Unlock()
+	if abort {
+		s.lingerNone()
+	}
 	err := s.Conn.Close()
 	s.closeOnce.Do(onClose)
 	return err
@@ -119,10 +124,15 @@
 
 // reset closes the connection with a reset, so that bytes under way are lost.
 func (s *sock) reset() {
+	s.lingerNone()
+	_ = s.Close()
+}
+
+// lingerNone makes Close reset the connection.
+func (s *sock) lingerNone() {
 	if tcp, ok := s.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
-	_ = s.Close()
 }
 
 // refused reports whether the peer ended the connection without ever sending a byte.
