--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -51,6 +51,16 @@
 // acquire chooses a VM of names and counts one more request in flight there. It leaves out
 // the VMs in excluded and those that failed recently; false if no VM is left.
 func (t *peerTable) acquire(names, excluded []string, now time.Duration) (string, bool) {
+	return t.acquireBy(names, excluded, func(states []delegate.Peer) int { return delegate.Choose(states, now, rand.Float64) })
+}
+
+// acquireLastResort is acquire if no VM of names is usable: it chooses one that failed recently.
+func (t *peerTable) acquireLastResort(names, excluded []string) (string, bool) {
+	return t.acquireBy(names, excluded, delegate.LastResort)
+}
+
+// acquireBy acquires the VM of names that choose returns, by its index among those not in excluded.
+func (t *peerTable) acquireBy(names, excluded []string, choose func([]delegate.Peer) int) (string, bool) {
 	names = slices.DeleteFunc(slices.Clone(names), func(name string) bool { return slices.Contains(excluded, name) })
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -63,7 +73,7 @@
 			states[i] = *p
 		}
 	}
-	i := delegate.Choose(states, now, rand.Float64)
+	i := choose(states)
 	if i < 0 {
 		return "", false
 	}
@@ -196,7 +206,7 @@
 	if !q.route.Sharded() {
 		_, shard := q.catalog.ShardLimits[q.service]
 		if others, reached := s.o.Others(); !shard && !reached {
-			return s.acquireNear(others, q.tried)
+			return s.acquireNear(s.o.Zone, others, q.tried)
 		}
 		if !shard || self {
 			return "", false
@@ -206,19 +216,24 @@
 	if !ok || self && zone == s.o.Zone {
 		return "", false
 	}
-	vm, ok = s.peers.acquire(gatherers[zone], q.tried, s.o.Now())
-	if !ok && !self {
-		vm, ok = s.peers.acquire(slices.Concat(slices.Collect(maps.Values(gatherers))...), q.tried, s.o.Now())
+	if self {
+		return s.peers.acquire(gatherers[zone], q.tried, s.o.Now())
 	}
-	return vm, ok
+	return s.acquireNear(zone, gatherers, q.tried)
 }
 
-// acquireNear acquires a VM of this zone, or of any other if none is usable there.
-func (s *Server) acquireNear(byZone map[string][]string, tried []string) (vm string, ok bool) {
-	if vm, ok = s.peers.acquire(byZone[s.o.Zone], tried, s.o.Now()); ok {
+// acquireNear acquires a VM of a zone, or of any other if none is usable there. If all failed lately and
+// this VM can't run the request, as it reaches no upstream, it acquires one of these.
+func (s *Server) acquireNear(zone string, byZone map[string][]string, tried []string) (vm string, ok bool) {
+	if vm, ok = s.peers.acquire(byZone[zone], tried, s.o.Now()); ok {
 		return vm, true
 	}
-	return s.peers.acquire(slices.Concat(slices.Collect(maps.Values(byZone))...), tried, s.o.Now())
+	all := slices.Concat(slices.Collect(maps.Values(byZone))...)
+	vm, ok = s.peers.acquire(all, tried, s.o.Now())
+	if _, reached := s.o.Others(); !ok && !reached {
+		return s.peers.acquireLastResort(all, tried)
+	}
+	return vm, ok
 }
 
 // delegateTo delegates a request to a VM. done reports that o is the request's outcome:
--- a/internal/policy/delegate/delegate.go
+++ b/internal/policy/delegate/delegate.go
@@ -26,24 +26,40 @@
 	InFlight int
 
 	failures      int // since the last reply
+	exclusions    int // since the last reply
 	excludedUntil time.Duration
 }
 
-// Replied records a reply of the VM; it resets the count of failures.
-func (p *Peer) Replied() { p.failures = 0 }
+// Replied records a reply of the VM; it ends its exclusion.
+func (p *Peer) Replied() { p.failures, p.exclusions, p.excludedUntil = 0, 0, 0 }
 
-// Failed records at now that the VM did not reply, and excludes it for a while. It reports
-// whether the VM counts as lost: it failed lostFailures times in a row.
+// Failed records at now that the VM did not reply, and excludes it for a while. Failures while it is
+// excluded are of requests that were under way, and exclude it no longer. It reports whether the VM
+// counts as lost: it failed lostFailures times in a row.
 func (p *Peer) Failed(now time.Duration) (lost bool) {
 	const maxDoublings = 3
-	p.excludedUntil = now + min(baseExclusion<<min(p.failures, maxDoublings), maxExclusion)
 	p.failures++
+	if p.Usable(now) {
+		p.excludedUntil = now + min(baseExclusion<<min(p.exclusions, maxDoublings), maxExclusion)
+		p.exclusions++
+	}
 	return p.failures >= lostFailures
 }
 
 // Usable reports whether the VM may be given a search at now.
 func (p *Peer) Usable(now time.Duration) bool { return now >= p.excludedUntil }
 
+// LastResort returns the index of the VM whose exclusion ends first; -1 if there is none.
+func LastResort(peers []Peer) int {
+	best := -1
+	for i := range peers {
+		if best < 0 || peers[i].excludedUntil < peers[best].excludedUntil {
+			best = i
+		}
+	}
+	return best
+}
+
 // Choose draws a usable VM at random twice and returns the index of the one with fewer
 // searches in flight; -1 if none is usable. random returns uniform numbers in [0, 1).
 func Choose(peers []Peer, now time.Duration, random func() float64) int {
--- a/internal/policy/delegate/delegate_test.go
+++ b/internal/policy/delegate/delegate_test.go
@@ -173,6 +173,25 @@
 		peers[0].Failed(10 * time.Second)
 		Expect(delegate.Choose(peers, 11*time.Second, half)).To(Equal(0))
 	})
+	// Load pattern: a gatherer stands still for half a second while six searches wait for it.
+	It("excludes a VM once for all requests that were under way when it failed, and not after a reply", func() {
+		peers := make([]delegate.Peer, 1)
+		half := func() float64 { return 0.5 }
+		for i := range 6 {
+			peers[0].Failed(time.Duration(i) * 20 * time.Millisecond)
+		}
+		Expect(delegate.Choose(peers, time.Second, half)).To(Equal(0))
+		peers[0].Failed(2 * time.Second)
+		peers[0].Replied()
+		Expect(delegate.Choose(peers, 2100*time.Millisecond, half)).To(Equal(0), "it is alive")
+	})
+	It("returns the VM whose exclusion ends first as a last resort", func() {
+		peers := make([]delegate.Peer, 2)
+		peers[0].Failed(time.Second)
+		peers[1].Failed(900 * time.Millisecond)
+		Expect(delegate.LastResort(peers)).To(Equal(1))
+		Expect(delegate.LastResort(nil)).To(Equal(-1))
+	})
 	It("returns the one with fewer searches in flight of the two drawn", func() {
 		peers := []delegate.Peer{{InFlight: 5}, {InFlight: 1}}
 		at := []float64{0.1, 0.9}
