--- a/internal/bench/soak.go
+++ b/internal/bench/soak.go
@@ -87,6 +87,7 @@
 	name, zone   string
 	settingsFile string
 	storeLink    *relay.Relay   // link from the VM to the store
+	serverLinks  []*relay.Relay // links from the VM to the servers
 	peerLinks    []*relay.Relay // links from the VM to each other VM; nil for itself
 	lifecycle    sync.Mutex     // held while a fault stops, pauses, signals or restarts the VM
 
@@ -112,6 +113,7 @@
 	extraPaths []string // paths of the routes that configFault added
 	outages    []Span   // while the store failed for some VM
 	limits     []*soakLimit
+	strandings []stranding
 }
 
 // Soak runs one seed: it starts a fleet of daemons, sends requests, injects faults
@@ -145,6 +147,7 @@
 		return nil, fmt.Errorf("soak, seed %d: %w", o.Seed, err)
 	}
 	s.checkLimits()
+	s.checkStrandings()
 	return s.evidence.evaluate(o.Seed, s.outages), nil
 }
 
@@ -216,6 +219,9 @@
 	if err := s.addPeerLinks(ctx, vm, i); err != nil {
 		return err
 	}
+	if err := s.addServerLinks(ctx, vm, i); err != nil {
+		return err
+	}
 	set := settings.Settings{
 		Name: vm.name, Zone: vm.zone,
 		Listen: settings.Listen{
@@ -233,7 +239,7 @@
 	for n := range min(soakSeedVMs, s.opts.VMs) {
 		set.Fleet.Seeds = append(set.Fleet.Seeds, settings.Address(s.address(0, n+1, peerPort)))
 	}
-	set.Experiment = &settings.Experiment{Policy: settings.ExperimentPolicyCurrent, PeerPort: peerLinkPort + i, BindUpstreams: true}
+	set.Experiment = &settings.Experiment{Policy: settings.ExperimentPolicyCurrent, PeerPort: peerLinkPort + i, BindUpstreams: true, UpstreamPortOffset: i + 1}
 	for _, m := range s.opts.Disable {
 		set.Experiment.Disable = append(set.Experiment.Disable, settings.ExperimentDisableElem(m))
 	}
@@ -249,6 +255,18 @@
 	return nil
 }
 
+// addServerLinks starts the links from VM i to the servers.
+func (s *soak) addServerLinks(ctx context.Context, vm *soakVM, i int) error {
+	for n, sv := range s.servers {
+		l, err := s.startRelayFrom(ctx, s.address(relayNet, n+1, upstreamPort+i+1), sv.address, "")
+		if err != nil {
+			return err
+		}
+		vm.serverLinks = append(vm.serverLinks, l)
+	}
+	return nil
+}
+
 // addPeerLinks starts the links from VM i to the others.
 func (s *soak) addPeerLinks(ctx context.Context, vm *soakVM, i int) error {
 	vm.peerLinks = make([]*relay.Relay, s.opts.VMs)
--- a/internal/bench/soak_check.go
+++ b/internal/bench/soak_check.go
@@ -35,6 +35,7 @@
 	notRecovered   = "not_recovered"    // requests still failed long after the last fault
 	sentAfterGone  = "sent_after_gone"  // requests reached servers long after their callers had canceled
 	workAfterGone  = "work_after_gone"  // servers kept working on canceled requests
+	strandedWorse  = "stranded_worse"   // VMs cut off from all servers served their callers far worse than the others
 	overLimit      = "over_limit"       // a server got far more requests than the limit that it had named
 )
 
