--- a/Makefile
+++ b/Makefile
@@ -35,10 +35,14 @@
 test:
 	go test -race -count=1 -timeout 20m ./...
 
-# Long runs of the property tests with a new random seed, which is printed.
+# Long runs of the property tests with a new random seed, which is printed, and of the fuzz targets
+# for bytes that others send.
+FUZZ := upstream:FuzzReply upstream:FuzzLoad policy/coverage:FuzzTopRecords peer:FuzzDecode
+FUZZ_TIME ?= 60s
 fuzz:
 	@seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); echo "seed $$seed"; \
-	SPINDLE_SEED=$$seed go test -count=1 -timeout 60m ./internal/policy/... ./internal/facts ./internal/poison -args -rapid.checks=5000
+	SPINDLE_SEED=$$seed go test -count=1 -timeout 60m ./internal/policy/... ./internal/facts ./internal/poison ./internal/readlimit -args -rapid.checks=5000
+	@for t in $(FUZZ); do go test -run xxx -fuzz "$${t#*:}" -fuzztime $(FUZZ_TIME) -parallel 4 ./internal/$${t%:*} || exit 1; done
 
 tools: $(TOOLS)/golangci-lint $(TOOLS)/go-jsonschema
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -95,7 +95,7 @@
 	defer cancel()
 	failed := make(chan error, 3)
 	servers := []*http.Server{
-		{Addr: string(d.s.Listen.Peers), Handler: d.node.Handler(), ReadHeaderTimeout: headerTimeout},
+		{Addr: string(d.s.Listen.Peers), Handler: d.node.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxPeerHeaderBytes},
 		admin.Server(string(d.s.Listen.Admin), d.adminOptions()),
 		d.callers.HTTPServer(string(d.s.Listen.Callers)),
 	}
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -28,6 +28,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/policy/connbudget"
 	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
 	"github.com/sardinespindle/sardinespindle/internal/policy/repeat"
+	"github.com/sardinespindle/sardinespindle/internal/readlimit"
 	"github.com/sardinespindle/sardinespindle/internal/single"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	"github.com/sardinespindle/sardinespindle/platform"
@@ -174,14 +175,19 @@
 	return fromIP, f.s.Experiment.UpstreamPortOffset
 }
 
+// readBytes is the memory for bodies that are being read, of replies and of callers' requests
+// together: small beside that of the smallest VM, 136 MB.
+const readBytes = 16 << 20
+
 // wireRequests creates the parts that serve callers and send requests to upstreams.
 func (f *Forwarder) wireRequests() error {
 	var err error
 	dialIP, portOffset := f.dialing()
+	reads := readlimit.New(readBytes)
 	f.upstreams, err = upstream.New(upstream.Options{
 		VM: f.node.Name(), Zone: f.s.Zone, Mechanisms: mechanism.New(f.s.Experiment), VMs: f.fleet.size, Members: f.fleet.names,
 		Share: f.connectionShare, MayPreconnect: f.fleet.converged, ManifestOnly: true, Headers: platform.UpstreamHeaders, OnLeaving: f.tellLeaving,
-		OnReach: f.fleet.setReached, Senders: f.limitSenders, OnLimit: f.tellLimit, DialIP: dialIP, DialPortOffset: portOffset, Log: f.log, Registerer: f.registry,
+		OnReach: f.fleet.setReached, Senders: f.limitSenders, OnLimit: f.tellLimit, DialIP: dialIP, DialPortOffset: portOffset, Reads: reads, Log: f.log, Registerer: f.registry,
 	})
 	if err != nil {
 		return err
@@ -198,6 +204,7 @@
 		Searcher: engine,
 		Runner:   runner,
 		Poison:   f.poison,
+		Reads:    reads,
 		Repeats: repeat.Limits{
 			Ratio: f.s.Repeats.Ratio, Slack: f.s.Repeats.Slack,
 			Window: time.Duration(f.s.Repeats.WindowSeconds * float64(time.Second)),
@@ -291,7 +298,7 @@
 	failed := make(chan error, 3)
 	callerServer := f.server.HTTPServer(string(f.s.Listen.Callers))
 	servers := []*http.Server{
-		{Addr: string(f.s.Listen.Peers), Handler: f.node.Handler(), ReadHeaderTimeout: headerTimeout},
+		{Addr: string(f.s.Listen.Peers), Handler: f.node.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxPeerHeaderBytes},
 		admin.Server(string(f.s.Listen.Admin), admin.Options{
 			Ready: f.ready, Status: f.status, Gatherer: f.registry, Log: f.log, ReadyPath: platform.ReadyPath,
 		}),
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -24,6 +24,8 @@
 
 const (
 	headerTimeout = 5 * time.Second
+	// maxPeerHeaderBytes bounds the head of a request that opens a connection between VMs.
+	maxPeerHeaderBytes = 8 << 10
 	// leavingTTL is how long the other VMs know that this one is leaving.
 	leavingTTL = 60 * time.Second
 	// drainMargin is added to the longest deadline to wait for requests in flight.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -24,6 +24,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/policy/repeat"
 	"github.com/sardinespindle/sardinespindle/internal/policy/route"
 	"github.com/sardinespindle/sardinespindle/internal/policy/takeover"
+	"github.com/sardinespindle/sardinespindle/internal/readlimit"
 	"github.com/sardinespindle/sardinespindle/internal/sharded"
 	"github.com/sardinespindle/sardinespindle/internal/single"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
@@ -74,6 +75,8 @@
 	Searcher Searcher
 	Runner   Runner
 	Poison   Poison
+	// Reads bounds the memory of callers' bodies that are being read. The default is 16 MiB.
+	Reads *readlimit.Budget
 	// Repeats bounds the attempts beyond the first to one service, summed over the fleet.
 	Repeats repeat.Limits
 	// VMs returns how many VMs send requests to a service and so share its Repeats.
@@ -99,6 +102,9 @@
 	Registerer prometheus.Registerer
 }
 
+// defaultReadBytes is the memory for callers' bodies that are being read, unless Options.Reads is set.
+const defaultReadBytes = 16 << 20
+
 // maxServices bounds the services for which a repeat budget is kept.
 const maxServices = 8192
 
@@ -124,6 +130,9 @@
 	if o.LimitHolders == nil {
 		o.LimitHolders = func(*manifest.Workload) []string { return nil }
 	}
+	if o.Reads == nil {
+		o.Reads = readlimit.New(defaultReadBytes)
+	}
 	if o.ReportLost == nil {
 		o.ReportLost = func(string) {}
 	}
@@ -188,6 +197,9 @@
 	sent         takeover.Record
 	announce     announce
 	confirmFirst bool
+	// bodyLate says that the body had not arrived by the deadline. net/http then takes the
+	// connection for closed.
+	bodyLate bool
 	// opensConn says that the request is the first one on its connection. path is the way of
 	// the answer to the caller.
 	opensConn bool
@@ -211,10 +223,11 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	q := &request{id: r.Header.Get(s.o.Headers.RequestID), start: time.Now(), opensConn: opensConn(r)}
-	o := s.serve(r, q)
+	o := s.serve(w, r, q)
 	s.record(q, &o)
-	if r.Context().Err() != nil {
-		return // the caller has closed the connection
+	if r.Context().Err() != nil && !q.bodyLate {
+		// The caller has closed the connection. Were it still open, returning would answer 200.
+		panic(http.ErrAbortHandler)
 	}
 	s.writeAnswer(w, r, q, &o)
 	s.observeReturn(q)
@@ -228,7 +241,7 @@
 	stopRetryAfter = 50 * time.Millisecond
 )
 
-func (s *Server) serve(r *http.Request, q *request) outcome.Outcome {
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, q *request) outcome.Outcome {
 	q.catalog = s.o.Catalog()
 	if q.catalog == nil {
 		return outcome.NotRun(outcome.NoManifest, "no configuration is known yet", startRetryAfter)
@@ -240,11 +253,11 @@
 	if q.route == nil {
 		return outcome.Rejected(outcome.UnknownWorkload, fmt.Sprintf("no route for %s%s", r.Host, r.URL.EscapedPath()))
 	}
-	passThrough, rejection := s.readRequest(r, q)
+	q.deadline = s.deadline(r, q)
+	passThrough, rejection := s.readRequest(w, r, q)
 	if rejection != nil {
 		return *rejection
 	}
-	q.deadline = s.deadline(r, q)
 	q.service = q.route.ChooseService(rand.Float64())
 	if q.route.Sharded() {
 		q.path = s.path(r, q)
--- a/internal/forward/read.go
+++ b/internal/forward/read.go
@@ -1,20 +1,24 @@
 package forward
 
 import (
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/readlimit"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 )
 
-// readRequest returns the pass-through request, or the outcome that rejects it.
-func (s *Server) readRequest(r *http.Request, q *request) (*upstream.PassThroughRequest, *outcome.Outcome) {
+// readRequest returns the pass-through request, or the outcome that rejects it. A body that has
+// not arrived by the request's deadline is rejected.
+func (s *Server) readRequest(w http.ResponseWriter, r *http.Request, q *request) (*upstream.PassThroughRequest, *outcome.Outcome) {
 	if o := checkHead(r, q.catalog.Config.Limits.HeaderBytes); o != nil {
 		return nil, o
 	}
@@ -22,20 +26,20 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	if r.ContentLength > limit {
-		o := outcome.Rejected(outcome.TooLarge, fmt.Sprintf("body of %d bytes, at most %d", r.ContentLength, limit))
-		return nil, &o
-	}
 	var body []byte
 	if r.ContentLength != 0 {
 		var err error
-		body, err = io.ReadAll(io.LimitReader(r.Body, limit+1))
-		if err != nil {
+		if body, err = s.readRequestBody(w, r, q, limit); err != nil {
 			o := outcome.Rejected(outcome.BadRequest, fmt.Sprintf("read body: %v", err))
-			return nil, &o
-		}
-		if int64(len(body)) > limit {
-			o := outcome.Rejected(outcome.TooLarge, fmt.Sprintf("body of over %d bytes", limit))
+			switch {
+			case errors.Is(err, readlimit.ErrTooLarge):
+				o = outcome.Rejected(outcome.TooLarge, err.Error())
+			case errors.Is(err, readlimit.ErrNoMemory):
+				o = outcome.NotRun(outcome.Overloaded, err.Error(), startRetryAfter)
+			case errors.Is(err, os.ErrDeadlineExceeded):
+				q.bodyLate = true
+				o = outcome.NotRun(outcome.DeadlineExceeded, "the body had not arrived by the deadline", 0)
+			}
 			return nil, &o
 		}
 	}
@@ -44,6 +48,22 @@
 	}, nil
 }
 
+// readRequestBody reads the body of a caller's request by the request's deadline.
+func (s *Server) readRequestBody(w http.ResponseWriter, r *http.Request, q *request, limit int64) ([]byte, error) {
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(q.deadline); err != nil {
+		return nil, fmt.Errorf("deadline: %w", err)
+	}
+	body, err := s.o.Reads.ReadAll(r.Body, limit, r.ContentLength)
+	if err != nil {
+		return nil, err
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return nil, fmt.Errorf("deadline: %w", err)
+	}
+	return body, nil
+}
+
 // hopByHopHeaders apply to one connection only and are never forwarded.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
--- a/internal/gather/send.go
+++ b/internal/gather/send.go
@@ -31,6 +31,8 @@
 	// A hedge that is due but gets no token tries again after the shard's latency quantile
 	// divided by hedgePollsPerQuantile.
 	hedgePollsPerQuantile = 4
+	// maxPartBytes bounds a shard's part of a pass-through search: 65,536 records.
+	maxPartBytes = 1 << 20
 	// maxProbes is the most replies with an unknown partition map after which the shard is
 	// asked again at once, see deferReask.
 	maxProbes = 2
@@ -217,6 +219,7 @@
 	}
 	if p := q.s.PassThrough; p != nil {
 		a.Kind, a.PassThrough, a.Route, a.Deadline = upstream.PassThrough, p.Request, q.workload, q.s.Deadline
+		a.MaxReplyBytes = maxPartBytes
 	}
 	return a
 }
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -15,6 +15,8 @@
 const (
 	// maxMessageBytes allows for the largest part reply, 1,000,000 bytes, and its envelope.
 	maxMessageBytes = 1_100_000
+	// readBytes is the memory for messages of all peers that are being read.
+	readBytes = 16 << 20
 	// maxHelloBytes bounds the first message, which comes from an unidentified peer.
 	maxHelloBytes = 4096
 	// maxFacts bounds the facts, and the elements of any other array, in a received message.
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
+	"github.com/sardinespindle/sardinespindle/internal/readlimit"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/peer"
 )
 
@@ -269,13 +270,25 @@
 	}
 }
 
+// readMessage reads the bytes of the next message.
+func (c *conn) readMessage(ctx context.Context) (websocket.MessageType, []byte, error) {
+	typ, r, err := c.ws.Reader(ctx)
+	if err != nil {
+		return 0, nil, err
+	}
+	b, err := c.node.reads.ReadAll(r, maxMessageBytes, -1)
+	return typ, b, err
+}
+
 // read returns the next message, or the reason to end the connection.
 func (c *conn) read(ctx context.Context) (*gen.Message, string) {
-	typ, b, err := c.ws.Read(ctx)
-	if err != nil {
-		if websocket.CloseStatus(err) == -1 && errors.Is(err, websocket.ErrMessageTooBig) {
-			return nil, cutGarbage
-		}
+	typ, b, err := c.readMessage(ctx)
+	switch {
+	case errors.Is(err, websocket.ErrMessageTooBig) && websocket.CloseStatus(err) == -1, errors.Is(err, readlimit.ErrTooLarge):
+		return nil, cutGarbage
+	case errors.Is(err, readlimit.ErrNoMemory):
+		return nil, cutFlood
+	case err != nil:
 		return nil, cutRead
 	}
 	if c.node.paused() || c.ended() {
--- a/internal/peer/hostile_test.go
+++ b/internal/peer/hostile_test.go
@@ -6,8 +6,10 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/coder/websocket"
@@ -140,6 +142,34 @@
 		}),
 	)
 
+	// Bytes without end, as fragments of one message, from many peers at a time.
+	It("that sends a message without end has its connection closed, and uses little memory", func() {
+		var sent sync.WaitGroup
+		runtime.GC()
+		var before, during runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for i := range 30 {
+			ws, err := dialFrom(f.vms[0], fmt.Sprintf("127.0.8.%d", i+1))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(write(ws, marshal(helloAs(fmt.Sprint("evil", i))))).To(Succeed())
+			sent.Go(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				defer cancel()
+				w, err := ws.Writer(ctx, websocket.MessageBinary)
+				block := make([]byte, 8<<10)
+				for err == nil {
+					_, err = w.Write(block)
+				}
+				Expect(ctx.Err()).NotTo(HaveOccurred(), "the connection is still open")
+			})
+		}
+		sent.Wait()
+		runtime.ReadMemStats(&during)
+		Expect(int64(during.HeapAlloc) - int64(before.HeapAlloc)).To(BeNumerically("<", 64<<20))
+		Expect(counterSum(f.vms[0], "spindle_peer_cut_total", "garbage") + counterSum(f.vms[0], "spindle_peer_cut_total", "flood")).
+			To(BeNumerically(">=", 30))
+	})
+
 	It("is refused by its IP address for a while after repeated garbage", func() {
 		for _, first := range [][]byte{{0xff}, marshal(helloAs("evil"))} {
 			ws, err := dialFrom(f.vms[0], hostileIP)
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -20,6 +20,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/clock"
 	"github.com/sardinespindle/sardinespindle/internal/facts"
 	"github.com/sardinespindle/sardinespindle/internal/policy/roster"
+	"github.com/sardinespindle/sardinespindle/internal/readlimit"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/peer"
 	"github.com/sardinespindle/sardinespindle/schema/gen/platform"
 )
@@ -74,6 +75,7 @@
 // Node is this VM's end of the connections to all other VMs.
 type Node struct {
 	limits      Limits
+	reads       *readlimit.Budget
 	name        string
 	zone        string
 	incarnation string
@@ -137,8 +139,8 @@
 		o.Limits = &DefaultLimits
 	}
 	n := &Node{
-		limits: *o.Limits,
-		name:   o.Name, zone: o.Zone, incarnation: o.Incarnation, started: o.Started,
+		limits: *o.Limits, reads: readlimit.New(readBytes),
+		name: o.Name, zone: o.Zone, incarnation: o.Incarnation, started: o.Started,
 		generation: o.Generation, now: o.Now, accept: o.Accept, unreachable: o.OnUnreachable, noRelays: o.NoRelays, log: o.Log,
 		metrics: newMetrics(o.Registerer),
 		facts: facts.New(facts.Options{
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -22,6 +22,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/policy/forecast"
 	"github.com/sardinespindle/sardinespindle/internal/policy/limit"
 	"github.com/sardinespindle/sardinespindle/internal/policy/replica"
+	"github.com/sardinespindle/sardinespindle/internal/readlimit"
 	"github.com/sardinespindle/sardinespindle/internal/sharded"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
 	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
@@ -51,6 +52,8 @@
 	// is added to the port of each upstream that is dialed.
 	DialIP         string
 	DialPortOffset int
+	// Reads bounds the memory of replies that are being read. The default is 256 MiB.
+	Reads *readlimit.Budget
 	// Headers names the headers of attempts of kind PassThrough.
 	Headers    HeaderNames
 	Log        *log.Logger
@@ -158,6 +161,9 @@
 	if o.OnLimit == nil {
 		o.OnLimit = func(Incarnation) {}
 	}
+	if o.Reads == nil {
+		o.Reads = readlimit.New(defaultReadBytes)
+	}
 	if o.OnLeaving == nil {
 		o.OnLeaving = func(Incarnation) {}
 	}
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -121,12 +122,12 @@
 		wrote, read, sent := cn.sock.endAttempt()
 		return s.discardLost(ctx, cn, err, wrote, read), sent
 	}
-	read := readBody
+	read := c.readBody
 	if a.Kind == PassThrough {
 		c.recordReplyHead(s, resp, cn.sock.attemptSentAt())
-		read = readPassThrough
+		read = c.readPassThrough
 	}
-	body, err := read(resp, maxReplyBody)
+	body, err := read(resp, cmp.Or(a.MaxReplyBytes, maxReplyBody))
 	received := c.opts.Now()
 	_, _, sent := cn.sock.endAttempt()
 	if err != nil {
--- a/internal/upstream/pass.go
+++ b/internal/upstream/pass.go
@@ -140,12 +140,9 @@
 // readPassThrough reads the complete body of a reply to a pass-through request. A body
 // without a length ends when the upstream closes the connection; net/http reports a
 // reset as an error.
-func readPassThrough(resp *http.Response, limit int64) ([]byte, error) {
-	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 {
-		return readBody(resp, limit)
-	}
+func (c *Client) readPassThrough(resp *http.Response, limit int64) ([]byte, error) {
 	defer resp.Body.Close()
-	return readToEnd(resp.Body, limit)
+	return c.opts.Reads.ReadAll(resp.Body, limit, resp.ContentLength)
 }
 
 // passThroughLoad returns the load that a reply to a pass-through request reports; Known
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -150,7 +150,7 @@
 		cn.drop()
 		return err
 	}
-	_, err = readBody(resp, maxProbeBody)
+	_, err = c.readBody(resp, maxProbeBody)
 	received := c.opts.Now()
 	_, _, sent := cn.sock.endAttempt()
 	if err != nil {
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -26,9 +25,11 @@
 )
 
 const (
-	maxReplyBody = 8 << 20
-	maxProbeBody = 4 << 10
-	maxDocuments = 1000
+	// defaultReadBytes is the memory for replies that are being read, unless Options.Reads is set.
+	defaultReadBytes = 256 << 20
+	maxReplyBody     = 8 << 20
+	maxProbeBody     = 4 << 10
+	maxDocuments     = 1000
 	// maxRetryAfter is longer than any process runs, and fits a time.Duration.
 	maxRetryAfter = 20 * 365 * 24 * time.Hour
 	maxLoad       = 1e6
@@ -38,42 +39,17 @@
 var (
 	errOtherAttempt = errors.New("reply is for another attempt")
 	errOtherShard   = errors.New("reply is of another shard")
-	errTooLarge     = errors.New("reply is too large")
 	errNoLength     = errors.New("reply has no length, so its end cannot be told from a cut")
 	errInvalid      = errors.New("reply is not valid")
 )
 
 // readBody reads a complete body of at most limit bytes and closes it.
-func readBody(resp *http.Response, limit int64) ([]byte, error) {
+func (c *Client) readBody(resp *http.Response, limit int64) ([]byte, error) {
 	defer resp.Body.Close()
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return nil, errNoLength
 	}
-	if resp.ContentLength > limit {
-		return nil, errTooLarge
-	}
-	if resp.ContentLength >= 0 {
-		// One byte more makes the read reach EOF, which frees the connection.
-		body := make([]byte, resp.ContentLength+1)
-		n, err := io.ReadFull(resp.Body, body)
-		if errors.Is(err, io.EOF) || (errors.Is(err, io.ErrUnexpectedEOF) && int64(n) == resp.ContentLength) {
-			return body[:n], nil
-		}
-		return nil, err
-	}
-	return readToEnd(resp.Body, limit)
-}
-
-// readToEnd reads a body of unknown length, at most limit bytes.
-func readToEnd(r io.Reader, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, errTooLarge
-	}
-	return body, nil
+	return c.opts.Reads.ReadAll(resp.Body, limit, resp.ContentLength)
 }
 
 // wireReply has pointer fields to distinguish a missing field from a zero one.
--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -70,6 +70,8 @@
 	// PassThrough is the request of an attempt of kind PassThrough. Of the fields above, such
 	// an attempt uses only Kind and Deadline.
 	PassThrough *PassThroughRequest
+	// MaxReplyBytes is the largest body of a reply; 0 for 8 MiB.
+	MaxReplyBytes int64
 	// Route groups pass-through requests of similar latency, which is estimated for each
 	// route.
 	Route string
