--- a/internal/bench/soak.go
+++ b/internal/bench/soak.go
@@ -112,7 +112,7 @@
 	version    int
 	extraPaths []string // paths of the routes that configFault added
 	outages    []Span   // while the store failed for some VM
-	limits     []*soakLimit
+	notices    []*notice
 	strandings []stranding
 }
 
@@ -143,10 +143,11 @@
 	s.checkRecovery(ctx)
 	stop()
 	calling.Wait()
+	s.checkMemory()
 	if err := errors.Join(err, s.stopAll()); err != nil {
 		return nil, fmt.Errorf("soak, seed %d: %w", o.Seed, err)
 	}
-	s.checkLimits()
+	s.checkNotices()
 	s.checkStrandings()
 	return s.evidence.evaluate(o.Seed, s.outages), nil
 }
@@ -368,6 +369,18 @@
 	return group.Wait()
 }
 
+// maxMemoryMB is the memory of the users' smallest VM.
+const maxMemoryMB = 136
+
+// checkMemory looks for VMs whose processes have used too much memory since they started.
+func (s *soak) checkMemory() {
+	for _, vm := range s.vms {
+		if mb, err := peakMB(vm.proc.cmd.Process.Pid); err == nil && mb > maxMemoryMB {
+			s.evidence.recordViolation(tooMuchMemory, "%s used %.0f MB, at most %d", vm.name, mb, maxMemoryMB)
+		}
+	}
+}
+
 // stopVM stops a VM with SIGTERM and records a violation if it fails or exceeds its grace
 // time.
 func (s *soak) stopVM(vm *soakVM) error {
--- a/internal/bench/soak_faults.go
+++ b/internal/bench/soak_faults.go
@@ -18,8 +18,8 @@
 // and drains do not count around a drill, so the other seeds have none.
 const drillSeeds = 3
 
-// calmSeeds is the number of seeds of which one has servers that name limits and VMs that are cut off
-// from all servers. Other faults of a VM or of its links to other VMs excuse it there, so in these
+// calmSeeds is the number of seeds of which one has servers that name limits, leave or want a pause,
+// and VMs that are cut off from all servers. Other faults of a VM or of its links to other VMs excuse it there, so in these
 // seeds only the first faultyVMs of the VMs have any.
 const (
 	calmSeeds = 5
@@ -35,8 +35,8 @@
 // injectFaults runs actors that inject faults at random until the duration is over: two each for
 // VMs and for links between VMs, and one each for misbehaving servers, for replaced servers, for
 // links to servers, and for the store with its configuration. A fault listed twice is drawn twice as often.
-// In calm seeds, servers that name limits and VMs that are cut off from all servers take the place of
-// broken links between VMs.
+// In calm seeds, servers that say something of themselves and VMs that are cut off from all servers take
+// the place of broken links between VMs.
 func (s *soak) injectFaults(ctx context.Context, rng *rand.Rand) error {
 	vms := []fault{{"pause", s.pauseFault}, {"kill", s.killFault}, {"stop", s.stopFault}, {"hup", s.reloadFault}}
 	store := []fault{{"store", s.storeFault}, {"forget", s.compactFault}, {"config", s.configFault}, {"config", s.configFault}}
@@ -51,7 +51,9 @@
 		store,
 	}
 	if s.isCalm() {
-		actors = append(actors, []fault{{"limit", s.limitFault}}, []fault{{"strand", s.strandFault}})
+		actors = append(actors,
+			[]fault{{"limit", s.limitFault}, {"leaving", s.leavingFault}, {"pause notice", s.pauseNoticeFault}},
+			[]fault{{"strand", s.strandFault}})
 	} else {
 		actors = append(actors, []fault{{"peers", s.peersFault}}, []fault{{"peers", s.peersFault}})
 	}
@@ -146,7 +148,7 @@
 // misbehaveFault makes up to a third of the servers misbehave for a while.
 func (s *soak) misbehaveFault(_ context.Context, rng *rand.Rand) error {
 	faults := []serverFault{
-		{Slow: 50 * time.Millisecond}, {Slow: 300 * time.Millisecond}, {Slow: 3 * time.Second}, {Fail: true}, {LoseShare: 0.3}, {LoseShare: 1}, {Truncate: true}, {Crossed: true},
+		{Slow: 50 * time.Millisecond}, {Slow: 300 * time.Millisecond}, {Slow: 3 * time.Second}, {Fail: true}, {LoseShare: 0.3}, {LoseShare: 1}, {Truncate: true}, {Crossed: true}, {Endless: true},
 	}
 	var affected []*soakServer
 	for range 1 + rng.IntN(len(s.servers)/3) {
--- a/internal/bench/soak_servers.go
+++ b/internal/bench/soak_servers.go
@@ -28,8 +28,8 @@
 	started int // servers started so far
 	current atomic.Pointer[standin.Server]
 	fault   atomic.Pointer[serverFault]
-	limit   atomic.Pointer[soakLimit] // named by the server that it is of; nil for none
-	slots   chan struct{}             // holds an element for each running request
+	notice  atomic.Pointer[notice] // of the server that it names; nil for none
+	slots   chan struct{}          // holds an element for each running request
 
 	stateMu sync.Mutex // guards the fields below, and that the state is published in order
 	state   string     // published last; empty while no server is there
@@ -43,6 +43,7 @@
 	LoseShare float64       // share of requests whose connection is closed after they ran
 	Truncate  bool          // sends half of the body
 	Crossed   bool          // replies with the data of another request
+	Endless   bool          // sends a body without end, until the VM closes the connection
 }
 
 // Capacity, service time and reply size of a server. It publishes soakSlots and runs up to
@@ -150,9 +151,9 @@
 		id: r.Header.Get(platform.RequestID), service: srv.Service, server: srv.ID, at: time.Now(),
 		deadline: parseMilliseconds(r.Header.Get(platform.Deadline)), vm: sourceVM(r),
 	}
-	if l := sv.limit.Load(); l != nil && l.server == srv.ID {
-		w.Header().Set(platform.UpstreamHeaders.Limit, strconv.FormatFloat(l.perSecond, 'f', 1, 64))
-		defer func() { l.recordTold(a.vm) }()
+	if n := sv.notice.Load(); n != nil && n.server == srv.ID && n.say(w, a.vm) {
+		sv.s.evidence.recordArrival(a)
+		return true
 	}
 	select {
 	case sv.slots <- struct{}{}:
@@ -185,12 +186,37 @@
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = w.Write([]byte(body[:len(body)/2])) // truncated on purpose
 		panic(http.ErrAbortHandler)
+	case fault.Endless:
+		srv.SetReplyHeaders(w, a.id)
+		sv.sendEndless(w, a)
 	default:
 		return false
 	}
 	return true
 }
 
+// endlessBlock is sent again and again by a server whose bodies have no end. The VM has to close the
+// connection within endlessSlack of the request's deadline.
+const (
+	endlessBlock = 32 << 10
+	endlessSlack = time.Second
+)
+
+// sendEndless sends bytes until the VM closes the connection.
+func (sv *soakServer) sendEndless(w http.ResponseWriter, a arrival) {
+	block := make([]byte, endlessBlock)
+	start := time.Now()
+	for {
+		if _, err := w.Write(block); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if time.Since(start) > a.deadline+endlessSlack {
+			sv.s.evidence.recordViolation(endlessRead, "%s reads a body without end of %s for over %v", a.vm, a.server, time.Since(start).Round(time.Millisecond))
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
 // sourceVM returns the IP address of the VM that sent a request.
 func sourceVM(r *http.Request) string {
 	ip, _, _ := net.SplitHostPort(r.RemoteAddr) // always a valid address
