--- a/internal/ctl/story.go
+++ b/internal/ctl/story.go
@@ -6,8 +6,10 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"sort"
 	"strings"
+	"time"
 )
 
 // maxLineBytes bounds one line of a log file.
@@ -23,20 +25,32 @@
 	Fields map[string]any `json:"fields"`
 }
 
-// explainLogs prints the lines about one request in the logs of several VMs, ordered by
-// time.
+// beliefs are the messages by which a VM logs a change of what it believes of upstreams, the store and
+// other VMs.
+var beliefs = []string{
+	"path to upstreams changed", "upstream names a limit", "upstream leaves", "upstream wants a pause",
+	"the store came back from a copy", "source lost", "following", "VM unreachable",
+}
+
+// beliefTime is how long before a request a change of a belief is printed with it. A lost path to the
+// upstreams is printed however old.
+const beliefTime = 10 * time.Second
+
+// explainLogs prints the lines about one request in the logs of several VMs, and what these VMs came to
+// believe shortly before and meanwhile, ordered by time.
 func (c *command) explainLogs(files []string, request string) error {
-	var lines []logLine
+	var lines, changes []logLine
 	for _, file := range files {
-		found, err := readLogLines(file, request)
+		found, changed, err := readLogLines(file, request)
 		if err != nil {
 			return err
 		}
-		lines = append(lines, found...)
+		lines, changes = append(lines, found...), append(changes, changed...)
 	}
 	if len(lines) == 0 {
 		return fmt.Errorf("request %s: %w", request, errNoLine)
 	}
+	lines = append(lines, relevantBeliefs(lines, changes)...)
 	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Time < lines[j].Time })
 	t := table{header: []string{"TIME", "VM", "WHAT", "DETAILS"}}
 	for _, l := range lines {
@@ -64,39 +78,94 @@
 	return strings.Join(names, " ")
 }
 
-// readLogLines returns those lines of a file that have the id of the request. It ignores
-// text before the first brace of a line, and lines without a JSON object: other programs
-// may write prefixes and lines of their own.
-func readLogLines(file, request string) ([]logLine, error) {
+// relevantBeliefs returns the changes of beliefs, by VMs that have lines about the request, from
+// beliefTime before their first such line to their last one, and the last change of a path if that
+// lost it.
+func relevantBeliefs(lines, changes []logLine) (out []logLine) {
+	first, last := map[string]time.Time{}, map[string]time.Time{}
+	for _, l := range lines {
+		at := l.at()
+		if first[l.VM].IsZero() || at.Before(first[l.VM]) {
+			first[l.VM] = at
+		}
+		if at.After(last[l.VM]) {
+			last[l.VM] = at
+		}
+	}
+	paths := map[string]logLine{}
+	for _, l := range changes {
+		at := l.at()
+		switch {
+		case first[l.VM].IsZero() || at.After(last[l.VM]):
+		case !at.Before(first[l.VM].Add(-beliefTime)):
+			out = append(out, l)
+		case l.Msg == beliefs[0] && at.After(paths[l.VM].at()):
+			paths[l.VM] = l
+		}
+	}
+	for _, l := range paths {
+		if l.Fields["reached"] == false {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// at returns the time of a line; zero if it has none.
+func (l logLine) at() time.Time {
+	t, _ := time.Parse(time.RFC3339, l.Time) // the zero time sorts before all others
+	return t
+}
+
+// readLogLines returns those lines of a file that have the id of the request, and those that tell of
+// changed beliefs. It ignores text before the first brace of a line, and lines without a JSON object:
+// other programs may write prefixes and lines of their own.
+func readLogLines(file, request string) (lines, changes []logLine, err error) {
 	f, err := os.Open(file)
 	if err != nil {
-		return nil, fmt.Errorf("read log: %w", err)
+		return nil, nil, fmt.Errorf("read log: %w", err)
 	}
 	defer f.Close()
-	var out []logLine
 	in := bufio.NewScanner(f)
 	in.Buffer(nil, maxLineBytes)
 	for in.Scan() {
 		text := in.Text()
 		start := strings.IndexByte(text, '{')
-		if start < 0 || !strings.Contains(text, request) {
+		if start < 0 || !strings.Contains(text, request) && !containsAny(text, beliefs) {
 			continue
 		}
-		var fields map[string]any
-		if json.Unmarshal([]byte(text[start:]), &fields) != nil || fields["id"] != request {
-			continue
-		}
-		l := logLine{Fields: fields}
-		l.Time, _ = fields["time"].(string)
-		l.VM, _ = fields["vm"].(string)
-		l.Msg, _ = fields["msg"].(string)
-		for _, name := range []string{"time", "vm", "msg", "id", "level"} {
-			delete(fields, name)
+		l, id, ok := parseLogLine(text[start:])
+		switch {
+		case !ok:
+		case id == request:
+			lines = append(lines, l)
+		case slices.Contains(beliefs, l.Msg):
+			changes = append(changes, l)
 		}
-		out = append(out, l)
 	}
 	if err := in.Err(); err != nil {
-		return nil, fmt.Errorf("read log %s: %w", file, err)
+		return nil, nil, fmt.Errorf("read log %s: %w", file, err)
+	}
+	return lines, changes, nil
+}
+
+func containsAny(text string, parts []string) bool {
+	return slices.ContainsFunc(parts, func(part string) bool { return strings.Contains(text, part) })
+}
+
+// parseLogLine returns a line and the id of the request that it is about; false if it is no JSON object.
+func parseLogLine(text string) (l logLine, id string, ok bool) {
+	var fields map[string]any
+	if json.Unmarshal([]byte(text), &fields) != nil {
+		return logLine{}, "", false
+	}
+	l.Fields = fields
+	l.Time, _ = fields["time"].(string)
+	l.VM, _ = fields["vm"].(string)
+	l.Msg, _ = fields["msg"].(string)
+	id, _ = fields["id"].(string)
+	for _, name := range []string{"time", "vm", "msg", "id", "level"} {
+		delete(fields, name)
 	}
-	return out, nil
+	return l, id, true
 }
--- a/internal/ctl/story_test.go
+++ b/internal/ctl/story_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -38,6 +39,26 @@
 		Expect(lines[2]).To(ContainSubstring("detail=slow:3"))
 	})
 
+	It("prints what the VMs of the request came to believe shortly before, and a path lost earlier", func() {
+		line := func(at, msg, vm, more string) string {
+			return fmt.Sprintf(`{"time":"2026-07-06T04:12:%sZ","level":"info","msg":%q,"vm":%q%s}`, at, msg, vm, more) + "\n"
+		}
+		a := write("a.log", line("02.000", "path to upstreams changed", "a", `,"reached":true`)+
+			line("03.000", "path to upstreams changed", "a", `,"reached":false`)+
+			line("04.000", "upstream leaves", "a", `,"address":"old"`)+
+			line("23.000", "upstream names a limit", "a", `,"address":"x"`)+
+			line("24.000", "request", "a", `,"id":"r1"`)+
+			line("25.000", "upstream leaves", "a", `,"address":"later"`))
+		b := write("b.log", line("23.500", "upstream leaves", "b", `,"address":"of another VM"`))
+		out, err := run("explain", "--logs", a, "--logs", b, "--request", "r1")
+		Expect(err).NotTo(HaveOccurred())
+		lines := strings.Split(strings.TrimSpace(out), "\n")
+		Expect(lines).To(HaveLen(4))
+		Expect(lines[1]).To(ContainSubstring("reached=false"))
+		Expect(lines[2]).To(ContainSubstring("names a limit"))
+		Expect(lines[3]).To(ContainSubstring("request"))
+	})
+
 	It("fails if no line names the request, and if a flag is missing, which the error names", func() {
 		a := write("a.log", "")
 		_, err := run("explain", "--logs", a, "--request", "r1")
