--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -286,6 +286,16 @@
 // runsSearches reports whether self runs searches: it is a gatherer and reaches upstreams.
 func (v *fleetView) runsSearches(self string) bool { return v.isGatherer && !v.stranded[self] }
 
+// withoutStranded returns the names of VMs that are not known to reach no upstream. It keeps a single
+// name, which the VM's own may be.
+func (v *fleetView) withoutStranded(names []string) []string {
+	out := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return v.stranded[name] })
+	if len(out) == 0 {
+		return names
+	}
+	return out
+}
+
 // namesByZone returns the names of VMs but one, by zone.
 func namesByZone(vms []delegate.VM, except string) map[string][]string {
 	out := map[string][]string{}
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -127,12 +127,13 @@
 
 // limitSenders returns the VMs that may send requests to an upstream and share its limit.
 func (f *Forwarder) limitSenders(u *gen.Upstream) []string {
+	v := f.fleet.view.Load()
 	if c := f.catalog.Load(); c != nil {
 		if _, ok := c.ShardLimits[string(u.Workload)]; ok {
-			return f.fleet.view.Load().mayGather
+			return v.withoutStranded(v.mayGather)
 		}
 	}
-	return f.fleet.names()
+	return v.withoutStranded(v.names)
 }
 
 // peerPort returns the port at which this VM reaches the others; own is the one it listens on.
