--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -365,7 +365,8 @@
 
 // Handle runs a request that another VM delegates. It does not take a request that needs a
 // newer configuration, has no route or an unknown shard, arrives after StopAccepting or while this
-// VM reaches no upstream, or comes with a record of other shards.
+// VM reaches no upstream, or comes with a record of other shards, and no search while this VM is no
+// gatherer by what it knows itself.
 func (s *Server) Handle(ctx context.Context, from string, m *gen.Message) *gen.Message {
 	d := m.Delegate
 	if d == nil {
@@ -396,7 +397,7 @@
 			return notTaken()
 		}
 	}
-	if q.route.Sharded() && !q.readSent(ctx, d) {
+	if q.route.Sharded() && (!q.readSent(ctx, d) || !s.isGatherer()) {
 		return notTaken()
 	}
 	p := &upstream.PassThroughRequest{
@@ -415,6 +416,11 @@
 	return &gen.Message{Delegated: reply}
 }
 
+func (s *Server) isGatherer() bool {
+	_, self := s.o.Gatherers()
+	return self
+}
+
 // knowsShards reports whether each shard is a service of the configuration.
 func (s *Server) knowsShards(c *catalog.Catalog, shards []string) bool {
 	return !slices.ContainsFunc(shards, func(shard string) bool { return c.Manifest.Workloads[shard] == nil })
--- a/internal/forward/unreached_test.go
+++ b/internal/forward/unreached_test.go
@@ -170,6 +170,23 @@
 		Expect(lost).To(BeEmpty(), "the VM is alive")
 	})
 
+	// Load pattern: VMs restart one by one; one that has just started counts fewer gatherers than the others do.
+	It("takes no search while it is no gatherer by what it knows itself", func() {
+		c := newRequest(true).catalog
+		r := &route.Route{Name: "find", Host: "h", Prefix: "/", Shards: []string{"s1"}, MaxAttempts: 2, Objective: time.Second, Timeout: time.Second}
+		c.Table = route.NewTable([]*route.Route{r})
+		s.o.Catalog = func() *catalog.Catalog { return c }
+		s.o.Others = func() (map[string][]string, bool) { return nil, true }
+		local.o = outcome.Outcome{Kind: caller.OutcomeAnswered, Coverage: &caller.Coverage{}}
+		taken := func(gatherer bool) bool {
+			s.o.Gatherers = func() (map[string][]string, bool) { return nil, gatherer }
+			d := &gen.Delegate{Version: 1, Host: "h", Target: "/x", GiveUpUs: 1e6, AnswerUs: 1e6, ShardsHash: takeover.HashShards(r.Shards)}
+			return s.Handle(context.Background(), "vm-1", &gen.Message{Delegate: d}).Delegated.Taken
+		}
+		Expect(taken(false)).To(BeFalse())
+		Expect(taken(true)).To(BeTrue())
+	})
+
 	It("refuses if no other VM is known, and takes no request of others", func() {
 		s.o.Others = func() (map[string][]string, bool) { return nil, false }
 		s.o.Gatherers = func() (map[string][]string, bool) { return nil, false }
--- a/internal/policy/reach/reach.go
+++ b/internal/policy/reach/reach.go
@@ -23,8 +23,10 @@
 	recheckInterval = 500 * time.Millisecond
 )
 
-// State is what one VM knows of its path to the upstreams. The zero value reaches them.
+// State is what one VM knows of its path to the upstreams. The zero value is that of a VM that has just
+// started: it counts as reaching them, and checks first.
 type State struct {
+	known   bool          // something was heard, or a check has ended
 	askedAt time.Duration // of the first request or connection since something was heard; 0 for none
 	// failed holds when connections to upstreams failed, since one was opened.
 	failed    map[string]time.Duration
@@ -42,11 +44,11 @@
 }
 
 // Heard records that an upstream replied, or ended a connection that had carried a reply.
-func (s *State) Heard() { s.askedAt = 0 }
+func (s *State) Heard() { s.known, s.askedAt = true, 0 }
 
 // Connected records that a connection was opened.
 func (s *State) Connected() {
-	s.askedAt = 0
+	s.Heard()
 	clear(s.failed)
 }
 
@@ -66,7 +68,7 @@
 // Doubtful reports whether connections to so many upstreams failed that the VM should check soon.
 func (s *State) Doubtful() bool { return !s.stranded && len(s.failed) >= minFailedDials }
 
-// StartCheck reports whether the VM should check now; Checked follows.
+// StartCheck reports whether the VM should check now; Checked or NotChecked follows.
 func (s *State) StartCheck(now time.Duration) bool {
 	interval := checkInterval
 	if s.stranded {
@@ -79,19 +81,22 @@
 	return true
 }
 
+// NotChecked ends a check that found no upstream to connect to.
+func (s *State) NotChecked() { s.checking = false }
+
 func (s *State) suspicious(now time.Duration) bool {
 	for address, at := range s.failed {
 		if now-at >= failedDialTTL {
 			delete(s.failed, address)
 		}
 	}
-	return s.Silent(now) || len(s.failed) >= minFailedDials
+	return !s.known || s.Silent(now) || len(s.failed) >= minFailedDials
 }
 
 // Checked records at now whether a check opened a connection. It reports whether the VM lost or
 // regained the upstreams by that.
 func (s *State) Checked(now time.Duration, connected bool) (changed bool) {
-	s.checking = false
+	s.checking, s.known = false, true
 	if connected {
 		s.Connected()
 	}
--- a/internal/policy/reach/reach_test.go
+++ b/internal/policy/reach/reach_test.go
@@ -18,9 +18,23 @@
 	const t0 = time.Hour
 	const ms = time.Millisecond
 	var s reach.State
-	BeforeEach(func() { s = reach.State{} })
+	BeforeEach(func() {
+		s = reach.State{}
+		s.Heard()
+	})
 	stranded := func() bool { is, _ := s.Stranded(); return is }
 
+	// Load pattern: a VM restarts while it is cut off, and is given work before it has asked for anything.
+	It("is checked first of all by a VM that starts, once it knows an upstream", func() {
+		s = reach.State{}
+		Expect(s.StartCheck(t0)).To(BeTrue())
+		s.NotChecked()
+		Expect(s.StartCheck(t0 + 100*ms)).To(BeFalse())
+		Expect(s.StartCheck(t0 + 500*ms)).To(BeTrue())
+		Expect(s.Checked(t0+600*ms, false)).To(BeTrue())
+		Expect(stranded()).To(BeTrue())
+	})
+
 	It("is not checked while replies arrive, nor while nothing is asked", func() {
 		for now := t0; now < t0+10*time.Second; now += 50 * ms {
 			s.Asked(now)
--- a/internal/upstream/reach.go
+++ b/internal/upstream/reach.go
@@ -91,7 +91,13 @@
 // checkReach connects to some upstreams and records whether any accepts the connection.
 func (c *Client) checkReach(ctx context.Context) {
 	sample := c.reachSample()
-	connected := len(sample) == 0 || c.connectsToAny(ctx, sample)
+	if len(sample) == 0 {
+		c.path.mu.Lock()
+		defer c.path.mu.Unlock()
+		c.path.state.NotChecked()
+		return
+	}
+	connected := c.connectsToAny(ctx, sample)
 	if ctx.Err() != nil {
 		connected = true // this VM stops
 	}
