--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/sardinespindle/sardinespindle/internal/clock"
 	"github.com/sardinespindle/sardinespindle/internal/facts"
+	"github.com/sardinespindle/sardinespindle/internal/forward"
 	"github.com/sardinespindle/sardinespindle/internal/pause"
 	"github.com/sardinespindle/sardinespindle/internal/peer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/connbudget"
@@ -109,6 +110,7 @@
 	gathererCount int                 // number of gatherers, this VM counted if it is one
 	isGatherer    bool                // whether this VM is a gatherer
 	others        map[string][]string // live VMs that reach upstreams, by zone, without this one
+	zoneVMs       int                 // number of live VMs in this VM's zone
 	stranded      map[string]bool     // VMs that reach no upstream
 }
 
@@ -271,6 +273,11 @@
 	v.stranded = f.strandedVMs()
 	reaching := slices.DeleteFunc(slices.Clone(v.vms), func(vm delegate.VM) bool { return v.stranded[vm.Name] })
 	v.others = namesByZone(reaching, f.self.Name)
+	for _, vm := range v.vms {
+		if vm.Zone == f.self.Zone {
+			v.zoneVMs++
+		}
+	}
 	gatherers := delegate.ChooseGatherers(v.vms, reaching, max(limit, 1), f.node.JustStarted())
 	v.gathererCount = len(gatherers)
 	v.isGatherer = slices.ContainsFunc(gatherers, func(vm delegate.VM) bool { return vm.Name == f.self.Name })
@@ -364,11 +371,10 @@
 	}
 }
 
-// others returns the live VMs that reach upstreams, by zone, without this one, and whether this VM
-// does.
-func (f *fleet) others() (byZone map[string][]string, reached bool) {
+// reach returns which VMs reach upstreams.
+func (f *fleet) reach() forward.Reach {
 	v := f.view.Load()
-	return v.others, !v.stranded[f.self.Name]
+	return forward.Reach{Reached: !v.stranded[f.self.Name], Others: v.others, ZoneVMs: v.zoneVMs}
 }
 
 // leave announces that this VM is leaving.
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -215,7 +215,7 @@
 		LinkMbps:  f.s.Fleet.LinkMbps,
 		Zone:      f.s.Zone,
 		Gatherers: f.fleet.gatherers,
-		Others:    f.fleet.others, LimitHolders: f.upstreams.LimitHolders,
+		Reach:     f.fleet.reach, LimitHolders: f.upstreams.LimitHolders,
 		Peers:      f.node,
 		ReportLost: f.reportLost,
 		Now:        clock.Boot,
--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -177,8 +177,7 @@
 	if len(holders) == 0 {
 		return nil
 	}
-	others, _ := s.o.Others()
-	live := slices.Concat(slices.Collect(maps.Values(others))...)
+	live := s.o.Reach().all()
 	return slices.DeleteFunc(holders, func(vm string) bool { return !slices.Contains(live, vm) })
 }
 
@@ -202,16 +201,13 @@
 		return "", false
 	}
 	gatherers, self := s.o.Gatherers()
-	coverage := q.catalog.ZoneCoverage[q.route.Name]
-	if !q.route.Sharded() {
-		_, shard := q.catalog.ShardLimits[q.service]
-		if others, reached := s.o.Others(); !shard && !reached {
-			return s.acquireNear(s.o.Zone, others, q.tried)
-		}
-		if !shard || self {
-			return "", false
-		}
+	if r := s.o.Reach(); !r.Reached {
+		return s.chooseStranded(q, r, gatherers)
+	}
+	if !q.route.Sharded() && (!s.isShard(q) || self) {
+		return "", false
 	}
+	coverage := q.catalog.ZoneCoverage[q.route.Name]
 	zone, ok := delegate.ChooseZone(s.o.Zone, coverage, gatherers, rand.Float64)
 	if !ok || self && zone == s.o.Zone {
 		return "", false
@@ -222,18 +218,44 @@
 	return s.acquireNear(zone, gatherers, q.tried)
 }
 
-// acquireNear acquires a VM of a zone, or of any other if none is usable there. If all failed lately and
-// this VM can't run the request, as it reaches no upstream, it acquires one of these.
+// isShard reports whether the service of a request to a single one is also a shard of a search.
+func (s *Server) isShard(q *request) bool {
+	_, shard := q.catalog.ShardLimits[q.service]
+	return shard
+}
+
+// chooseStranded returns the VM to pass a request on to while this VM reaches no upstream: a gatherer for
+// searches and shards. If all failed lately, it returns one of these rather than none.
+func (s *Server) chooseStranded(q *request, r Reach, gatherers map[string][]string) (vm string, ok bool) {
+	byZone := r.Others
+	if q.route.Sharded() || s.isShard(q) {
+		byZone = gatherers
+	}
+	near := byZone[s.o.Zone]
+	var far []string
+	for zone, names := range byZone {
+		if zone != s.o.Zone {
+			far = append(far, names...)
+		}
+	}
+	first, second := far, near
+	if delegate.StaysInZone(len(r.Others[s.o.Zone]), r.ZoneVMs, rand.Float64()) {
+		first, second = near, far
+	}
+	for _, names := range [][]string{first, second} {
+		if vm, ok = s.peers.acquire(names, q.tried, s.o.Now()); ok {
+			return vm, true
+		}
+	}
+	return s.peers.acquireLastResort(slices.Concat(first, second), q.tried)
+}
+
+// acquireNear acquires a VM of a zone, or of any other if none is usable there.
 func (s *Server) acquireNear(zone string, byZone map[string][]string, tried []string) (vm string, ok bool) {
 	if vm, ok = s.peers.acquire(byZone[zone], tried, s.o.Now()); ok {
 		return vm, true
 	}
-	all := slices.Concat(slices.Collect(maps.Values(byZone))...)
-	vm, ok = s.peers.acquire(all, tried, s.o.Now())
-	if _, reached := s.o.Others(); !ok && !reached {
-		return s.peers.acquireLastResort(all, tried)
-	}
-	return vm, ok
+	return s.peers.acquire(slices.Concat(slices.Collect(maps.Values(byZone))...), tried, s.o.Now())
 }
 
 // delegateTo delegates a request to a VM. done reports that o is the request's outcome:
@@ -375,7 +397,7 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	c := s.o.Catalog()
-	if _, reached := s.o.Others(); !reached || c == nil || c.Config.Version < d.Version || s.stopping.Load() {
+	if !s.o.Reach().Reached || c == nil || c.Config.Version < d.Version || s.stopping.Load() {
 		return notTaken()
 	}
 	now := time.Now()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -6,9 +6,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -88,9 +90,8 @@
 	// LinkMbps is the rate of this VM's link in Mbit/s; 0 if it is not known.
 	LinkMbps  float64
 	Gatherers func() (byZone map[string][]string, self bool)
-	// Others returns the other VMs that reach upstreams, by zone, and whether this VM does. Nil if
-	// it always does.
-	Others func() (byZone map[string][]string, reached bool)
+	// Reach returns which VMs reach upstreams. Nil if all do.
+	Reach func() Reach
 	// LimitHolders returns the other VMs that may send requests to upstreams of a workload that
 	// name a limit; may be nil.
 	LimitHolders func(w *manifest.Workload) []string
@@ -105,6 +106,18 @@
 // defaultReadBytes is the memory for callers' bodies that are being read, unless Options.Reads is set.
 const defaultReadBytes = 16 << 20
 
+// Reach says which VMs reach upstreams.
+type Reach struct {
+	Reached bool // this VM does
+	// Others are the other live VMs that do, by zone.
+	Others map[string][]string
+	// ZoneVMs is the number of live VMs in this VM's zone, itself included.
+	ZoneVMs int
+}
+
+// all returns Others of all zones.
+func (r Reach) all() []string { return slices.Concat(slices.Collect(maps.Values(r.Others))...) }
+
 // maxServices bounds the services for which a repeat budget is kept.
 const maxServices = 8192
 
@@ -124,8 +137,8 @@
 
 // New returns a Server and registers its metrics.
 func New(o Options) *Server {
-	if o.Others == nil {
-		o.Others = func() (map[string][]string, bool) { return nil, true }
+	if o.Reach == nil {
+		o.Reach = func() Reach { return Reach{Reached: true} }
 	}
 	if o.LimitHolders == nil {
 		o.LimitHolders = func(*manifest.Workload) []string { return nil }
--- a/internal/policy/delegate/delegate.go
+++ b/internal/policy/delegate/delegate.go
@@ -60,6 +60,13 @@
 	return best
 }
 
+// StaysInZone decides for one request of a VM that reaches no upstream whether it goes to a VM of the own
+// zone: as often as VMs of that zone reach upstreams, so that the few left there do not get the work of
+// all. reaching and all count these VMs and all of the zone; random is uniform in [0, 1).
+func StaysInZone(reaching, all int, random float64) bool {
+	return random*float64(all) < float64(reaching)
+}
+
 // Choose draws a usable VM at random twice and returns the index of the one with fewer
 // searches in flight; -1 if none is usable. random returns uniform numbers in [0, 1).
 func Choose(peers []Peer, now time.Duration, random func() float64) int {
--- a/internal/policy/delegate/delegate_test.go
+++ b/internal/policy/delegate/delegate_test.go
@@ -185,6 +185,20 @@
 		peers[0].Replied()
 		Expect(delegate.Choose(peers, 2100*time.Millisecond, half)).To(Equal(0), "it is alive")
 	})
+	// Load pattern: three of four VMs of a zone lose their path, and each passes its callers' work on.
+	It("keeps as much of the work of stranded VMs in their zone as it has VMs left", func() {
+		rng := rand.New(rand.NewPCG(1, 1))
+		stays := 0
+		for range 1000 {
+			if delegate.StaysInZone(1, 4, rng.Float64()) {
+				stays++
+			}
+		}
+		Expect(stays).To(BeNumerically("~", 250, 50))
+		Expect(delegate.StaysInZone(0, 4, 0)).To(BeFalse())
+		Expect(delegate.StaysInZone(4, 4, 0.999)).To(BeTrue())
+		Expect(delegate.StaysInZone(0, 0, 0.5)).To(BeFalse())
+	})
 	It("returns the VM whose exclusion ends first as a last resort", func() {
 		peers := make([]delegate.Peer, 2)
 		peers[0].Failed(time.Second)
