--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -14,14 +14,12 @@
 
 	"github.com/sardinespindle/sardinespindle/internal/clock"
 	"github.com/sardinespindle/sardinespindle/internal/facts"
-	"github.com/sardinespindle/sardinespindle/internal/forward"
 	"github.com/sardinespindle/sardinespindle/internal/pause"
 	"github.com/sardinespindle/sardinespindle/internal/peer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/connbudget"
 	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
 	"github.com/sardinespindle/sardinespindle/internal/policy/liveness"
 	"github.com/sardinespindle/sardinespindle/internal/policy/roster"
-	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
 )
 
@@ -56,21 +54,6 @@
 	unreachablePrefix = "blind/"
 	unreachableTTL    = 4 * time.Second
 	unreachableValue  = "yes"
-	// strandedPrefix starts the key of the fact by which a VM announces that it reaches no
-	// upstream: no other VM gives it work. It announces that again when half of strandedTTL is left.
-	strandedPrefix = "stranded/"
-	strandedTTL    = 10 * time.Second
-	strandedValue  = "yes"
-	// leavingPrefix starts the key of the fact by which a VM states that an upstream, whose address
-	// follows, said in a reply that it leaves. The value is its incarnation. leavingUpstreamTTL is
-	// how long it may serve after that; what is published then lacks it.
-	leavingPrefix      = "leaving/"
-	leavingUpstreamTTL = 30 * time.Second
-	// limitPrefix starts the key of the fact by which a VM states which limit an upstream, whose
-	// address follows, names in its replies. The value is its incarnation and the limit. limitTTL is
-	// longer than the time after which a limit that lasts is told again.
-	limitPrefix = "limit/"
-	limitTTL    = time.Minute
 	// versionPrefix starts the key of the fact by which a VM announces the newest version of
 	// the configuration that it has read from the store. versionTTL allows for a VM that
 	// learns of the fact by a digest only.
@@ -293,16 +276,6 @@
 // runsSearches reports whether self runs searches: it is a gatherer and reaches upstreams.
 func (v *fleetView) runsSearches(self string) bool { return v.isGatherer && !v.stranded[self] }
 
-// withoutStranded returns the names of VMs that are not known to reach no upstream. It keeps a single
-// name, which the VM's own may be.
-func (v *fleetView) withoutStranded(names []string) []string {
-	out := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return v.stranded[name] })
-	if len(out) == 0 {
-		return names
-	}
-	return out
-}
-
 // namesByZone returns the names of VMs but one, by zone.
 func namesByZone(vms []delegate.VM, except string) map[string][]string {
 	out := map[string][]string{}
@@ -329,54 +302,6 @@
 	return names
 }
 
-// strandedVMs returns the VMs that announced that they reach no upstream, this one by what it knows.
-func (f *fleet) strandedVMs() map[string]bool {
-	out := map[string]bool{}
-	for _, fact := range f.node.Facts().List(strandedPrefix) {
-		if fact.Value == strandedValue && fact.Key == strandedPrefix+fact.VM() {
-			out[fact.VM()] = true
-		}
-	}
-	f.strandedMu.Lock()
-	defer f.strandedMu.Unlock()
-	out[f.self.Name] = f.stranded
-	return out
-}
-
-// setReached announces whether this VM reaches upstreams.
-func (f *fleet) setReached(reached bool) {
-	f.strandedMu.Lock()
-	f.stranded, f.strandedUntil = !reached, 0
-	f.strandedMu.Unlock()
-	if reached {
-		f.node.Facts().Put(strandedPrefix+f.self.Name, "", strandedTTL)
-	} else {
-		f.announceStranded()
-	}
-	f.update()
-}
-
-// announceStranded announces that this VM reaches no upstream, if it does not and has not announced
-// that lately.
-func (f *fleet) announceStranded() {
-	now := clock.Boot()
-	f.strandedMu.Lock()
-	due := f.stranded && f.strandedUntil-now < strandedTTL/2
-	if due {
-		f.strandedUntil = now + strandedTTL
-	}
-	f.strandedMu.Unlock()
-	if due {
-		f.node.Facts().Put(strandedPrefix+f.self.Name, strandedValue, strandedTTL)
-	}
-}
-
-// reach returns which VMs reach upstreams.
-func (f *fleet) reach() forward.Reach {
-	v := f.view.Load()
-	return forward.Reach{Reached: !v.stranded[f.self.Name], Others: v.others, ZoneVMs: v.zoneVMs}
-}
-
 // leave announces that this VM is leaving.
 func (f *fleet) leave() { f.node.Facts().Put("vm/"+f.self.Name, "leaving", leavingTTL) }
 
@@ -430,77 +355,6 @@
 	})
 }
 
-// tellLeaving states to the fleet that an upstream leaves, unless another VM has.
-func (f *fleet) tellLeaving(i upstream.Incarnation) {
-	value := incarnationValue(i)
-	for _, fact := range f.node.Facts().List(leavingPrefix + i.Address) {
-		if fact.Key == leavingPrefix+i.Address && fact.Value == value {
-			return
-		}
-	}
-	f.node.Facts().Put(leavingPrefix+i.Address, value, leavingUpstreamTTL)
-}
-
-// incarnationValue returns an incarnation without its address, for the value of a fact.
-func incarnationValue(i upstream.Incarnation) string {
-	return strconv.Itoa(i.StartedMs) + " " + i.Identity
-}
-
-// parseIncarnation returns the incarnation at an address from the value of a fact; false if it holds
-// none.
-func parseIncarnation(address, value string) (upstream.Incarnation, bool) {
-	started, identity, ok := strings.Cut(value, " ")
-	ms, err := strconv.Atoi(started)
-	return upstream.Incarnation{Address: address, Identity: identity, StartedMs: ms}, ok && err == nil
-}
-
-// watchLeaving calls fn with each upstream that another VM found leaving.
-func (f *fleet) watchLeaving(fn func(upstream.Incarnation)) {
-	f.node.Facts().Watch(leavingPrefix, func(fact facts.Fact) { f.readLeaving(fact, fn) })
-}
-
-// eachLeaving calls fn with each upstream that other VMs are known to have found leaving.
-func (f *fleet) eachLeaving(fn func(upstream.Incarnation)) {
-	for _, fact := range f.node.Facts().List(leavingPrefix) {
-		f.readLeaving(fact, fn)
-	}
-}
-
-func (f *fleet) readLeaving(fact facts.Fact, fn func(upstream.Incarnation)) {
-	i, ok := parseIncarnation(strings.TrimPrefix(fact.Key, leavingPrefix), fact.Value)
-	if ok && fact.VM() != f.self.Name {
-		fn(i)
-	}
-}
-
-// tellLimit states to the fleet which limit an upstream names; 0 for none.
-func (f *fleet) tellLimit(i upstream.Incarnation, perSecond float64) {
-	value := strconv.FormatFloat(perSecond, 'g', 4, 64) + " " + incarnationValue(i)
-	f.node.Facts().Put(limitPrefix+i.Address, value, limitTTL)
-}
-
-// watchLimits calls fn with each limit that another VM states, and how long ago it did.
-func (f *fleet) watchLimits(fn func(i upstream.Incarnation, perSecond float64, age time.Duration)) {
-	f.node.Facts().Watch(limitPrefix, func(fact facts.Fact) { f.readLimit(fact, fn) })
-}
-
-// eachLimit calls fn with each limit that other VMs are known to have stated.
-func (f *fleet) eachLimit(fn func(i upstream.Incarnation, perSecond float64, age time.Duration)) {
-	for _, fact := range f.node.Facts().List(limitPrefix) {
-		f.readLimit(fact, fn)
-	}
-}
-
-func (f *fleet) readLimit(fact facts.Fact, fn func(i upstream.Incarnation, perSecond float64, age time.Duration)) {
-	number, incarnation, _ := strings.Cut(fact.Value, " ")
-	perSecond, err := strconv.ParseFloat(number, 64)
-	i, ok := parseIncarnation(strings.TrimPrefix(fact.Key, limitPrefix), incarnation)
-	if !ok || err != nil || !(perSecond >= 0) || fact.VM() == f.self.Name {
-		return
-	}
-	fn(i, perSecond, clock.Boot()-(fact.Expires-limitTTL))
-}
-
 // setStoreUnreachable announces that the store does not reply to this VM, or withdraws the
 // announcement. An announcement is repeated only when less than half of its TTL is left, not
 // at each failure.
--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -128,71 +128,6 @@
 	return outcome.Outcome{}, false
 }
 
-// passOnUnreached passes a request on that ended without an answer because this VM reaches no
-// upstream. It returns the outcome of any other request, of one that no other VM takes, and of one
-// that may have run and must not run again.
-func (s *Server) passOnUnreached(ctx context.Context, q *request, p *upstream.PassThroughRequest, o outcome.Outcome) outcome.Outcome {
-	if o.Reason != outcome.Unreachable || ctx.Err() != nil || o.Kind != caller.OutcomeNotRun && !q.recordUsed(&o) {
-		return o
-	}
-	if passed, done := s.delegate(ctx, q, p); done {
-		return passed
-	}
-	return q.unknownIfSent(o)
-}
-
-// maxLimitTries is the number of VMs that are tried for a request that this one may not send.
-const maxLimitTries = 2
-
-// passOnAtLimit passes a request to a single service on that did not run, if some of its upstreams name
-// limits that other VMs hold. It returns the outcome of any other request, and of one that those VMs
-// can't send either.
-func (s *Server) passOnAtLimit(ctx context.Context, q *request, p *upstream.PassThroughRequest, o outcome.Outcome) outcome.Outcome {
-	lacksUpstream := o.Kind == caller.OutcomeNotRun && (o.Reason == outcome.NoUpstream || o.Reason == outcome.Overloaded)
-	if !lacksUpstream || q.route.Sharded() || q.delegated || s.o.Peers == nil {
-		return o
-	}
-	holders := s.limitHolders(q.service, q.catalog)
-	for range maxLimitTries {
-		vm, ok := s.peers.acquire(holders, q.tried, s.o.Now())
-		if !ok {
-			break
-		}
-		if passed, done := s.delegateTo(ctx, q, p, vm); done && passed.Kind != caller.OutcomeNotRun {
-			return passed
-		}
-		q.tried = append(q.tried, vm)
-	}
-	return q.unknownIfSent(o)
-}
-
-// limitHolders returns the other VMs that may send requests to upstreams of a service that name a limit,
-// and reach upstreams.
-func (s *Server) limitHolders(service string, c *catalog.Catalog) []string {
-	workload := c.Manifest.Workloads[service]
-	if workload == nil {
-		return nil
-	}
-	holders := s.o.LimitHolders(workload)
-	if len(holders) == 0 {
-		return nil
-	}
-	live := s.o.Reach().all()
-	return slices.DeleteFunc(holders, func(vm string) bool { return !slices.Contains(live, vm) })
-}
-
-// recordUsed records what a run used that may have reached upstreams, and reports whether another VM
-// may run the request after it.
-func (q *request) recordUsed(o *outcome.Outcome) bool {
-	q.maybeSent = true
-	if q.route.Sharded() {
-		q.sent = o.MaybeSent
-		return true
-	}
-	q.attempts += o.Cost.Sent
-	return q.route.Idempotent && q.attempts < q.route.MaxAttempts
-}
-
 // chooseVM returns the VM to delegate a request to; false if it runs here. A request to a single
 // service is delegated if this VM reaches no upstream, or if this VM is not a gatherer and the service
 // is also a shard of a search: only gatherers have connections to the upstreams of shards.
@@ -218,38 +153,6 @@
 	return s.acquireNear(zone, gatherers, q.tried)
 }
 
-// isShard reports whether the service of a request to a single one is also a shard of a search.
-func (s *Server) isShard(q *request) bool {
-	_, shard := q.catalog.ShardLimits[q.service]
-	return shard
-}
-
-// chooseStranded returns the VM to pass a request on to while this VM reaches no upstream: a gatherer for
-// searches and shards. If all failed lately, it returns one of these rather than none.
-func (s *Server) chooseStranded(q *request, r Reach, gatherers map[string][]string) (vm string, ok bool) {
-	byZone := r.Others
-	if q.route.Sharded() || s.isShard(q) {
-		byZone = gatherers
-	}
-	near := byZone[s.o.Zone]
-	var far []string
-	for zone, names := range byZone {
-		if zone != s.o.Zone {
-			far = append(far, names...)
-		}
-	}
-	first, second := far, near
-	if delegate.StaysInZone(len(r.Others[s.o.Zone]), r.ZoneVMs, rand.Float64()) {
-		first, second = near, far
-	}
-	for _, names := range [][]string{first, second} {
-		if vm, ok = s.peers.acquire(names, q.tried, s.o.Now()); ok {
-			return vm, true
-		}
-	}
-	return s.peers.acquireLastResort(slices.Concat(first, second), q.tried)
-}
-
 // acquireNear acquires a VM of a zone, or of any other if none is usable there.
 func (s *Server) acquireNear(zone string, byZone map[string][]string, tried []string) (vm string, ok bool) {
 	if vm, ok = s.peers.acquire(byZone[zone], tried, s.o.Now()); ok {
