--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -208,7 +208,8 @@
 		q.maybeSent = q.maybeSent || q.sent.Sent()
 		return true
 	case reply != nil:
-		return q.recordUsed(&outcome.Outcome{Cost: outcome.Cost{Sent: reply.Sent}})
+		o := fromDelegated(reply)
+		return q.recordUsed(&o)
 	default:
 		q.maybeSent = true
 		return false
@@ -243,6 +244,7 @@
 	case m.Delegated.Reason != string(outcome.Unreachable):
 		return m.Delegated, nil
 	case m.Delegated.Outcome == string(caller.OutcomeNotRun):
+		q.attempts += m.Delegated.Sent
 		return notTaken().Delegated, nil
 	default:
 		return m.Delegated, errUnreached
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -359,6 +359,17 @@
 	s.repeatBudgets.Update(service, func(b *repeat.Bucket) { b.Earn(s.o.Now(), s.o.Repeats, s.o.VMs(service)) })
 }
 
+// unearnRepeats takes back what a request earned here that is passed on to another VM.
+func (s *Server) unearnRepeats(q *request) {
+	services := q.searchedShards()
+	if !q.route.Sharded() {
+		services = []string{q.service}
+	}
+	for _, service := range services {
+		s.repeatBudgets.Update(service, func(b *repeat.Bucket) { b.Unearn(s.o.Repeats) })
+	}
+}
+
 // Points in the course of a request. The shares are shares of its objective.
 const (
 	// searchHedgeShare is when a shard of a search is hedged: late enough for an idle
--- a/internal/forward/passon.go
+++ b/internal/forward/passon.go
@@ -16,9 +16,12 @@
 // upstream. It returns the outcome of any other request, of one that no other VM takes, and of one
 // that may have run and must not run again.
 func (s *Server) passOnUnreached(ctx context.Context, q *request, p *upstream.PassThroughRequest, o outcome.Outcome) outcome.Outcome {
-	if o.Reason != outcome.Unreachable || ctx.Err() != nil || o.Kind != caller.OutcomeNotRun && !q.recordUsed(&o) {
+	if o.Reason != outcome.Unreachable || q.delegated || ctx.Err() != nil || !q.recordUsed(&o) {
 		return o
 	}
+	if !q.maybeSent { // else the other VM earns nothing
+		s.unearnRepeats(q)
+	}
 	if passed, done := s.delegate(ctx, q, p); done {
 		return passed
 	}
@@ -37,15 +40,20 @@
 		return o
 	}
 	holders := s.limitHolders(q.service, q.catalog)
-	for range maxLimitTries {
+	last := o
+	for tries := 0; tries < maxLimitTries && q.recordUsed(&last); tries++ {
 		vm, ok := s.peers.acquire(holders, q.tried, s.o.Now())
 		if !ok {
 			break
 		}
-		if passed, done := s.delegateTo(ctx, q, p, vm); done && passed.Kind != caller.OutcomeNotRun {
+		if tries == 0 {
+			s.unearnRepeats(q)
+		}
+		passed, done := s.delegateTo(ctx, q, p, vm)
+		if done && passed.Kind != caller.OutcomeNotRun {
 			return passed
 		}
-		q.tried = append(q.tried, vm)
+		last, q.tried = passed, append(q.tried, vm)
 	}
 	return q.unknownIfSent(o)
 }
@@ -65,16 +73,19 @@
 	return slices.DeleteFunc(holders, func(vm string) bool { return !slices.Contains(live, vm) })
 }
 
-// recordUsed records what a run used that may have reached upstreams, and reports whether another VM
+// recordUsed records what a run used that reached upstreams or may have, and reports whether another VM
 // may run the request after it.
 func (q *request) recordUsed(o *outcome.Outcome) bool {
-	q.maybeSent = true
+	mayHaveRun := o.Kind == caller.OutcomeUnknown
+	q.maybeSent = q.maybeSent || mayHaveRun
 	if q.route.Sharded() {
-		q.sent = o.MaybeSent
+		if mayHaveRun {
+			q.sent = o.MaybeSent
+		}
 		return true
 	}
 	q.attempts += o.Cost.Sent
-	return q.route.Idempotent && q.attempts < q.route.MaxAttempts
+	return (q.route.Idempotent || !mayHaveRun) && q.attempts < max(q.route.MaxAttempts, 1)
 }
 
 // isShard reports whether the service of a request to a single one is also a shard of a search.
--- a/internal/forward/unreached_test.go
+++ b/internal/forward/unreached_test.go
@@ -146,6 +146,32 @@
 		Expect(others.asked).To(BeEmpty(), "two upstreams may run it")
 	})
 
+	// Attempts that upstreams turn away count against maxAttempts and the budget too.
+	It("passes a request on to VMs that hold limits while upstreams turned away fewer attempts than it may make", func() {
+		reached = true
+		s.o.LimitHolders = func(*manifest.Workload) []string { return []string{"vm-1", "vm-3", "gone"} }
+		local.o = outcome.NotRun(outcome.Overloaded, "refused", time.Second)
+		for sent, want := range []caller.Outcome{caller.OutcomeAnswered, caller.OutcomeAnswered, caller.OutcomeNotRun} {
+			others.asked, others.got = nil, nil
+			local.o.Cost.Sent = sent
+			Expect(run(newRequest(false)).Kind).To(Equal(want))
+			if want == caller.OutcomeAnswered {
+				Expect(others.asked[0]).To(BeElementOf("vm-1", "vm-3"))
+				Expect(others.got[0].Attempts).To(Equal(sent))
+			}
+		}
+		Expect(others.asked).To(BeEmpty())
+		busy := outcome.NotRun(outcome.Overloaded, "refused too", time.Second)
+		others.by["vm-1"], others.by["vm-3"] = busy, busy
+		local.o.Cost.Sent = 0
+		Expect(run(newRequest(false)).Kind).To(Equal(caller.OutcomeNotRun))
+		Expect(others.asked).To(ConsistOf("vm-1", "vm-3"))
+		local.o = outcome.NotRun(outcome.CrashSuspected, "blocked", time.Second)
+		others.asked = nil
+		Expect(run(newRequest(false)).Kind).To(Equal(caller.OutcomeNotRun))
+		Expect(others.asked).To(BeEmpty())
+	})
+
 	It("counts what another VM used that was cut off too", func() {
 		lostToo := unknown
 		lostToo.Cost.Sent = 1
--- a/internal/policy/repeat/repeat.go
+++ b/internal/policy/repeat/repeat.go
@@ -54,6 +54,10 @@
 	b.tokens = min(b.tokens+margin*l.Ratio, burst(l, vms))
 }
 
+// Unearn takes back the tokens of one request, which another VM runs after all and earns for. It takes
+// no more than there are.
+func (b *Bucket) Unearn(l Limits) { b.tokens = max(0, b.tokens-margin*l.Ratio) }
+
 // Take takes one token for a retry at now; it returns false if none is left.
 func (b *Bucket) Take(now time.Duration, l Limits, vms int) bool {
 	b.refill(now, l, vms)
--- a/internal/policy/repeat/repeat_test.go
+++ b/internal/policy/repeat/repeat_test.go
@@ -44,6 +44,19 @@
 }
 
 var _ = Describe("Bucket", func() {
+	It("has as many tokens as before a request that another VM ran after all", func() {
+		l := repeat.Limits{Ratio: 1, Window: 10 * time.Second} // no slack: one token at most
+		var b repeat.Bucket
+		for range 20 {
+			b.Earn(0, l, 1)
+			b.Unearn(l)
+		}
+		Expect(b.Take(0, l, 1)).To(BeFalse())
+		b.Earn(0, l, 1)
+		b.Earn(0, l, 1)
+		Expect(b.Take(0, l, 1)).To(BeTrue())
+	})
+
 	It("keeps a fleet of at most Slack/2 VMs within the limits in each window, also when all VMs restart at once", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			vms := rapid.IntRange(1, 120).Draw(t, "vms")
