--- a/internal/forward/passon.go
+++ b/internal/forward/passon.go
@@ -28,8 +28,9 @@
 	return q.unknownIfSent(o)
 }
 
-// maxLimitTries is the number of VMs that are tried for a request that this one may not send.
-const maxLimitTries = 2
+// maxLimitTries is the number of VMs that are tried for a request that this one may not send. While half of
+// what the limits allow is in use, a VM has nothing left of its share a third of the time.
+const maxLimitTries = 4
 
 // passOnAtLimit passes a request to a single service on that did not run, if some of its upstreams name
 // limits that other VMs hold. It returns the outcome of any other request, and of one that those VMs
