A shard whose reply was lost is named as lost also while its retry is undecided

It got "lost:2 slow:1".

Cause: after a lost reply a shard waits 8 ms before its retry is decided, and has no missing cause until then. If another shard gives up first, the search fails at once, and shards without a missing cause count as slow. Callers and operators read "slow" for a lost connection.

Change: the cause is set when the reply is lost. A later attempt in flight still counts as slow.

Evidence: the new spec (losses 4 ms apart) failed 3 of 3 before (lost:1 slow:2) and passes.

--- a/internal/gather/pass_test.go
+++ b/internal/gather/pass_test.go
@@ -122,9 +122,26 @@
 		for i := range 3 {
 			f.serve[fmt.Sprintf("s%d-a", i)] = endsWith(upstream.Lost)
 		}
-		s := passThroughSearch(100*time.Millisecond, 200*time.Millisecond)
-		s.PassThrough.TakeRepeat = func(string, bool) bool { return false }
-		Expect(run(s).Detail).To(ContainSubstring("lost:3"))
+		fakeTime(func(g Gomega) {
+			s := passThroughSearch(100*time.Millisecond, 200*time.Millisecond)
+			s.PassThrough.TakeRepeat = func(string, bool) bool { return false }
+			g.Expect(run(s).Detail).To(ContainSubstring("lost:3"))
+		})
+	})
+
+	It("reports a shard as lost if the search failed before its retry was decided", func() {
+		f.serve["s0-a"] = endsWith(upstream.Lost)
+		for _, a := range []string{"s1-a", "s2-a"} {
+			f.serve[a] = func(context.Context, upstream.Attempt) upstream.Result {
+				time.Sleep(4 * time.Millisecond) // half of the delay before a retry
+				return upstream.Result{Class: upstream.Lost, Err: errNone}
+			}
+		}
+		fakeTime(func(g Gomega) {
+			s := passThroughSearch(100*time.Millisecond, 200*time.Millisecond)
+			s.PassThrough.TakeRepeat = func(string, bool) bool { return false }
+			g.Expect(run(s).Detail).To(ContainSubstring("lost:3"))
+		})
 	})
 
 	// used is the record of a search that another VM has hedged at s1, may have sent to one replica
--- a/internal/gather/repeat.go
+++ b/internal/gather/repeat.go
@@ -27,7 +27,7 @@
 	if c == upstream.Lost && sh.pickAt.IsZero() {
 		// A request that crashes upstreams crashes all that run it at about the same time:
 		// wait for lossDelay to see whether others are lost too.
-		sh.pickAt = time.Now().Add(lossDelay)
+		sh.missingCause, sh.pickAt = classNames[c], time.Now().Add(lossDelay)
 		q.wakeAt(sh.pickAt)
 		q.updateStatus(sh)
 		return
