--- a/internal/bench/soak_faults.go
+++ b/internal/bench/soak_faults.go
@@ -193,12 +193,14 @@
 	sv := s.servers[i]
 	for _, as := range []int{other, i} {
 		old := sv.current.Load()
+		end := sv.markBroken()
 		sv.link.SetFault(relay.Fault{Cut: true})
 		sv.remove()
 		s.evidence.recordDrain(old.ID)
 		time.Sleep(soakReuseDelay)
 		sv.startServer(as)
 		sv.link.SetFault(relay.Fault{})
+		end()
 		time.Sleep(randomDuration(rng, 200, 800))
 	}
 	return nil
@@ -215,10 +217,11 @@
 		s.breakStoreLink(s.randomVM(rng).storeLink, f, d)
 		return nil
 	}
-	r := s.servers[rng.IntN(len(s.servers))].link
-	r.SetFault(f)
+	sv := s.servers[rng.IntN(len(s.servers))]
+	defer sv.markBroken()()
+	sv.link.SetFault(f)
 	time.Sleep(d)
-	r.SetFault(relay.Fault{})
+	sv.link.SetFault(relay.Fault{})
 	return nil
 }
 
@@ -272,7 +275,9 @@
 }
 
 func (s *soak) resetFault(_ context.Context, rng *rand.Rand) error {
-	s.servers[rng.IntN(len(s.servers))].link.Reset()
+	sv := s.servers[rng.IntN(len(s.servers))]
+	defer sv.markBroken()()
+	sv.link.Reset()
 	return nil
 }
 
