The bound of a fleet that starts at once holds for the processor time that the test gets

The bound is for VMs that have processors of their own.

Change: the 3 s are stretched by the time that the test's threads waited for a processor while they could run (schedstat); without waiting they are 3 s as before. The wait for the event is a minute, so the spec says what it took.

Ruled out: a bound in gossip rounds (timers fire on time while the work of a round is late, so a busy machine needs more rounds) and in processor time alone (it passes a fleet that waits too long).

--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -23,6 +23,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/policy/connbudget"
 	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
 	"github.com/sardinespindle/sardinespindle/internal/settings"
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
 	manifestgen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/settings"
 )
@@ -115,8 +116,11 @@
 			return n
 		}
 		// A fleet must recover within 12 s (recoveryTimeout in internal/bench); learning of the
-		// members may take only a part of that.
-		Eventually(knowMost, 3*time.Second, 20*time.Millisecond).Should(Equal(len(fleets)))
+		// members may take only a part of that. The VMs have processors of their own then; here
+		// they share those of one machine with its other work.
+		began, supply := time.Now(), testkit.StartSupply()
+		Eventually(knowMost, time.Minute, 20*time.Millisecond).Should(Equal(len(fleets)))
+		Expect(time.Since(began)).To(BeNumerically("<=", supply.Stretch(3*time.Second)))
 	})
 
 	// A VM that knows few others would open more than its share of connections.
