--- a/internal/forward/passon.go
+++ b/internal/forward/passon.go
@@ -28,8 +28,8 @@
 	return q.unknownIfSent(o)
 }
 
-// maxLimitTries is the number of VMs that are tried for a request that this one may not send. While half of
-// what the limits allow is in use, a VM has nothing left of its share a third of the time.
+// maxLimitTries is the number of VMs that are tried for a request that this one may not send. How much of
+// its share a VM has left, only that VM knows.
 const maxLimitTries = 4
 
 // passOnAtLimit passes a request to a single service on that did not run, if some of its upstreams name
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -322,8 +322,6 @@
 		p.mu.Unlock()
 		return
 	}
-	p.mu.Unlock()
-	p.mu.Lock()
 	if p.socks == nil {
 		p.socks = map[*sock]bool{}
 	}
