--- a/internal/ctl/story.go
+++ b/internal/ctl/story.go
@@ -25,10 +25,13 @@
 	Fields map[string]any `json:"fields"`
 }
 
+// pathChanged is the message of a VM that has lost or regained its path to the upstreams.
+const pathChanged = "path to upstreams changed"
+
 // beliefs are the messages by which a VM logs a change of what it believes of upstreams, the store and
 // other VMs.
 var beliefs = []string{
-	"path to upstreams changed", "upstream names a limit", "upstream leaves", "upstream wants a pause",
+	pathChanged, "upstream names a limit", "upstream leaves", "upstream wants a pause",
 	"the store came back from a copy", "source lost", "following", "VM unreachable",
 }
 
@@ -99,7 +102,7 @@
 		case first[l.VM].IsZero() || at.After(last[l.VM]):
 		case !at.Before(first[l.VM].Add(-beliefTime)):
 			out = append(out, l)
-		case l.Msg == beliefs[0] && at.After(paths[l.VM].at()):
+		case l.Msg == pathChanged && at.After(paths[l.VM].at()):
 			paths[l.VM] = l
 		}
 	}
