--- a/internal/bench/journal.go
+++ b/internal/bench/journal.go
@@ -67,6 +67,39 @@
 	}
 }
 
+// spanLog collects spans as they begin and end.
+type spanLog struct {
+	mu    sync.Mutex // guards spans
+	spans []Span
+}
+
+// begin adds a span that lasts until end is called, and extra longer.
+func (l *spanLog) begin(extra time.Duration) (end func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	i := len(l.spans)
+	l.spans = append(l.spans, Span{From: time.Now()})
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.spans[i].To = time.Now().Add(extra)
+	}
+}
+
+// all returns the spans so far.
+func (l *spanLog) all() []Span {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.spans)
+}
+
+// overlaps reports whether any span overlaps the period from a to b.
+func (l *spanLog) overlaps(a, b time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return overlapsAny(l.spans, a, b)
+}
+
 // overlapsAny reports whether any span overlaps the period from a to b.
 func overlapsAny(spans []Span, a, b time.Time) bool {
 	return slices.ContainsFunc(spans, func(s Span) bool { return s.overlaps(a, b) })
--- a/internal/bench/soak.go
+++ b/internal/bench/soak.go
@@ -91,11 +91,12 @@
 	peerLinks    []*relay.Relay // links from the VM to each other VM; nil for itself
 	lifecycle    sync.Mutex     // held while a fault stops, pauses, signals or restarts the VM
 
-	mu          sync.Mutex // guards the fields below
-	proc        *process
-	unavailable []Span // while the VM was paused, stopped or starting
-	cutOff      []Span // while links to other VMs were broken
-	kills       []Span // kills without warning
+	unavailable spanLog // while the VM was paused, stopped or starting
+	cutOff      spanLog // while links to other VMs were broken
+
+	mu    sync.Mutex // guards the fields below
+	proc  *process
+	kills []Span // kills without warning
 }
 
 // soak is a running fleet and the stand-ins of the users' platform that it works with.
@@ -107,11 +108,11 @@
 	servers  []*soakServer
 	evidence *evidence
 	closers  []func()
+	outages  spanLog // while the store failed for some VM
 
 	mu         sync.Mutex // guards the rest
 	version    int
 	extraPaths []string // paths of the routes that configFault added
-	outages    []Span   // while the store failed for some VM
 	notices    []*notice
 	strandings []stranding
 }
@@ -149,7 +150,7 @@
 	}
 	s.checkNotices()
 	s.checkStrandings()
-	return s.evidence.evaluate(o.Seed, s.outages), nil
+	return s.evidence.evaluate(o.Seed, s.outages.all()), nil
 }
 
 func (s *soak) start(ctx context.Context) error {
@@ -323,36 +324,16 @@
 }
 
 // markUnavailable records that the VM is unavailable until end is called.
-func (vm *soakVM) markUnavailable() (end func()) { return vm.mark(&vm.unavailable) }
+func (vm *soakVM) markUnavailable() (end func()) { return vm.unavailable.begin(0) }
 
 // markCutOff records that links from or to the VM are broken until end is called.
-func (vm *soakVM) markCutOff() (end func()) { return vm.mark(&vm.cutOff) }
-
-func (vm *soakVM) mark(spans *[]Span) (end func()) {
-	vm.mu.Lock()
-	defer vm.mu.Unlock()
-	i := len(*spans)
-	*spans = append(*spans, Span{From: time.Now()})
-	return func() {
-		vm.mu.Lock()
-		defer vm.mu.Unlock()
-		(*spans)[i].To = time.Now()
-	}
-}
+func (vm *soakVM) markCutOff() (end func()) { return vm.cutOff.begin(0) }
 
 // wasCutOff reports whether links from or to the VM were broken at any time from a to b.
-func (vm *soakVM) wasCutOff(a, b time.Time) bool {
-	vm.mu.Lock()
-	defer vm.mu.Unlock()
-	return overlapsAny(vm.cutOff, a, b)
-}
+func (vm *soakVM) wasCutOff(a, b time.Time) bool { return vm.cutOff.overlaps(a, b) }
 
 // wasUnavailable reports whether the VM was unavailable at any time from a to b.
-func (vm *soakVM) wasUnavailable(a, b time.Time) bool {
-	vm.mu.Lock()
-	defer vm.mu.Unlock()
-	return overlapsAny(vm.unavailable, a, b)
-}
+func (vm *soakVM) wasUnavailable(a, b time.Time) bool { return vm.unavailable.overlaps(a, b) }
 
 // stopAll stops all VMs with SIGTERM and records those that had ended by themselves.
 func (s *soak) stopAll() error {
--- a/internal/bench/soak_faults.go
+++ b/internal/bench/soak_faults.go
@@ -193,7 +193,7 @@
 	sv := s.servers[i]
 	for _, as := range []int{other, i} {
 		old := sv.current.Load()
-		end := sv.markBroken()
+		end := sv.broken.begin(0)
 		sv.link.SetFault(relay.Fault{Cut: true})
 		sv.remove()
 		s.evidence.recordDrain(old.ID)
@@ -218,7 +218,7 @@
 		return nil
 	}
 	sv := s.servers[rng.IntN(len(s.servers))]
-	defer sv.markBroken()()
+	defer sv.broken.begin(0)()
 	sv.link.SetFault(f)
 	time.Sleep(d)
 	sv.link.SetFault(relay.Fault{})
@@ -242,13 +242,9 @@
 		defer vm.markCutOff()()
 		links = append(links, s.vms[one].peerLinks[n], vm.peerLinks[one])
 	}
-	for _, l := range links {
-		l.SetFault(f)
-	}
+	relay.SetFaults(links, f)
 	time.Sleep(d)
-	for _, l := range links {
-		l.SetFault(relay.Fault{})
-	}
+	relay.SetFaults(links, relay.Fault{})
 	return nil
 }
 
@@ -262,21 +258,11 @@
 
 // recordOutage records that the store fails for some VM until end is called. The outage
 // lasts for soakApplyTime more, in which VMs have to apply what they missed.
-func (s *soak) recordOutage() (end func()) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	i := len(s.outages)
-	s.outages = append(s.outages, Span{From: time.Now()})
-	return func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.outages[i].To = time.Now().Add(soakApplyTime)
-	}
-}
+func (s *soak) recordOutage() (end func()) { return s.outages.begin(soakApplyTime) }
 
 func (s *soak) resetFault(_ context.Context, rng *rand.Rand) error {
 	sv := s.servers[rng.IntN(len(s.servers))]
-	defer sv.markBroken()()
+	defer sv.broken.begin(0)()
 	sv.link.Reset()
 	return nil
 }
@@ -316,9 +302,7 @@
 	path := s.addRoute()
 	start := time.Now()
 	time.Sleep(soakApplyTime + deadlineSlack)
-	s.mu.Lock()
-	outage := overlapsAny(s.outages, start, time.Now())
-	s.mu.Unlock()
+	outage := s.outages.overlaps(start, time.Now())
 	client := &http.Client{Timeout: soakDeadline + replySlack}
 	defer client.CloseIdleConnections()
 	for _, vm := range s.vms {
@@ -368,9 +352,7 @@
 
 // otherOutage reports whether another outage than one that began before a overlaps a to b.
 func (s *soak) otherOutage(a, b time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.ContainsFunc(s.outages, func(o Span) bool { return o.From.After(a) && o.From.Before(b) })
+	return slices.ContainsFunc(s.outages.all(), func(o Span) bool { return o.From.After(a) && o.From.Before(b) })
 }
 
 // checkRoutes checks that each VM that has been available since a time serves all routes.
@@ -396,12 +378,8 @@
 	s.store.Intercept(nil)
 	for _, vm := range s.vms {
 		vm.storeLink.SetFault(relay.Fault{})
-		vm.breakServerLinks(relay.Fault{})
-		for _, l := range vm.peerLinks {
-			if l != nil {
-				l.SetFault(relay.Fault{})
-			}
-		}
+		relay.SetFaults(vm.serverLinks, relay.Fault{})
+		relay.SetFaults(vm.peerLinks, relay.Fault{})
 	}
 	for _, sv := range s.servers {
 		sv.link.SetFault(relay.Fault{})
--- a/internal/bench/soak_notices.go
+++ b/internal/bench/soak_notices.go
@@ -146,7 +146,7 @@
 func (s *soak) dropUnheard(n *notice) {
 	for vm, told := range n.told {
 		n.told[vm] = slices.DeleteFunc(told, func(at time.Time) bool {
-			return overlapsAny(n.at.brokenLinks(), at, at.Add(noticeTravel)) || s.wasStranded(vm, at)
+			return n.at.broken.overlaps(at, at.Add(noticeTravel)) || s.wasStranded(vm, at)
 		})
 	}
 }
--- a/internal/bench/soak_notices_test.go
+++ b/internal/bench/soak_notices_test.go
@@ -46,7 +46,7 @@
 	})
 
 	It("accepts them from a VM that the reply did not reach: the server's link was broken", func() {
-		sv.broken = []Span{{From: start.Add(-time.Second), To: start.Add(1500 * time.Millisecond)}}
+		sv.broken.spans = []Span{{From: start.Add(-time.Second), To: start.Add(1500 * time.Millisecond)}}
 		s.checkNotices()
 		Expect(s.evidence.violations).To(BeEmpty())
 	})
@@ -58,7 +58,7 @@
 	})
 
 	It("reports them if the link broke after the reply had arrived", func() {
-		sv.broken = []Span{{From: start.Add(noticeDelay), To: start.Add(1500 * time.Millisecond)}}
+		sv.broken.spans = []Span{{From: start.Add(noticeDelay), To: start.Add(1500 * time.Millisecond)}}
 		s.checkNotices()
 		Expect(s.evidence.violations).To(HaveKeyWithValue(sentInPause, 1))
 	})
--- a/internal/bench/soak_servers.go
+++ b/internal/bench/soak_servers.go
@@ -30,12 +30,12 @@
 	current atomic.Pointer[standin.Server]
 	fault   atomic.Pointer[serverFault]
 	notice  atomic.Pointer[notice] // of the server that it names; nil for none
+	broken  spanLog                // while the link to the address was broken
 	slots   chan struct{}          // holds an element for each running request
 
 	stateMu sync.Mutex // guards the fields below, and that the state is published in order
 	state   string     // published last; empty while no server is there
 	ids     []string   // of all servers that were at the address
-	broken  []Span     // when the link to the address was broken
 }
 
 // serverFault says how a server misbehaves. The zero value is a healthy server.
@@ -132,26 +132,6 @@
 	}
 }
 
-// markBroken records that the link to the address is broken until end is called.
-func (sv *soakServer) markBroken() (end func()) {
-	sv.stateMu.Lock()
-	defer sv.stateMu.Unlock()
-	i := len(sv.broken)
-	sv.broken = append(sv.broken, Span{From: time.Now()})
-	return func() {
-		sv.stateMu.Lock()
-		defer sv.stateMu.Unlock()
-		sv.broken[i].To = time.Now()
-	}
-}
-
-// brokenLinks returns when the link to the address was broken.
-func (sv *soakServer) brokenLinks() []Span {
-	sv.stateMu.Lock()
-	defer sv.stateMu.Unlock()
-	return slices.Clone(sv.broken)
-}
-
 // removeEarlier removes the entries of earlier servers at the address, which a copy of the store
 // may hold: without heartbeats, they lapse.
 func (sv *soakServer) removeEarlier() {
--- a/internal/bench/soak_stranded.go
+++ b/internal/bench/soak_stranded.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/sardinespindle/sardinespindle/internal/relay"
@@ -39,7 +38,7 @@
 	rng.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
 	st := stranding{vms: vms[:1+rng.IntN(len(vms)-1)], Span: Span{From: time.Now()}}
 	for _, vm := range st.vms {
-		vm.breakServerLinks(f.fault)
+		relay.SetFaults(vm.serverLinks, f.fault)
 		if f.reset {
 			for _, l := range vm.serverLinks {
 				l.Reset()
@@ -49,7 +48,7 @@
 	time.Sleep(strandedKnownBy + randomDuration(rng, 1000, 4000))
 	st.To = time.Now()
 	for _, vm := range st.vms {
-		vm.breakServerLinks(relay.Fault{})
+		relay.SetFaults(vm.serverLinks, relay.Fault{})
 	}
 	s.mu.Lock()
 	s.strandings = append(s.strandings, st)
@@ -58,15 +57,6 @@
 	return nil
 }
 
-// breakServerLinks sets the fault of all links from the VM to servers.
-func (vm *soakVM) breakServerLinks(f relay.Fault) {
-	var links sync.WaitGroup
-	for _, l := range vm.serverLinks {
-		links.Go(func() { l.SetFault(f) })
-	}
-	links.Wait()
-}
-
 // served counts requests and those that were answered with success.
 type served struct{ ok, all int }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -215,6 +215,17 @@
 	}
 }
 
+// SetFaults sets the fault of several links at the same time. Links that are nil are left out.
+func SetFaults(links []*Relay, f Fault) {
+	var setting sync.WaitGroup
+	for _, r := range links {
+		if r != nil {
+			setting.Go(func() { r.SetFault(f) })
+		}
+	}
+	setting.Wait()
+}
+
 // listenAs replaces the listener by what a fault needs.
 func (r *Relay) listenAs(f Fault) {
 	if r.listen != nil {
