What a VM announces of itself has one type; a shard is asked for in one place

Cause: the announcement of a lost path repeated that of an unreachable store: put once, again when half of its time is left, withdrawn, the VMs that announced it, all VMs if none is left without it. The view ranked all VMs a second time for lost VMs when there was none. Whether a service is a shard was asked by four lookups of a map.

Change: ownState serves both; whether it holds follows from its expiry, so the second flag goes. mayGather returns early; Catalog.IsShard. Kept: values, times and who counts. One difference that no other VM sees: a lost path that ends after its announcement expired (a VM paused for 10 s) puts no empty fact.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -71,6 +71,12 @@
 	ZoneCoverage map[string]map[string]float64
 }
 
+// IsShard reports whether a service is a shard of a route.
+func (c *Catalog) IsShard(service string) bool {
+	_, ok := c.ShardLimits[service]
+	return ok
+}
+
 // mapVersion is the same for every sharded route, because each has only one partition map.
 const mapVersion = 1
 
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -53,7 +53,6 @@
 	// may read again.
 	unreachablePrefix = "blind/"
 	unreachableTTL    = 4 * time.Second
-	unreachableValue  = "yes"
 	// versionPrefix starts the key of the fact by which a VM announces the newest version of
 	// the configuration that it has read from the store. versionTTL allows for a VM that
 	// learns of the fact by a digest only.
@@ -62,8 +61,8 @@
 )
 
 // fleet learns of the VMs from seeds and from their announcements. It is safe for concurrent
-// use, except that run and setStoreUnreachable are each called from one goroutine. Requests
-// read a view that is computed in advance, so that they take no lock.
+// use, except that run is called from one goroutine. Requests read a view that is computed in
+// advance, so that they take no lock.
 type fleet struct {
 	node       *peer.Node
 	self       delegate.VM
@@ -73,15 +72,13 @@
 	shardLimit atomic.Int64 // lowest connection limit of the upstreams of shards; 0 if unknown
 	view       atomic.Pointer[fleetView]
 
-	strandedMu    sync.Mutex // guards the fields below
-	stranded      bool       // this VM reaches no upstream
-	strandedUntil time.Duration
+	stranded         *ownState // this VM reaches no upstream
+	storeUnreachable *ownState // the store does not reply to this VM
 
 	announceMu sync.Mutex // guards number
 	number     int        // of this VM's last announcement
 
-	updating         sync.Mutex    // held while the roster and the view are computed
-	unreachableUntil time.Duration // when this VM's fact with unreachablePrefix expires; 0 for none
+	updating sync.Mutex // held while the roster and the view are computed
 }
 
 // fleetView is the fleet as known at one time. It is immutable.
@@ -98,11 +95,15 @@
 }
 
 func newFleet(node *peer.Node, self delegate.VM, port uint16, seeds []settings.Address) *fleet {
-	f := &fleet{node: node, self: self, port: port, started: clock.Boot()}
+	f := &fleet{
+		node: node, self: self, port: port, started: clock.Boot(),
+		stranded:         &ownState{node: node, prefix: strandedPrefix, ttl: strandedTTL},
+		storeUnreachable: &ownState{node: node, prefix: unreachablePrefix, ttl: unreachableTTL},
+	}
 	f.setSeeds(seeds)
 	node.Facts().Watch(lostPrefix+self.Name, func(facts.Fact) { f.refute() })
 	node.Facts().Watch(strandedPrefix, func(fact facts.Fact) {
-		if f.view.Load().stranded[fact.VM()] != (fact.Value == strandedValue) {
+		if f.view.Load().stranded[fact.VM()] != (fact.Value == stateHolds) {
 			f.update()
 		}
 	})
@@ -133,7 +134,7 @@
 			nextAnnouncement = now + pause.Jitter(announceInterval)
 			f.announce(0)
 		}
-		f.announceStranded()
+		f.stranded.renew()
 		f.update()
 		interval := updateInterval
 		if f.node.JustStarted() {
@@ -243,7 +244,8 @@
 func (f *fleet) computeView(known, lost map[string]delegate.VM) {
 	names := slices.AppendSeq(slices.Collect(maps.Keys(known)), maps.Keys(lost))
 	slices.Sort(names)
-	v := &fleetView{gatherers: map[string][]string{}, names: names}
+	v := &fleetView{names: names, stranded: f.stranded.vms()}
+	v.stranded[f.self.Name] = f.stranded.holds()
 	for _, m := range f.node.Roster() {
 		if vm, ok := known[m.Name]; ok && m.State == roster.Live {
 			v.vms = append(v.vms, vm)
@@ -253,7 +255,7 @@
 	if limit == 0 {
 		limit = len(v.vms) * len(v.vms) // no shard is known: all VMs may gather
 	}
-	v.stranded = f.strandedVMs()
+	limit = max(limit, 1)
 	reaching := slices.DeleteFunc(slices.Clone(v.vms), func(vm delegate.VM) bool { return v.stranded[vm.Name] })
 	v.others = namesByZone(reaching, f.self.Name)
 	for _, vm := range v.vms {
@@ -261,10 +263,10 @@
 			v.zoneVMs++
 		}
 	}
-	gatherers := delegate.ChooseGatherers(v.vms, reaching, max(limit, 1), f.node.JustStarted())
+	gatherers := delegate.ChooseGatherers(v.vms, reaching, limit, f.node.JustStarted())
 	v.gathererCount = len(gatherers)
 	v.isGatherer = slices.ContainsFunc(gatherers, func(vm delegate.VM) bool { return vm.Name == f.self.Name })
-	v.mayGather = f.mayGather(v.vms, lost, gatherers, max(limit, 1))
+	v.mayGather = f.mayGather(v.vms, lost, gatherers, limit)
 	gatherers = slices.DeleteFunc(gatherers, func(vm delegate.VM) bool { return v.stranded[vm.Name] })
 	v.gatherers = namesByZone(gatherers, f.self.Name)
 	if v.runsSearches(f.self.Name) && len(v.gatherers[f.self.Zone]) == 0 {
@@ -293,6 +295,9 @@
 	for _, vm := range gatherers {
 		names = append(names, vm.Name)
 	}
+	if len(lost) == 0 {
+		return names
+	}
 	all := slices.AppendSeq(slices.Clone(live), maps.Values(lost))
 	for _, vm := range delegate.Gatherers(all, limit, f.node.JustStarted()) {
 		if _, isLost := lost[vm.Name]; isLost {
@@ -355,32 +360,10 @@
 	})
 }
 
-// setStoreUnreachable announces that the store does not reply to this VM, or withdraws the
-// announcement. An announcement is repeated only when less than half of its TTL is left, not
-// at each failure.
-func (f *fleet) setStoreUnreachable(unreachable bool) {
-	now := clock.Boot()
-	switch {
-	case unreachable && f.unreachableUntil-now < unreachableTTL/2:
-		f.unreachableUntil = now + unreachableTTL
-		f.node.Facts().Put(unreachablePrefix+f.self.Name, unreachableValue, unreachableTTL)
-	case !unreachable && f.unreachableUntil > now:
-		f.unreachableUntil = 0
-		f.node.Facts().Put(unreachablePrefix+f.self.Name, "", unreachableTTL)
-	}
-}
-
 // sources returns where this VM learns the catalog. VMs that announced the store as unreachable
 // are left out, unless all did.
 func (f *fleet) sources() delegate.Sources {
-	unreachable := map[string]bool{}
-	for _, fact := range f.node.Facts().List(unreachablePrefix) {
-		unreachable[fact.VM()] = fact.Value == unreachableValue
-	}
-	all := f.view.Load().vms
-	reaching := slices.DeleteFunc(slices.Clone(all), func(vm delegate.VM) bool { return unreachable[vm.Name] })
-	if len(reaching) == 0 {
-		reaching = all
-	}
+	unreachable := f.storeUnreachable.vms()
+	reaching := except(f.view.Load().vms, func(vm delegate.VM) bool { return unreachable[vm.Name] })
 	return delegate.ChooseSources(f.self, reaching)
 }
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -92,7 +92,7 @@
 		Peers:               f.node,
 		Sources:             f.fleet.sources,
 		FleetSize:           f.fleet.liveCount,
-		SetStoreUnreachable: f.fleet.setStoreUnreachable,
+		SetStoreUnreachable: f.fleet.storeUnreachable.set,
 		AnnounceVersion:     f.fleet.announceVersion,
 		Now:                 clock.Boot,
 		Log:                 f.log,
@@ -128,10 +128,8 @@
 // limitSenders returns the VMs that may send requests to an upstream and share its limit.
 func (f *Forwarder) limitSenders(u *gen.Upstream) []string {
 	v := f.fleet.view.Load()
-	if c := f.catalog.Load(); c != nil {
-		if _, ok := c.ShardLimits[string(u.Workload)]; ok {
-			return v.withoutStranded(v.mayGather)
-		}
+	if f.isShard(string(u.Workload)) {
+		return v.withoutStranded(v.mayGather)
 	}
 	return v.withoutStranded(v.names)
 }
@@ -229,14 +227,12 @@
 // connectionShare returns how many connections this VM may open to an upstream. Only gatherers
 // may open any to an upstream of a shard.
 func (f *Forwarder) connectionShare(u *gen.Upstream) int {
-	if c := f.catalog.Load(); c != nil {
-		if _, ok := c.ShardLimits[string(u.Workload)]; ok {
-			n, self := f.fleet.gathererCount()
-			if !self {
-				return 0
-			}
-			return connbudget.Share(u.ConnectionLimit, n)
+	if f.isShard(string(u.Workload)) {
+		n, self := f.fleet.gathererCount()
+		if !self {
+			return 0
 		}
+		return connbudget.Share(u.ConnectionLimit, n)
 	}
 	return connbudget.Connections(u.ConnectionLimit, f.fleet.size(), u.Address, f.node.Name(), f.fleet.names())
 }
@@ -244,15 +240,19 @@
 // senderCount returns how many VMs send requests to a service: the gatherers if it has
 // shards, else all.
 func (f *Forwarder) senderCount(service string) int {
-	if c := f.catalog.Load(); c != nil {
-		if _, ok := c.ShardLimits[service]; ok {
-			n, _ := f.fleet.gathererCount()
-			return n
-		}
+	if f.isShard(service) {
+		n, _ := f.fleet.gathererCount()
+		return n
 	}
 	return f.fleet.size()
 }
 
+// isShard reports whether a service is a shard of a search, by the newest catalog.
+func (f *Forwarder) isShard(service string) bool {
+	c := f.catalog.Load()
+	return c != nil && c.IsShard(service)
+}
+
 // apply puts a catalog into force. The catalog is served last, so that no request uses it
 // before its upstreams are set up.
 func (f *Forwarder) apply(c *catalog.Catalog, change catalog.Change) {
--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -139,7 +139,7 @@
 	if r := s.o.Reach(); !r.Reached {
 		return s.chooseStranded(q, r, gatherers)
 	}
-	if !q.route.Sharded() && (!s.isShard(q) || self) {
+	if !q.route.Sharded() && (!q.catalog.IsShard(q.service) || self) {
 		return "", false
 	}
 	coverage := q.catalog.ZoneCoverage[q.route.Name]
--- a/internal/forward/passon.go
+++ b/internal/forward/passon.go
@@ -89,17 +89,11 @@
 	return (q.route.Idempotent || !mayHaveRun) && q.attempts < max(q.route.MaxAttempts, 1)
 }
 
-// isShard reports whether the service of a request to a single one is also a shard of a search.
-func (s *Server) isShard(q *request) bool {
-	_, shard := q.catalog.ShardLimits[q.service]
-	return shard
-}
-
 // chooseStranded returns the VM to pass a request on to while this VM reaches no upstream: a gatherer for
 // searches and shards. If all failed lately, it returns one of these rather than none.
 func (s *Server) chooseStranded(q *request, r Reach, gatherers map[string][]string) (vm string, ok bool) {
 	byZone := r.Others
-	if q.route.Sharded() || s.isShard(q) {
+	if q.route.Sharded() || q.catalog.IsShard(q.service) {
 		byZone = gatherers
 	}
 	near := byZone[s.o.Zone]
