Requests earn and return budget in one place, and each VM is named once as tried

Change: the check moves into both functions (repeats.go), delegateTo adds each VM once, before it looks at the reply; every caller but passOnAtLimit returns at once then. inAllZones serves both. Reach stands beside its use.

Ruled out: another outcome of passOnAtLimit with the check: what ran here and did not run is unknown, not not_run, if another VM may have sent the request, so it is not passed on there.

--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -158,7 +158,12 @@
 	if vm, ok = s.peers.acquire(byZone[zone], tried, s.o.Now()); ok {
 		return vm, true
 	}
-	return s.peers.acquire(slices.Concat(slices.Collect(maps.Values(byZone))...), tried, s.o.Now())
+	return s.peers.acquire(inAllZones(byZone), tried, s.o.Now())
+}
+
+// inAllZones returns the VMs of all zones.
+func inAllZones(byZone map[string][]string) []string {
+	return slices.Concat(slices.Collect(maps.Values(byZone))...)
 }
 
 // delegateTo delegates a request to a VM. done reports that o is the request's outcome:
@@ -176,12 +181,12 @@
 	if s.peers.release(vm, s.o.Now(), err == nil || late || errors.Is(err, errUnreached)) {
 		s.o.ReportLost(vm)
 	}
+	q.tried = append(q.tried, vm)
 	if err == nil && reply.Taken {
 		q.ranElsewhere = true
 		q.decidedAt = q.start.Add(time.Duration(reply.DecidedUs) * time.Microsecond)
 		return q.unknownIfSent(fromDelegated(reply)), true
 	}
-	q.tried = append(q.tried, vm)
 	if err == nil {
 		return outcome.Outcome{}, false
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -6,11 +6,9 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -106,21 +104,6 @@
 // defaultReadBytes is the memory for callers' bodies that are being read, unless Options.Reads is set.
 const defaultReadBytes = 16 << 20
 
-// Reach says which VMs reach upstreams.
-type Reach struct {
-	Reached bool // this VM does
-	// Others are the other live VMs that do, by zone.
-	Others map[string][]string
-	// ZoneVMs is the number of live VMs in this VM's zone, itself included.
-	ZoneVMs int
-}
-
-// all returns Others of all zones.
-func (r Reach) all() []string { return slices.Concat(slices.Collect(maps.Values(r.Others))...) }
-
-// maxServices bounds the services for which a repeat budget is kept.
-const maxServices = 8192
-
 // Server serves callers and the VMs that delegate to this one. It is safe for concurrent
 // use.
 type Server struct {
@@ -221,7 +204,7 @@
 	decideBy time.Time
 	// decidedAt is when the outcome was decided on; zero if that is not known.
 	decidedAt time.Time
-	// tried lists the VMs to which delegation failed.
+	// tried lists the VMs to which the request was delegated.
 	tried []string
 	// shards are the shards to search; nil for all shards of the route.
 	shards []string
@@ -336,40 +319,6 @@
 // defaultTimeout applies if neither the caller nor the route sets a timeout.
 const defaultTimeout = 30 * time.Second
 
-// takeRepeat takes one attempt beyond the first from a service's budget, because the first
-// is slow (hedge) or failed (retry). It reports whether the budget allowed it.
-func (s *Server) takeRepeat(service string, hedge bool) (paid bool) {
-	now, vms := s.o.Now(), s.o.VMs(service)
-	s.repeatBudgets.Update(service, func(b *repeat.Bucket) {
-		if hedge {
-			paid = b.TakeHedge(now, s.o.Repeats, vms)
-		} else {
-			paid = b.Take(now, s.o.Repeats, vms)
-		}
-	})
-	if paid {
-		s.metrics.repeats.Inc()
-	} else {
-		s.metrics.repeatsRefused.Inc()
-	}
-	return paid
-}
-
-func (s *Server) earnRepeats(service string) {
-	s.repeatBudgets.Update(service, func(b *repeat.Bucket) { b.Earn(s.o.Now(), s.o.Repeats, s.o.VMs(service)) })
-}
-
-// unearnRepeats takes back what a request earned here that is passed on to another VM.
-func (s *Server) unearnRepeats(q *request) {
-	services := q.searchedShards()
-	if !q.route.Sharded() {
-		services = []string{q.service}
-	}
-	for _, service := range services {
-		s.repeatBudgets.Update(service, func(b *repeat.Bucket) { b.Unearn(s.o.Repeats) })
-	}
-}
-
 // Points in the course of a request. The shares are shares of its objective.
 const (
 	// searchHedgeShare is when a shard of a search is hedged: late enough for an idle
@@ -393,9 +342,7 @@
 	if workload == nil {
 		return outcome.NotRun(outcome.NoUpstream, fmt.Sprintf("service %s is not published", q.service), startRetryAfter)
 	}
-	if !q.maybeSent {
-		s.earnRepeats(q.service)
-	}
+	s.earnRepeats(q, q.service)
 	return s.o.Runner.Run(ctx, single.Request{
 		ID:          q.id,
 		Fingerprint: q.fingerprint,
--- a/internal/forward/passon.go
+++ b/internal/forward/passon.go
@@ -12,6 +12,15 @@
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
 )
 
+// Reach says which VMs reach upstreams.
+type Reach struct {
+	Reached bool // this VM does
+	// Others are the other live VMs that do, by zone.
+	Others map[string][]string
+	// ZoneVMs is the number of live VMs in this VM's zone, itself included.
+	ZoneVMs int
+}
+
 // passOnUnreached passes a request on that ended without an answer because this VM reaches no
 // upstream. It returns the outcome of any other request, of one that no other VM takes, and of one
 // that may have run and must not run again.
@@ -19,9 +28,7 @@
 	if o.Reason != outcome.Unreachable || q.delegated || ctx.Err() != nil || !q.recordUsed(&o) {
 		return o
 	}
-	if !q.maybeSent { // else the other VM earns nothing
-		s.unearnRepeats(q)
-	}
+	s.unearnRepeats(q)
 	if passed, done := s.delegate(ctx, q, p); done {
 		return passed
 	}
@@ -54,7 +61,7 @@
 		if done && passed.Kind != caller.OutcomeNotRun {
 			return passed
 		}
-		last, q.tried = passed, append(q.tried, vm)
+		last = passed
 	}
 	return q.unknownIfSent(o)
 }
@@ -70,7 +77,7 @@
 	if len(holders) == 0 {
 		return nil
 	}
-	live := s.o.Reach().all()
+	live := inAllZones(s.o.Reach().Others)
 	return slices.DeleteFunc(holders, func(vm string) bool { return !slices.Contains(live, vm) })
 }
 
--- a/internal/forward/split.go
+++ b/internal/forward/split.go
@@ -118,11 +118,7 @@
 
 // searchLocally searches the shards from this VM.
 func (s *Server) searchLocally(ctx context.Context, q *request, p *upstream.PassThroughRequest, shards []string) outcome.Outcome {
-	if !q.maybeSent {
-		for _, shard := range shards {
-			s.earnRepeats(shard)
-		}
-	}
+	s.earnRepeats(q, shards...)
 	return s.o.Searcher.Search(ctx, gather.Search{
 		ID:          q.id,
 		Fingerprint: q.fingerprint,
