Comments and names about limits, paths and notices use exact words

Change: a limit is announced (by a VM) or confirmed (by a reply or an announcement); an upstream replies; a server states a notice. Identifiers follow: Announced, AnnounceDue, TakeLimitToAnnounce, Replied, confirmedAt. No change of behavior.

--- a/internal/bench/soak_check.go
+++ b/internal/bench/soak_check.go
@@ -36,7 +36,7 @@
 	sentAfterGone  = "sent_after_gone"  // requests reached servers long after their callers had canceled
 	workAfterGone  = "work_after_gone"  // servers kept working on canceled requests
 	strandedWorse  = "stranded_worse"   // VMs cut off from all servers served their callers far worse than the others
-	sentToLeaving  = "sent_to_leaving"  // a request reached a server long after it had said that it leaves
+	sentToLeaving  = "sent_to_leaving"  // a request reached a server long after it had replied that it leaves
 	sentInPause    = "sent_in_pause"    // requests reached a server in a pause that it had asked for
 	endlessRead    = "endless_read"     // a VM did not close a connection that brought bytes without end
 	tooMuchMemory  = "too_much_memory"  // a VM's process used more than the smallest VM has
--- a/internal/bench/soak_faults.go
+++ b/internal/bench/soak_faults.go
@@ -35,7 +35,7 @@
 // injectFaults runs actors that inject faults at random until the duration is over: two each for
 // VMs and for links between VMs, and one each for misbehaving servers, for replaced servers, for
 // links to servers, and for the store with its configuration. A fault listed twice is drawn twice as often.
-// In calm seeds, servers that say something of themselves and VMs that are cut off from all servers take
+// In calm seeds, servers with notices and VMs that are cut off from all servers take
 // the place of broken links between VMs.
 func (s *soak) injectFaults(ctx context.Context, rng *rand.Rand) error {
 	vms := []fault{{"pause", s.pauseFault}, {"kill", s.killFault}, {"stop", s.stopFault}, {"hup", s.reloadFault}}
--- a/internal/bench/soak_notices.go
+++ b/internal/bench/soak_notices.go
@@ -12,11 +12,11 @@
 	"github.com/sardinespindle/sardinespindle/platform"
 )
 
-// Bounds for what servers say of themselves, as the users publish them.
+// Bounds for what servers state in their replies, as the users publish them.
 const (
 	// From noticeLimitKnownBy after it first named a limit, a server gets at most
 	// noticeLimitAllowance times what the limit allows, and noticeLimitSlack requests, in any
-	// noticeLimitWindow, from the VMs that it told noticeDelay before.
+	// noticeLimitWindow, from the VMs that it replied to with the limit noticeDelay before.
 	noticeLimitKnownBy   = 4 * time.Second
 	noticeLimitWindow    = 4 * time.Second
 	noticeLimitAllowance = 1.5
@@ -35,7 +35,7 @@
 	maxNoticeLimit = 8.0
 )
 
-// notice is what one server says of itself for a while.
+// notice is what one server states in its replies for a while.
 type notice struct {
 	server    string
 	at        *soakServer
@@ -44,8 +44,8 @@
 	pause     time.Duration // it turns requests away and wants none for so long; 0 for no pause
 
 	mu      sync.Mutex             // guards the fields below
-	told    map[string][]time.Time // when each VM was told
-	first   time.Time              // when any was first; zero if none
+	told    map[string][]time.Time // when replies with it were sent, by VM
+	first   time.Time              // of these; zero if there is none
 	endedAt time.Time
 }
 
@@ -82,7 +82,7 @@
 	return nil
 }
 
-// leavingFault makes a few servers say that they leave; others start at their addresses then.
+// leavingFault makes a few servers state that they leave; others start at their addresses then.
 func (s *soak) leavingFault(_ context.Context, rng *rand.Rand) error {
 	leave := func() *notice { return &notice{leaving: true} }
 	for _, i := range s.noticesFault(rng, leave, noticeDrain+randomDuration(rng, 1000, 3000)) {
@@ -99,7 +99,7 @@
 	return nil
 }
 
-// noticesFault makes up to a third of the servers say something for a while, and returns which.
+// noticesFault gives up to a third of the servers a notice for a while, and returns which.
 func (s *soak) noticesFault(rng *rand.Rand, newNotice func() *notice, d time.Duration) (servers []int) {
 	var notices []*notice
 	for range 1 + rng.IntN(len(s.servers)/3) {
@@ -124,7 +124,7 @@
 	return servers
 }
 
-// checkNotices looks for servers that got requests against what they had said. It leaves out VMs that
+// checkNotices looks for servers that got requests against their notices. It leaves out VMs that
 // were unavailable or cut off from others since then. The load has ended.
 func (s *soak) checkNotices() {
 	byServer := s.evidence.arrivalsByServer()
--- a/internal/ctl/story.go
+++ b/internal/ctl/story.go
@@ -39,8 +39,8 @@
 // upstreams is printed however old.
 const beliefTime = 10 * time.Second
 
-// explainLogs prints the lines about one request in the logs of several VMs, and what these VMs came to
-// believe shortly before and meanwhile, ordered by time.
+// explainLogs prints the lines about one request in the logs of several VMs, and the beliefs that these
+// VMs changed shortly before and meanwhile, ordered by time.
 func (c *command) explainLogs(files []string, request string) error {
 	var lines, changes []logLine
 	for _, file := range files {
@@ -120,8 +120,8 @@
 	return t
 }
 
-// readLogLines returns those lines of a file that have the id of the request, and those that tell of
-// changed beliefs. It ignores text before the first brace of a line, and lines without a JSON object:
+// readLogLines returns those lines of a file that have the id of the request, and those about a changed
+// belief. It ignores text before the first brace of a line, and lines without a JSON object:
 // other programs may write prefixes and lines of their own.
 func readLogLines(file, request string) (lines, changes []logLine, err error) {
 	f, err := os.Open(file)
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -103,24 +103,24 @@
 	return nil
 }
 
-// maxTellDelay spreads the facts about an upstream that several VMs find leaving at about the same
+// maxAnnounceDelay spreads the facts about an upstream that several VMs find leaving at about the same
 // time: all but the first then know that the fleet is told.
-const maxTellDelay = 300 * time.Millisecond
+const maxAnnounceDelay = 300 * time.Millisecond
 
-// tellLeaving tells the fleet that an upstream leaves, unless that is published or told by then.
-func (f *Forwarder) tellLeaving(i upstream.Incarnation) {
-	time.AfterFunc(rand.N(maxTellDelay), func() {
+// announceLeaving announces that an upstream leaves, unless that is published or announced by then.
+func (f *Forwarder) announceLeaving(i upstream.Incarnation) {
+	time.AfterFunc(rand.N(maxAnnounceDelay), func() {
 		if c := f.catalog.Load(); c != nil && c.Manifest.Upstreams[i.Address] != nil {
-			f.fleet.tellLeaving(i)
+			f.fleet.announceLeaving(i)
 		}
 	})
 }
 
-// tellLimit tells the fleet which limit an upstream names, unless another VM has told it by then.
-func (f *Forwarder) tellLimit(i upstream.Incarnation) {
-	time.AfterFunc(rand.N(maxTellDelay), func() {
-		if perSecond, due := f.upstreams.TakeLimitToTell(i); due {
-			f.fleet.tellLimit(i, perSecond)
+// announceLimit announces which limit an upstream names, unless another VM has by then.
+func (f *Forwarder) announceLimit(i upstream.Incarnation) {
+	time.AfterFunc(rand.N(maxAnnounceDelay), func() {
+		if perSecond, due := f.upstreams.TakeLimitToAnnounce(i); due {
+			f.fleet.announceLimit(i, perSecond)
 		}
 	})
 }
@@ -185,8 +185,8 @@
 	reads := readlimit.New(readBytes)
 	f.upstreams, err = upstream.New(upstream.Options{
 		VM: f.node.Name(), Zone: f.s.Zone, Mechanisms: mechanism.New(f.s.Experiment), VMs: f.fleet.size, Members: f.fleet.names,
-		Share: f.connectionShare, MayPreconnect: f.fleet.converged, ManifestOnly: true, Headers: platform.UpstreamHeaders, OnLeaving: f.tellLeaving,
-		OnReach: f.fleet.setReached, Senders: f.limitSenders, OnLimit: f.tellLimit, DialIP: dialIP, DialPortOffset: portOffset, Reads: reads, Log: f.log, Registerer: f.registry,
+		Share: f.connectionShare, MayPreconnect: f.fleet.converged, ManifestOnly: true, Headers: platform.UpstreamHeaders, OnLeaving: f.announceLeaving,
+		OnReach: f.fleet.setReached, Senders: f.limitSenders, OnLimit: f.announceLimit, DialIP: dialIP, DialPortOffset: portOffset, Reads: reads, Log: f.log, Registerer: f.registry,
 	})
 	if err != nil {
 		return err
--- a/internal/daemon/upstreamfacts.go
+++ b/internal/daemon/upstreamfacts.go
@@ -18,13 +18,13 @@
 	leavingUpstreamTTL = 30 * time.Second
 	// limitPrefix starts the key of the fact by which a VM states which limit an upstream, whose
 	// address follows, names in its replies. The value is its incarnation and the limit. limitTTL is
-	// longer than the time after which a limit that lasts is told again.
+	// longer than the time after which a limit that lasts is announced again.
 	limitPrefix = "limit/"
 	limitTTL    = time.Minute
 )
 
-// tellLeaving states to the fleet that an upstream leaves, unless another VM has.
-func (f *fleet) tellLeaving(i upstream.Incarnation) {
+// announceLeaving announces that an upstream leaves, unless another VM has.
+func (f *fleet) announceLeaving(i upstream.Incarnation) {
 	value := incarnationValue(i)
 	for _, fact := range f.node.Facts().List(leavingPrefix + i.Address) {
 		if fact.Key == leavingPrefix+i.Address && fact.Value == value {
@@ -66,8 +66,8 @@
 	}
 }
 
-// tellLimit states to the fleet which limit an upstream names; 0 for none.
-func (f *fleet) tellLimit(i upstream.Incarnation, perSecond float64) {
+// announceLimit announces which limit an upstream names; 0 for none.
+func (f *fleet) announceLimit(i upstream.Incarnation, perSecond float64) {
 	value := strconv.FormatFloat(perSecond, 'g', 4, 64) + " " + incarnationValue(i)
 	f.node.Facts().Put(limitPrefix+i.Address, value, limitTTL)
 }
--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -204,8 +204,8 @@
 }
 
 // recordTaken records what a VM may have sent that did not return the outcome of the request, and
-// reports whether another VM may run it. reply is set if that VM lost its path to the upstreams and
-// says what it used; else, only a search may run again, which is safe to run twice.
+// reports whether another VM may run it. reply is set if that VM lost its path to the upstreams, and
+// holds what it used; else, only a search may run again, which is safe to run twice.
 func (q *request) recordTaken(reply *gen.Delegated, track *sentTracker) bool {
 	switch {
 	case q.route.Sharded():
@@ -297,8 +297,8 @@
 
 // Handle runs a request that another VM delegates. It does not take a request that needs a
 // newer configuration, has no route or an unknown shard, arrives after StopAccepting or while this
-// VM reaches no upstream, or comes with a record of other shards, and no search while this VM is no
-// gatherer by what it knows itself.
+// VM reaches no upstream, or comes with a record of other shards, and no search while this VM's own view
+// of the fleet does not make it a gatherer.
 func (s *Server) Handle(ctx context.Context, from string, m *gen.Message) *gen.Message {
 	d := m.Delegate
 	if d == nil {
--- a/internal/forward/passon.go
+++ b/internal/forward/passon.go
@@ -35,8 +35,8 @@
 	return q.unknownIfSent(o)
 }
 
-// maxLimitTries is the number of VMs that are tried for a request that this one may not send. How much of
-// its share a VM has left, only that VM knows.
+// maxLimitTries is the number of VMs that are tried for a request that this one may not send. What a
+// VM has left of its share is not known to the others.
 const maxLimitTries = 4
 
 // passOnAtLimit passes a request to a single service on that did not run, if some of its upstreams name
--- a/internal/policy/ratelimit/ratelimit.go
+++ b/internal/policy/ratelimit/ratelimit.go
@@ -1,7 +1,7 @@
 // Package ratelimit divides the rate of requests that an upstream in need takes from all VMs
 // together. Each VM that may send to it gets an equal share, computed from the names of these VMs;
-// no message precedes a request. The limit is the fleet's, so a VM that the upstream told tells the
-// others, and the newest word counts, whichever VM heard it. Times must come from a clock that
+// no message precedes a request. The limit is the fleet's: a VM that gets a reply with a limit announces
+// it to the others, and the newest reply counts, whichever VM got it. Times must come from a clock that
 // advances while the VM is paused. The package is pure; the owner guards each State.
 package ratelimit
 
@@ -19,10 +19,10 @@
 	holderTime = time.Second
 	// burstTime is the time whose share a VM may send at once, if that is more than one request.
 	burstTime = 250 * time.Millisecond
-	// tellChange is the relative change of a limit that the fleet is told.
-	tellChange = 0.1
-	// tellInterval is how often the fleet is told a limit that lasts, for VMs that started since.
-	tellInterval = 20 * time.Second
+	// announceChange is the relative change of a limit that is announced.
+	announceChange = 0.1
+	// announceInterval is how often a limit that lasts is announced, for VMs that started since.
+	announceInterval = 20 * time.Second
 )
 
 // Share returns the requests a second that self may send to an upstream at address that takes
@@ -56,10 +56,11 @@
 // State is what one VM knows of the limit of one incarnation of an upstream, and how many requests
 // it may send there now. The zero value has no limit.
 type State struct {
-	perSecond float64       // 0 for none
-	heardAt   time.Duration // when a VM heard that from the upstream; 0 if none has
-	toldAt    time.Duration // when the fleet was told last
-	told      float64       // what it was told
+	perSecond   float64       // 0 for none
+	confirmedAt time.Duration // when a reply with perSecond arrived, or another VM announced it; 0 for none
+
+	announcedAt time.Duration // of the last announcement by any VM
+	announced   float64       // the limit in it
 
 	share      float64 // of this VM, in requests a second
 	tokens     float64
@@ -73,22 +74,22 @@
 func (s *State) Share() float64 { return s.share }
 
 // Replied records what the reply to a request that was sent at sentAt and replied to at now names:
-// a limit, or 0 for none. A reply to a request that was sent before the limit was last heard may be
-// older than that. It reports whether the limit changed by enough to tell the fleet.
+// a limit, or 0 for none. A reply to a request that was sent before the limit was last confirmed
+// may be older. It reports whether the limit changed by enough to announce it.
 func (s *State) Replied(sentAt, now time.Duration, perSecond float64) (changed bool) {
-	if perSecond == 0 && (s.perSecond == 0 || sentAt < s.heardAt) {
+	if perSecond == 0 && (s.perSecond == 0 || sentAt < s.confirmedAt) {
 		return false
 	}
 	return s.set(now, perSecond)
 }
 
-// Told records what another VM told the fleet at a time, and reports whether the limit changed by
-// enough to tell the fleet.
-func (s *State) Told(at time.Duration, perSecond float64) (changed bool) {
-	if at > s.toldAt {
-		s.toldAt, s.told = at, perSecond
+// Announced records the limit that another VM announced at a time, and reports whether the limit changed
+// by enough to announce it.
+func (s *State) Announced(at time.Duration, perSecond float64) (changed bool) {
+	if at > s.announcedAt {
+		s.announcedAt, s.announced = at, perSecond
 	}
-	if at <= s.heardAt {
+	if at <= s.confirmedAt {
 		return false
 	}
 	return s.set(at, perSecond)
@@ -96,28 +97,28 @@
 
 func (s *State) set(at time.Duration, perSecond float64) (changed bool) {
 	changed = differs(s.perSecond, perSecond)
-	s.perSecond, s.heardAt = perSecond, at
+	s.perSecond, s.confirmedAt = perSecond, at
 	return changed
 }
 
-// TellDue reports whether the fleet should be told at now what this VM knows.
-func (s *State) TellDue(now time.Duration) bool {
-	if differs(s.perSecond, s.told) {
+// AnnounceDue reports whether this VM should announce the limit at now.
+func (s *State) AnnounceDue(now time.Duration) bool {
+	if differs(s.perSecond, s.announced) {
 		return true
 	}
-	return s.perSecond > 0 && now-s.toldAt >= tellInterval
+	return s.perSecond > 0 && now-s.announcedAt >= announceInterval
 }
 
-// RecordTold records that this VM tells the fleet at now.
-func (s *State) RecordTold(now time.Duration) { s.toldAt, s.told = now, s.perSecond }
+// RecordAnnounced records that this VM announces the limit at now.
+func (s *State) RecordAnnounced(now time.Duration) { s.announcedAt, s.announced = now, s.perSecond }
 
-// differs reports whether two limits differ by enough to tell the fleet.
+// differs reports whether two limits differ by enough to announce the newer one.
 func differs(a, b float64) bool {
-	return (a == 0) != (b == 0) || math.Abs(a-b) > tellChange*max(a, b)
+	return (a == 0) != (b == 0) || math.Abs(a-b) > announceChange*max(a, b)
 }
 
 // SetShare sets the share of this VM at now, see Share. The first request of a share that begins may
-// be sent after a random part, phase, of the time that the share takes for one: the VMs learn of a
+// be sent after a random part, phase, of the time that the share takes for one: the VMs receive a
 // limit at about the same time.
 func (s *State) SetShare(now time.Duration, share, phase float64) {
 	s.refill(now)
--- a/internal/policy/reach/reach.go
+++ b/internal/policy/reach/reach.go
@@ -9,7 +9,7 @@
 import "time"
 
 const (
-	// silenceTime is how long nothing is heard from any upstream, though something was asked,
+	// silenceTime is how long no upstream replies, though something was sent to one,
 	// until the VM checks. A single slow reply causes a check at most.
 	silenceTime = 250 * time.Millisecond
 	// minFailedDials is the number of upstreams to which connections failed, without one that was
@@ -26,8 +26,8 @@
 // State is what one VM knows of its path to the upstreams. The zero value is that of a VM that has just
 // started: it counts as reaching them, and checks first.
 type State struct {
-	known   bool          // something was heard, or a check has ended
-	askedAt time.Duration // of the first request or connection since something was heard; 0 for none
+	known   bool          // an upstream replied, or a check has ended
+	askedAt time.Duration // of the first request or connection since an upstream replied; 0 for none
 	// failed holds when connections to upstreams failed, since one was opened.
 	failed    map[string]time.Duration
 	checkedAt time.Duration
@@ -43,12 +43,12 @@
 	}
 }
 
-// Heard records that an upstream replied, or ended a connection that had carried a reply.
-func (s *State) Heard() { s.known, s.askedAt = true, 0 }
+// Replied records that an upstream replied, or ended a connection that had carried a reply.
+func (s *State) Replied() { s.known, s.askedAt = true, 0 }
 
 // Connected records that a connection was opened.
 func (s *State) Connected() {
-	s.Heard()
+	s.Replied()
 	clear(s.failed)
 }
 
@@ -60,7 +60,7 @@
 	s.failed[address] = now
 }
 
-// Silent reports whether nothing has been heard for a while from the upstreams that were asked.
+// Silent reports whether none of the upstreams that were sent something has replied for a while.
 func (s *State) Silent(now time.Duration) bool {
 	return s.askedAt > 0 && now-s.askedAt >= silenceTime
 }
--- a/internal/policy/reach/reach_test.go
+++ b/internal/policy/reach/reach_test.go
@@ -20,7 +20,7 @@
 	var s reach.State
 	BeforeEach(func() {
 		s = reach.State{}
-		s.Heard()
+		s.Replied()
 	})
 	stranded := func() bool { is, _ := s.Stranded(); return is }
 
@@ -38,7 +38,7 @@
 	It("is not checked while replies arrive, nor while nothing is asked", func() {
 		for now := t0; now < t0+10*time.Second; now += 50 * ms {
 			s.Asked(now)
-			s.Heard()
+			s.Replied()
 			Expect(s.StartCheck(now)).To(BeFalse())
 		}
 		Expect(s.StartCheck(t0 + time.Hour)).To(BeFalse())
@@ -59,7 +59,7 @@
 		Expect(stranded()).To(BeFalse())
 	})
 
-	It("is lost if nothing is heard and a check fails, and back at the first check that connects", func() {
+	It("is lost if no upstream replies and a check fails, and back at the first check that connects", func() {
 		s.Asked(t0)
 		Expect(s.StartCheck(t0 + 200*ms)).To(BeFalse())
 		Expect(s.StartCheck(t0 + 250*ms)).To(BeTrue())
@@ -80,7 +80,7 @@
 		for i := range 3 {
 			Expect(s.StartCheck(t0)).To(BeFalse())
 			s.Asked(t0)
-			s.Heard()
+			s.Replied()
 			s.ConnectFailed(t0, fmt.Sprint("upstream-", i))
 			s.ConnectFailed(t0, fmt.Sprint("upstream-", i))
 		}
--- a/internal/upstream/backoff.go
+++ b/internal/upstream/backoff.go
@@ -73,7 +73,7 @@
 // Another upstream at the address speaks for itself only. Attempts that wait for a connection end
 // at once if they may not be sent any more.
 func (c *Client) recordReplyHead(s *server, resp *http.Response, sentAt time.Duration) {
-	c.path.heard()
+	c.path.replied()
 	s.recordReplied(c.opts.Now())
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		return
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -61,8 +61,8 @@
 	// Senders returns the VMs that may send requests to an upstream, this one included if it
 	// may; they share the limit that the upstream names. The default is Members.
 	Senders func(u *gen.Upstream) []string
-	// OnLimit is called when the fleet should be told of an upstream's limit: TakeLimitToTell
-	// then returns it, if no other VM has told it by then.
+	// OnLimit is called when an upstream's limit should be announced to the fleet: TakeLimitToAnnounce
+	// then returns it, if no other VM has announced it by then.
 	OnLimit func(Incarnation)
 	// OnReach is called when this VM has lost or regained its path to the upstreams.
 	OnReach func(reached bool)
--- a/internal/upstream/ratelimit.go
+++ b/internal/upstream/ratelimit.go
@@ -47,7 +47,7 @@
 }
 
 // recordLimit records the limit that the reply to a request sent at sentAt names, or that it names
-// none. A reply that the upstream did not make says nothing.
+// none. A reply that the upstream did not make is ignored.
 func (c *Client) recordLimit(s *server, h http.Header, sentAt time.Duration) {
 	if c.opts.Headers.Limit == "" || h.Get(c.opts.Headers.Signature) == "" && h.Get(c.opts.Headers.NotRun) == "" {
 		return
@@ -55,18 +55,18 @@
 	perSecond, now := c.parseLimit(h), c.opts.Now()
 	s.mu.Lock()
 	changed := s.rate.Replied(sentAt, now, perSecond)
-	tell := !s.tellingRate && s.rate.TellDue(now)
-	s.tellingRate = s.tellingRate || tell
+	announce := !s.announcingRate && s.rate.AnnounceDue(now)
+	s.announcingRate = s.announcingRate || announce
 	s.mu.Unlock()
 	if changed {
 		c.limitChanged(s, "itself")
 	}
-	if tell {
+	if announce {
 		c.opts.OnLimit(s.incarnation())
 	}
 }
 
-// limitChanged applies and logs a new limit of an upstream; source says who told.
+// limitChanged applies and logs a new limit of an upstream. source is "itself" or "peer".
 func (c *Client) limitChanged(s *server, source string) {
 	c.setRateShare(s)
 	s.mu.Lock()
@@ -137,9 +137,9 @@
 	return s
 }
 
-// TakeLimitToTell returns the limit of an upstream, 0 for none, for the fleet to be told of; false
-// if there is nothing to tell, because another VM has told it or the upstream is gone.
-func (c *Client) TakeLimitToTell(i Incarnation) (perSecond float64, due bool) {
+// TakeLimitToAnnounce returns the limit of an upstream to be announced, 0 for none; false if another VM
+// has announced it or the upstream is gone.
+func (c *Client) TakeLimitToAnnounce(i Incarnation) (perSecond float64, due bool) {
 	s := c.find(i)
 	if s == nil {
 		return 0, false
@@ -147,23 +147,23 @@
 	now := c.opts.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tellingRate = false
-	if !s.rate.TellDue(now) {
+	s.announcingRate = false
+	if !s.rate.AnnounceDue(now) {
 		return 0, false
 	}
-	s.rate.RecordTold(now)
+	s.rate.RecordAnnounced(now)
 	return s.rate.PerSecond(), true
 }
 
-// RecordPeerLimit records that another VM told the fleet, age ago, which limit an upstream names; 0
-// for none. It does nothing for another incarnation than the one published.
+// RecordPeerLimit records that another VM announced, age ago, which limit an upstream names; 0 for
+// none. It does nothing for another incarnation than the one published.
 func (c *Client) RecordPeerLimit(i Incarnation, perSecond float64, age time.Duration) {
 	s := c.find(i)
 	if s == nil {
 		return
 	}
 	s.mu.Lock()
-	changed := s.rate.Told(c.opts.Now()-age, perSecond)
+	changed := s.rate.Announced(c.opts.Now()-age, perSecond)
 	s.mu.Unlock()
 	if changed {
 		c.limitChanged(s, "peer")
--- a/internal/upstream/ratelimit_test.go
+++ b/internal/upstream/ratelimit_test.go
@@ -140,7 +140,7 @@
 		nameLimit(a, 4)
 		learn()
 		c.RecordPeerLimit(incarnation(a), 4.1, 0)
-		_, due := c.TakeLimitToTell(incarnation(a))
+		_, due := c.TakeLimitToAnnounce(incarnation(a))
 		Expect(due).To(BeFalse())
 		c.Apply(newManifest(entries(8)...))
 		limit, _ = limitOf(a)
@@ -150,7 +150,7 @@
 	It("tells that the limit has ended, and believes no reply that the upstream did not make", func() {
 		nameLimit(a, 4)
 		learn()
-		perSecond, due := c.TakeLimitToTell(incarnation(a))
+		perSecond, due := c.TakeLimitToAnnounce(incarnation(a))
 		Expect(due).To(BeTrue())
 		Expect(perSecond).To(Equal(4.0))
 		reply := func(h http.HandlerFunc) {
@@ -166,7 +166,7 @@
 		reply(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Signature", "s") })
 		limit, _ = limitOf(a)
 		Expect(limit).To(BeZero())
-		perSecond, due = c.TakeLimitToTell(incarnation(a))
+		perSecond, due = c.TakeLimitToAnnounce(incarnation(a))
 		Expect(due).To(BeTrue())
 		Expect(perSecond).To(BeZero())
 	})
--- a/internal/upstream/reach.go
+++ b/internal/upstream/reach.go
@@ -41,11 +41,11 @@
 	p.state.Asked(p.now())
 }
 
-// heard records that an upstream replied.
-func (p *pathState) heard() {
+// replied records that an upstream replied.
+func (p *pathState) replied() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state.Heard()
+	p.state.Replied()
 }
 
 // dialed records the result of a dial.
@@ -125,7 +125,7 @@
 	c.opts.OnReach(connected)
 }
 
-// endWaits ends the attempts that wait for a connection. With abort, nothing is heard on the open
+// endWaits ends the attempts that wait for a connection. With abort, nothing arrives on the open
 // connections either: they are reset, which ends the attempts on them, so that no byte that the
 // network holds up arrives later.
 func (c *Client) endWaits(abort bool) {
@@ -151,7 +151,7 @@
 }
 
 // reachesOther reports whether another upstream than s accepts a connection now, or there is none.
-// Otherwise a refused connection says nothing of s.
+// Otherwise a refused connection is no evidence about s.
 func (c *Client) reachesOther(ctx context.Context, s *server) bool {
 	sample := slices.DeleteFunc(c.reachSample(), func(address string) bool { return address == s.address })
 	return len(sample) == 0 || c.connectsToAny(context.WithoutCancel(ctx), sample)
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -34,7 +34,7 @@
 	backoff          backoff.State
 	rate             ratelimit.State
 	rateSent         recentSends
-	tellingRate      bool // OnLimit was called, and TakeLimitToTell was not
+	announcingRate   bool // OnLimit was called, and TakeLimitToAnnounce was not
 	latencies        histogram
 	probe            *probeCall // nil if none is under way
 	probedAt         time.Duration
