--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -12,6 +12,25 @@
 	"github.com/sardinespindle/sardinespindle/internal/policy/replica"
 )
 
+// Errors of Pick and PickPassThrough, besides WaitError; Do returns some of them with class NotSent.
+// Nothing was sent when one is returned. If the upstreams' reasons differ, ErrLimited takes
+// precedence, then WaitError; without them, any one is returned.
+var (
+	// ErrNoReplica: the manifest has no other upstream for the shard.
+	ErrNoReplica = errors.New("upstream: no replica")
+	// ErrDraining: the remaining upstreams are draining or say that they leave.
+	ErrDraining = errors.New("upstream: every replica is draining")
+	// ErrNoShare: this VM may open no connection to the remaining upstreams.
+	ErrNoShare = errors.New("upstream: no connection share")
+	// ErrNoHedgeTarget: the remaining upstreams are suspect, shed or queue requests, so that no
+	// hedge may go there.
+	ErrNoHedgeTarget = errors.New("upstream: no replica fit for a hedge")
+	// ErrUnreachable: this VM reaches no upstream, of any workload.
+	ErrUnreachable = errors.New("upstream: no upstream can be reached from this VM")
+	// ErrLimited: a remaining upstream is at its concurrency limit and no other is available.
+	ErrLimited = errors.New("upstream: every replica is at its limit")
+)
+
 // Ticket is a picked replica with a concurrency slot. Do uses it once, or Cancel
 // releases the slot.
 type Ticket struct {
