--- a/internal/policy/reach/reach.go
+++ b/internal/policy/reach/reach.go
@@ -6,7 +6,13 @@
 // State.
 package reach
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// silenceTime is how long no upstream replies, though something was sent to one,
@@ -110,19 +116,31 @@
 // Stranded reports whether the VM reaches no upstream, and since when that or the opposite holds.
 func (s *State) Stranded() (stranded bool, since time.Duration) { return s.stranded, s.since }
 
-// Sample returns the upstreams that a check tries to connect to, of those given in order of
-// preference with their zones: at most n, from as many zones as there are.
-func Sample(n int, addresses, zones []string) []string {
+// Candidate is an upstream that a check may try to connect to.
+type Candidate struct {
+	Address, Zone string
+	RepliedAt     time.Duration // 0 if it has not replied
+}
+
+// Sample returns the addresses of the upstreams that a check by vm tries to connect to, in this order:
+// at most n, from as many zones as there are, first those that replied last. VMs that have heard of
+// none, as after the start of a fleet, try different ones.
+func Sample(n int, vm string, all []Candidate) []string {
+	slices.SortFunc(all, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(b.RepliedAt, a.RepliedAt), cmp.Compare(weight(vm, a.Address), weight(vm, b.Address)))
+	})
 	var out, rest []string
 	seen := map[string]bool{}
-	for i, a := range addresses {
-		if !seen[zones[i]] {
-			seen[zones[i]] = true
-			out = append(out, a)
+	for _, c := range all {
+		if !seen[c.Zone] {
+			seen[c.Zone] = true
+			out = append(out, c.Address)
 		} else {
-			rest = append(rest, a)
+			rest = append(rest, c.Address)
 		}
 	}
 	out = append(out, rest...)
 	return out[:min(n, len(out))]
 }
+
+func weight(vm, address string) uint64 { return xxhash.Sum64String(vm + "\x00" + address) }
--- a/internal/policy/reach/reach_test.go
+++ b/internal/policy/reach/reach_test.go
@@ -103,10 +103,28 @@
 		}
 	})
 
-	It("is checked at upstreams of several zones", func() {
-		addresses := []string{"a1", "a2", "a3", "b1", "c1", "a4"}
-		zones := []string{"a", "a", "a", "b", "c", "a"}
-		Expect(reach.Sample(4, addresses, zones)).To(Equal([]string{"a1", "b1", "c1", "a2"}))
-		Expect(reach.Sample(4, addresses[:1], zones[:1])).To(Equal([]string{"a1"}))
+	It("is checked at upstreams of several zones, first those that replied last", func() {
+		var all []reach.Candidate
+		for i, address := range []string{"a1", "a2", "a3", "b1", "c1", "a4"} {
+			all = append(all, reach.Candidate{Address: address, Zone: address[:1], RepliedAt: t0 - time.Duration(i)*ms})
+		}
+		Expect(reach.Sample(4, "vm", all)).To(Equal([]string{"a1", "b1", "c1", "a2"}))
+		Expect(reach.Sample(4, "vm", all[:1])).To(Equal([]string{"a1"}))
+	})
+
+	// Load pattern: a fleet starts at once, or most VMs have no requests of their own and are warned.
+	It("is checked by many VMs without replies at different upstreams", func() {
+		const vms, upstreams = 300, 50
+		var all []reach.Candidate
+		for i := range upstreams {
+			all = append(all, reach.Candidate{Address: fmt.Sprintf("10.0.0.%02d:80", i), Zone: fmt.Sprint("zone-", i%5)})
+		}
+		first := map[string]int{}
+		for i := range vms {
+			first[reach.Sample(4, fmt.Sprint("vm-", i), all)[0]]++
+		}
+		for address, n := range first {
+			Expect(n).To(BeNumerically("<=", 4*vms/upstreams), address)
+		}
 	})
 })
--- a/internal/upstream/reach.go
+++ b/internal/upstream/reach.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -166,24 +165,13 @@
 
 // reachSample returns the addresses of upstreams to check, first those that replied last.
 func (c *Client) reachSample() []string {
-	type candidate struct {
-		address, zone string
-		repliedAt     time.Duration
-	}
-	var all []candidate
+	var all []reach.Candidate
 	for address, s := range c.current.Load().servers {
 		s.mu.Lock()
-		all = append(all, candidate{address, string(s.entry.Zone), s.repliedAt})
+		all = append(all, reach.Candidate{Address: address, Zone: string(s.entry.Zone), RepliedAt: s.repliedAt})
 		s.mu.Unlock()
 	}
-	slices.SortFunc(all, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.repliedAt, a.repliedAt), cmp.Compare(a.address, b.address))
-	})
-	addresses, zones := make([]string, len(all)), make([]string, len(all))
-	for i, x := range all {
-		addresses[i], zones[i] = x.address, x.zone
-	}
-	return reach.Sample(checkSample, addresses, zones)
+	return reach.Sample(checkSample, c.opts.VM, all)
 }
 
 // connectsToAny reports whether any of the addresses accepts a connection within checkTimeout.
