--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -72,8 +72,9 @@
 	shardLimit atomic.Int64 // lowest connection limit of the upstreams of shards; 0 if unknown
 	view       atomic.Pointer[fleetView]
 
-	stranded         *ownState // this VM reaches no upstream
-	storeUnreachable *ownState // the store does not reply to this VM
+	stranded         *ownState       // this VM reaches no upstream
+	onStranded       func(vm string) // another VM has lost its path to the upstreams; set before run
+	storeUnreachable *ownState       // the store does not reply to this VM
 
 	announceMu sync.Mutex // guards number
 	number     int        // of this VM's last announcement
@@ -96,7 +97,7 @@
 
 func newFleet(node *peer.Node, self delegate.VM, port uint16, seeds []settings.Address) *fleet {
 	f := &fleet{
-		node: node, self: self, port: port, started: clock.Boot(),
+		node: node, self: self, port: port, started: clock.Boot(), onStranded: func(string) {},
 		stranded:         &ownState{node: node, prefix: strandedPrefix, ttl: strandedTTL},
 		storeUnreachable: &ownState{node: node, prefix: unreachablePrefix, ttl: unreachableTTL},
 	}
@@ -272,7 +273,12 @@
 	if v.runsSearches(f.self.Name) && len(v.gatherers[f.self.Zone]) == 0 {
 		v.gatherers[f.self.Zone] = []string{f.self.Name}
 	}
-	f.view.Store(v)
+	old := f.view.Swap(v)
+	for name, stranded := range v.stranded {
+		if stranded && name != f.self.Name && (old == nil || !old.stranded[name]) {
+			f.onStranded(name)
+		}
+	}
 }
 
 // runsSearches reports whether self runs searches: it is a gatherer and reaches upstreams.
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -191,6 +191,7 @@
 	if err != nil {
 		return err
 	}
+	f.fleet.onStranded = f.upstreams.WarnUnreached
 	f.fleet.watchLeaving(f.upstreams.RecordPeerLeaving)
 	f.fleet.watchLimits(f.upstreams.RecordPeerLimit)
 	engine := gather.New(gather.Options{
--- a/internal/policy/reach/reach.go
+++ b/internal/policy/reach/reach.go
@@ -27,6 +27,11 @@
 	// upstreams, checks cost connections; while it does not, requests are passed on.
 	checkInterval   = 400 * time.Millisecond
 	recheckInterval = 500 * time.Millisecond
+	// warningDelay is how long after a warning by another VM an upstream may reply until the VM checks:
+	// a VM with requests of its own needs no check. warnedCheckInterval is the least time from a check to
+	// one for a warning only: of many VMs that are cut off, each warns.
+	warningDelay        = 100 * time.Millisecond
+	warnedCheckInterval = time.Second
 )
 
 // State is what one VM knows of its path to the upstreams. The zero value is that of a VM that has just
@@ -36,6 +41,8 @@
 	askedAt time.Duration // of the first request or connection since an upstream replied; 0 for none
 	// failed holds when connections to upstreams failed, since one was opened.
 	failed    map[string]time.Duration
+	warnedAt  time.Duration // of the first warning since an upstream replied or a check ended; 0 for none
+	warnedBy  string        // the VM that gave that warning
 	checkedAt time.Duration
 	checking  bool
 	stranded  bool
@@ -50,7 +57,18 @@
 }
 
 // Replied records that an upstream replied, or ended a connection that had carried a reply.
-func (s *State) Replied() { s.known, s.askedAt = true, 0 }
+func (s *State) Replied() { s.known, s.askedAt, s.warnedAt, s.warnedBy = true, 0, 0, "" }
+
+// Warned records at now that another VM, by, has lost its path to the upstreams. A VM without requests
+// of its own would not notice that it has lost its path too.
+func (s *State) Warned(now time.Duration, by string) {
+	if s.warnedAt == 0 {
+		s.warnedAt, s.warnedBy = now, by
+	}
+}
+
+// WarnedBy returns the VM whose warning is not answered yet by a reply or a check; empty for none.
+func (s *State) WarnedBy() string { return s.warnedBy }
 
 // Connected records that a connection was opened.
 func (s *State) Connected() {
@@ -96,13 +114,18 @@
 			delete(s.failed, address)
 		}
 	}
-	return !s.known || s.Silent(now) || len(s.failed) >= minFailedDials
+	return !s.known || s.Silent(now) || len(s.failed) >= minFailedDials || s.warned(now)
+}
+
+// warned reports whether a warning is due to be checked.
+func (s *State) warned(now time.Duration) bool {
+	return s.warnedAt > 0 && now-s.warnedAt >= warningDelay && now-s.checkedAt >= warnedCheckInterval
 }
 
 // Checked records at now whether a check opened a connection. It reports whether the VM lost or
 // regained the upstreams by that.
 func (s *State) Checked(now time.Duration, connected bool) (changed bool) {
-	s.checking, s.known = false, true
+	s.checking, s.known, s.warnedAt, s.warnedBy = false, true, 0, ""
 	if connected {
 		s.Connected()
 	}
--- a/internal/policy/reach/reach_test.go
+++ b/internal/policy/reach/reach_test.go
@@ -127,4 +127,35 @@
 			Expect(n).To(BeNumerically("<=", 4*vms/upstreams), address)
 		}
 	})
+
+	// Load pattern: most VMs of a fleet are cut off at once; those without requests of their own are
+	// then chosen as gatherers.
+	It("is checked soon after another VM has lost its own, unless an upstream replies", func() {
+		s.Warned(t0, "other")
+		Expect(s.StartCheck(t0 + 50*ms)).To(BeFalse())
+		Expect(s.StartCheck(t0 + 100*ms)).To(BeTrue())
+		Expect(s.WarnedBy()).To(Equal("other"))
+		Expect(s.Checked(t0+400*ms, false)).To(BeTrue())
+		Expect(stranded()).To(BeTrue())
+		Expect(s.WarnedBy()).To(BeEmpty())
+
+		s = reach.State{}
+		s.Replied()
+		s.Warned(t0, "other")
+		s.Replied()
+		Expect(s.StartCheck(t0 + 100*ms)).To(BeFalse())
+	})
+
+	// Load pattern: VMs of a fleet lose their paths one after another, or raise false alarms for want of processor time.
+	It("is checked once a second at most for warnings", func() {
+		checks := 0
+		for now := t0; now < t0+10*time.Second; now += 20 * ms {
+			s.Warned(now, "other")
+			if s.StartCheck(now) {
+				checks++
+				Expect(s.Checked(now+5*ms, true)).To(BeFalse())
+			}
+		}
+		Expect(checks).To(BeNumerically("~", 9, 1))
+	})
 })
--- a/internal/upstream/reach.go
+++ b/internal/upstream/reach.go
@@ -64,6 +64,14 @@
 	}
 }
 
+// WarnUnreached records that another VM has lost its path to the upstreams: this VM checks its own, unless
+// an upstream replies soon.
+func (c *Client) WarnUnreached(vm string) {
+	c.path.mu.Lock()
+	defer c.path.mu.Unlock()
+	c.path.state.Warned(c.path.now(), vm)
+}
+
 func (p *pathState) startCheck() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -102,7 +110,7 @@
 	}
 	c.metrics.reachChecks.WithLabelValues(checkResult(connected)).Inc()
 	c.path.mu.Lock()
-	silent := c.path.state.Silent(c.path.now())
+	silent, warnedBy := c.path.state.Silent(c.path.now()), c.path.state.WarnedBy()
 	changed := c.path.state.Checked(c.path.now(), connected)
 	if changed {
 		c.path.stranded.Store(!connected)
@@ -112,7 +120,7 @@
 		return
 	}
 	if c.opts.Log != nil {
-		c.opts.Log.Warn("path to upstreams changed", "reached", connected, "silent", silent, "tried", sample)
+		c.opts.Log.Warn("path to upstreams changed", "reached", connected, "silent", silent, "warned_by", warnedBy, "tried", sample)
 	}
 	if connected {
 		c.metrics.reached.Set(1)
