--- a/internal/ctl/story.go
+++ b/internal/ctl/story.go
@@ -33,6 +33,7 @@
 var beliefs = []string{
 	pathChanged, "upstream names a limit", "upstream leaves", "upstream wants a pause",
 	"the store came back from a copy", "source lost", "following", "VM unreachable",
+	"gatherer role changed",
 }
 
 // beliefTime is how long before a request a change of a belief is printed with it. A lost path to the
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -74,6 +74,7 @@
 
 	stranded         *ownState       // this VM reaches no upstream
 	onStranded       func(vm string) // another VM has lost its path to the upstreams; set before run
+	onGatherer       func(is bool)   // this VM became a gatherer or ceased to be one; set before run
 	storeUnreachable *ownState       // the store does not reply to this VM
 
 	announceMu sync.Mutex // guards number
@@ -97,7 +98,7 @@
 
 func newFleet(node *peer.Node, self delegate.VM, port uint16, seeds []settings.Address) *fleet {
 	f := &fleet{
-		node: node, self: self, port: port, started: clock.Boot(), onStranded: func(string) {},
+		node: node, self: self, port: port, started: clock.Boot(), onStranded: func(string) {}, onGatherer: func(bool) {},
 		stranded:         &ownState{node: node, prefix: strandedPrefix, ttl: strandedTTL},
 		storeUnreachable: &ownState{node: node, prefix: unreachablePrefix, ttl: unreachableTTL},
 	}
@@ -274,6 +275,9 @@
 		v.gatherers[f.self.Zone] = []string{f.self.Name}
 	}
 	old := f.view.Swap(v)
+	if old != nil && old.isGatherer != v.isGatherer {
+		f.onGatherer(v.isGatherer)
+	}
 	for name, stranded := range v.stranded {
 		if stranded && name != f.self.Name && (old == nil || !old.stranded[name]) {
 			f.onStranded(name)
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -65,7 +65,9 @@
 	f := &Forwarder{
 		s: s, log: l, incarnation: uuid.NewString()[:incarnationChars], started: clock.Boot(), registry: prometheus.NewRegistry(),
 	}
-	f.registry.MustRegister(collectors.NewGoCollector())
+	f.registry.MustRegister(collectors.NewGoCollector(), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "spindle_gatherer", Help: "1 if this VM runs searches for the fleet.",
+	}, f.gathererGauge))
 	if err := f.wireFleet(); err != nil {
 		return nil, err
 	}
@@ -125,6 +127,21 @@
 	})
 }
 
+// gathererGauge returns 1 if this VM is a gatherer, else 0.
+func (f *Forwarder) gathererGauge() float64 {
+	if _, is := f.fleet.gathererCount(); is {
+		return 1
+	}
+	return 0
+}
+
+// gathererChanged applies and logs that this VM became a gatherer or ceased to be one.
+func (f *Forwarder) gathererChanged(is bool) {
+	f.upstreams.SharesChanged()
+	n, _ := f.fleet.gathererCount()
+	f.log.Info("gatherer role changed", "gatherer", is, "gatherers", n, "vms", f.fleet.liveCount())
+}
+
 // limitSenders returns the VMs that may send requests to an upstream and share its limit.
 func (f *Forwarder) limitSenders(u *gen.Upstream) []string {
 	v := f.fleet.view.Load()
@@ -191,7 +208,7 @@
 	if err != nil {
 		return err
 	}
-	f.fleet.onStranded = f.upstreams.WarnUnreached
+	f.fleet.onStranded, f.fleet.onGatherer = f.upstreams.WarnUnreached, f.gathererChanged
 	f.fleet.watchLeaving(f.upstreams.RecordPeerLeaving)
 	f.fleet.watchLimits(f.upstreams.RecordPeerLimit)
 	engine := gather.New(gather.Options{
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -123,7 +123,8 @@
 	transport *http.Transport
 	path      pathState
 
-	applyMu      sync.Mutex // held while a manifest is applied or shares are set
+	sharesDue    chan struct{} // holds an element if the connection shares must be set at once
+	applyMu      sync.Mutex    // held while a manifest is applied or shares are set
 	current      atomic.Pointer[table]
 	probeSlots   chan struct{} // bounds background probes
 	routeLatency *sharded.Map[string, forecast.TypicalLatency]
@@ -178,6 +179,7 @@
 		dialer:       dialer,
 		transport:    newTransport(o.Now, dialer),
 		path:         pathState{now: o.Now, doubt: make(chan struct{}, 1)},
+		sharesDue:    make(chan struct{}, 1),
 		probeSlots:   make(chan struct{}, maxProbes),
 		routeLatency: sharded.New[string, forecast.TypicalLatency](maxRoutes),
 		rules: rules{
@@ -337,19 +339,35 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-c.sharesDue:
+			c.updateShares()
+			continue
 		case <-tick.C:
 		}
 		now := c.opts.Now()
 		if now-sharedAt >= shareInterval {
 			sharedAt = now
-			c.applyMu.Lock()
-			c.setShares(c.current.Load())
-			c.applyMu.Unlock()
+			c.updateShares()
 		}
 		c.maintain(ctx, now)
 	}
 }
 
+// SharesChanged has the connection shares set at once: Options.Share allows this VM to open connections
+// that it could not open before, or the reverse.
+func (c *Client) SharesChanged() {
+	select {
+	case c.sharesDue <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Client) updateShares() {
+	c.applyMu.Lock()
+	defer c.applyMu.Unlock()
+	c.setShares(c.current.Load())
+}
+
 // warmProbability is the probability that a pool is warmed in one tick. It spreads the
 // dials of a VM that starts.
 const warmProbability = 0.5
