--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/clock"
 	"github.com/sardinespindle/sardinespindle/internal/forward"
 	"github.com/sardinespindle/sardinespindle/internal/gather"
+	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/mechanism"
 	"github.com/sardinespindle/sardinespindle/internal/pause"
 	"github.com/sardinespindle/sardinespindle/internal/peer"
@@ -231,7 +233,7 @@
 		LinkMbps:  f.s.Fleet.LinkMbps,
 		Zone:      f.s.Zone,
 		Gatherers: f.fleet.gatherers,
-		Reach:     f.fleet.reach, LimitHolders: f.upstreams.LimitHolders,
+		Reach:     f.fleet.reach, Holders: f.holders,
 		Peers:      f.node,
 		ReportLost: f.reportLost,
 		Now:        clock.Boot,
@@ -255,6 +257,29 @@
 	return connbudget.Connections(u.ConnectionLimit, f.fleet.size(), u.Address, f.node.Name(), f.fleet.names())
 }
 
+// holders returns the other VMs that may send requests to upstreams of a single service that this one may
+// not send to: they hold a share of a limit, or this VM has no connection to any and they have.
+func (f *Forwarder) holders(w *manifest.Workload) []string {
+	return append(f.upstreams.LimitHolders(w), f.connectionHolders(w)...)
+}
+
+// connectionHolders returns the VMs that hold connections to upstreams of a single service, if these accept
+// so few that this VM holds none.
+func (f *Forwarder) connectionHolders(w *manifest.Workload) []string {
+	if f.isShard(string(w.Name)) {
+		return nil
+	}
+	var out []string
+	for _, u := range w.Upstreams {
+		if f.connectionShare(u) > 0 {
+			return nil
+		}
+		out = append(out, connbudget.Holders(u.ConnectionLimit, f.fleet.size(), u.Address, f.fleet.names())...)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // senderCount returns how many VMs send requests to a service: the gatherers if it has
 // shards, else all.
 func (f *Forwarder) senderCount(service string) int {
--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -111,7 +111,7 @@
 		return o
 	}
 	o := s.passOnUnreached(ctx, q, p, q.unknownIfSent(s.run(ctx, q, p)))
-	return s.passOnAtLimit(ctx, q, p, o)
+	return s.passOnToHolders(ctx, q, p, o)
 }
 
 // delegate delegates a request to up to maxDelegations VMs in turn; done is false if it runs here.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -90,10 +90,10 @@
 	Gatherers func() (byZone map[string][]string, self bool)
 	// Reach returns which VMs reach upstreams. Nil if all do.
 	Reach func() Reach
-	// LimitHolders returns the other VMs that may send requests to upstreams of a workload that
-	// name a limit; may be nil.
-	LimitHolders func(w *manifest.Workload) []string
-	Peers        Peers
+	// Holders returns the other VMs that may send requests to upstreams of a workload to which this one
+	// may not send some or any: they name a limit, or accept few connections. It may be nil.
+	Holders func(w *manifest.Workload) []string
+	Peers   Peers
 	// ReportLost states to the fleet that a VM is unreachable; may be nil.
 	ReportLost func(vm string)
 	Now        func() time.Duration
@@ -123,8 +123,8 @@
 	if o.Reach == nil {
 		o.Reach = func() Reach { return Reach{Reached: true} }
 	}
-	if o.LimitHolders == nil {
-		o.LimitHolders = func(*manifest.Workload) []string { return nil }
+	if o.Holders == nil {
+		o.Holders = func(*manifest.Workload) []string { return nil }
 	}
 	if o.Reads == nil {
 		o.Reads = readlimit.New(defaultReadBytes)
--- a/internal/forward/passon.go
+++ b/internal/forward/passon.go
@@ -35,21 +35,21 @@
 	return q.unknownIfSent(o)
 }
 
-// maxLimitTries is the number of VMs that are tried for a request that this one may not send. What a
-// VM has left of its share is not known to the others.
-const maxLimitTries = 4
+// maxHolderTries is the number of VMs that are tried for a request that this one may not send. What a
+// VM has left of its share of a limit is not known to the others.
+const maxHolderTries = 4
 
-// passOnAtLimit passes a request to a single service on that did not run, if some of its upstreams name
-// limits that other VMs hold. It returns the outcome of any other request, and of one that those VMs
+// passOnToHolders passes a request to a single service on that did not run, if other VMs hold limits of, or
+// connections to, its upstreams. It returns the outcome of any other request, and of one that those VMs
 // can't send either.
-func (s *Server) passOnAtLimit(ctx context.Context, q *request, p *upstream.PassThroughRequest, o outcome.Outcome) outcome.Outcome {
+func (s *Server) passOnToHolders(ctx context.Context, q *request, p *upstream.PassThroughRequest, o outcome.Outcome) outcome.Outcome {
 	lacksUpstream := o.Kind == caller.OutcomeNotRun && (o.Reason == outcome.NoUpstream || o.Reason == outcome.Overloaded)
 	if !lacksUpstream || q.route.Sharded() || q.delegated || s.o.Peers == nil {
 		return o
 	}
-	holders := s.limitHolders(q.service, q.catalog)
+	holders := s.holders(q.service, q.catalog)
 	last := o
-	for tries := 0; tries < maxLimitTries && q.recordUsed(&last); tries++ {
+	for tries := 0; tries < maxHolderTries && q.recordUsed(&last); tries++ {
 		vm, ok := s.peers.acquire(holders, q.tried, s.o.Now())
 		if !ok {
 			break
@@ -66,14 +66,13 @@
 	return q.unknownIfSent(o)
 }
 
-// limitHolders returns the other VMs that may send requests to upstreams of a service that name a limit,
-// and reach upstreams.
-func (s *Server) limitHolders(service string, c *catalog.Catalog) []string {
+// holders returns the Holders of a service that reach upstreams.
+func (s *Server) holders(service string, c *catalog.Catalog) []string {
 	workload := c.Manifest.Workloads[service]
 	if workload == nil {
 		return nil
 	}
-	holders := s.o.LimitHolders(workload)
+	holders := s.o.Holders(workload)
 	if len(holders) == 0 {
 		return nil
 	}
--- a/internal/forward/unreached_test.go
+++ b/internal/forward/unreached_test.go
@@ -149,7 +149,7 @@
 	// Attempts that upstreams turn away count against maxAttempts and the budget too.
 	It("passes a request on to VMs that hold limits while upstreams turned away fewer attempts than it may make", func() {
 		reached = true
-		s.o.LimitHolders = func(*manifest.Workload) []string { return []string{"vm-1", "vm-3", "gone"} }
+		s.o.Holders = func(*manifest.Workload) []string { return []string{"vm-1", "vm-3", "gone"} }
 		local.o = outcome.NotRun(outcome.Overloaded, "refused", time.Second)
 		for sent, want := range []caller.Outcome{caller.OutcomeAnswered, caller.OutcomeAnswered, caller.OutcomeNotRun} {
 			others.asked, others.got = nil, nil
--- a/internal/policy/connbudget/connbudget.go
+++ b/internal/policy/connbudget/connbudget.go
@@ -62,10 +62,22 @@
 
 // Top returns the n members with the highest rendezvous weights for key, or all if there are fewer.
 func Top(key string, members []string, n int) []string {
-	ranked := slices.SortedFunc(slices.Values(members), func(a, b string) int {
-		return cmp.Or(cmp.Compare(weight(key, b), weight(key, a)), cmp.Compare(a, b))
+	type weighted struct {
+		name   string
+		weight uint64
+	}
+	ranked := make([]weighted, len(members))
+	for i, m := range members {
+		ranked[i] = weighted{m, weight(key, m)}
+	}
+	slices.SortFunc(ranked, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.name, b.name))
 	})
-	return ranked[:min(n, len(ranked))]
+	out := make([]string, min(n, len(ranked)))
+	for i := range out {
+		out[i] = ranked[i].name
+	}
+	return out
 }
 
 // Connections returns the connections that self may open to address: its Share or, where
@@ -85,6 +97,15 @@
 	return 0
 }
 
+// Holders returns the members for which Connections is above 0 at an upstream that accepts too few
+// connections for all; nil if it accepts enough, or if no member gets one.
+func Holders(limit, vms int, address string, members []string) []string {
+	if Share(limit, vms) > 0 || len(members) < vms {
+		return nil
+	}
+	return Top(address, members, MaxHolders(limit, len(members)))
+}
+
 // Highest returns the member with the highest rendezvous weight for key.
 func Highest(key string, members []string) string {
 	var best string
--- a/internal/policy/connbudget/connbudget_test.go
+++ b/internal/policy/connbudget/connbudget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -90,6 +91,30 @@
 		}
 	})
 
+	// Load pattern: an upstream accepts fewer connections than there are VMs, and all VMs get requests for it.
+	It("names the VMs that hold connections, if not all do", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			all := names(rapid.IntRange(2, 60).Draw(t, "vms"))
+			vms := len(all) + rapid.IntRange(0, 1).Draw(t, "unnamed")
+			limit := rapid.IntRange(1, 100).Draw(t, "limit")
+			var holding []string
+			for _, vm := range all {
+				if connbudget.Connections(limit, vms, "a", vm, all) > 0 {
+					holding = append(holding, vm)
+				}
+			}
+			if connbudget.Share(limit, vms) > 0 {
+				holding = nil
+			}
+			got := connbudget.Holders(limit, vms, "a", all)
+			slices.Sort(got)
+			slices.Sort(holding)
+			if !slices.Equal(got, holding) {
+				t.Fatalf("Holders %v, with connections %v", got, holding)
+			}
+		})
+	})
+
 	It("assumes DefaultFleetSize VMs while the VM list is unknown", func() {
 		Expect(connbudget.Connections(60, 0, "a", "vm-1", nil)).To(Equal(60 / 40))
 		Expect(connbudget.Connections(10, 40, "a", "vm-1", nil)).To(BeZero())
