--- a/internal/readlimit/readlimit.go
+++ b/internal/readlimit/readlimit.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 )
 
@@ -27,9 +28,13 @@
 	shareDivisor = 4
 )
 
+// chunk is a part of a long body that is being read.
+type chunk [freeBytes]byte
+
 // Budget bounds the memory of the reads under way beyond the first bytes of each.
 type Budget struct {
-	left atomic.Int64
+	left   atomic.Int64
+	chunks sync.Pool // of *chunk
 }
 
 // New returns a budget of a number of bytes.
@@ -53,10 +58,8 @@
 		size = min(length+1, freeBytes) // one more byte makes the read reach the end of the body
 	}
 	buf := make([]byte, 0, min(size, limit+1))
-	var taken int64
-	defer func() { b.left.Add(taken) }()
 	for {
-		n, err := r.Read(buf[len(buf):cap(buf)])
+		n, err := fill(r, buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		switch {
 		case int64(len(buf)) > limit:
@@ -65,18 +68,69 @@
 			return buf, nil
 		case err != nil:
 			return nil, err
-		case len(buf) < cap(buf):
-			continue
+		case len(buf) >= freeBytes:
+			return b.readLong(r, buf, limit)
+		}
+		buf = append(make([]byte, 0, min(2*int64(cap(buf)), freeBytes, limit+1)), buf...)
+	}
+}
+
+// fill reads until p is full or a read fails.
+func fill(r io.Reader, p []byte) (n int, err error) {
+	for n < len(p) && err == nil {
+		var read int
+		read, err = r.Read(p[n:])
+		n += read
+	}
+	return n, err
+}
+
+// readLong is ReadAll for a body that begins with head and is longer. It reads into chunks, which are used
+// again: larger and larger buffers of bodies that do not end would leave garbage faster than it is
+// collected.
+func (b *Budget) readLong(r io.Reader, head []byte, limit int64) ([]byte, error) {
+	var chunks []*chunk
+	size, granted, taken := int64(len(head)), int64(len(head)), int64(0)
+	defer func() {
+		b.left.Add(taken)
+		for _, c := range chunks {
+			b.chunks.Put(c)
 		}
-		grown := min(2*int64(cap(buf)), limit+1)
-		if n := max(grown-freeBytes, 0) - taken; n > 0 {
-			if !b.take(n, grown) {
-				return nil, fmt.Errorf("%w: no room for %d bytes", ErrNoMemory, grown)
+	}()
+	for {
+		if size >= granted {
+			granted = min(2*granted, limit+1)
+			n := max(granted-freeBytes, 0) - taken
+			if n > 0 && !b.take(n, granted) {
+				return nil, fmt.Errorf("%w: no room for %d bytes", ErrNoMemory, granted)
 			}
-			taken += n
+			taken += max(n, 0)
+		}
+		c, _ := b.chunks.Get().(*chunk)
+		if c == nil {
+			c = new(chunk)
 		}
-		buf = append(make([]byte, 0, grown), buf...)
+		chunks = append(chunks, c)
+		n, err := fill(r, c[:])
+		size += int64(n)
+		switch {
+		case size > limit:
+			return nil, fmt.Errorf("%w: over %d bytes", ErrTooLarge, limit)
+		case errors.Is(err, io.EOF):
+			return join(head, chunks, size), nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// join returns the first size bytes of head and the chunks, all of which are full but the last.
+func join(head []byte, chunks []*chunk, size int64) []byte {
+	body := append(make([]byte, 0, size), head...)
+	for _, c := range chunks {
+		body = append(body, c[:min(int64(len(c)), size-int64(len(body)))]...)
 	}
+	return body
 }
 
 // take takes n bytes for a read that then has size in all; false if that is too much of what is
