--- a/cmd/spindlebench/slopes.go
+++ b/cmd/spindlebench/slopes.go
@@ -41,10 +41,21 @@
 		}
 		return writeSlopes(*out, s)
 	})
-	page := app.Command("capacity", "Write the tables of the capacity page from measured slopes.")
+	page := app.Command("capacity", "Write the tables of the capacity page from the sweeps of the users' bench and from measured slopes.")
+	journal := page.Flag("journal", "Directory of the bench's journal, whose newest sweep of each site is used.").Default("journal").String()
+	sweeps := page.Flag("sweeps", "File in which the sweeps are kept.").Default("docs/sweeps.json").String()
 	from := page.Flag("slopes", "File with the slopes.").Default("docs/slopes.json").String()
 	to := page.Flag("page", "Page whose tables are written anew.").Default("docs/CAPACITY.md").String()
-	page.Action(func(*kingpin.ParseContext) error { return capacity.Rewrite(*from, *to) })
+	page.Action(func(*kingpin.ParseContext) error {
+		s, err := capacity.ImportSweeps(*journal)
+		if err != nil {
+			return err
+		}
+		if err := capacity.WriteSweeps(*sweeps, s); err != nil {
+			return err
+		}
+		return capacity.Rewrite(*from, *sweeps, *to)
+	})
 }
 
 func measure(seed uint64) (capacity.Slopes, error) {
--- a/internal/capacity/render.go
+++ b/internal/capacity/render.go
@@ -7,10 +7,13 @@
 	"strings"
 )
 
-// Markers around the generated part of the page.
+// Markers around the generated parts of the page: the tables of the product's own interface, from
+// slopes, and those of the users' platform, from sweeps.
 const (
 	beginMarker = "<!-- begin: spindlebench capacity -->"
 	endMarker   = "<!-- end: spindlebench capacity -->"
+	beginSweeps = "<!-- begin: sweeps -->"
+	endSweeps   = "<!-- end: sweeps -->"
 )
 
 // Load reads measured slopes from a JSON file.
@@ -26,23 +29,31 @@
 	return s, nil
 }
 
-// Rewrite replaces the tables between the markers of a page with tables computed from
-// the slopes in a file.
-func Rewrite(slopesFile, page string) error {
+// Rewrite replaces the tables between the markers of a page with tables computed from the slopes and
+// the sweeps in two files.
+func Rewrite(slopesFile, sweepsFile, page string) error {
 	s, err := Load(slopesFile)
 	if err != nil {
 		return err
 	}
+	sweeps, err := LoadSweeps(sweepsFile)
+	if err != nil {
+		return err
+	}
 	text, err := os.ReadFile(page)
 	if err != nil {
 		return err
 	}
-	before, rest, ok := strings.Cut(string(text), beginMarker)
-	_, after, found := strings.Cut(rest, endMarker)
-	if !ok || !found {
-		return fmt.Errorf("%s has no marks of generated tables", page)
+	tables := [][3]string{{beginMarker, Tables(s), endMarker}, {beginSweeps, SweepTables(sweeps), endSweeps}}
+	for _, t := range tables {
+		before, rest, ok := strings.Cut(string(text), t[0])
+		_, after, found := strings.Cut(rest, t[2])
+		if !ok || !found {
+			return fmt.Errorf("%s lacks %s or %s", page, t[0], t[2])
+		}
+		text = []byte(before + t[0] + "\n" + t[1] + t[2] + after)
 	}
-	return os.WriteFile(page, []byte(before+beginMarker+"\n"+Tables(s)+endMarker+after), 0o644)
+	return os.WriteFile(page, text, 0o644)
 }
 
 // Tables renders the generated part of the page.
