Tests of the daemon never get the same port twice

Cause: the test asked the kernel for a free port three times, closing the listener each time; the kernel may give the same one again.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -39,10 +38,8 @@
 
 // address returns a loopback address that is free now.
 func address() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+	const ip = "127.34.0.1"
+	return fmt.Sprintf("%s:%d", ip, testkit.FreePort(ip))
 }
 
 // publish commits a manifest to the platform. It has one single workload, which upstream
