--- a/review/_driver/config_cases.go
+++ b/review/_driver/config_cases.go
@@ -27,14 +27,14 @@
 	}
 }
 
-// startSearches starts the servers of 24 shards, half of them in each of two zones, and six machines in
-// three zones.
-func (c *cluster) startSearches(ctx context.Context, t topology, routes ...map[string]any) error {
+// startSearches starts the servers of the shards, half of them in each of two zones, and perZone machines
+// in each of three zones.
+func (c *cluster) startSearches(ctx context.Context, perZone int, t topology, routes ...map[string]any) error {
 	if err := c.addShards(t.shards, "zone-a", "zone-b"); err != nil {
 		return err
 	}
 	c.publish(routes...)
-	return c.startVMs(ctx, 2, "zone-a", "zone-b", "zone-c")
+	return c.startVMs(ctx, perZone, "zone-a", "zone-b", "zone-c")
 }
 
 // alternate has the operator add a route and remove it again, one change each changeInterval.
@@ -64,7 +64,7 @@
 	}
 	t := topology{shards: names("shard", 24), top: 20, least: 0.89}
 	routes := []map[string]any{searchRoute("browse", "/browse/", t)}
-	if err := c.startSearches(ctx, t, routes...); err != nil {
+	if err := c.startSearches(ctx, 2, t, routes...); err != nil {
 		return false, err
 	}
 	l := c.startLoad(ctx, searchClients, searchPause, search("/browse/index/"), func(*answer) {})
@@ -88,7 +88,7 @@
 	t := topology{shards: names("shard", 24), top: 20, least: 0.89}
 	quick := topology{shards: t.shards, top: 5, least: 0.75}
 	routes := []map[string]any{searchRoute("browse", "/browse/", t)}
-	if err := c.startSearches(ctx, t, routes...); err != nil {
+	if err := c.startSearches(ctx, 2, t, routes...); err != nil {
 		return false, err
 	}
 	judge := c.newJudge(func() []topology { return []topology{t, quick} })
@@ -100,19 +100,19 @@
 // Repartitions: the version that names the new shards comes repartitionDelay after their servers, and
 // the old servers drain once that version is due everywhere.
 const (
-	repartitions     = 8
+	repartitions     = 12
 	repartitionDelay = 3500 * time.Millisecond
 )
 
-// reshard has the index repartitioned by turns from 24 shards into 12 and from 12 into 24, each time on
-// new servers.
+// reshard has the index repartitioned by turns from 48 shards into 24 and from 24 into 48, each time on
+// new servers. Fifteen machines serve the searches.
 func reshard(ctx context.Context, c *cluster, trouble bool) (bool, error) {
 	topologyOf := func(n int) topology {
-		return topology{shards: names(fmt.Sprintf("set%d-", n), []int{24, 12}[n%2]), top: 20, least: 0.89}
+		return topology{shards: names(fmt.Sprintf("set%d-", n), []int{48, 24}[n%2]), top: 20, least: 0.89}
 	}
 	var mu sync.Mutex // guards sent
 	sent := []topology{topologyOf(0)}
-	if err := c.startSearches(ctx, sent[0], searchRoute("browse", "/browse/", sent[0])); err != nil {
+	if err := c.startSearches(ctx, 5, sent[0], searchRoute("browse", "/browse/", sent[0])); err != nil {
 		return false, err
 	}
 	judge := c.newJudge(func() []topology {
@@ -120,7 +120,7 @@
 		defer mu.Unlock()
 		return sent
 	})
-	l := c.startLoad(ctx, searchClients, searchPause, search("/browse/"), judge.judge)
+	l := c.startLoad(ctx, searchClients/2, searchPause, search("/browse/"), judge.judge)
 	for n := 1; n <= repartitions; n++ {
 		if !trouble {
 			sleep(ctx, repartitionDelay+configApply)
