Upstreams' load may have a fourth figure, the pace of their machine

Cause: a load header with four figures was dropped as malformed, so VMs knew no load of the upstreams of deployments that state the pace (100 as usual; 100, 160 and 250 seen). Change: three or four figures are read. The pace is taken out of the samples of slowness, wait and typical latency, and multiplies the expected latency for some 50 ms (half-life). Ruled out: a lasting weight by pace (the figure is over before the next request of the same VM).

--- a/internal/policy/forecast/forecast.go
+++ b/internal/policy/forecast/forecast.go
@@ -39,6 +39,11 @@
 	waitWeight = 0.5
 	// waitHalfLife is the time without samples in which the wait halves: queues drain.
 	waitHalfLife = 250 * time.Millisecond
+	// paceHalfLife is the time in which half of what a reply said about the pace is forgotten: the
+	// machines of upstreams change their pace many times a second.
+	paceHalfLife = 50 * time.Millisecond
+	// minPace and maxPace bound what a reply may say about the pace.
+	minPace, maxPace = 0.1, 10
 	// shedWeight is the weight of a new reply in the share of shed requests.
 	shedWeight = 0.25
 	// shedHalfLife is the time without replies in which that share halves.
@@ -96,6 +101,22 @@
 type Load struct {
 	Known                   bool
 	Running, Waiting, Slots int
+	// Pace is how long work takes on the upstream's machine at the moment, as a multiple of the usual
+	// time; 0 if the upstream does not say.
+	Pace float64
+}
+
+// AtUsualPace returns what a latency would have been at the usual pace of the upstream's machine.
+func (l Load) AtUsualPace(latency time.Duration) time.Duration {
+	return time.Duration(float64(latency) / l.pace())
+}
+
+// pace returns the pace, bounded; 1 if the upstream does not say.
+func (l Load) pace() float64 {
+	if !l.Known || l.Pace <= 0 {
+		return 1
+	}
+	return min(max(l.Pace, minPace), maxPace)
 }
 
 // Queued reports whether requests waited in the queue when the reply was sent.
@@ -110,12 +131,17 @@
 	waitAt      time.Duration
 	shedShare   float64 // share of requests that it sheds
 	shedShareAt time.Duration
+	logPace     float64 // logarithm of the pace in the last reply
+	paceAt      time.Duration
 }
 
 // Replied records a reply at now, after latency. typical is the typical latency of the kind
-// of request.
+// of request. The pace that the reply states is taken out of the samples: it is over long before the
+// estimates of slowness and wait are.
 func (s *Server) Replied(now, latency, typical time.Duration, l Load) {
 	s.sampleShed(now, 0)
+	s.logPace, s.paceAt = math.Log(l.pace()), now
+	latency = l.AtUsualPace(latency)
 	if !l.Queued() {
 		s.sampleSlowness(now, latency, typical)
 	}
@@ -168,7 +194,8 @@
 
 // ExpectedLatency returns the expected latency of a request sent at now.
 func (s *Server) ExpectedLatency(now, typical time.Duration) time.Duration {
-	return time.Duration(float64(typical)*math.Exp(s.logSlownessAt(now)) + s.expectedWait(now))
+	pace := s.logPace * decay(now-s.paceAt, paceHalfLife)
+	return time.Duration(float64(typical)*math.Exp(s.logSlownessAt(now)+pace) + s.expectedWait(now))
 }
 
 // InFlight describes the requests that one VM has in flight at an upstream.
--- a/internal/policy/forecast/forecast_test.go
+++ b/internal/policy/forecast/forecast_test.go
@@ -90,6 +90,26 @@
 		Expect(s.ExpectedLatency(20*time.Second, typical)).To(BeNumerically("<", 3*typical/2))
 	})
 
+	// Load pattern: upstreams share their machines, whose pace changes between usual, 1.6 and 2.5 times
+	// as slow many times a second.
+	It("expects a longer latency for some milliseconds after a reply that states a slow pace, and not longer", func() {
+		slow := forecast.Load{Known: true, Running: 1, Slots: 2, Pace: 2.5}
+		var s forecast.Server
+		for i := range 10 {
+			s.Replied(time.Duration(i)*300*ms, 5*typical/2, typical, slow)
+		}
+		Expect(s.ExpectedLatency(2701*ms, typical)).To(BeNumerically("~", 5*typical/2, typical/5))
+		Expect(s.ExpectedLatency(3000*ms, typical)).To(BeNumerically("<", 11*typical/10))
+	})
+
+	It("is not moved by an absurd pace", func() {
+		var s forecast.Server
+		s.Replied(0, typical, typical, forecast.Load{Known: true, Slots: 2, Pace: 1e9})
+		Expect(s.ExpectedLatency(0, typical)).To(BeNumerically("<=", 10*typical))
+		s.Replied(time.Second, typical, typical, forecast.Load{Known: true, Slots: 2, Pace: -1})
+		Expect(s.ExpectedLatency(time.Second, typical)).To(BeNumerically("~", typical, typical/2))
+	})
+
 	It("costs more while a request in flight is overdue, as in a pause", func() {
 		var s forecast.Server
 		s.Replied(0, typical, typical, free)
--- a/internal/upstream/pass.go
+++ b/internal/upstream/pass.go
@@ -34,8 +34,8 @@
 	Signature string
 	// NotRun is set on a reply to a request that the upstream did not run.
 	NotRun string
-	// Load is the upstream's running requests, waiting requests and slots, separated by
-	// commas.
+	// Load is the upstream's running requests, waiting requests and slots, separated by commas; a
+	// fourth figure is how long work takes on its machine at the moment, 100 as usual.
 	Load string
 	// Leaving is "1" on each reply of an upstream that is about to stop.
 	Leaving string
@@ -182,10 +182,10 @@
 // is false if it reports none.
 func (c *Client) passThroughLoad(h http.Header) forecast.Load {
 	fields := strings.Split(h.Get(c.opts.Headers.Load), ",")
-	if len(fields) != 3 {
+	if len(fields) != 3 && len(fields) != 4 {
 		return forecast.Load{}
 	}
-	var n [3]int
+	var n [4]int
 	for i, f := range fields {
 		v, err := strconv.Atoi(textproto.TrimString(f))
 		if err != nil || v < 0 || v > maxLoad {
@@ -193,7 +193,7 @@
 		}
 		n[i] = v
 	}
-	return forecast.Load{Known: true, Running: n[0], Waiting: n[1], Slots: n[2]}
+	return forecast.Load{Known: true, Running: n[0], Waiting: n[1], Slots: n[2], Pace: float64(n[3]) / 100}
 }
 
 // typicalLatency returns the estimated latency of a route at an upstream without a queue.
@@ -207,7 +207,7 @@
 func (c *Client) recordPassThrough(s *server, t *Ticket, a *Attempt, r *Result, now, sinceSent time.Duration) {
 	typical := c.typicalLatency(a.Route)
 	if r.Class == OK && !r.load.Queued() {
-		c.routeLatency.Update(a.Route, func(w *forecast.TypicalLatency) { w.Observe(now, sinceSent) })
+		c.routeLatency.Update(a.Route, func(w *forecast.TypicalLatency) { w.Observe(now, r.load.AtUsualPace(sinceSent)) })
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
