A catalog takes over what did not change since the one in force

Cause: each change of an entry compiled the whole catalog and set up every upstream anew. Change: compile reuses upstreams, workloads and zones that are the same, and the tables of the same configuration; upstream.Apply keeps the groups of unchanged workloads; the shares of upstreams without connections are not set again each second. Ruled out: longer intervals between catalogs (a drained upstream would be used longer).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -5,7 +5,6 @@
 package catalog
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -83,43 +82,88 @@
 const mapVersion = 1
 
 // compile builds the lookup tables. It omits draining upstreams, so they get no new
-// requests.
-func compile(c *Config, entries []Entry) *Catalog {
+// requests. What did not change since older, nil for none, is taken over from it: on a small VM
+// a whole compilation delays the requests that arrive meanwhile by tens of milliseconds.
+func compile(c *Config, entries []Entry, older *Catalog) *Catalog {
+	if older == nil {
+		older = &Catalog{Manifest: &manifest.Manifest{}}
+	}
 	m := &manifest.Manifest{
 		Generation: c.Version,
 		Workloads:  make(map[string]*manifest.Workload, len(c.Services)),
 		Upstreams:  make(map[string]*gen.Upstream, len(entries)),
 	}
-	limits := make(map[string]int, len(c.Services))
+	services := make(map[string]*serviceUpstreams, len(c.Services))
 	for _, s := range c.Services {
-		limits[s.Name] = s.ConnectionLimit
-		m.Workloads[s.Name] = &manifest.Workload{
-			Workload: gen.Workload{Name: gen.Name(s.Name), Kind: gen.WorkloadKindSingle},
-		}
+		services[s.Name] = &serviceUpstreams{connectionLimit: s.ConnectionLimit}
 	}
 	// An entry of a service that is not published names no upstream, and none ended because of it.
-	entries = slices.DeleteFunc(entries, func(e Entry) bool { return m.Workloads[e.Service] == nil })
+	entries = slices.DeleteFunc(entries, func(e Entry) bool { return services[e.Service] == nil })
 	for _, e := range latestPerAddress(entries) {
-		w := m.Workloads[e.Service]
 		if e.Draining {
 			continue
 		}
-		u := &gen.Upstream{
-			Address: e.Address, Identity: e.Identity, Zone: gen.Name(e.Zone),
-			Workload: gen.Name(e.Service), Slots: max(e.Slots, 1), ConnectionLimit: limits[e.Service], StartedMs: int(e.StartedUnixMs),
-		}
+		s := services[e.Service]
+		u := e.upstream(s.connectionLimit, older.Manifest.Upstreams[e.Address])
 		m.Upstreams[e.Address] = u
-		w.Upstreams = append(w.Upstreams, u)
+		s.upstreams = append(s.upstreams, u)
+	}
+	out := &Catalog{Config: c, Manifest: m, ServiceZones: make(map[string][]string, len(services))}
+	for name, s := range services {
+		m.Workloads[name], out.ServiceZones[name] = s.workload(name, older)
+	}
+	if c == older.Config {
+		out.Table, out.SearchWorkloads, out.ShardLimits = older.Table, older.SearchWorkloads, older.ShardLimits
+	} else {
+		out.Table, out.SearchWorkloads, out.ShardLimits = route.NewTable(c.Routes), searchWorkloads(c.Routes), shardLimits(c)
+	}
+	out.ZoneCoverage = zoneCoverage(c.Routes, out.ServiceZones)
+	return out
+}
+
+// serviceUpstreams collects the upstreams of a service.
+type serviceUpstreams struct {
+	connectionLimit int
+	upstreams       []*gen.Upstream
+}
+
+// workload returns the service's workload and the zones of its upstreams, those of older if the
+// upstreams are the same.
+func (s *serviceUpstreams) workload(name string, older *Catalog) (*manifest.Workload, []string) {
+	if w := older.Manifest.Workloads[name]; w != nil && slices.Equal(w.Upstreams, s.upstreams) {
+		return w, older.ServiceZones[name]
+	}
+	w := &manifest.Workload{
+		Workload: gen.Workload{Name: gen.Name(name), Kind: gen.WorkloadKindSingle}, Upstreams: s.upstreams,
 	}
-	return &Catalog{
-		Config: c, Table: route.NewTable(c.Routes), Manifest: m, SearchWorkloads: searchWorkloads(c.Routes),
-		ServiceZones: serviceZones(m), ZoneCoverage: zoneCoverage(c.Routes, m), ShardLimits: shardLimits(c.Routes, limits),
+	zones := make([]string, 0, len(s.upstreams))
+	for _, u := range s.upstreams {
+		zones = append(zones, string(u.Zone))
 	}
+	slices.Sort(zones)
+	return w, slices.Compact(zones)
 }
 
-func shardLimits(routes []*route.Route, limits map[string]int) map[string]int {
+// upstream returns the upstream of an entry: older, if it is the same, else a new one.
+func (e *Entry) upstream(connectionLimit int, older *gen.Upstream) *gen.Upstream {
+	slots, started := max(e.Slots, 1), int(e.StartedUnixMs)
+	if older != nil && older.Identity == e.Identity && string(older.Zone) == e.Zone && string(older.Workload) == e.Service &&
+		older.Slots == slots && older.ConnectionLimit == connectionLimit && older.StartedMs == started {
+		return older
+	}
+	return &gen.Upstream{
+		Address: e.Address, Identity: e.Identity, Zone: gen.Name(e.Zone), Workload: gen.Name(e.Service),
+		Slots: slots, ConnectionLimit: connectionLimit, StartedMs: started,
+	}
+}
+
+func shardLimits(c *Config) map[string]int {
+	limits := make(map[string]int, len(c.Services))
+	for _, s := range c.Services {
+		limits[s.Name] = s.ConnectionLimit
+	}
 	out := map[string]int{}
-	for _, r := range routes {
+	for _, r := range c.Routes {
 		for _, shard := range r.Shards {
 			out[shard] = limits[shard]
 		}
@@ -128,7 +172,7 @@
 }
 
 // zoneCoverage returns, by sharded route and zone, the share of shards with a replica there.
-func zoneCoverage(routes []*route.Route, m *manifest.Manifest) map[string]map[string]float64 {
+func zoneCoverage(routes []*route.Route, serviceZones map[string][]string) map[string]map[string]float64 {
 	out := make(map[string]map[string]float64)
 	for _, r := range routes {
 		if !r.Sharded() {
@@ -136,7 +180,7 @@
 		}
 		byZone := make(map[string]float64)
 		for _, shard := range r.Shards {
-			for zone := range zonesOf(m.Workloads[shard]) {
+			for _, zone := range serviceZones[shard] {
 				byZone[zone] += 1 / float64(len(r.Shards))
 			}
 		}
@@ -145,25 +189,6 @@
 	return out
 }
 
-func serviceZones(m *manifest.Manifest) map[string][]string {
-	out := make(map[string][]string, len(m.Workloads))
-	for name, w := range m.Workloads {
-		out[name] = slices.Sorted(maps.Keys(zonesOf(w)))
-	}
-	return out
-}
-
-func zonesOf(w *manifest.Workload) map[string]bool {
-	zones := map[string]bool{}
-	if w == nil {
-		return zones
-	}
-	for _, u := range w.Upstreams {
-		zones[string(u.Zone)] = true
-	}
-	return zones
-}
-
 // latestPerAddress drops each entry whose address a later entry uses: the upstream that
 // had the address before has ended, but its entry may stay in the store for a while.
 func latestPerAddress(entries []Entry) []Entry {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,9 +101,10 @@
 
 // group is the upstreams that serve one shard, or one workload.
 type group struct {
-	servers []*server
-	metrics *lazyMetrics
-	hedge   atomic.Pointer[hedgeDelay]
+	published []*gen.Upstream // from the manifest; what servers holds the state of
+	servers   []*server
+	metrics   *lazyMetrics
+	hedge     atomic.Pointer[hedgeDelay]
 }
 
 // table indexes one manifest's upstreams. It is immutable; what it points to is not.
@@ -210,11 +212,17 @@
 		if s == nil || s.identity != u.Identity || s.started != u.StartedMs {
 			s = c.newServer(u, len(old.servers) == 0)
 		}
-		s.update(u, next.zone(old, string(u.Zone)), string(u.Zone) == c.opts.Zone)
+		z := next.zone(old, string(u.Zone))
+		if s.published != u {
+			s.published = u
+			s.update(u, z, string(u.Zone) == c.opts.Zone)
+		}
 		next.servers[address] = s
 	}
 	for name, w := range m.Workloads {
-		next.addWorkload(w, c.metrics.lazyForWorkload(name))
+		if !next.keepWorkload(old, w) {
+			next.addWorkload(w, c.metrics.lazyForWorkload(name))
+		}
 	}
 	c.current.Store(next)
 	for address, s := range old.servers {
@@ -239,6 +247,18 @@
 	return z
 }
 
+// keepWorkload takes over the groups of a single workload from the previous table if its upstreams are
+// the same; it reports whether it did.
+func (t *table) keepWorkload(old *table, w *manifest.Workload) bool {
+	key := groupKey{workload: string(w.Name)}
+	g := old.groups[key]
+	if w.Sharded() || g == nil || !slices.Equal(g.published, w.Upstreams) {
+		return false
+	}
+	t.workloads[key.workload], t.groups[key] = old.workloads[key.workload], g
+	return true
+}
+
 // addWorkload adds the groups of one workload.
 func (t *table) addWorkload(w *manifest.Workload, m *lazyMetrics) {
 	name := string(w.Name)
@@ -254,7 +274,7 @@
 
 // group returns the group of the given upstreams.
 func (t *table) group(us []*gen.Upstream, m *lazyMetrics) *group {
-	g := &group{metrics: m}
+	g := &group{metrics: m, published: us}
 	for _, u := range us {
 		if s := t.servers[u.Address]; s != nil {
 			g.servers = append(g.servers, s)
@@ -310,6 +330,9 @@
 		} else {
 			share = connbudget.Connections(entry.ConnectionLimit, vms, s.address, c.opts.VM, members)
 		}
+		if share == 0 && s.pool.share.Load() == 0 && s.openGauge == nil {
+			continue // most upstreams, on a VM that is no gatherer
+		}
 		s.pool.setMaxOpen(share)
 		size := s.pool.size()
 		if size > 0 && s.openGauge == nil {
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -21,6 +21,8 @@
 	identity string // the name under which the upstream was published; empty for none
 	started  int    // when its process started, as published; 0 if not known
 	pool     *pool
+	// published is the upstream in the manifest; Client.applyMu guards it.
+	published *gen.Upstream
 	// openGauge counts open connections; nil until one was open. Client.applyMu guards it.
 	openGauge prometheus.Gauge
 
