A VM that has just started sheds no kind of request because of an estimate without samples

Cause: the expected latency of an upstream without samples was 25 ms whatever the objective. Change: without samples, an eighth of the route's objective is expected, 25 ms at most as before. Tests: forecast_test.go, failed before (25 ms of 40 ms). Ruled out: no shedding at all while an estimate has no samples (a queue would build up at upstreams that are slow).

--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -221,8 +221,11 @@
 // apply puts a catalog into force. The catalog is served last, so that no request uses it
 // before its upstreams are set up.
 func (f *Forwarder) apply(c *catalog.Catalog, change catalog.Change) {
-	f.catalog.Store(c)
+	old := f.catalog.Swap(c)
 	f.fleet.setShardLimits(c.ShardLimits)
+	if old == nil || old.Config != c.Config {
+		f.upstreams.SetObjectives(objectives(c.Config))
+	}
 	f.upstreams.Apply(c.Manifest)
 	f.fleet.eachLeaving(f.upstreams.RecordPeerLeaving) // facts may be older than the upstreams
 	f.fleet.eachLimit(f.upstreams.RecordPeerLimit)
@@ -234,6 +237,17 @@
 	}
 }
 
+// objectives returns the latency objectives of the routes that have one.
+func objectives(c *catalog.Config) map[string]time.Duration {
+	out := make(map[string]time.Duration, len(c.Routes))
+	for _, r := range c.Routes {
+		if r.Objective > 0 {
+			out[r.Name] = r.Objective
+		}
+	}
+	return out
+}
+
 // ready reports whether the VM takes new requests.
 func (f *Forwarder) ready() bool { return !f.stopping.Load() && f.served.Load() != nil }
 
--- a/internal/policy/forecast/forecast.go
+++ b/internal/policy/forecast/forecast.go
@@ -18,11 +18,14 @@
 	// The first initialSamples samples move the estimate by initialStep instead.
 	initialSamples = 30
 	initialStep    = 0.2
-	// initialEstimate is the estimate for a kind of request without samples. The first
-	// sample moves the estimate but does not replace it, as that sample may be an outlier.
+	// initialEstimate is the estimate for a kind of request without samples, or initialShare of its
+	// objective if that is less: a VM that has just started must not shed a kind of request because
+	// of an estimate that no sample supports. The first sample moves the estimate but does not
+	// replace it, as that sample may be an outlier.
 	initialEstimate = 25 * time.Millisecond
+	initialShare    = 0.125
 	// estimateHold is how long an estimate stays unchanged without samples. Then an estimate
-	// above initialEstimate decays: the logarithm of its ratio to initialEstimate is halved
+	// above the initial one decays: the logarithm of its ratio to that is halved
 	// every estimateHalfLife. Otherwise a VM that sheds all requests because of its estimate would
 	// get no samples to correct it.
 	estimateHold     = 2 * time.Second
@@ -65,6 +68,18 @@
 	estimate  float64 // ns
 	samples   int
 	sampledAt time.Duration
+	objective time.Duration // of the kind of request; 0 if it has none
+}
+
+// SetObjective sets the latency objective of the kind of request.
+func (w *TypicalLatency) SetObjective(d time.Duration) { w.objective = d }
+
+// initial returns the estimate without samples.
+func (w *TypicalLatency) initial() float64 {
+	if w.objective <= 0 {
+		return float64(initialEstimate)
+	}
+	return min(float64(initialEstimate), initialShare*float64(w.objective))
 }
 
 // Observe records the latency of a reply, at now, from an upstream that reported no queue.
@@ -88,13 +103,13 @@
 
 func (w *TypicalLatency) estimateAt(now time.Duration) float64 {
 	if w.samples == 0 {
-		return float64(initialEstimate)
+		return w.initial()
 	}
-	excess := math.Log(w.estimate / float64(initialEstimate))
+	excess := math.Log(w.estimate / w.initial())
 	if excess <= 0 {
 		return w.estimate
 	}
-	return float64(initialEstimate) * math.Exp(excess*decay(now-w.sampledAt-estimateHold, estimateHalfLife))
+	return w.initial() * math.Exp(excess*decay(now-w.sampledAt-estimateHold, estimateHalfLife))
 }
 
 // Load is the load that an upstream reported with a reply, in requests.
--- a/internal/policy/forecast/forecast_test.go
+++ b/internal/policy/forecast/forecast_test.go
@@ -33,6 +33,26 @@
 	})
 })
 
+// Load pattern: all VMs return from a loss of power, and requests with an objective of 40 ms, whose upstreams
+// take 3 ms, come at once. A gatherer that expected 25 ms of upstreams that it had never asked shed all of them.
+var _ = Describe("TypicalLatency of a kind of request without samples", func() {
+	It("leaves most of a short objective, and is no longer for a long one", func() {
+		var w forecast.TypicalLatency
+		w.SetObjective(40 * ms)
+		Expect(w.At(0)).To(BeNumerically("<=", 5*ms))
+		w.SetObjective(10 * time.Second)
+		Expect(w.At(0)).To(Equal(25 * ms))
+	})
+	It("is what a slow estimate falls back to", func() {
+		var w forecast.TypicalLatency
+		w.SetObjective(40 * ms)
+		for i := range 30 {
+			w.Observe(time.Duration(i)*ms, 2000*ms)
+		}
+		Expect(w.At(30 * time.Second)).To(BeNumerically("<", 6*ms))
+	})
+})
+
 // A VM that pauses for 2 s right after its start measures 2 s for its first requests. It
 // sheds requests that it expects to be late, so without decay it would get no further
 // samples and shed for ever (soak, seed 13).
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -130,6 +130,7 @@
 	current      atomic.Pointer[table]
 	probeSlots   chan struct{} // bounds background probes
 	routeLatency *sharded.Map[string, forecast.TypicalLatency]
+	objectives   atomic.Pointer[map[string]time.Duration] // by route; nil until SetObjectives
 }
 
 // maxRoutes bounds the routes whose typical latency is stored.
--- a/internal/upstream/pass.go
+++ b/internal/upstream/pass.go
@@ -196,18 +196,33 @@
 	return forecast.Load{Known: true, Running: n[0], Waiting: n[1], Slots: n[2], Pace: float64(n[3]) / 100}
 }
 
+// SetObjectives sets the latency objectives of routes, by name; they bound what is expected of an upstream
+// before the first replies.
+func (c *Client) SetObjectives(byRoute map[string]time.Duration) { c.objectives.Store(&byRoute) }
+
 // typicalLatency returns the estimated latency of a route at an upstream without a queue.
 func (c *Client) typicalLatency(route string) (d time.Duration) {
-	c.routeLatency.Update(route, func(w *forecast.TypicalLatency) { d = w.At(c.opts.Now()) })
+	c.updateTypicalLatency(route, func(w *forecast.TypicalLatency) { d = w.At(c.opts.Now()) })
 	return d
 }
 
+func (c *Client) updateTypicalLatency(route string, fn func(*forecast.TypicalLatency)) {
+	var objective time.Duration
+	if byRoute := c.objectives.Load(); byRoute != nil {
+		objective = (*byRoute)[route]
+	}
+	c.routeLatency.Update(route, func(w *forecast.TypicalLatency) {
+		w.SetObjective(objective)
+		fn(w)
+	})
+}
+
 // recordPassThrough records the result of a pass-through request; sinceSent is the time
 // since the request's first byte.
 func (c *Client) recordPassThrough(s *server, t *Ticket, a *Attempt, r *Result, now, sinceSent time.Duration) {
 	typical := c.typicalLatency(a.Route)
 	if r.Class == OK && !r.load.Queued() {
-		c.routeLatency.Update(a.Route, func(w *forecast.TypicalLatency) { w.Observe(now, r.load.AtUsualPace(sinceSent)) })
+		c.updateTypicalLatency(a.Route, func(w *forecast.TypicalLatency) { w.Observe(now, r.load.AtUsualPace(sinceSent)) })
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
