First seconds after a loss of power: gatherers connect at once, and requests wait for the first catalog

Cause: gatherers opened no connection ahead of need in their first second, so the first searches waited for 135 dials each; VMs that had no catalog yet refused every request, and callers with a deadline of 250 ms had no time left to resend it. Ruled out: early connections where all known VMs are alike (more of them than the upstreams' connections allow).

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -93,6 +93,7 @@
 	gatherers     map[string][]string
 	gathererCount int                 // number of gatherers, this VM counted if it is one
 	isGatherer    bool                // whether this VM is a gatherer
+	showsAble     bool                // see delegate.ShowsAble
 	others        map[string][]string // live VMs that reach upstreams, by zone, without this one
 	zoneVMs       int                 // number of live VMs in this VM's zone
 	stranded      map[string]bool     // VMs that reach no upstream
@@ -269,6 +270,7 @@
 	gatherers = delegate.AddByVersion(gatherers, v.vms, reaching)
 	v.gathererCount = len(gatherers)
 	v.isGatherer = slices.ContainsFunc(gatherers, func(vm delegate.VM) bool { return vm.Name == f.self.Name })
+	v.showsAble = delegate.ShowsAble(f.self, v.vms, gatherers)
 	v.mayGather = f.mayGather(v.vms, lost, gatherers, limit)
 	gatherers = slices.DeleteFunc(gatherers, func(vm delegate.VM) bool { return v.stranded[vm.Name] || !vm.ByVersion })
 	v.gatherers = namesByZone(gatherers, f.self.Name)
@@ -340,8 +342,10 @@
 	return connbudget.DefaultFleetSize
 }
 
-// converged reports whether this VM has had time to learn of the others.
-func (f *fleet) converged() bool { return clock.Boot()-f.started >= convergeTime }
+// converged reports whether this VM knows enough of the others to open connections ahead of need.
+func (f *fleet) converged() bool {
+	return clock.Boot()-f.started >= convergeTime || f.view.Load().showsAble
+}
 
 // names returns the VMs that may be alive, this one included.
 func (f *fleet) names() []string { return f.view.Load().names }
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,6 +46,9 @@
 	stopping    atomic.Bool
 	catalog     atomic.Pointer[catalog.Catalog] // in force; determines shares of connections
 	served      atomic.Pointer[catalog.Catalog] // the catalog whose upstreams are set up; used by requests
+	// firstCatalog is closed once served is set, or maxStartWait after the start; see endStart.
+	firstCatalog chan struct{}
+	endStart     func()
 
 	node      *peer.Node
 	fleet     *fleet
@@ -63,7 +67,9 @@
 func NewForwarder(s *settings.Settings, l *log.Logger) (*Forwarder, error) {
 	f := &Forwarder{
 		s: s, log: l, incarnation: liveness.NewIncarnation(uuid.NewString()[:incarnationChars]), started: clock.Boot(), registry: prometheus.NewRegistry(),
+		firstCatalog: make(chan struct{}),
 	}
+	f.endStart = sync.OnceFunc(func() { close(f.firstCatalog) })
 	f.registry.MustRegister(collectors.NewGoCollector(), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "spindle_gatherer", Help: "1 if this VM runs searches for the fleet.",
 	}, f.gathererGauge))
@@ -191,12 +197,13 @@
 	})
 	runner := single.New(single.Options{Upstream: gather.Adapt(f.upstreams)})
 	f.server = forward.New(forward.Options{
-		Catalog:  f.served.Load,
-		Headers:  platform.CallerHeaders,
-		Searcher: engine,
-		Runner:   runner,
-		Poison:   f.poison,
-		Reads:    reads,
+		Catalog:      f.served.Load,
+		FirstCatalog: f.firstCatalog,
+		Headers:      platform.CallerHeaders,
+		Searcher:     engine,
+		Runner:       runner,
+		Poison:       f.poison,
+		Reads:        reads,
 		Repeats: repeat.Limits{
 			Ratio: f.s.Repeats.Ratio, Slack: f.s.Repeats.Slack,
 			Window: time.Duration(f.s.Repeats.WindowSeconds * float64(time.Second)),
@@ -230,6 +237,7 @@
 	f.fleet.eachLeaving(f.upstreams.RecordPeerLeaving) // facts may be older than the upstreams
 	f.fleet.eachLimit(f.upstreams.RecordPeerLimit)
 	f.served.Store(c)
+	f.endStart()
 	f.log.Info("catalog in force", "era", change.Era, "revision", change.Revision, "version", change.Version,
 		"upstreams", change.Upstreams, "draining", change.Draining)
 	for key, err := range change.Refused {
@@ -271,6 +279,10 @@
 // Reload applies the seeds. Other settings are applied at the next start only.
 func (f *Forwarder) Reload(s *settings.Settings) { f.fleet.setSeeds(s.Fleet.Seeds) }
 
+// maxStartWait is how long after the start requests may wait for the first catalog. A VM that has none by
+// then does not reach the store, and refuses requests at once.
+const maxStartWait = time.Second
+
 // Run serves until ctx ends, then shuts down gracefully. It returns early if a server fails.
 func (f *Forwarder) Run(ctx context.Context) error {
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -294,6 +306,7 @@
 	go f.fleet.run(runCtx)
 	go f.sync.Run(runCtx)
 	go f.upstreams.Run(runCtx)
+	defer time.AfterFunc(maxStartWait, f.endStart).Stop()
 	f.log.Info("started", "zone", f.s.Zone, "incarnation", f.incarnation, "callers", f.s.Listen.Callers)
 	select {
 	case err := <-failed:
--- a/internal/policy/delegate/gatherers.go
+++ b/internal/policy/delegate/gatherers.go
@@ -61,6 +61,14 @@
 	return append(slices.Clone(gatherers), Gatherers(reaching, limit, partial)...)
 }
 
+// ShowsAble reports whether the VMs known so far, which may be few, show that self gathers: it is one of
+// the gatherers, and there are VMs of less than minCapacityRatio of its capacity, which leave that to it.
+// Where all known VMs are alike, those that are not known may be too many to gather all.
+func ShowsAble(self VM, known, gatherers []VM) bool {
+	gathers := slices.ContainsFunc(gatherers, func(vm VM) bool { return vm.Name == self.Name })
+	return gathers && slices.ContainsFunc(known, func(vm VM) bool { return vm.Capacity < minCapacityRatio*self.Capacity })
+}
+
 // AddByVersion adds gatherers while VMs of earlier builds, which get no searches from others, are replaced: of
 // those in reaching that run searches by version, as many gather as in a fleet of such VMs only. At
 // least one does, so that the first one that is replaced has where to run its searches.
--- a/internal/policy/delegate/gatherers_test.go
+++ b/internal/policy/delegate/gatherers_test.go
@@ -61,3 +61,23 @@
 		Expect(added).To(HaveEach(HaveField("ByVersion", true)))
 	})
 })
+
+// Load pattern: 146 VMs return from a loss of power at once, six of them able. Those that gather waited a
+// second before they opened connections, and the first searches waited for 135 dials each.
+var _ = Describe("A VM that knows only some of the others", func() {
+	able := delegate.VM{Name: "able", Capacity: 0.8}
+	small := delegate.VM{Name: "small", Capacity: 0.134}
+	show := func(self delegate.VM, known ...delegate.VM) bool {
+		return delegate.ShowsAble(self, known, delegate.Gatherers(known, 109, true))
+	}
+	It("knows that it gathers once it knows a much smaller VM", func() {
+		Expect(show(able, able)).To(BeFalse())
+		Expect(show(able, able, small)).To(BeTrue())
+	})
+	It("does not know it among VMs of its own capacity, nor beside larger ones", func() {
+		Expect(show(small, small, delegate.VM{Name: "other", Capacity: 0.134})).To(BeFalse())
+		Expect(show(small, small, able)).To(BeFalse())
+		tiny := delegate.VM{Name: "tiny", Capacity: 0.05}
+		Expect(show(small, small, able, tiny)).To(BeFalse())
+	})
+})
