ratelimit: bound for cold upstreams; warmup: what is cold, until when, on which evidence

Change: ratelimit.State counts requests of the last 1.1 to 1.2 s where an upstream has a Bound, and allows a VM an exact number in any second while it is cold. The numbers of all VMs add up to what the upstream tolerates plus the part of overage and slack that is safe while each view of the fleet misses a quarter of the VMs. A request counts when it is picked and again when it is written. Package warmup holds until when an upstream counts as cold: entry, reply, failure, new incarnation.

Ruled out: the token bucket of Server-Limit for this bound, since a bucket of one request and a share of more than one a second exceed any one second; a log of send times, since the bound may be huge. A bound below one request allows none.

--- a/internal/policy/ratelimit/ratelimit.go
+++ b/internal/policy/ratelimit/ratelimit.go
@@ -1,7 +1,8 @@
 // Package ratelimit divides the rate of requests that an upstream in need takes from all VMs
 // together. Each VM that may send to it gets an equal share, computed from the names of these VMs;
 // no message precedes a request. The limit is the fleet's: a VM that gets a reply with a limit announces
-// it to the others, and the newest reply counts, whichever VM got it. Times must come from a clock that
+// it to the others, and the newest reply counts, whichever VM got it. The same shares bound what an upstream
+// that is cold gets in any second, see Bound. Times must come from a clock that
 // advances while the VM is paused. The package is pure; the owner guards each State.
 package ratelimit
 
@@ -65,6 +66,8 @@
 	share      float64 // of this VM, in requests a second
 	tokens     float64
 	refilledAt time.Duration
+
+	cold *cold // nil if the upstream has no Bound
 }
 
 // PerSecond returns the limit; 0 for none.
@@ -140,8 +143,13 @@
 }
 
 // Wait returns how long it takes from now until this VM may send a request; 0 if it may now. If it
-// has no share, that is the time in which the upstream takes one from any VM.
+// has no share, that is the time in which the upstream takes one from any VM. A cold upstream that
+// names a limit gets no more than the lower of both allows.
 func (s *State) Wait(now time.Duration) time.Duration {
+	return max(s.limitWait(now), s.coldWait(now))
+}
+
+func (s *State) limitWait(now time.Duration) time.Duration {
 	switch {
 	case s.perSecond == 0:
 		return 0
@@ -155,12 +163,15 @@
 // Take takes one request from the share at now, if there is a limit. It reports whether one was
 // taken, and false for ok if none may be sent.
 func (s *State) Take(now time.Duration) (taken, ok bool) {
-	if s.perSecond == 0 {
-		return false, true
-	}
 	if s.Wait(now) > 0 {
 		return false, false
 	}
+	if s.cold != nil {
+		s.cold.sent.add(now)
+	}
+	if s.perSecond == 0 {
+		return false, true
+	}
 	s.tokens--
 	return true, true
 }
