catalog: how long upstreams are cold and what they tolerate

Cause: the time left in an entry was decoded and not used, an entry that becomes cold again under the same incarnation was taken for a heartbeat, and the bound of a service was not read.

Change: Service.ColdFor and ColdPerSecond; Catalog.Warmups by address, only for services with a bound, with the time at which the mirror read the entry. Items that another VM passes on are published if they state any time, since that VM leaves out heartbeats.

Ruled out: a change of Decoder.Equivalent, which knows neither time nor the heartbeats since the stored value, and would compile a catalog for each restart also where nothing is bounded. Without a bound no item is decoded once more.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -11,6 +11,7 @@
 
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/policy/route"
+	"github.com/sardinespindle/sardinespindle/internal/policy/warmup"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
 )
 
@@ -28,6 +29,10 @@
 	// ConnectionLimit is the number of connections that one upstream accepts from all
 	// VMs together.
 	ConnectionLimit int
+	// ColdFor is how long an upstream is cold after a start, and ColdPerSecond the requests a second that
+	// it tolerates from all VMs together while it is; 0 for no bound.
+	ColdFor       time.Duration
+	ColdPerSecond float64
 }
 
 // Limits bound callers' requests and connections.
@@ -44,8 +49,11 @@
 	Zone     string
 	Slots    int
 	Draining bool
-	// WarmupLeft is how much longer the upstream stays slow after its start.
-	WarmupLeft time.Duration
+	// WarmupLeft is how much longer the upstream is cold; WarmupStated is false if the entry does not say.
+	WarmupLeft   time.Duration
+	WarmupStated bool
+	// ReadAt is when the mirror stored the entry's last change.
+	ReadAt time.Duration
 	// StartedUnixMs is 0 if the upstream does not publish it.
 	StartedUnixMs int64
 	// Position is the point of the entry's last change that the mirror stored. A mirror that
@@ -69,6 +77,9 @@
 	// ZoneCoverage maps the name of a sharded route and an availability zone to the share
 	// of the route's shards, 0 to 1, that have a replica in that zone.
 	ZoneCoverage map[string]map[string]float64
+	// Warmups maps the addresses of upstreams that tolerate a number of requests a second while they are
+	// cold to that; nil if there are none.
+	Warmups map[string]warmup.Upstream
 
 	earlier []*Catalog // routes of the versions before this one, the latest first
 }
@@ -91,6 +102,7 @@
 		Upstreams:  make(map[string]*gen.Upstream, len(entries)),
 	}
 	limits := make(map[string]int, len(c.Services))
+	warmups := newWarmups(c.Services)
 	for _, s := range c.Services {
 		limits[s.Name] = s.ConnectionLimit
 		m.Workloads[s.Name] = &manifest.Workload{
@@ -109,11 +121,13 @@
 			Workload: gen.Name(e.Service), Slots: max(e.Slots, 1), ConnectionLimit: limits[e.Service], StartedMs: int(e.StartedUnixMs),
 		}
 		m.Upstreams[e.Address] = u
+		warmups.add(e)
 		w.Upstreams = append(w.Upstreams, u)
 	}
 	return &Catalog{
 		Config: c, Table: route.NewTable(c.Routes), Manifest: m, SearchWorkloads: searchWorkloads(c.Routes),
 		ServiceZones: serviceZones(m), ZoneCoverage: zoneCoverage(c.Routes, m), ShardLimits: shardLimits(c.Routes, limits),
+		Warmups: warmups.upstreams,
 	}
 }
 
--- a/internal/catalog/mirror.go
+++ b/internal/catalog/mirror.go
@@ -44,6 +44,8 @@
 	mu     sync.Mutex // guards the fields below
 	items  map[string]storedItem
 	config *Config
+	// bounded are the services of config whose cold upstreams have a bound; nil if there are none.
+	bounded map[string]bool
 	// position is the point up to which items include all changes except heartbeats;
 	// confirmedAt is when the store last confirmed that position as its latest.
 	position    Position
@@ -84,7 +86,8 @@
 	Item
 	entry   Entry
 	isEntry bool
-	err     error // why the value could not be decoded
+	heard   heartbeat // of the entry
+	err     error     // why the value could not be decoded
 }
 
 // maxTombstones is several times the number of entries that a fleet of a thousand upstreams
@@ -142,7 +145,7 @@
 	if newEra {
 		m.eraSince, m.eraStart, m.doubted = m.now(), cmp.Or(u.EraStart, u.Revision), map[string]Item{}
 	}
-	changed := m.merge(u.Items)
+	changed := m.merge(u.Items, u.EraStart != 0)
 	if u.After == 0 {
 		changed = m.dropUnlisted(u) || changed
 		m.compacted = u.Position
@@ -159,8 +162,8 @@
 }
 
 // merge stores each item that is newer than the mirror's, unless only a heartbeat changed
-// it. The caller holds mu.
-func (m *Mirror) merge(items []Item) (changed bool) {
+// it. relayed says that the items are from another VM. The caller holds mu.
+func (m *Mirror) merge(items []Item, relayed bool) (changed bool) {
 	for _, it := range items {
 		old, ok := m.items[it.Key]
 		switch {
@@ -169,7 +172,8 @@
 			continue
 		case ok && !old.before(it.Position):
 			continue
-		case ok && !old.Removed && !it.Removed && old.Era == it.Era && m.decoder.Equivalent(old.Value, it.Value):
+		case ok && !old.Removed && !it.Removed && old.Era == it.Era && m.decoder.Equivalent(old.Value, it.Value) &&
+			!m.becameCold(old, it, relayed):
 			continue
 		case ok && m.contradictsCopy(old, it):
 			m.doubted[it.Key] = it
@@ -193,7 +197,7 @@
 	config, _, err := m.decoder.Config(it)
 	switch {
 	case err == nil && (m.config == nil || config.Version > m.config.Version):
-		m.config = config
+		m.config, m.bounded = config, boundedServices(config)
 		m.items[it.Key] = storedItem{Item: it}
 		return true
 	case err != nil && !known:
@@ -244,7 +248,8 @@
 	stored := storedItem{Item: it}
 	if !it.Removed {
 		stored.entry, stored.isEntry, stored.err = m.decoder.Entry(it)
-		stored.entry.Position = it.Position
+		stored.entry.Position, stored.entry.ReadAt = it.Position, m.now()
+		stored.heard = newHeartbeat(stored.entry)
 	}
 	return stored
 }
--- a/internal/policy/warmup/warmup.go
+++ b/internal/policy/warmup/warmup.go
@@ -66,6 +66,14 @@
 	Stated bool          // false if the entry does not state Left
 }
 
+// Upstream is what is published about how long an upstream is cold, and what it tolerates then. The zero
+// value has no bound.
+type Upstream struct {
+	PerSecond float64       // requests that it tolerates from all VMs together while cold; 0 for no bound
+	For       time.Duration // how long it is cold after a start
+	Published
+}
+
 // Published records an entry that was read. isNew says that the incarnation is new to this VM. coldFor is
 // how long the service's upstreams are cold after a start.
 func (s *State) Published(p Published, isNew bool, coldFor time.Duration) {
