upstream: a cold upstream gets a bounded number of requests from this VM

Cause: nothing bounded what a cold upstream gets; the requests that its replicas could not take made it crash, and be cold again.

Change: an upstream with a published bound has its requests counted from the pick on. While it counts as cold (package warmup: entry, reply header, failed request or connection, new incarnation, another VM) this VM sends its share in any second, and checks it again before the first byte. What it can't take goes to the other replicas; without any, the pick fails with at_limit. Log lines, gauge spindle_upstream_cold, status.

Decided: a timeout counts as a failure only if it took twice the expected latency, as for replica health, since short deadlines say nothing; a reply that was cut counts as a lost connection; accepting a connection counts as the return. A request that got 421 still counts, which errs on the safe side. Health paths are not polled.

Ruled out: a check at the pick only, since a request may wait for a connection while its upstream becomes cold.

Upstreams without a bound take no further lock.

--- a/Makefile
+++ b/Makefile
@@ -75,7 +75,7 @@
 
 # Fails if Go code outside platform/ and deploy/ uses names of the users' platform, or if
 # platform/ without its tests has 1500 lines or more.
-PLATFORM_WORDS := X-Request-Deadline|X-Expected-Instance|X-Shard-Stamps|X-Missing-Shards|X-Response-Stamp|X-Not-Executed|X-Server-Load|kv-(key|range|watch)|trafficSplit|SARDINESPINDLE_BOOT
+PLATFORM_WORDS := X-Request-Deadline|X-Expected-Instance|X-Shard-Stamps|X-Missing-Shards|X-Response-Stamp|X-Not-Executed|X-Server-Load|X-Warmup-Remaining|warmupPerS|kv-(key|range|watch)|trafficSplit|SARDINESPINDLE_BOOT
 platform-check:
 	@out=$$(git grep -lE '$(PLATFORM_WORDS)' -- '*.go' ':!platform' ':!deploy'); [ -z "$$out" ] || { echo "the platform's names outside platform/: $$out"; exit 1; }
 	@n=$$(git ls-files 'platform/*.go' | grep -v _test.go | xargs cat | wc -l); [ $$n -lt 1500 ] || { echo "platform/ has $$n lines, the limit is 1499"; exit 1; }
--- a/internal/upstream/backoff.go
+++ b/internal/upstream/backoff.go
@@ -82,6 +82,7 @@
 		c.recordLeaving(s, "itself")
 	}
 	c.recordLimit(s, resp.Header, sentAt)
+	c.recordWarmup(s, resp.Header, sentAt)
 	if pause := parseRetryAfter(resp); resp.StatusCode == http.StatusServiceUnavailable && pause > 0 {
 		c.recordRest(s, pause)
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -19,6 +19,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/policy/forecast"
 	"github.com/sardinespindle/sardinespindle/internal/policy/limit"
 	"github.com/sardinespindle/sardinespindle/internal/policy/replica"
+	"github.com/sardinespindle/sardinespindle/internal/policy/warmup"
 	"github.com/sardinespindle/sardinespindle/internal/readlimit"
 	"github.com/sardinespindle/sardinespindle/internal/sharded"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
@@ -61,6 +62,8 @@
 	// OnLimit is called when an upstream's limit should be announced to the fleet: TakeLimitToAnnounce
 	// then returns it, if no other VM has announced it by then.
 	OnLimit func(Incarnation)
+	// Cold bounds the requests to upstreams that are cold, see Client.SetWarmups.
+	Cold ColdOptions
 	// OnReach is called when this VM has lost or regained its path to the upstreams.
 	OnReach func(reached bool)
 	// OnLeaving is called when an upstream's reply to a pass-through request says for the first
@@ -111,6 +114,7 @@
 	groups    map[groupKey]*group
 	workloads map[string]*group
 	zones     map[string]*zone
+	bounded   []*server // those that may be cold, with a bound
 }
 
 // Client sends requests to upstreams and is safe for concurrent use. Each upstream's
@@ -123,8 +127,9 @@
 	transport *http.Transport
 	path      pathState
 
-	sharesDue    chan struct{} // holds an element if the connection shares must be set at once
-	applyMu      sync.Mutex    // held while a manifest is applied or shares are set
+	sharesDue    chan struct{}              // holds an element if the connection shares must be set at once
+	applyMu      sync.Mutex                 // held while a manifest is applied or shares are set
+	warmups      map[string]warmup.Upstream // by address; guarded by applyMu
 	current      atomic.Pointer[table]
 	probeSlots   chan struct{} // bounds background probes
 	routeLatency *sharded.Map[string, forecast.TypicalLatency]
@@ -153,6 +158,12 @@
 	if o.Senders == nil {
 		o.Senders = func(*gen.Upstream) []string { return o.Members() }
 	}
+	if o.Cold.Senders == nil {
+		o.Cold.Senders = o.Senders
+	}
+	if o.Cold.OnCold == nil {
+		o.Cold.OnCold = func(Incarnation, time.Duration) {}
+	}
 	if o.OnReach == nil {
 		o.OnReach = func(bool) {}
 	}
@@ -207,11 +218,15 @@
 	}
 	for address, u := range m.Upstreams {
 		s := old.servers[address]
-		if s == nil || s.identity != u.Identity || s.started != u.StartedMs {
+		isNew := s == nil || s.identity != u.Identity || s.started != u.StartedMs
+		if isNew {
 			s = c.newServer(u, len(old.servers) == 0)
 		}
 		s.update(u, next.zone(old, string(u.Zone)), string(u.Zone) == c.opts.Zone)
 		next.servers[address] = s
+		if c.updateWarmup(s, isNew) {
+			next.bounded = append(next.bounded, s)
+		}
 	}
 	for name, w := range m.Workloads {
 		next.addWorkload(w, c.metrics.lazyForWorkload(name))
@@ -266,7 +281,7 @@
 // newServer returns the state of an upstream that is new to this VM. atStart says that
 // this VM has just started, so that the upstream needs no slow start.
 func (c *Client) newServer(u *gen.Upstream, atStart bool) *server {
-	return &server{
+	s := &server{
 		address:  u.Address,
 		identity: u.Identity,
 		started:  u.StartedMs,
@@ -277,9 +292,10 @@
 			transport: c.transport,
 			now:       c.opts.Now,
 			path:      &c.path,
-			onDial:    c.countDial,
 		},
 	}
+	s.pool.onDial = func(err error) { c.recordDial(s, err) }
+	return s
 }
 
 // countDial counts a dial by its result.
@@ -374,6 +390,7 @@
 
 // maintain warms pools and starts the probes that are due.
 func (c *Client) maintain(ctx context.Context, now time.Duration) {
+	c.refreshAllCold()
 	members := c.opts.Members()
 	warm := c.opts.MayPreconnect()
 	for _, s := range c.current.Load().servers {
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -46,6 +46,7 @@
 		ctx, cancel = context.WithDeadline(ctx, a.Deadline)
 		defer cancel()
 	}
+	a.takenAt = t.pickedAt
 	r, sentAt := c.attempt(ctx, s, &a)
 	now := c.opts.Now()
 	r.Address = s.address
@@ -56,10 +57,14 @@
 	if a.Kind == PassThrough {
 		c.recordPassThrough(s, t, &a, &r, now, now-sentAt)
 	}
-	if t.rateTaken && r.Class == NotSent {
-		s.returnRate()
+	if r.Class == NotSent {
+		s.returnCold(a.takenAt)
+		if t.rateTaken {
+			s.returnRate()
+		}
 	}
 	s.recordResult(now, recordedClass(&r), now-sentAt, r.Latency, r.RetryAfter)
+	c.recordCut(s, &r, now)
 	t.metrics.count(r.Class, r.Latency)
 	return r
 }
@@ -181,6 +186,11 @@
 	if err := s.refuses(c.opts.Now()); err != nil {
 		return fmt.Errorf("%w: %w", errBeforeWrite, err)
 	}
+	if a.Kind == PassThrough {
+		if err := c.writeCold(s, a); err != nil {
+			return err
+		}
+	}
 	if a.BeforeWrite != nil {
 		if err := a.BeforeWrite(); err != nil {
 			return fmt.Errorf("%w: %w", errBeforeWrite, err)
@@ -214,7 +224,7 @@
 	case ctx.Err() != nil:
 		return Result{Class: Canceled, Err: err}
 	case read:
-		return Result{Class: InvalidReply, Err: err}
+		return Result{Class: InvalidReply, Err: fmt.Errorf("%w: %w", errCut, err)}
 	default:
 		return Result{Class: Lost, Err: err}
 	}
--- a/internal/upstream/metrics.go
+++ b/internal/upstream/metrics.go
@@ -20,6 +20,7 @@
 	// limits and sentToLimited have a series for each upstream that names a limit.
 	limits        *prometheus.GaugeVec
 	sentToLimited *prometheus.CounterVec
+	cold          prometheus.Gauge
 	reached       prometheus.Gauge
 	reachChecks   *prometheus.CounterVec
 	seconds       *prometheus.HistogramVec
@@ -52,6 +53,9 @@
 		sentToLimited: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "spindle_upstream_limited_sent_total", Help: "Requests that this VM sent to an upstream that named a limit.",
 		}, []string{"address"}),
+		cold: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "spindle_upstream_cold", Help: "Upstreams that count as cold at this VM and get a bounded number of requests.",
+		}),
 		reached: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "spindle_upstream_reached", Help: "1 if this VM reaches upstreams, 0 if none replies or accepts a connection.",
 		}),
@@ -67,7 +71,7 @@
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.connections, m.attempts, m.dials, m.probes, m.refusals, m.backoffs, m.limits, m.sentToLimited, m.reached, m.reachChecks, m.seconds} {
+	for _, c := range []prometheus.Collector{m.connections, m.attempts, m.dials, m.probes, m.refusals, m.backoffs, m.limits, m.sentToLimited, m.cold, m.reached, m.reachChecks, m.seconds} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/internal/upstream/pass.go
+++ b/internal/upstream/pass.go
@@ -42,6 +42,9 @@
 	// Limit is the requests a second that the upstream takes from all VMs together, as a
 	// decimal number. A reply without it names no limit.
 	Limit string
+	// Warmup is the time until the upstream is warm, in milliseconds; 0 if it is. A reply without it says
+	// nothing about that.
+	Warmup string
 }
 
 // PassThroughRequest is a request that is forwarded unchanged. The attempts of one request share
--- a/internal/upstream/ratelimit.go
+++ b/internal/upstream/ratelimit.go
@@ -97,8 +97,8 @@
 	s.rate.SetShare(c.opts.Now(), share, rand.Float64())
 }
 
-// LimitHolders returns the VMs that may send requests to upstreams of a workload that name a limit,
-// this one not included.
+// LimitHolders returns the VMs that may send requests to upstreams of a workload that name a limit or
+// are cold, this one not included.
 func (c *Client) LimitHolders(w *manifest.Workload) []string {
 	g := c.current.Load().groups[groupKey{workload: string(w.Name)}]
 	if g == nil {
@@ -106,6 +106,7 @@
 	}
 	var out []string
 	for _, s := range g.servers {
+		out = append(out, c.coldHolders(s)...)
 		s.mu.Lock()
 		perSecond, entry := s.rate.PerSecond(), s.entry
 		s.mu.Unlock()
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -23,6 +24,7 @@
 	pool     *pool
 	// openGauge counts open connections; nil until one was open. Client.applyMu guards it.
 	openGauge prometheus.Gauge
+	bounded   atomic.Bool // cold.published has a bound
 
 	mu               sync.Mutex // guards the fields below
 	entry            *gen.Upstream
@@ -34,6 +36,7 @@
 	backoff          backoff.State
 	rate             ratelimit.State
 	rateSent         recentSends
+	cold             coldState
 	announcingRate   bool // OnLimit was called, and TakeLimitToAnnounce was not
 	latencies        histogram
 	probe            *probeCall // nil if none is under way
@@ -152,6 +155,7 @@
 	if t.rateTaken {
 		s.rate.Return()
 	}
+	s.rate.Uncount(t.pickedAt)
 }
 
 // Classes that only recordResult uses.
@@ -180,6 +184,7 @@
 		s.health.Shed(now, retryAfter)
 		s.limit.Shed(now)
 	case Lost, failedConnect:
+		s.failedCold(now)
 		s.zone.failed()
 		s.health.Failed(now)
 		s.limit.Failed(now)
@@ -227,6 +232,7 @@
 	slow := float64(waited) > slowFactor*s.health.Latency(now)
 	s.recordUnanswered(now, waited)
 	if slow {
+		s.failedCold(now)
 		s.health.Failed(now)
 		s.limit.Failed(now)
 	}
--- a/internal/upstream/state.go
+++ b/internal/upstream/state.go
@@ -25,10 +25,29 @@
 	RestLeftMs   int64   `json:"rest_left_ms"`
 	RateLimit    float64 `json:"rate_limit"` // requests a second from all VMs; 0 for none
 	RateShare    float64 `json:"rate_share"` // of this VM
+	Cold         *Cold   `json:"cold,omitempty"`
 	Connections  int     `json:"connections"`
 	Share        int     `json:"share"`
 }
 
+// Cold is the state of an upstream that counts as cold in the VM's status.
+type Cold struct {
+	LeftMs    int64   `json:"left_ms"`
+	Source    string  `json:"source"`     // the evidence, see warmup.Source
+	PerSecond float64 `json:"per_second"` // what the upstream tolerates from all VMs
+	Share     int     `json:"share"`      // requests in any second of this VM
+}
+
+// coldStatus returns the state of a cold upstream; nil if it is not cold. The lock is held.
+func (s *server) coldStatus(now time.Duration) *Cold {
+	share, cold := s.rate.ColdShare()
+	if !cold {
+		return nil
+	}
+	until, source := s.cold.evidence.Until(now)
+	return &Cold{LeftMs: max(until-now, 0).Milliseconds(), Source: string(source), PerSecond: s.cold.published.PerSecond, Share: share}
+}
+
 // States returns the state of every upstream, ordered by address.
 func (c *Client) States() []State {
 	now := c.opts.Now()
@@ -63,6 +82,7 @@
 		RestLeftMs:   restLeft.Milliseconds(),
 		RateLimit:    s.rate.PerSecond(),
 		RateShare:    s.rate.Share(),
+		Cold:         s.coldStatus(now),
 		Connections:  s.pool.size(),
 		Share:        int(s.pool.share.Load()),
 	}
--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -82,6 +82,8 @@
 	// BeforeWrite, if set, is called right before the first byte is written. An error ends
 	// the attempt as NotSent. It must not block.
 	BeforeWrite func() error
+
+	takenAt time.Duration // when a PassThrough was counted for its upstream: at the pick, then at the write
 }
 
 // Result is the outcome of one attempt.
