daemon: settings, fleet and status of cold upstreams

Cause: a VM that has not heard from an upstream that became cold learns it from the entry, up to 2 s later, and until then sends what it likes.

A VM whose reply says that an upstream is cold announces it by a fact (cold/ADDRESS: time left, incarnation), after up to 300 ms and unless another VM has.

Ruled out: to assume 32 VMs where none is known, as for Server-Limit: alone for good a VM would use a thirty-second of the bound, and 300 that start at once exceed it.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -16,8 +16,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/sardinespindle/sardinespindle/internal/admin"
 	"github.com/sardinespindle/sardinespindle/internal/ctl"
 	"github.com/sardinespindle/sardinespindle/internal/testkit"
+	"github.com/sardinespindle/sardinespindle/internal/upstream"
 )
 
 func TestCtl(t *testing.T) { testkit.Run(t, "ctl") }
@@ -49,6 +51,19 @@
 		Entry("Kervan", "kervan", 130.0),
 	)
 
+	// An operator has to see which upstreams get few requests because they are cold.
+	It("status lists for how long an upstream is cold, why, and what the VM may send it", func() {
+		vm := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_ = json.NewEncoder(w).Encode(admin.Status{Upstreams: []upstream.State{
+				{Address: "10.0.0.1:80", Cold: &upstream.Cold{LeftMs: 2500, Source: "entry", PerSecond: 12, Share: 2}}, {Address: "10.0.0.2:80"},
+			}})
+		}))
+		DeferCleanup(vm.Close)
+		out, err := run("status", "--vm", strings.TrimPrefix(vm.URL, "http://"), "--upstreams")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(strings.Count(out, "2.5s (entry), 2 of 12/s")).To(Equal(1))
+	})
+
 	It("manifest check lists every problem of an invalid manifest", func() {
 		dir := GinkgoT().TempDir()
 		head, err := os.ReadFile(files("klapka")[0])
--- a/internal/ctl/vm.go
+++ b/internal/ctl/vm.go
@@ -60,13 +60,21 @@
 }
 
 func upstreamTable(states []upstream.State) table {
-	t := table{header: []string{"UPSTREAM", "WORKLOAD", "ZONE", "ELIGIBILITY", "OUTSTANDING", "LIMIT", "LATENCY", "CONNECTIONS", "SHARE", "SUSPECT"}}
+	t := table{header: []string{"UPSTREAM", "WORKLOAD", "ZONE", "ELIGIBILITY", "OUTSTANDING", "LIMIT", "LATENCY", "CONNECTIONS", "SHARE", "SUSPECT", "COLD"}}
 	for _, u := range states {
-		t.rows = append(t.rows, []string{u.Address, u.Workload, u.Zone, u.Eligibility, cell(u.Outstanding), cell(u.Limit), fmt.Sprintf("%.1fms", u.LatencyMs), cell(u.Connections), cell(u.Share), cell(u.Suspect)})
+		t.rows = append(t.rows, []string{u.Address, u.Workload, u.Zone, u.Eligibility, cell(u.Outstanding), cell(u.Limit), fmt.Sprintf("%.1fms", u.LatencyMs), cell(u.Connections), cell(u.Share), cell(u.Suspect), coldCell(u.Cold)})
 	}
 	return t
 }
 
+// coldCell returns for how long an upstream is cold, by which evidence, and what this VM may send it.
+func coldCell(c *upstream.Cold) string {
+	if c == nil {
+		return ""
+	}
+	return fmt.Sprintf("%.1fs (%s), %d of %g/s", float64(c.LeftMs)/1000, c.Source, c.Share, c.PerSecond)
+}
+
 func (c *command) explainCommand(app *kingpin.Application, run map[string]func(context.Context) error) {
 	cmd := app.Command("explain", "Say what a request would meet now at a VM, and why; or, with --logs, what became of one. Nothing is run.")
 	vm := cmd.Flag("vm", "Operators' address of the VM, IP number and port.").TCP()
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -343,6 +343,14 @@
 // converged reports whether this VM has had time to learn of the others.
 func (f *fleet) converged() bool { return clock.Boot()-f.started >= convergeTime }
 
+// namesOtherSeeds reports whether the seeds name another VM than this one.
+func (f *fleet) namesOtherSeeds() bool {
+	return slices.ContainsFunc(*f.seeds.Load(), func(seed settings.Address) bool {
+		ap, err := netip.ParseAddrPort(string(seed))
+		return err == nil && ap.Addr().String() != f.self.Name
+	})
+}
+
 // names returns the VMs that may be alive, this one included.
 func (f *fleet) names() []string { return f.view.Load().names }
 
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -126,6 +126,16 @@
 	})
 }
 
+// announceCold announces that an upstream is cold, unless another VM has by then.
+func (f *Forwarder) announceCold(i upstream.Incarnation, left time.Duration) {
+	delay := rand.N(maxAnnounceDelay)
+	time.AfterFunc(delay, func() {
+		if left > delay {
+			f.fleet.announceCold(i, left-delay)
+		}
+	})
+}
+
 // peerPort returns the port at which this VM reaches the others; own is the one it listens on.
 func peerPort(s *settings.Settings, own uint16) uint16 {
 	if s.Experiment != nil && s.Experiment.PeerPort != 0 {
@@ -178,7 +188,11 @@
 	f.upstreams, err = upstream.New(upstream.Options{
 		VM: f.node.Name(), Zone: f.s.Zone, Mechanisms: mechanism.New(f.s.Experiment), VMs: f.fleet.size, Members: f.fleet.names,
 		Share: f.connectionShare, MayPreconnect: f.fleet.converged, ManifestOnly: true, Headers: platform.UpstreamHeaders, OnLeaving: f.announceLeaving,
-		OnReach: f.fleet.setReached, Senders: f.limitSenders, OnLimit: f.announceLimit, DialIP: dialIP, DialPortOffset: portOffset, Reads: reads, Log: f.log, Registerer: f.registry,
+		OnReach: f.fleet.setReached, Senders: f.limitSenders, OnLimit: f.announceLimit,
+		Cold: upstream.ColdOptions{
+			Overage: f.s.Cold.Overage, Slack: f.s.Cold.Slack, Senders: f.coldSenders, OnCold: f.announceCold,
+		},
+		DialIP: dialIP, DialPortOffset: portOffset, Reads: reads, Log: f.log, Registerer: f.registry,
 	})
 	if err != nil {
 		return err
@@ -186,6 +200,7 @@
 	f.fleet.onStranded, f.fleet.onGatherer = f.upstreams.WarnUnreached, f.gathererChanged
 	f.fleet.watchLeaving(f.upstreams.RecordPeerLeaving)
 	f.fleet.watchLimits(f.upstreams.RecordPeerLimit)
+	f.fleet.watchCold(f.upstreams.RecordPeerCold)
 	engine := gather.New(gather.Options{
 		Upstream: gather.Adapt(f.upstreams), Log: f.log, Registerer: f.registry,
 	})
@@ -223,9 +238,11 @@
 func (f *Forwarder) apply(c *catalog.Catalog, change catalog.Change) {
 	f.catalog.Store(c)
 	f.fleet.setShardLimits(c.ShardLimits)
+	f.upstreams.SetWarmups(c.Warmups)
 	f.upstreams.Apply(c.Manifest)
 	f.fleet.eachLeaving(f.upstreams.RecordPeerLeaving) // facts may be older than the upstreams
 	f.fleet.eachLimit(f.upstreams.RecordPeerLimit)
+	f.fleet.eachCold(f.upstreams.RecordPeerCold)
 	f.served.Store(c)
 	f.log.Info("catalog in force", "era", change.Era, "revision", change.Revision, "version", change.Version,
 		"upstreams", change.Upstreams, "draining", change.Draining)
--- a/internal/daemon/shares.go
+++ b/internal/daemon/shares.go
@@ -75,6 +75,15 @@
 	f.log.Info("gatherer role changed", "gatherer", is, "gatherers", n, "vms", f.fleet.liveCount())
 }
 
+// coldSenders returns the VMs that may send requests to an upstream that is cold; nil while this VM does not
+// know the fleet: it has just started, or it reaches none of the VMs that its seeds name.
+func (f *Forwarder) coldSenders(u *gen.Upstream) []string {
+	if !f.fleet.converged() || len(f.fleet.names()) == 1 && f.fleet.namesOtherSeeds() {
+		return nil
+	}
+	return f.limitSenders(u)
+}
+
 // limitSenders returns the VMs that may send requests to an upstream and share its limit.
 func (f *Forwarder) limitSenders(u *gen.Upstream) []string {
 	v := f.fleet.view.Load()
--- a/internal/daemon/upstreamfacts.go
+++ b/internal/daemon/upstreamfacts.go
@@ -7,6 +7,7 @@
 
 	"github.com/sardinespindle/sardinespindle/internal/clock"
 	"github.com/sardinespindle/sardinespindle/internal/facts"
+	"github.com/sardinespindle/sardinespindle/internal/policy/warmup"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 )
 
@@ -21,6 +22,11 @@
 	// longer than the time after which a limit that lasts is announced again.
 	limitPrefix = "limit/"
 	limitTTL    = time.Minute
+	// coldPrefix starts the key of the fact by which a VM states that an upstream, whose address follows,
+	// said in a reply that it is cold. The value is the time left in milliseconds and its incarnation.
+	// coldTTL is longer than the fact takes to reach every VM.
+	coldPrefix = "cold/"
+	coldTTL    = 20 * time.Second
 )
 
 // announceLeaving announces that an upstream leaves, unless another VM has.
@@ -93,3 +99,42 @@
 	}
 	fn(i, perSecond, clock.Boot()-(fact.Expires-limitTTL))
 }
+
+// announceCold announces that an upstream is cold for left, unless another VM has.
+func (f *fleet) announceCold(i upstream.Incarnation, left time.Duration) {
+	for _, fact := range f.node.Facts().List(coldPrefix + i.Address) {
+		told := false
+		f.readCold(fact, func(j upstream.Incarnation, other, age time.Duration) { told = j == i && other-age >= left-coldChange })
+		if told {
+			return
+		}
+	}
+	f.node.Facts().Put(coldPrefix+i.Address, strconv.FormatInt(left.Milliseconds(), 10)+" "+incarnationValue(i), coldTTL)
+}
+
+// coldChange is how much longer an upstream is cold than announced until that is announced: two VMs that get
+// replies at the same time state times that differ by what the replies took.
+const coldChange = 200 * time.Millisecond
+
+// watchCold calls fn with each upstream that another VM states to be cold, the time left when it did, and
+// how long ago that was.
+func (f *fleet) watchCold(fn func(i upstream.Incarnation, left, age time.Duration)) {
+	f.node.Facts().Watch(coldPrefix, func(fact facts.Fact) { f.readCold(fact, fn) })
+}
+
+// eachCold calls fn with each upstream that other VMs are known to have stated to be cold.
+func (f *fleet) eachCold(fn func(i upstream.Incarnation, left, age time.Duration)) {
+	for _, fact := range f.node.Facts().List(coldPrefix) {
+		f.readCold(fact, fn)
+	}
+}
+
+func (f *fleet) readCold(fact facts.Fact, fn func(i upstream.Incarnation, left, age time.Duration)) {
+	number, incarnation, _ := strings.Cut(fact.Value, " ")
+	ms, err := strconv.ParseInt(number, 10, 64)
+	i, ok := parseIncarnation(strings.TrimPrefix(fact.Key, coldPrefix), incarnation)
+	if !ok || err != nil || ms <= 0 || ms > warmup.MaxLeft.Milliseconds() || fact.VM() == f.self.Name {
+		return
+	}
+	fn(i, time.Duration(ms)*time.Millisecond, max(clock.Boot()-(fact.Expires-coldTTL), 0))
+}
--- a/internal/policy/facts/facts.go
+++ b/internal/policy/facts/facts.go
@@ -158,7 +158,7 @@
 }
 
 // kindsByUrgency lists kinds of facts, the most urgent first. Other kinds are less urgent.
-var kindsByUrgency = []string{"crash", "head", "version", "lost", "back", "stranded", "drain", "leaving", "limit", "vm"}
+var kindsByUrgency = []string{"crash", "head", "version", "lost", "back", "stranded", "drain", "leaving", "cold", "limit", "vm"}
 
 // Urgency returns the rank of a key's kind, the part before the first slash. The lowest
 // rank is sent first.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,7 @@
 	defaultRepeatRatio         = 0.2
 	defaultRepeatSlack         = 100
 	defaultRepeatWindowSeconds = 10
+	defaultColdOverage         = 1
 )
 
 // Load reads a settings file in TOML and checks it as Parse does. The error names the file.
@@ -64,6 +65,7 @@
 		Platform: gen.Platform{WatchSeconds: defaultWatchSeconds, Kind: gen.PlatformKindManifest},
 		Fleet:    &gen.Fleet{Capacity: 1},
 		Repeats:  &gen.Repeats{Ratio: defaultRepeatRatio, Slack: defaultRepeatSlack, WindowSeconds: defaultRepeatWindowSeconds},
+		Cold:     &gen.Cold{Overage: defaultColdOverage},
 		Log:      &gen.Log{Level: gen.LogLevelInfo, Format: gen.LogFormatJson},
 		Trace:    &gen.Trace{Exporter: gen.TraceExporterNone, Sample: defaultTraceSample},
 		Stop:     &gen.Stop{LingerMs: defaultLingerMs, GraceMs: defaultGraceMs},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/sardinespindle/sardinespindle/internal/settings"
 	"github.com/sardinespindle/sardinespindle/internal/testkit"
+	gen "github.com/sardinespindle/sardinespindle/schema/gen/settings"
 )
 
 func TestSettings(t *testing.T) { testkit.Run(t, "settings") }
@@ -31,8 +32,20 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.Platform.WatchSeconds).To(Equal(30))
 		Expect(s.Stop.LingerMs).To(Equal(3000))
+		Expect(*s.Cold).To(Equal(gen.Cold{Overage: 1}))
 	})
 
+	// The platform renders whole numbers without a decimal point, and a missing value as an empty line.
+	DescribeTable("takes the bound of cold upstreams as rendered", func(lines string, want gen.Cold) {
+		s, err := settings.Parse([]byte(validText + "[cold]\n" + lines))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(*s.Cold).To(Equal(want))
+	},
+		Entry("both", "overage = 1.5\nslack = 5\n", gen.Cold{Overage: 1.5, Slack: 5}),
+		Entry("none", "\n\n", gen.Cold{Overage: 1}),
+		Entry("one", "\nslack = 5.0\n", gen.Cold{Overage: 1, Slack: 5}),
+	)
+
 	DescribeTable("rejects invalid text and names the keys",
 		func(extra string, want ...string) {
 			_, err := settings.Parse([]byte(validText + extra))
--- a/schema/gen/settings/settings.go
+++ b/schema/gen/settings/settings.go
@@ -5,6 +5,18 @@
 // IP address and port.
 type Address string
 
+// Bound on the requests that a cold upstream gets from all VMs together, where its
+// service publishes what such an upstream tolerates; kind catalog only.
+type Cold struct {
+	// A cold upstream that tolerates n requests a second gets at most n x overage +
+	// slack in any second.
+	Overage float64 `json:"overage,omitempty,omitzero" toml:"overage,omitempty" cbor:"overage,omitempty"`
+
+	// Requests in any second that a cold upstream may get in addition. If the sum is
+	// below 1, it gets none.
+	Slack float64 `json:"slack,omitempty,omitzero" toml:"slack,omitempty" cbor:"slack,omitempty"`
+}
+
 // Switches for measurements; leave this table out in production.
 type Experiment struct {
 	// Whether connections to upstreams are dialed from the IP address of
@@ -132,6 +144,9 @@
 // daemon runs, only a change of fleet.seeds is applied, and only if platform.kind
 // is catalog.
 type Settings struct {
+	// Cold corresponds to the JSON schema field "cold".
+	Cold *Cold `json:"cold,omitempty,omitzero" toml:"cold,omitempty" cbor:"cold,omitempty"`
+
 	// Experiment corresponds to the JSON schema field "experiment".
 	Experiment *Experiment `json:"experiment,omitempty,omitzero" toml:"experiment,omitempty" cbor:"experiment,omitempty"`
 
