warmup: a failure does not shorten the time that an upstream stated

Cause: the end by a failure and the end that the upstream stated were one value, so that a return ended a stated time early; requests sent to an address just before its next incarnation was known were forgotten, so that it could get two shares in a second.

Change: two values, of which the later counts; a new incarnation takes over the requests counted for the one before.

Measured: the two new tests; without the take-over the second sends at once.

--- a/internal/policy/ratelimit/cold.go
+++ b/internal/policy/ratelimit/cold.go
@@ -158,6 +158,25 @@
 	}
 }
 
+// Sent is the requests of the last second or so that a State counted.
+type Sent struct{ window window }
+
+// Sent returns the requests counted so far.
+func (s *State) Sent() Sent {
+	if s.cold == nil {
+		return Sent{}
+	}
+	return Sent{s.cold.sent}
+}
+
+// CountSent has the requests counted that were sent to the incarnation before: until this VM knows of the
+// new one, they may have reached it. It has no effect without Count.
+func (s *State) CountSent(before Sent) {
+	if s.cold != nil {
+		s.cold.sent = before.window
+	}
+}
+
 // SetCold sets whether the upstream is cold, and this VM's share then, see ColdShare. It has no effect
 // without Count.
 func (s *State) SetCold(active bool, share int) {
--- a/internal/policy/ratelimit/cold_test.go
+++ b/internal/policy/ratelimit/cold_test.go
@@ -244,6 +244,18 @@
 		Expect(takeAll(t0 + 1300*time.Millisecond)).To(Equal(100))
 	})
 
+	// An upstream that starts again gets requests that are meant for the incarnation before it.
+	It("counts what was sent to the incarnation before", func() {
+		s.Count(true)
+		Expect(takeAll(t0)).To(Equal(100))
+		var next ratelimit.State
+		next.Count(true)
+		next.CountSent(s.Sent())
+		next.SetCold(true, 3)
+		_, ok := next.Take(t0 + time.Second)
+		Expect(ok).To(BeFalse())
+	})
+
 	It("states when the next request may be sent", func() {
 		s.Count(true)
 		s.SetCold(true, 2)
--- a/internal/policy/warmup/warmup.go
+++ b/internal/policy/warmup/warmup.go
@@ -42,21 +42,30 @@
 
 // State is what one VM knows of one incarnation of an upstream. The zero value is warm.
 type State struct {
-	until  time.Duration // the upstream counts as cold before
-	since  time.Duration // of the latest evidence that it is cold
-	failed bool          // it failed and has not returned since
-	source Source        // of until
+	// stated and failure are until when the upstream counts as cold by what it, or another VM, states, and by
+	// its failures. 0 for never.
+	stated, failure time.Duration
+	since           time.Duration // of the latest evidence that it is cold
+	failed          bool          // it failed and has not returned since
+	source          Source        // of stated, or what ended the cold time
 }
 
 // Cold reports whether the upstream counts as cold at now.
-func (s *State) Cold(now time.Duration) bool { return now < s.until }
+func (s *State) Cold(now time.Duration) bool { return now < s.until() }
+
+func (s *State) until() time.Duration { return max(s.stated, s.failure) }
 
 // Until returns when the upstream is warm, as known at now, and by which evidence.
 func (s *State) Until(now time.Duration) (until time.Duration, source Source) {
-	if s.until != 0 && !s.Cold(now) {
-		return s.until, Elapsed
+	until = s.until()
+	switch {
+	case until != 0 && now >= until:
+		return until, Elapsed
+	case s.failure > s.stated:
+		return until, Failure
+	default:
+		return until, s.source
 	}
-	return s.until, s.source
 }
 
 // Published is an entry as read by this VM.
@@ -80,7 +89,7 @@
 	switch {
 	case p.Stated && p.Left > 0:
 		s.extend(p.ReadAt, p.Left, Entry)
-	case p.Stated && s.until > 0 && p.ReadAt-s.since >= entryDelay:
+	case p.Stated && s.until() > 0 && p.ReadAt-s.since >= entryDelay:
 		s.end(Entry)
 	case !p.Stated && isNew:
 		s.extend(p.ReadAt, coldFor, New)
@@ -94,11 +103,11 @@
 	newer := sentAt >= s.since
 	switch {
 	case stated && left > 0 && newer:
-		s.failed, s.until = false, 0
+		s.end(Reply)
 		s.extend(now, left, Reply)
 	case stated && left > 0:
 		s.extend(now, left, Reply)
-	case stated && newer && s.until > 0:
+	case stated && newer && s.until() > 0:
 		s.end(Reply)
 	case !stated && newer:
 		s.Returned(now, coldFor)
@@ -107,7 +116,7 @@
 
 // Announced records that another VM got a reply at a time that stated the time left.
 func (s *State) Announced(at, left time.Duration) {
-	if at+min(left, MaxLeft) > s.until {
+	if at+min(left, MaxLeft) > s.until() {
 		s.extend(at, left, Peer)
 	}
 }
@@ -119,7 +128,8 @@
 		return
 	}
 	s.failed = true
-	s.extend(now, min(coldFor, MaxLeft)+returnTime, Failure)
+	s.failure = now + min(coldFor, MaxLeft) + returnTime
+	s.since = max(s.since, now)
 }
 
 // Returned records at now that the upstream accepted a connection, or replied to a request that was sent
@@ -129,9 +139,7 @@
 		return
 	}
 	s.failed = false
-	if s.source == Failure {
-		s.until = now + min(coldFor, MaxLeft)
-	}
+	s.failure = now + min(coldFor, MaxLeft)
 }
 
 // extend makes the upstream cold until left after a time, unless it is cold for longer.
@@ -141,10 +149,10 @@
 		return
 	}
 	s.since = max(s.since, at)
-	if at+left > s.until {
-		s.until, s.source = at+left, source
+	if at+left > s.stated {
+		s.stated, s.source = at+left, source
 	}
 }
 
 // end makes the upstream warm.
-func (s *State) end(source Source) { s.until, s.failed, s.source = 0, false, source }
+func (s *State) end(source Source) { s.stated, s.failure, s.failed, s.source = 0, 0, false, source }
--- a/internal/policy/warmup/warmup_test.go
+++ b/internal/policy/warmup/warmup_test.go
@@ -129,6 +129,15 @@
 		Expect(source(t0 + 7*time.Second)).To(Equal(warmup.Reply))
 	})
 
+	// The end of a cold time that the upstream stated was forgotten when it failed and returned.
+	It("keeps to the time that the upstream stated, whatever is known of its failures", func() {
+		s.Published(warmup.Published{ReadAt: t0, Left: 10 * time.Second, Stated: true}, true, coldFor)
+		s.Failed(t0+time.Second, coldFor)
+		s.Returned(t0+2*time.Second, coldFor)
+		Expect(until(t0)).To(Equal(t0 + 10*time.Second))
+		Expect(source(t0)).To(Equal(warmup.Entry))
+	})
+
 	It("ends at an entry that says that it is warm, unless that may be older than the failure", func() {
 		s.Failed(t0, coldFor)
 		s.Published(warmup.Published{ReadAt: t0 + time.Second, Stated: true}, false, coldFor)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -218,13 +218,13 @@
 	}
 	for address, u := range m.Upstreams {
 		s := old.servers[address]
-		isNew := s == nil || s.identity != u.Identity || s.started != u.StartedMs
-		if isNew {
+		before := s
+		if s == nil || s.identity != u.Identity || s.started != u.StartedMs {
 			s = c.newServer(u, len(old.servers) == 0)
 		}
 		s.update(u, next.zone(old, string(u.Zone)), string(u.Zone) == c.opts.Zone)
 		next.servers[address] = s
-		if c.updateWarmup(s, isNew) {
+		if c.updateWarmup(s, before) {
 			next.bounded = append(next.bounded, s)
 		}
 	}
--- a/internal/upstream/cold.go
+++ b/internal/upstream/cold.go
@@ -41,18 +41,23 @@
 	c.warmups = w
 }
 
-// updateWarmup takes what is published about an upstream. isNew says that it is new to this VM. It reports
-// whether the upstream has a bound. applyMu is held.
-func (c *Client) updateWarmup(s *server, isNew bool) bool {
+// updateWarmup takes what is published about an upstream. before is its state until now: that of the
+// incarnation before if this one is new to this VM, nil for none. It reports whether the upstream has a
+// bound. applyMu is held.
+func (c *Client) updateWarmup(s, before *server) bool {
 	w := c.warmups[s.address]
 	bounded := w.PerSecond > 0
 	if !bounded && !s.bounded.Load() {
 		return false
 	}
+	sent := before.sent()
 	s.mu.Lock()
 	s.rate.Count(bounded)
+	if s != before {
+		s.rate.CountSent(sent)
+	}
 	if bounded && w.Published != s.cold.published.Published {
-		s.cold.evidence.Published(w.Published, isNew, w.For)
+		s.cold.evidence.Published(w.Published, s != before, w.For)
 	}
 	s.cold.published = w
 	s.applyCold(c.opts.Now())
@@ -62,6 +67,16 @@
 	return bounded
 }
 
+// sent returns the requests counted for an upstream; none if it is nil.
+func (s *server) sent() ratelimit.Sent {
+	if s == nil {
+		return ratelimit.Sent{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rate.Sent()
+}
+
 // applyCold applies the evidence as of now to the rate. While this VM's share of a cold upstream is not
 // computed, see refreshCold, it sends nothing. The lock is held.
 func (s *server) applyCold(now time.Duration) {
