--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -343,8 +343,17 @@
 }
 
 // converged reports whether this VM knows enough of the others to open connections ahead of need.
-func (f *fleet) converged() bool {
-	return clock.Boot()-f.started >= convergeTime || f.view.Load().showsAble
+func (f *fleet) converged() bool { return f.learned() || f.view.Load().showsAble }
+
+// learned reports whether this VM has had time to learn of the others.
+func (f *fleet) learned() bool { return clock.Boot()-f.started >= convergeTime }
+
+// namesOtherSeeds reports whether the seeds name another VM than this one.
+func (f *fleet) namesOtherSeeds() bool {
+	return slices.ContainsFunc(*f.seeds.Load(), func(seed settings.Address) bool {
+		ap, err := netip.ParseAddrPort(string(seed))
+		return err == nil && ap.Addr().String() != f.self.Name
+	})
 }
 
 // names returns the VMs that may be alive, this one included.
