--- a/cmd/spindlebench/main.go
+++ b/cmd/spindlebench/main.go
@@ -32,6 +32,7 @@
 	addList(app)
 	addReport(app)
 	addManifest(app)
+	addMemory(ctx, app)
 	addSlopes(ctx, app)
 	addSoak(ctx, app)
 	addStandin(ctx, app)
