Settings and manifests are checked without a JSON Schema library

Cause: the library compiles the meta-schemas of all drafts when its package is initialized, 5.4 ms and 1.7 MB in each process, and internal/callers compiled a schema of its own at start, 3.8 ms and 0.7 MB, although a VM that serves a catalog never uses it.

Change: internal/validate checks values itself, for the keywords that the embedded schemas use; any other keyword is an error when a schema is compiled. Texts of problems stay as they were. The schema of callers' searches is compiled at the first search.

Ruled out: compiling lazily only, since the meta-schemas are compiled by package variables of the library; checks of the generated types, which stop at the first problem.

Test: a property test compares the problems found with those of the library, which remains a dependency of tests, for every embedded schema.

--- a/internal/callers/input.go
+++ b/internal/callers/input.go
@@ -11,10 +11,9 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
-	"github.com/santhosh-tekuri/jsonschema/v6"
-
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
 	"github.com/sardinespindle/sardinespindle/internal/policy/once"
@@ -165,14 +164,15 @@
 	return nil
 }
 
-var searchSchema = validate.MustCompile("caller", "Search")
+// searchSchema is compiled at the first search: a VM that serves a catalog needs none.
+var searchSchema = sync.OnceValue(func() *validate.Schema { return validate.MustCompile("caller", "Search") })
 
 func (in *input) readQuery() error {
-	tree, err := jsonschema.UnmarshalJSON(bytes.NewReader(in.body))
+	tree, err := validate.DecodeJSON(bytes.NewReader(in.body))
 	if err != nil {
 		return reject(outcome.BadRequest, "body: %v", err)
 	}
-	if err := searchSchema.Check(tree); err != nil {
+	if err := searchSchema().Check(tree); err != nil {
 		return reject(outcome.BadRequest, "body: %v", err)
 	}
 	if err := json.Unmarshal(in.body, &in.query); err != nil {
--- a/internal/manifest/build.go
+++ b/internal/manifest/build.go
@@ -9,8 +9,6 @@
 	"slices"
 	"sync"
 
-	"github.com/santhosh-tekuri/jsonschema/v6"
-
 	"github.com/sardinespindle/sardinespindle/internal/validate"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
 )
@@ -56,7 +54,7 @@
 	if len(text) > MaxPartBytes {
 		return validate.Problems{{Reason: fmt.Sprintf("%d bytes exceed the limit of %d bytes", len(text), MaxPartBytes)}}
 	}
-	tree, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	tree, err := validate.DecodeJSON(bytes.NewReader(text))
 	if err != nil {
 		return fmt.Errorf("parse: %w", err)
 	}
