Traces: the OTLP exporter is the project's own and sends JSON

Cause: the exporter of the OpenTelemetry project links gRPC, the generated messages of OTLP and html/template, 2.4 MB of code, data and line tables that each process maps and partly initializes, although exporting is off by default.

Change: spans are sent over OTLP/HTTP in its JSON encoding. A batch that an overloaded collector refuses is sent again a few times, as before. The environment variables OTEL_EXPORTER_OTLP_* have no effect any more; they were never documented.

Ruled out: a second program with the exporter, since a process starts no other; dropping the exporter, since it is a documented setting.

--- a/cmd/sardinespindle/main.go
+++ b/cmd/sardinespindle/main.go
@@ -59,7 +59,7 @@
 	ctx := stopContext()
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	flush, err := telemetry.Traces(ctx, s.Trace, s.Name, s.Zone)
+	flush, err := telemetry.Traces(s.Trace, s.Name, s.Zone)
 	if err != nil {
 		return err
 	}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -12,7 +12,6 @@
 	"github.com/charmbracelet/log"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
 	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/sdk/resource"
@@ -43,7 +42,7 @@
 
 // Traces installs the global tracer provider and propagator. The returned function
 // exports the spans that are still buffered and shuts the exporter down.
-func Traces(ctx context.Context, s *settings.Trace, vm, zone string) (func(context.Context) error, error) {
+func Traces(s *settings.Trace, vm, zone string) (func(context.Context) error, error) {
 	otel.SetTextMapPropagator(propagation.TraceContext{})
 	options := []trace.TracerProviderOption{
 		trace.WithSampler(trace.ParentBased(trace.TraceIDRatioBased(s.Sample))),
@@ -53,7 +52,7 @@
 			attribute.String("cloud.availability_zone", zone),
 		)),
 	}
-	exporter, err := newExporter(ctx, s)
+	exporter, err := newExporter(s)
 	if err != nil {
 		return nil, fmt.Errorf("trace exporter %s: %w", s.Exporter, err)
 	}
@@ -66,12 +65,12 @@
 }
 
 // newExporter returns nil for exporter "none".
-func newExporter(ctx context.Context, s *settings.Trace) (trace.SpanExporter, error) {
+func newExporter(s *settings.Trace) (trace.SpanExporter, error) {
 	switch s.Exporter {
 	case settings.TraceExporterStdout:
 		return stdouttrace.New(stdouttrace.WithWriter(os.Stdout))
 	case settings.TraceExporterOtlp:
-		return otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(s.Endpoint), otlptracehttp.WithInsecure())
+		return newOTLPExporter(s.Endpoint), nil
 	default:
 		return nil, nil
 	}
