The daemon parses its command line with the flag package

Cause: kingpin prints its help with text/template, which calls methods by name. While such a call is linked, the linker keeps all exported methods of all reachable types: 3 MB of code, data and line tables. A mapped file is read ahead, so most of it becomes resident.

Ruled out: -ldflags=-s -w, since symbol tables and DWARF are not mapped.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 export CGO_ENABLED := 1
 
-.PHONY: build demo prove soak test tools lint gopls format-check generate generate-check libc-check platform-check fuzz clean
+.PHONY: build demo prove soak test tools lint gopls format-check generate generate-check libc-check deps-check platform-check fuzz clean
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -73,6 +73,12 @@
 libc-check: build
 	ldd $(BIN)/sardinespindle | grep libc.so
 
+# Fails if the daemon links packages whose code or initialization costs each VM memory and time at its
+# start (docs/design/memory.md).
+HEAVY_PACKAGES := google.golang.org/grpc|github.com/santhosh-tekuri/jsonschema|github.com/alecthomas/kingpin|html/template
+deps-check:
+	@out=$$(go list -deps ./cmd/sardinespindle | grep -E '^($(HEAVY_PACKAGES))(/|$$)'); [ -z "$$out" ] || { echo "the daemon links: $$out"; exit 1; }
+
 # Fails if Go code outside platform/ and deploy/ uses names of the users' platform, or if
 # platform/ without its tests has 1500 lines or more.
 PLATFORM_WORDS := X-Request-Deadline|X-Expected-Instance|X-Shard-Stamps|X-Missing-Shards|X-Response-Stamp|X-Not-Executed|X-Server-Load|kv-(key|range|watch)|trafficSplit|SARDINESPINDLE_BOOT
--- a/cmd/sardinespindle/main.go
+++ b/cmd/sardinespindle/main.go
@@ -4,7 +4,10 @@
 
 import (
 	"context"
+	"errors"
+	"flag"
 	"fmt"
+	"io"
 	stdlog "log"
 	"os"
 	"os/signal"
@@ -13,7 +16,6 @@
 	"syscall"
 	"time"
 
-	"github.com/alecthomas/kingpin/v2"
 	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -27,29 +29,78 @@
 const flushTimeout = 2 * time.Second
 
 func main() {
-	app := kingpin.New("sardinespindle", "Query tier over many shards: the daemon of one VM.")
-	path := app.Flag("settings", "Settings file in TOML.").Required().String()
-	check := app.Flag("check", "Check the settings file and exit.").Bool()
-	profile := app.Flag("cpuprofile", "Directory to write a CPU profile to.").Hidden().Envar("SPINDLE_CPUPROFILE").String()
-	kingpin.MustParse(app.Parse(os.Args[1:]))
-	if err := run(*path, *check, *profile); err != nil {
+	o, err := parseFlags(os.Args[1:], os.Stderr)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		return
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "sardinespindle:", err)
+		os.Exit(1)
+	}
+	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, "sardinespindle:", err)
 		os.Exit(1)
 	}
 }
 
-func run(path string, check bool, profile string) error {
-	s, err := settings.Load(path)
-	if err != nil || check {
+// options are those of the command line.
+type options struct {
+	settings string
+	check    bool
+	// cpuProfiles and heapProfiles are the directories for profiles; empty for none.
+	cpuProfiles, heapProfiles string
+}
+
+// Environment variables with the directories for profiles.
+const (
+	cpuProfilesVariable  = "SPINDLE_CPUPROFILE"
+	heapProfilesVariable = "SPINDLE_HEAPPROFILE"
+)
+
+var (
+	errNoSettings = errors.New("the flag --settings is required")
+	errArgument   = errors.New("unexpected argument")
+)
+
+// parseFlags parses the command line. It uses the flag package because a parser whose help texts are
+// templates keeps the linker from leaving out the methods that nothing calls: 3 MB of the program.
+func parseFlags(args []string, out io.Writer) (options, error) {
+	o := options{cpuProfiles: os.Getenv(cpuProfilesVariable), heapProfiles: os.Getenv(heapProfilesVariable)}
+	flags := flag.NewFlagSet("sardinespindle", flag.ContinueOnError)
+	flags.SetOutput(out)
+	flags.Usage = func() {
+		_, _ = fmt.Fprintf(out, "Query tier over many shards: the daemon of one VM.\n\nFlags:\n")
+		flags.PrintDefaults()
+	}
+	flags.StringVar(&o.settings, "settings", "", "Settings `file` in TOML; required.")
+	flags.BoolVar(&o.check, "check", false, "Check the settings file and exit.")
+	if err := flags.Parse(args); err != nil {
+		return o, err
+	}
+	if flags.NArg() > 0 {
+		return o, fmt.Errorf("%w %q", errArgument, flags.Arg(0))
+	}
+	if o.settings == "" {
+		return o, errNoSettings
+	}
+	return o, nil
+}
+
+func run(o options) error {
+	s, err := settings.Load(o.settings)
+	if err != nil || o.check {
 		return err
 	}
-	if profile != "" {
-		stop, err := startProfile(filepath.Join(profile, s.Name+".prof"))
+	if o.cpuProfiles != "" {
+		stop, err := startProfile(filepath.Join(o.cpuProfiles, s.Name+".prof"))
 		if err != nil {
 			return err
 		}
 		defer stop()
 	}
+	if o.heapProfiles != "" {
+		writeHeapProfiles(filepath.Join(o.heapProfiles, s.Name))
+	}
 	lines := telemetry.NewLineWriter(os.Stdout, s.Log.Format)
 	defer lines.Close()
 	l, err := telemetry.Logger(lines, s.Log, s.Name)
@@ -72,7 +123,7 @@
 	if err := lines.Register(d.Registerer()); err != nil {
 		return err
 	}
-	go watchSettings(ctx, path, hup, d, l)
+	go watchSettings(ctx, o.settings, hup, d, l)
 	if err := d.Run(ctx); err != nil {
 		return err
 	}
@@ -145,11 +196,34 @@
 		return nil, fmt.Errorf("profile: %w", err)
 	}
 	if err := pprof.StartCPUProfile(f); err != nil {
-		f.Close()
+		_ = f.Close()
 		return nil, fmt.Errorf("profile: %w", err)
 	}
 	return func() {
 		pprof.StopCPUProfile()
-		f.Close()
+		_ = f.Close()
 	}, nil
 }
+
+// writeHeapProfiles writes a profile of the heap at each SIGUSR1, to base.1.heap and so on.
+func writeHeapProfiles(base string) {
+	usr1 := make(chan os.Signal, 1)
+	signal.Notify(usr1, syscall.SIGUSR1)
+	go func() {
+		for n := 1; ; n++ {
+			<-usr1
+			if err := writeHeapProfile(fmt.Sprintf("%s.%d.heap", base, n)); err != nil {
+				fmt.Fprintln(os.Stderr, "sardinespindle: profile:", err)
+			}
+		}
+	}()
+}
+
+// writeHeapProfile writes a profile of the heap as of the last collection.
+func writeHeapProfile(file string) error {
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	return errors.Join(pprof.WriteHeapProfile(f), f.Close())
+}
--- a/cmd/sardinespindle/main_test.go
+++ b/cmd/sardinespindle/main_test.go
@@ -18,7 +18,7 @@
 
 func TestMain(m *testing.M) {
 	if path := os.Getenv(settingsVariable); path != "" {
-		if err := run(path, false, ""); err != nil {
+		if err := run(options{settings: path}); err != nil {
 			println(err.Error())
 			os.Exit(1)
 		}
@@ -101,3 +101,26 @@
 		}
 	})
 })
+
+var _ = Describe("The command line", func() {
+	It("takes a settings file, with one dash or two", func() {
+		for _, args := range [][]string{{"--settings", "a.toml"}, {"--settings=a.toml"}, {"-settings", "a.toml"}} {
+			o, err := parseFlags(args, GinkgoWriter)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(o.settings).To(Equal("a.toml"))
+			Expect(o.check).To(BeFalse())
+		}
+		o, err := parseFlags([]string{"--settings", "a.toml", "--check"}, GinkgoWriter)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.check).To(BeTrue())
+	})
+	// Guards against a daemon that ignores a misspelled flag or a stray word.
+	DescribeTable("refuses", func(args ...string) {
+		_, err := parseFlags(args, GinkgoWriter)
+		Expect(err).To(HaveOccurred())
+	},
+		Entry("no settings"),
+		Entry("an unknown flag", "--settings", "a.toml", "--chek"),
+		Entry("an argument", "--settings", "a.toml", "check"),
+	)
+})
