Upstreams: smaller buffers, and counts and counters that exist only once used

Cause, by heap profile of a VM that runs searches (11.6 MB in use): the two buffers of 4 KB that net/http keeps for each of several hundred connections, 5.2 MB; counters of all classes of each shard's workload, 1.3 MB; two arrays of latency counts for each upstream, used or not, 0.8 MB.

Change: connections have a read buffer of 2 KB and a write buffer of 1 KB; longer bodies bypass them. Counters of attempts are created at the first attempt of their class. A period of a latency histogram has counts only if it has samples.

Ruled out: a read buffer of 1 KB, since a reply of a few hundred bytes of headers and 1 KB of records would then take two reads.

--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -20,7 +20,11 @@
 	keepAliveCount    = 3
 	userTimeout       = 15 * time.Second
 	maxReplyHeader    = 16 << 10
-	connBuffer        = 4 << 10
+	// A gatherer holds several hundred connections, and net/http keeps both buffers of each. The heads of
+	// most replies and small bodies fit into the first, the heads of most requests into the second; longer
+	// bodies bypass them.
+	connReadBuffer  = 2 << 10
+	connWriteBuffer = 1 << 10
 )
 
 // sockKey is the context key of a **sock that receives the dialed socket.
@@ -65,8 +69,8 @@
 	return &http.Transport{
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxReplyHeader,
-		ReadBufferSize:         connBuffer,
-		WriteBufferSize:        connBuffer,
+		ReadBufferSize:         connReadBuffer,
+		WriteBufferSize:        connWriteBuffer,
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			nc, err := d.dial(ctx, address)
 			if err != nil {
--- a/internal/upstream/histogram.go
+++ b/internal/upstream/histogram.go
@@ -12,11 +12,15 @@
 	histogramPeriod    = 5 * time.Second
 )
 
+// latencyCounts are the counts of one period by bucket.
+type latencyCounts [histogramBuckets]uint32
+
 // histogram counts the latencies of the current and the previous period in
-// logarithmic buckets. It is not safe for concurrent use.
+// logarithmic buckets. The counts of a period without samples take no memory: most VMs send to few
+// of the upstreams. It is not safe for concurrent use.
 type histogram struct {
 	rotatedAt time.Duration
-	old, cur  [histogramBuckets]uint32
+	old, cur  *latencyCounts // nil for no samples
 	oldN      uint32
 	curN      uint32
 }
@@ -24,6 +28,9 @@
 // add counts a latency observed at now.
 func (h *histogram) add(now, latency time.Duration) {
 	h.rotate(now)
+	if h.cur == nil {
+		h.cur = new(latencyCounts)
+	}
 	h.cur[bucketOf(latency)]++
 	h.curN++
 }
@@ -34,33 +41,46 @@
 	if age < histogramPeriod {
 		return
 	}
+	spare := h.old
 	h.old, h.oldN = h.cur, h.curN
+	h.cur, h.curN = nil, 0
 	if age >= 2*histogramPeriod {
-		h.old, h.oldN = [histogramBuckets]uint32{}, 0
+		h.old, h.oldN = nil, 0
+	}
+	if h.old != nil && spare != nil {
+		*spare = latencyCounts{}
+		h.cur = spare
+	}
+	if h.oldN == 0 {
+		h.old = nil
 	}
-	h.cur, h.curN = [histogramBuckets]uint32{}, 0
 	h.rotatedAt = now
 }
 
 // addTo adds the counts of both periods to sum and returns their total.
-func (h *histogram) addTo(now time.Duration, sum *[histogramBuckets]uint32) uint32 {
+func (h *histogram) addTo(now time.Duration, sum *latencyCounts) uint32 {
 	h.rotate(now)
-	for i := range sum {
-		sum[i] += h.cur[i] + h.old[i]
+	for _, period := range []*latencyCounts{h.cur, h.old} {
+		if period == nil {
+			continue
+		}
+		for i, n := range period {
+			sum[i] += n
+		}
 	}
 	return h.curN + h.oldN
 }
 
 // median returns the median latency; 0 if there are no samples.
 func (h *histogram) median(now time.Duration) time.Duration {
-	var counts [histogramBuckets]uint32
+	var counts latencyCounts
 	n := h.addTo(now, &counts)
 	return quantile(&counts, n, medianQuantile)
 }
 
 // quantile returns the upper bound of the bucket that holds quantile q of n samples; 0
 // if n is 0.
-func quantile(counts *[histogramBuckets]uint32, n uint32, q float64) time.Duration {
+func quantile(counts *latencyCounts, n uint32, q float64) time.Duration {
 	rank := uint32(math.Ceil(q * float64(n)))
 	var seen uint32
 	if n == 0 {
--- a/internal/upstream/latency.go
+++ b/internal/upstream/latency.go
@@ -57,7 +57,7 @@
 }
 
 // hedgeAfter returns the time after which an attempt is late, given n recent latencies.
-func hedgeAfter(counts *[histogramBuckets]uint32, n uint32) time.Duration {
+func hedgeAfter(counts *latencyCounts, n uint32) time.Duration {
 	return min(quantile(counts, n, hedgeQuantile), maxHedgeMedians*quantile(counts, n, medianQuantile))
 }
 
@@ -66,7 +66,7 @@
 func fastestDelay(servers []*server, now time.Duration) (time.Duration, bool) {
 	var least time.Duration
 	for _, s := range servers {
-		var counts [histogramBuckets]uint32
+		var counts latencyCounts
 		n := s.addLatencies(now, &counts)
 		if n < minQuantileSamples {
 			continue
@@ -94,7 +94,7 @@
 }
 
 // pooledLatencies returns the histogram and number of the servers' recent latencies.
-func pooledLatencies(servers []*server, now time.Duration) (counts [histogramBuckets]uint32, n uint32) {
+func pooledLatencies(servers []*server, now time.Duration) (counts latencyCounts, n uint32) {
 	for _, s := range servers {
 		n += s.addLatencies(now, &counts)
 	}
@@ -102,7 +102,7 @@
 }
 
 // addLatencies adds the server's recent latencies to counts and returns their number.
-func (s *server) addLatencies(now time.Duration, counts *[histogramBuckets]uint32) uint32 {
+func (s *server) addLatencies(now time.Duration, counts *latencyCounts) uint32 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.latencies.addTo(now, counts)
--- a/internal/upstream/metrics.go
+++ b/internal/upstream/metrics.go
@@ -78,9 +78,12 @@
 // numClasses is the number of classes that metrics count.
 const numClasses = int(Failed) + 1
 
-// workloadMetrics holds the metrics of one workload with their labels resolved.
+// workloadMetrics holds the metrics of one workload with their labels resolved. Counters are created
+// at their first use: a search has a workload for each shard, and most classes are rare.
 type workloadMetrics struct {
-	attempts [numClasses]prometheus.Counter
+	all      *metrics
+	name     string
+	attempts [numClasses]atomic.Pointer[prometheus.Counter]
 	seconds  prometheus.Observer
 }
 
@@ -110,16 +113,18 @@
 
 // forWorkload returns the metrics of the named workload.
 func (m *metrics) forWorkload(name string) *workloadMetrics {
-	w := &workloadMetrics{seconds: m.seconds.WithLabelValues(name)}
-	for i := range w.attempts {
-		w.attempts[i] = m.attempts.WithLabelValues(name, Class(i).String())
-	}
-	return w
+	return &workloadMetrics{all: m, name: name, seconds: m.seconds.WithLabelValues(name)}
 }
 
 // count records one attempt.
 func (w *workloadMetrics) count(class Class, latency time.Duration) {
-	w.attempts[class].Inc()
+	c := w.attempts[class].Load()
+	if c == nil {
+		made := w.all.attempts.WithLabelValues(w.name, class.String()) // the same one at each call
+		c = &made
+		w.attempts[class].Store(c)
+	}
+	(*c).Inc()
 	w.seconds.Observe(latency.Seconds())
 }
 
