Catalog: the compressor of packed pages is kept only between collections

A VM that others follow kept a deflate writer, 1.2 MB, from the first packed page on, although pages are packed in bursts, when upstreams change. Writers now come from a sync.Pool, which the collector empties.

Ruled out: a new writer for each page, since a repartitioning packs several pages a second.

--- a/internal/catalog/pack.go
+++ b/internal/catalog/pack.go
@@ -52,9 +52,18 @@
 type packer struct {
 	mu    sync.Mutex // guards the fields below
 	pages []packedPage
-	flate *flate.Writer // nil until the first page is packed
 }
 
+// flateWriters keeps a writer, which takes 1.2 MB, only between two collections: pages are packed in
+// bursts, when upstreams change.
+var flateWriters = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	if err != nil {
+		panic("catalog: " + err.Error())
+	}
+	return w
+}}
+
 type packedPage struct {
 	key  pageKey
 	data string
@@ -73,7 +82,7 @@
 			return page.data, nil
 		}
 	}
-	data, err := p.compress(items)
+	data, err := compress(items)
 	if err != nil {
 		return "", err
 	}
@@ -84,8 +93,8 @@
 	return data, nil
 }
 
-// compress encodes and compresses items. The lock is held.
-func (p *packer) compress(items []Item) (string, error) {
+// compress encodes and compresses items.
+func compress(items []Item) (string, error) {
 	published := make([]peer.Published, len(items))
 	for i, it := range items {
 		published[i] = peer.Published{Key: it.Key, Era: int(it.Era), Revision: int(it.Revision), Value: string(it.Value), Removed: it.Removed}
@@ -95,17 +104,13 @@
 		return "", fmt.Errorf("encode %d items: %w", len(items), err)
 	}
 	var out bytes.Buffer
-	if p.flate == nil {
-		if p.flate, err = flate.NewWriter(&out, flate.BestSpeed); err != nil {
-			return "", fmt.Errorf("compress: %w", err)
-		}
-	} else {
-		p.flate.Reset(&out)
-	}
-	if _, err := p.flate.Write(encoded); err != nil {
+	w := flateWriters.Get().(*flate.Writer)
+	defer flateWriters.Put(w)
+	w.Reset(&out)
+	if _, err := w.Write(encoded); err != nil {
 		return "", fmt.Errorf("compress %d bytes: %w", len(encoded), err)
 	}
-	if err := p.flate.Close(); err != nil {
+	if err := w.Close(); err != nil {
 		return "", fmt.Errorf("compress %d bytes: %w", len(encoded), err)
 	}
 	return out.String(), nil
