--- a/cmd/spindlebench/memory.go
+++ b/cmd/spindlebench/memory.go
@@ -21,6 +21,7 @@
 	cmd.Flag("rate", "Requests a second to the whole fleet.").Default("45").Float64Var(&o.Rate)
 	cmd.Flag("out", "Directory for settings and logs.").Default("out/memory").StringVar(&o.Dir)
 	cmd.Flag("bin-dir", "Directory with the daemon's binary.").Default("bin").StringVar(&o.BinDir)
+	each := cmd.Flag("each", "Print the peak and the processor time of each VM.").Bool()
 	cmd.Action(func(*kingpin.ParseContext) error {
 		r, err := bench.Memory(ctx, o)
 		if err != nil {
@@ -30,6 +31,11 @@
 		printMemory("started", nil, r.Started)
 		printMemory("idle", r.Started, r.Idle)
 		printMemory("loaded", r.Idle, r.Loaded)
+		for i, s := range r.Loaded {
+			if *each {
+				fmt.Printf("VM %2d: idle %5.1f MB, peak %5.1f, processor %7.1f ms\n", i+1, r.Idle[i].RSS, s.Peak, s.CPUMs)
+			}
+		}
 		return nil
 	})
 }
--- a/internal/bench/memory.go
+++ b/internal/bench/memory.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -285,9 +286,14 @@
 	return err == nil && resp.StatusCode == http.StatusOK
 }
 
-// sample returns the resources of each process up to now.
+// sample returns the resources of each process up to now. A process that was asked to by its
+// environment writes a heap profile at that.
 func (m *memoryRun) sample() (samples []MemorySample) {
+	profiled := os.Getenv("SPINDLE_HEAPPROFILE") != ""
 	for _, p := range m.procs {
+		if profiled {
+			_ = p.signal(syscall.SIGUSR1) // fails only if the process has ended
+		}
 		pid := p.cmd.Process.Pid
 		s := MemorySample{CPUMs: taskMilliseconds(pid)}
 		if body, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid)); err == nil {
