Catalog: versions whose searches have the same shards share their workloads

A search now takes over the workload of the catalog before if its shards are the same, in the same order.

Ruled out: sharing the strings of the decoded configuration as well; they are about a tenth of it.

Test: sharing, and that a version with other shards, or the same in another order, has its own.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -83,8 +83,8 @@
 const mapVersion = 1
 
 // compile builds the lookup tables. It omits draining upstreams, so they get no new
-// requests.
-func compile(c *Config, entries []Entry) *Catalog {
+// requests. It shares the workloads of unchanged searches with the catalog before, nil for none.
+func compile(c *Config, entries []Entry, before *Catalog) *Catalog {
 	m := &manifest.Manifest{
 		Generation: c.Version,
 		Workloads:  make(map[string]*manifest.Workload, len(c.Services)),
@@ -112,7 +112,7 @@
 		w.Upstreams = append(w.Upstreams, u)
 	}
 	return &Catalog{
-		Config: c, Table: route.NewTable(c.Routes), Manifest: m, SearchWorkloads: searchWorkloads(c.Routes),
+		Config: c, Table: route.NewTable(c.Routes), Manifest: m, SearchWorkloads: searchWorkloads(c.Routes, before),
 		ServiceZones: serviceZones(m), ZoneCoverage: zoneCoverage(c.Routes, m), ShardLimits: shardLimits(c.Routes, limits),
 	}
 }
@@ -176,18 +176,29 @@
 	return slices.DeleteFunc(entries, func(e Entry) bool { return last[e.Address].Identity != e.Identity })
 }
 
-// searchWorkloads returns the workloads of the sharded routes by route name.
-func searchWorkloads(routes []*route.Route) map[string]*manifest.Workload {
+// searchWorkloads returns the workloads of the sharded routes by route name. A route whose shards
+// are those of the catalog before shares its workload, so that up to maxEarlierVersions versions
+// hold it once.
+func searchWorkloads(routes []*route.Route, before *Catalog) map[string]*manifest.Workload {
 	out := make(map[string]*manifest.Workload)
 	for _, r := range routes {
 		if !r.Sharded() {
 			continue
 		}
+		if before != nil && isSearchOf(before.SearchWorkloads[r.Name], r.Shards) {
+			out[r.Name] = before.SearchWorkloads[r.Name]
+			continue
+		}
 		out[r.Name] = NewSearchWorkload(r.Name, r.Shards)
 	}
 	return out
 }
 
+// isSearchOf reports whether a workload, which may be nil, is a search of exactly these shards.
+func isSearchOf(w *manifest.Workload, shards []string) bool {
+	return w != nil && slices.EqualFunc(w.NewestMap.Shards, shards, func(a gen.Shard, b string) bool { return string(a.Name) == b })
+}
+
 // NewSearchWorkload returns the workload for a search of the given shards of a route.
 func NewSearchWorkload(name string, shards []string) *manifest.Workload {
 	pm := &manifest.PartitionMap{ByName: make(map[string]*gen.Shard, len(shards))}
--- a/internal/catalog/mirror.go
+++ b/internal/catalog/mirror.go
@@ -337,7 +337,7 @@
 	}
 	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Identity, b.Identity) })
 	change.Version, change.Upstreams = m.config.Version, len(entries)
-	c := compile(m.config, entries)
+	c := compile(m.config, entries, m.compiled)
 	c.KeepEarlier(m.compiled)
 	m.compiled = c
 	m.onChange(c, change)
--- a/internal/catalog/mirror_test.go
+++ b/internal/catalog/mirror_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinespindle/sardinespindle/internal/catalog"
+	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/policy/route"
 	"github.com/sardinespindle/sardinespindle/internal/testkit"
 )
@@ -346,6 +347,28 @@
 })
 
 // BenchmarkApply measures Apply with one changed entry among 800.
+var _ = Describe("The search of a new version", func() {
+	// Guards against a copy of each search's shards in each of the earlier versions that are kept, and
+	// against a search over the shards of an earlier version.
+	It("is shared with the version before if its shards are the same, in the same order", func() {
+		m := newTestMirror()
+		workload := func(revision int64, config string) *manifest.Workload {
+			Expect(m.Apply(catalog.Update{After: revision - 1, Position: catalog.Position{Revision: revision}, Items: []catalog.Item{item("config", revision, config)}})).To(BeTrue())
+			return m.last.SearchWorkloads["all"]
+		}
+		first := workload(1, "1 a b c")
+		Expect(workload(2, "2 a b c")).To(BeIdenticalTo(first))
+		for i, other := range []string{"3 a c b", "4 a b", "5 a b c d"} {
+			w := workload(int64(3+i), other)
+			names := []string{}
+			for _, s := range w.NewestMap.Shards {
+				names = append(names, string(s.Name))
+			}
+			Expect(names).To(Equal(strings.Fields(other)[1:]))
+		}
+	})
+})
+
 func BenchmarkApply(b *testing.B) {
 	m := newTestMirror()
 	items := []catalog.Item{item("config", 1, "1 a b")}
