limits.memory_mb also sets the soft limit of the garbage collector

Cause: with live data of 45 MB, garbage of as much again would use up the smallest machine, 136 MB.

Change: kind catalog only; the collector may use three quarters of the machine's memory less 20 MB, which are for the mapped program (14 MB), libc and threads; the last quarter is for the buffers of sockets. At least 40 MB: under load a VM that runs searches takes 20 to 25 MB, and a limit near the live data would have the collector run all the time and free nothing. No limit if the memory is not known.

Ruled out: a lower collector target for all.

--- a/cmd/sardinespindle/main.go
+++ b/cmd/sardinespindle/main.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime/debug"
 	"runtime/pprof"
 	"syscall"
 	"time"
@@ -184,6 +185,10 @@
 // newDaemon returns the kind of daemon that the configured platform needs.
 func newDaemon(s *gen.Settings, l *log.Logger) (runner, error) {
 	if s.Platform.Kind == gen.PlatformKindCatalog {
+		if limit := daemon.HeapLimit(s.Limits.MemoryMb); limit > 0 {
+			debug.SetMemoryLimit(limit)
+			l.Info("memory limit", "machine_mb", s.Limits.MemoryMb, "collector_mb", limit/1_000_000)
+		}
 		return daemon.NewForwarder(s, l)
 	}
 	return daemon.New(s, l)
