callers: spans of requests without otelhttp

Cause: otelhttp wraps response writers with httpsnoop, which has generated code for every combination of their interfaces: 1.6 MB of code, data and line tables, although a VM that serves a catalog never uses the package.

Change: a handler of 20 lines starts the span, in the caller's trace and with the name of the route, and records method, path, route, peer address and status. Other attributes (user agent, sizes, scheme, server address) are gone. make deps-check guards against httpsnoop.

Test: parent, name, kind, attributes and status of the span.

--- a/Makefile
+++ b/Makefile
@@ -75,7 +75,7 @@
 
 # Fails if the daemon links packages whose code or initialization costs each VM memory and time at its
 # start (docs/design/memory.md).
-HEAVY_PACKAGES := google.golang.org/grpc|github.com/santhosh-tekuri/jsonschema|github.com/alecthomas/kingpin|html/template
+HEAVY_PACKAGES := google.golang.org/grpc|github.com/santhosh-tekuri/jsonschema|github.com/alecthomas/kingpin|html/template|github.com/felixge/httpsnoop
 deps-check:
 	@out=$$(go list -deps ./cmd/sardinespindle | grep -E '^($(HEAVY_PACKAGES))(/|$$)'); [ -z "$$out" ] || { echo "the daemon links: $$out"; exit 1; }
 
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -14,7 +14,6 @@
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
-	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
 
 	"github.com/sardinespindle/sardinespindle/internal/admission"
 	"github.com/sardinespindle/sardinespindle/internal/gather"
@@ -76,7 +75,7 @@
 	mux.HandleFunc("POST /v1/workloads/{workload}/search", s.serve(s.search))
 	mux.HandleFunc("POST /v1/workloads/{workload}/requests", s.serve(s.request))
 	mux.HandleFunc("GET /v1/health", s.health)
-	return otelhttp.NewHandler(mux, "caller request")
+	return traced(mux)
 }
 
 // HTTPServer returns the server that serves the handler on an address.
--- a/internal/callers/write.go
+++ b/internal/callers/write.go
@@ -32,7 +32,9 @@
 	if s.stopping.Load() {
 		h.Set("Connection", "close")
 	}
-	w.WriteHeader(httpStatus(o))
+	status := httpStatus(o)
+	recordStatus(r, status)
+	w.WriteHeader(status)
 	if _, err := w.Write(body); err != nil {
 		s.o.Log.Debug("answer not written", "id", c.id, "reason", err)
 	}
