--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -128,7 +128,7 @@
 	if c == older.Config {
 		out.Table, out.SearchWorkloads, out.ShardLimits = older.Table, older.SearchWorkloads, older.ShardLimits
 	} else {
-		out.Table, out.SearchWorkloads, out.ShardLimits = route.NewTable(c.Routes), searchWorkloads(c.Routes), shardLimits(c)
+		out.Table, out.SearchWorkloads, out.ShardLimits = route.NewTable(c.Routes), searchWorkloads(c.Routes, older), shardLimits(c)
 	}
 	out.ZoneCoverage = zoneCoverage(c.Routes, out.ServiceZones)
 	return out
@@ -214,18 +214,29 @@
 	return slices.DeleteFunc(entries, func(e Entry) bool { return last[e.Address].Identity != e.Identity })
 }
 
-// searchWorkloads returns the workloads of the sharded routes by route name.
-func searchWorkloads(routes []*route.Route) map[string]*manifest.Workload {
+// searchWorkloads returns the workloads of the sharded routes by route name. A route whose shards
+// are those of the older catalog shares its workload, so that up to maxEarlierVersions versions
+// hold it once.
+func searchWorkloads(routes []*route.Route, older *Catalog) map[string]*manifest.Workload {
 	out := make(map[string]*manifest.Workload)
 	for _, r := range routes {
 		if !r.Sharded() {
 			continue
 		}
+		if w := older.SearchWorkloads[r.Name]; isSearchOf(w, r.Shards) {
+			out[r.Name] = w
+			continue
+		}
 		out[r.Name] = NewSearchWorkload(r.Name, r.Shards)
 	}
 	return out
 }
 
+// isSearchOf reports whether a workload, which may be nil, is a search of exactly these shards.
+func isSearchOf(w *manifest.Workload, shards []string) bool {
+	return w != nil && slices.EqualFunc(w.NewestMap.Shards, shards, func(a gen.Shard, b string) bool { return string(a.Name) == b })
+}
+
 // NewSearchWorkload returns the workload for a search of the given shards of a route.
 func NewSearchWorkload(name string, shards []string) *manifest.Workload {
 	pm := &manifest.PartitionMap{ByName: make(map[string]*gen.Shard, len(shards))}
