--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -64,6 +64,7 @@
 	return &gen.Settings{
 		Platform: gen.Platform{WatchSeconds: defaultWatchSeconds, Kind: gen.PlatformKindManifest},
 		Fleet:    &gen.Fleet{Capacity: 1},
+		Limits:   &gen.Limits{},
 		Repeats:  &gen.Repeats{Ratio: defaultRepeatRatio, Slack: defaultRepeatSlack, WindowSeconds: defaultRepeatWindowSeconds},
 		Cold:     &gen.Cold{Overage: defaultColdOverage},
 		Log:      &gen.Log{Level: gen.LogLevelInfo, Format: gen.LogFormatJson},
