Settings [limits] memory_mb and descriptors, rendered on the users' platform

What a process holds for its clients has to follow what its machine has, which no setting stated. Without them a VM counts as large. Nothing uses them yet.

Ruled out: reading the machine's memory from /proc, which shows the host's on the users' platform, and a default derived from it, which would differ from run to run.

internal/settings passes.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,6 +63,7 @@
 	return &gen.Settings{
 		Platform: gen.Platform{WatchSeconds: defaultWatchSeconds, Kind: gen.PlatformKindManifest},
 		Fleet:    &gen.Fleet{Capacity: 1},
+		Limits:   &gen.Limits{},
 		Repeats:  &gen.Repeats{Ratio: defaultRepeatRatio, Slack: defaultRepeatSlack, WindowSeconds: defaultRepeatWindowSeconds},
 		Log:      &gen.Log{Level: gen.LogLevelInfo, Format: gen.LogFormatJson},
 		Trace:    &gen.Trace{Exporter: gen.TraceExporterNone, Sample: defaultTraceSample},
--- a/schema/gen/settings/settings.go
+++ b/schema/gen/settings/settings.go
@@ -60,6 +60,18 @@
 	Seeds []Address `json:"seeds,omitempty,omitzero" toml:"seeds,omitempty" cbor:"seeds,omitempty"`
 }
 
+// What this process may use of its machine. What clients can make it hold is
+// bounded accordingly. Kind catalog only.
+type Limits struct {
+	// Number of descriptors that the process may have open; 0 if it is not known,
+	// which counts as 65,536.
+	Descriptors float64 `json:"descriptors,omitempty,omitzero" toml:"descriptors,omitempty" cbor:"descriptors,omitempty"`
+
+	// Memory of the machine in MB (1,000,000 bytes); 0 if it is not known, which
+	// counts as 4,096.
+	MemoryMb float64 `json:"memory_mb,omitempty,omitzero" toml:"memory_mb,omitempty" cbor:"memory_mb,omitempty"`
+}
+
 // Listen addresses, each an IP address and a port.
 type Listen struct {
 	// Address of the HTTP interface for metrics, health and read-only status.
@@ -138,6 +150,9 @@
 	// Fleet corresponds to the JSON schema field "fleet".
 	Fleet *Fleet `json:"fleet,omitempty,omitzero" toml:"fleet,omitempty" cbor:"fleet,omitempty"`
 
+	// Limits corresponds to the JSON schema field "limits".
+	Limits *Limits `json:"limits,omitempty,omitzero" toml:"limits,omitempty" cbor:"limits,omitempty"`
+
 	// Listen corresponds to the JSON schema field "listen".
 	Listen Listen `json:"listen" toml:"listen" cbor:"listen"`
 
