policy/clientlimit: what clients may hold, and which connection is closed first

Pure decisions for misbehaving clients: how a machine's memory and descriptors are divided among the listeners, what a connection, a line of a head and a byte count as, and the order in which connections are closed to make room. Load pattern: requests of legal size that stop half-way, and answers that are not read, beside callers whose requests arrive at once.

Ruled out: the same number of fields or connections for all machines, since one request of the published size may have thousands of fields; a bound per address, since callers come through one load balancer; closing the newest first, which hits ordinary callers.

--- /dev/null
+++ b/internal/policy/clientlimit/clientlimit.go
@@ -0,0 +1,165 @@
+// Package clientlimit decides what clients may make a VM hold: how its memory and descriptors are divided
+// among its listeners, what a connection and a request are counted as, and which connection is closed when
+// that is spent. Load pattern: many clients that send requests of legal size slowly or only in part, or
+// read no answers, beside ordinary callers, whose requests arrive at once. Its functions are pure.
+package clientlimit
+
+import "time"
+
+// Capacity is what the connections of one listener may use together.
+type Capacity struct {
+	// Memory is in bytes, counted as by HeadCost, ConnCost and BodyCost.
+	Memory      int64
+	Connections int
+}
+
+// Plan holds the capacities of a VM's listeners. Each is spent by the clients of its listener only, so that
+// callers take nothing from peers and the platform's health checks.
+type Plan struct{ Callers, Peers, Admin Capacity }
+
+// What counts as known if the settings do not state it. Both are beyond what clients within the published
+// limits use.
+const (
+	defaultMemory      = 4096e6
+	defaultDescriptors = 1 << 16
+)
+
+const (
+	// ownMemory is what a VM uses without clients' load: 48.5 MB at the peak of a large deployment.
+	ownMemory = 48e6
+	// minClientShare is the share of the memory that clients get on a machine with little more than
+	// ownMemory.
+	minClientShare = 0.125
+	// liveShare is the share of the clients' memory that may be in use at once. The garbage collector lets
+	// the heap grow to twice what is in use, and the rest is for fragments.
+	liveShare = 0.4
+	// reservedDescriptors are for files.
+	reservedDescriptors = 200
+)
+
+// Shares of the listeners. The other descriptors are for connections to upstreams, peers and the store.
+const (
+	callersMemory, peersMemory, adminMemory = 0.75, 0.1875, 0.0625
+	callersConns, peersConns, adminConns    = 0.4, 0.125, 0.03125
+)
+
+// Least capacities: enough for a few requests at the published limits.
+const (
+	minCallersMemory, minOtherMemory = 4e6, 1e6
+	minConns                         = 8
+)
+
+// Divide returns the capacities for a machine with memory in MB and descriptors as in the settings, 0 for
+// unknown.
+func Divide(memoryMB, descriptors float64) Plan {
+	memory := memoryMB * 1e6
+	if memory <= 0 {
+		memory = defaultMemory
+	}
+	if descriptors <= 0 {
+		descriptors = defaultDescriptors
+	}
+	live := liveShare * max(memory-ownMemory, minClientShare*memory)
+	usable := max(descriptors-reservedDescriptors, 0)
+	capacity := func(memoryShare, minMemory, connShare float64) Capacity {
+		return Capacity{Memory: int64(max(memoryShare*live, minMemory)), Connections: max(int(connShare*usable), minConns)}
+	}
+	return Plan{
+		Callers: capacity(callersMemory, minCallersMemory, callersConns),
+		Peers:   capacity(peersMemory, minOtherMemory, peersConns),
+		Admin:   capacity(adminMemory, minOtherMemory, adminConns),
+	}
+}
+
+const (
+	// ConnCost is what an open connection counts as: its goroutine's stack, and the buffers of its server.
+	ConnCost = 16 << 10
+	// lineCost is what a line of a head counts as besides its bytes: a header field has an entry in two
+	// maps, for the request and for the copy that is forwarded, and a slice.
+	lineCost = 200
+	// byteCost counts a byte of a head twice: read, and parsed. bodyCost counts one of a body twice: a body
+	// is read in chunks that are then joined.
+	byteCost, bodyCost = 2, 2
+)
+
+// HeadCost returns what lines of a head with a number of bytes in all count as.
+func HeadCost(lines, bytes int) int64 { return int64(lines)*lineCost + int64(bytes)*byteCost }
+
+// BodyCost returns what bytes of a body count as.
+func BodyCost(bytes int) int64 { return int64(bytes) * bodyCost }
+
+// Phase is what a connection is doing.
+type Phase int32
+
+// Phases of a connection.
+const (
+	// Fresh: nothing has arrived yet.
+	Fresh Phase = iota
+	// Head and Body: a part of a request's head, or its body, has arrived.
+	Head
+	Body
+	// Running: a request has arrived and is not yet answered.
+	Running
+	// Idle: the last request is answered.
+	Idle
+	// Upgraded: the connection no longer carries HTTP.
+	Upgraded
+	// Closing: the connection is being closed for its load.
+	Closing
+)
+
+// Conn is the state of a connection that may have to be closed.
+type Conn struct {
+	Phase Phase
+	// Since is when the phase began; for Head, Body and Running when the request's first bytes arrived.
+	Since time.Duration
+	// Writing is when the last progress was made in sending an answer, which is not yet sent; 0 for none.
+	Writing time.Duration
+}
+
+// Times for which an answer may make no progress: until it may be closed to make room, and until it is
+// closed in any case.
+const (
+	SlowWrite    = 500 * time.Millisecond
+	StalledWrite = 5 * time.Second
+)
+
+// Ranks of connections: of two, the one with the lower rank is closed first.
+const (
+	rankStalled = iota // an answer that is not read
+	rankPartial        // a request that has not arrived, which takes an ordinary caller an instant
+	rankIdle
+	rankKept
+)
+
+func rank(c Conn, now time.Duration) int {
+	switch c.Phase {
+	case Fresh, Head, Body:
+		return rankPartial
+	case Idle:
+		return rankIdle
+	case Running:
+		if c.Writing != 0 && now-c.Writing >= SlowWrite {
+			return rankStalled
+		}
+	}
+	return rankKept
+}
+
+// CloseBefore reports whether a is closed before b to make room.
+func CloseBefore(a, b Conn, now time.Duration) bool {
+	ra, rb := rank(a, now), rank(b, now)
+	if ra != rb {
+		return ra < rb
+	}
+	return a.Since < b.Since
+}
+
+// MayClose reports whether a connection may be closed to make room. A request that has arrived is never
+// given up for others.
+func MayClose(c Conn, now time.Duration) bool { return rank(c, now) != rankKept }
+
+// Stalled reports whether a connection is closed in any case.
+func Stalled(c Conn, now time.Duration) bool {
+	return c.Phase == Running && c.Writing != 0 && now-c.Writing >= StalledWrite
+}
