--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 
 # Long runs of the property tests with a new random seed, which is printed, and of the fuzz targets
 # for bytes that others send.
-FUZZ := upstream:FuzzReply upstream:FuzzLoad policy/coverage:FuzzTopRecords peer:FuzzDecode
+FUZZ := upstream:FuzzReply upstream:FuzzLoad policy/coverage:FuzzTopRecords peer:FuzzDecode ingress:FuzzRequestHeads
 FUZZ_TIME ?= 60s
 fuzz:
 	@seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); echo "seed $$seed"; \
