Clients of a VM are bounded by what its machine has, on all three listeners

The servers for callers, peers and operators each get a gate with its own capacity, divided from [limits]. Callers' bodies no longer share memory with upstreams' replies. Replies over 16 KiB are counted for their caller before they are read, so that callers which read slowly hold back the reading of replies; a request whose route answered with much lately is refused unsent if there is no room for its answer. Metrics and status are written four at a time, and idle connections at the addresses for peers and operators end.

The size of a head is the received one where the connection knows it: a single request of very short fields at the published limit was refused with 431, as a space was added to each field.

Ruled out: a budget of replies that is given back by the garbage collector, and holding only the expected size of answers, which a burst of first requests passes.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -15,9 +15,28 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
 	maxExplainBytes   = 64 << 10
+	// MaxHeaderBytes bounds the head of a request.
+	MaxHeaderBytes = 16 << 10
+	// maxReports is how many answers with metrics or status, which are large, are written at once.
+	maxReports = 4
 )
 
+// limitReports refuses requests while maxReports of them are answered.
+func limitReports(reports chan struct{}, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case reports <- struct{}{}:
+			defer func() { <-reports }()
+			h.ServeHTTP(w, r)
+		default:
+			w.Header().Set("Retry-After", "1")
+			http.Error(w, "too many reports at once", http.StatusServiceUnavailable)
+		}
+	})
+}
+
 // Options configures the HTTP interface.
 type Options struct {
 	// Ready reports whether the VM takes new requests.
@@ -35,7 +54,8 @@
 // o.Explain is set.
 func Handler(o Options) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(o.Gatherer, promhttp.HandlerOpts{}))
+	reports := make(chan struct{}, maxReports)
+	mux.Handle("GET /metrics", limitReports(reports, promhttp.HandlerFor(o.Gatherer, promhttp.HandlerOpts{})))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	ready := func(w http.ResponseWriter, _ *http.Request) {
 		if !o.Ready() {
@@ -46,7 +66,7 @@
 	if o.ReadyPath != "" {
 		mux.HandleFunc("GET "+o.ReadyPath, ready)
 	}
-	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, o.Log, o.Status()) })
+	mux.Handle("GET /v1/status", limitReports(reports, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, o.Log, o.Status()) })))
 	if o.Explain == nil {
 		return mux
 	}
@@ -63,7 +83,9 @@
 
 // Server returns the HTTP server that serves the interface on an address.
 func Server(addr string, o Options) *http.Server {
-	return &http.Server{Addr: addr, Handler: Handler(o), ReadHeaderTimeout: readHeaderTimeout}
+	return &http.Server{
+		Addr: addr, Handler: Handler(o), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: MaxHeaderBytes,
+	}
 }
 
 func writeJSON(w http.ResponseWriter, l *log.Logger, v any) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/claims"
 	"github.com/sardinespindle/sardinespindle/internal/clock"
 	"github.com/sardinespindle/sardinespindle/internal/gather"
+	"github.com/sardinespindle/sardinespindle/internal/ingress"
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/mechanism"
 	"github.com/sardinespindle/sardinespindle/internal/peer"
@@ -101,7 +102,7 @@
 	}
 	for _, server := range servers {
 		server.ErrorLog = d.log.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel})
-		if err := listen(server, failed); err != nil {
+		if err := listen(server, nil, failed); err != nil {
 			return err
 		}
 	}
@@ -115,12 +116,17 @@
 	return d.shutdown(servers)
 }
 
-// listen serves in the background and sends the error to failed if serving fails.
-func listen(server *http.Server, failed chan<- error) error {
+// listen serves in the background and sends the error to failed if serving fails. The gate, which may be
+// nil, bounds the server's connections.
+func listen(server *http.Server, gate *ingress.Gate, failed chan<- error) error {
 	l, err := net.Listen("tcp", server.Addr) //nolint:noctx // the listener lives as long as the process
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	if gate != nil {
+		gate.Protect(server)
+		l = gate.Listen(l)
+	}
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			failed <- fmt.Errorf("serve %s: %w", server.Addr, err)
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -21,10 +21,12 @@
 	"github.com/sardinespindle/sardinespindle/internal/clock"
 	"github.com/sardinespindle/sardinespindle/internal/forward"
 	"github.com/sardinespindle/sardinespindle/internal/gather"
+	"github.com/sardinespindle/sardinespindle/internal/ingress"
 	"github.com/sardinespindle/sardinespindle/internal/mechanism"
 	"github.com/sardinespindle/sardinespindle/internal/pause"
 	"github.com/sardinespindle/sardinespindle/internal/peer"
 	"github.com/sardinespindle/sardinespindle/internal/poison"
+	"github.com/sardinespindle/sardinespindle/internal/policy/clientlimit"
 	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
 	"github.com/sardinespindle/sardinespindle/internal/policy/liveness"
 	"github.com/sardinespindle/sardinespindle/internal/policy/repeat"
@@ -53,6 +55,7 @@
 	sync      *catalog.Sync
 	upstreams *upstream.Client
 	server    *forward.Server
+	gates     []*ingress.Gate // of the servers for peers, operators and callers
 }
 
 // incarnationChars is the length of the random part of an incarnation. Every fact carries an incarnation,
@@ -166,19 +169,51 @@
 	return fromIP, f.s.Experiment.UpstreamPortOffset
 }
 
-// readBytes is the memory for bodies that are being read, of replies and of callers' requests
-// together: small beside that of the smallest VM, 136 MB.
+// readBytes is the memory for bodies of replies that are being read: small beside that of the smallest VM,
+// 136 MB. Bodies of callers' requests have as much if the machine's memory is not known.
 const readBytes = 16 << 20
 
+// callerReadsFactor makes the memory for bodies of callers' requests that are being read so large that the
+// gate refuses them first: a body may use a part of what others leave, and the gate closes others to make
+// room.
+const callerReadsFactor = 4
+
+// callerReads returns the memory for bodies of callers' requests that are being read.
+func (f *Forwarder) callerReads(plan clientlimit.Plan) int64 {
+	if f.s.Limits.MemoryMb == 0 {
+		return readBytes
+	}
+	return callerReadsFactor * plan.Callers.Memory
+}
+
+// peerIdleTimeout is how long a connection may stay idle that has not been upgraded.
+const peerIdleTimeout = 30 * time.Second
+
+// newGates creates the gates of the servers for peers, operators and callers. headLimit returns the
+// published limit of heads.
+func (f *Forwarder) newGates(plan clientlimit.Plan, headLimit func() int) {
+	metrics := ingress.NewMetrics(f.registry)
+	gate := func(listener string, c clientlimit.Capacity, headLimit func() int) *ingress.Gate {
+		return ingress.New(ingress.Options{Listener: listener, Capacity: c, HeadLimit: headLimit, Metrics: metrics, Log: f.log})
+	}
+	f.gates = []*ingress.Gate{
+		gate("peers", plan.Peers, func() int { return maxPeerHeaderBytes }),
+		gate("admin", plan.Admin, func() int { return admin.MaxHeaderBytes }),
+		gate("callers", plan.Callers, headLimit),
+	}
+}
+
 // wireRequests creates the parts that serve callers and send requests to upstreams.
 func (f *Forwarder) wireRequests() error {
 	var err error
 	dialIP, portOffset := f.dialing()
 	reads := readlimit.New(readBytes)
+	plan := clientlimit.Divide(f.s.Limits.MemoryMb, f.s.Limits.Descriptors)
 	f.upstreams, err = upstream.New(upstream.Options{
 		VM: f.node.Name(), Zone: f.s.Zone, Mechanisms: mechanism.New(f.s.Experiment), VMs: f.fleet.size, Members: f.fleet.names,
 		Share: f.connectionShare, MayPreconnect: f.fleet.converged, ManifestOnly: true, Headers: platform.UpstreamHeaders, OnLeaving: f.announceLeaving,
-		OnReach: f.fleet.setReached, Senders: f.limitSenders, OnLimit: f.announceLimit, DialIP: dialIP, DialPortOffset: portOffset, Reads: reads, Log: f.log, Registerer: f.registry,
+		OnReach: f.fleet.setReached, Senders: f.limitSenders, OnLimit: f.announceLimit, DialIP: dialIP, DialPortOffset: portOffset, Reads: reads,
+		CountReply: ingress.CountReply, Log: f.log, Registerer: f.registry,
 	})
 	if err != nil {
 		return err
@@ -196,7 +231,7 @@
 		Searcher: engine,
 		Runner:   runner,
 		Poison:   f.poison,
-		Reads:    reads,
+		Reads:    readlimit.New(f.callerReads(plan)),
 		Repeats: repeat.Limits{
 			Ratio: f.s.Repeats.Ratio, Slack: f.s.Repeats.Slack,
 			Window: time.Duration(f.s.Repeats.WindowSeconds * float64(time.Second)),
@@ -215,6 +250,7 @@
 		Registerer: f.registry,
 	})
 	f.node.Handle(f.server.Handle)
+	f.newGates(plan, f.server.HeadLimit)
 	return nil
 }
 
@@ -264,15 +300,18 @@
 	failed := make(chan error, 3)
 	callerServer := f.server.HTTPServer(string(f.s.Listen.Callers))
 	servers := []*http.Server{
-		{Addr: string(f.s.Listen.Peers), Handler: f.node.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxPeerHeaderBytes},
+		{
+			Addr: string(f.s.Listen.Peers), Handler: f.node.Handler(), ReadHeaderTimeout: headerTimeout,
+			IdleTimeout: peerIdleTimeout, MaxHeaderBytes: maxPeerHeaderBytes,
+		},
 		admin.Server(string(f.s.Listen.Admin), admin.Options{
 			Ready: f.ready, Status: f.status, Gatherer: f.registry, Log: f.log, ReadyPath: platform.ReadyPath,
 		}),
 		callerServer,
 	}
-	for _, server := range servers {
+	for i, server := range servers {
 		server.ErrorLog = f.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel})
-		if err := listen(server, failed); err != nil {
+		if err := listen(server, f.gates[i], failed); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/internal/forward/answersize.go
@@ -0,0 +1,31 @@
+package forward
+
+// smallAnswer is the size up to which an answer is not counted: the buffers of its connection hold it.
+const smallAnswer = 16 << 10
+
+// answerDecay is by how much the size that is expected of a route's answers falls with each answer, unless
+// that one is larger.
+const answerDecay = 0.95
+
+// takeAnswer makes room for an answer of the size that recent ones of the route had: a request that has run
+// cannot be refused. It reports false if there is no room.
+func (s *Server) takeAnswer(q *request) bool {
+	if q.conn == nil {
+		return true
+	}
+	expected := 0
+	s.answerSizes.View(q.route.Name, func(size *int) { expected = *size })
+	return expected <= smallAnswer || q.conn.Take(expected)
+}
+
+// holdAnswer counts an answer that is about to be written, and remembers its size.
+func (s *Server) holdAnswer(q *request, size int) {
+	if q.conn == nil || q.route == nil {
+		return
+	}
+	expected := 0
+	if size > smallAnswer || s.answerSizes.View(q.route.Name, func(known *int) { expected = *known }) && expected > smallAnswer {
+		s.answerSizes.Update(q.route.Name, func(known *int) { *known = max(size, int(answerDecay*float64(*known))) })
+		q.conn.Hold(size)
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -19,6 +19,7 @@
 
 	"github.com/sardinespindle/sardinespindle/internal/catalog"
 	"github.com/sardinespindle/sardinespindle/internal/gather"
+	"github.com/sardinespindle/sardinespindle/internal/ingress"
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
 	"github.com/sardinespindle/sardinespindle/internal/policy/answer"
@@ -121,6 +122,7 @@
 	requests      context.Context           // ends when the requests of callers are cut
 	cut           context.CancelCauseFunc
 	durations     *sharded.Map[string, stop.Durations] // by route
+	answerSizes   *sharded.Map[string, int]            // by route; see takeAnswer
 	inFlight      atomic.Int64
 }
 
@@ -140,7 +142,7 @@
 	}
 	s := &Server{
 		o: o, metrics: newMetrics(o.Registerer), repeatBudgets: sharded.New[string, repeat.Bucket](maxServices),
-		durations: sharded.New[string, stop.Durations](maxServices),
+		durations: sharded.New[string, stop.Durations](maxServices), answerSizes: sharded.New[string, int](maxServices),
 	}
 	s.requests, s.cut = context.WithCancelCause(context.Background())
 	return s
@@ -202,6 +204,8 @@
 	// the answer to the caller.
 	opensConn bool
 	path      answer.Path
+	// conn is the caller's connection; nil if its load is not counted.
+	conn *ingress.Conn
 	// decideBy is when the VM that delegated the request needs a decision; zero if none did.
 	decideBy time.Time
 	// decidedAt is when the outcome was decided on; zero if that is not known.
@@ -220,7 +224,9 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	q := &request{id: r.Header.Get(s.o.Headers.RequestID), start: time.Now(), opensConn: opensConn(r)}
+	q := &request{
+		id: r.Header.Get(s.o.Headers.RequestID), start: time.Now(), opensConn: opensConn(r), conn: ingress.FromContext(r.Context()),
+	}
 	o := s.serveGuarded(w, r, q)
 	s.record(q, &o)
 	if r.Context().Err() != nil && !q.bodyLate && !errors.Is(context.Cause(r.Context()), errCut) {
@@ -255,6 +261,9 @@
 	if rejection != nil {
 		return *rejection
 	}
+	if !s.takeAnswer(q) {
+		return outcome.NotRun(outcome.Overloaded, "answers that callers have not read leave no room", startRetryAfter)
+	}
 	q.service = q.route.ChooseService(rand.Float64())
 	if q.route.Sharded() {
 		q.path = s.path(r, q)
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sardinespindle/sardinespindle/internal/catalog"
+	"github.com/sardinespindle/sardinespindle/internal/ingress"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
 )
 
@@ -68,6 +69,9 @@
 	}
 }
 
+// HeadLimit returns the published limit of a request's head in bytes; 0 if none is known.
+func (s *Server) HeadLimit() int { return s.publishedLimits().HeaderBytes }
+
 // publishedLimits returns the published limits; none while no configuration is known.
 func (s *Server) publishedLimits() catalog.Limits {
 	c := s.o.Catalog()
@@ -77,17 +81,22 @@
 	return c.Config.Limits
 }
 
-// checkHead rejects a request whose head exceeds the limit; a limit of 0 allows any size.
-func checkHead(r *http.Request, limit int) *outcome.Outcome {
-	if size := headBytes(r); limit > 0 && size > limit {
+// checkHead rejects a request whose head exceeds the limit; a limit of 0 allows any size. c is the
+// request's connection, which may be nil.
+func checkHead(r *http.Request, c *ingress.Conn, limit int) *outcome.Outcome {
+	size, known := c.HeadSize()
+	if !known {
+		size = headBytes(r)
+	}
+	if limit > 0 && size > limit {
 		o := outcome.Rejected(outcome.HeadTooLarge, fmt.Sprintf("head of %d bytes, at most %d", size, limit))
 		return &o
 	}
 	return nil
 }
 
-// headBytes returns the size of a request's head as received, without the optional spaces
-// around header values, which net/http removes.
+// headBytes returns the size of a request's head if each header value has one space before it. What spaces
+// were received is not known, since net/http removes them.
 func headBytes(r *http.Request) int {
 	const lineEnd = len("\r\n")
 	size := len(r.Method) + len(" ") + len(r.RequestURI) + len(" ") + len(r.Proto) + lineEnd
--- a/internal/forward/path.go
+++ b/internal/forward/path.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -33,7 +34,7 @@
 	if known := c.roundTrip.Load(); known != 0 {
 		return time.Duration(known)
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
+	tcp, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return 0
 	}
--- a/internal/forward/read.go
+++ b/internal/forward/read.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/sardinespindle/sardinespindle/internal/ingress"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
 	"github.com/sardinespindle/sardinespindle/internal/readlimit"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
@@ -19,7 +20,7 @@
 // readRequest returns the pass-through request, or the outcome that rejects it. A body that has
 // not arrived by the request's deadline is rejected.
 func (s *Server) readRequest(w http.ResponseWriter, r *http.Request, q *request) (*upstream.PassThroughRequest, *outcome.Outcome) {
-	if o := checkHead(r, q.catalog.Config.Limits.HeaderBytes); o != nil {
+	if o := checkHead(r, q.conn, q.catalog.Config.Limits.HeaderBytes); o != nil {
 		return nil, o
 	}
 	limit := int64(q.catalog.Config.Limits.BodyBytes)
@@ -36,6 +37,9 @@
 				o = outcome.Rejected(outcome.TooLarge, err.Error())
 			case errors.Is(err, readlimit.ErrNoMemory):
 				o = outcome.NotRun(outcome.Overloaded, err.Error(), startRetryAfter)
+			case errors.Is(err, ingress.ErrNoRoom):
+				q.bodyLate = true
+				o = outcome.NotRun(outcome.Overloaded, err.Error(), startRetryAfter)
 			case errors.Is(err, os.ErrDeadlineExceeded):
 				q.bodyLate = true
 				o = outcome.NotRun(outcome.DeadlineExceeded, "the body had not arrived by the deadline", 0)
--- a/internal/forward/write.go
+++ b/internal/forward/write.go
@@ -38,6 +38,7 @@
 	if o.Kind != caller.OutcomeAnswered || r.Method == http.MethodHead || len(o.Result) == 0 {
 		return
 	}
+	s.holdAnswer(q, len(o.Result))
 	if _, err := w.Write(o.Result); err != nil {
 		s.o.Log.Info("answer not written", "id", q.id, "err", err)
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -51,6 +52,10 @@
 	DialPortOffset int
 	// Reads bounds the memory of replies that are being read. The default is 256 MiB.
 	Reads *readlimit.Budget
+	// CountReply returns a reader of the body of a reply to a pass-through request that counts it as held
+	// for the caller of the attempt with the context; length is negative if it is not known. It waits until
+	// there is room for the body, and returns an error if there is none in time. It may be nil.
+	CountReply func(ctx context.Context, body io.Reader, length int64) (io.Reader, error)
 	// Headers names the headers of attempts of kind PassThrough.
 	Headers    HeaderNames
 	Log        *log.Logger
--- a/internal/upstream/pass.go
+++ b/internal/upstream/pass.go
@@ -175,7 +175,14 @@
 // reset as an error.
 func (c *Client) readPassThrough(resp *http.Response, limit int64) ([]byte, error) {
 	defer resp.Body.Close()
-	return c.opts.Reads.ReadAll(resp.Body, limit, resp.ContentLength)
+	body := io.Reader(resp.Body)
+	if c.opts.CountReply != nil {
+		var err error
+		if body, err = c.opts.CountReply(resp.Request.Context(), body, resp.ContentLength); err != nil {
+			return nil, err
+		}
+	}
+	return c.opts.Reads.ReadAll(body, limit, resp.ContentLength)
 }
 
 // passThroughLoad returns the load that a reply to a pass-through request reports; Known
