--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -26,6 +26,10 @@
 func (g *Gate) handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := FromContext(r.Context())
+		if c != nil && c.isClosing() {
+			// The head was parsed while the connection was closed for its load, and 408 may have been sent.
+			panic(http.ErrAbortHandler)
+		}
 		if c == nil || r.ContentLength == 0 || r.Body == nil {
 			h.ServeHTTP(w, r)
 			return
@@ -56,6 +60,9 @@
 		b.conn.gate.log.refused(reasonMemory, b.conn, b.conn.gate)
 		return 0, ErrNoRoom
 	}
+	if b.conn.isClosing() {
+		return 0, ErrNoRoom
+	}
 	if err == io.EOF { //nolint:errorlint // readers return io.EOF itself
 		b.ended = true
 		b.conn.setPhase(clientlimit.Running)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -234,6 +235,36 @@
 		}
 	})
 
+	// Guards against a request that runs though its caller was told by 408 that it did not.
+	It("does not hand a request over whose connection is being closed", func() {
+		s := serve(roomy, 0, readBody)
+		client, server := net.Pipe()
+		DeferCleanup(client.Close)
+		c := s.gate.admit(server)
+		DeferCleanup(c.Close)
+		called := false
+		h := s.gate.handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { called = true }))
+		r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("b"))
+		r = r.WithContext(context.WithValue(r.Context(), connKey{}, c))
+		Expect(c.closeFrom(clientlimit.Fresh)).To(BeTrue())
+		c.onState(http.StateActive)
+		Expect(func() { h.ServeHTTP(httptest.NewRecorder(), r) }).To(PanicWith(http.ErrAbortHandler))
+		Expect(called).To(BeFalse())
+	})
+
+	It("does not let a handler have the end of a body whose connection is being closed", func() {
+		s := serve(roomy, 0, readBody)
+		client, server := net.Pipe()
+		DeferCleanup(client.Close)
+		c := s.gate.admit(server)
+		DeferCleanup(c.Close)
+		c.setPhase(clientlimit.Body)
+		body := countedBody{conn: c, from: io.NopCloser(strings.NewReader("b"))}
+		Expect(c.closeFrom(clientlimit.Body)).To(BeTrue())
+		_, err := io.ReadAll(&body)
+		Expect(err).To(MatchError(ErrNoRoom))
+	})
+
 	// Without a deadline the server waits for the rest of the body before it answers.
 	It("answers a request whose body does not come, though no handler reads it", func() {
 		s := serve(roomy, 0, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) })
