--- a/internal/forward/answersize.go
+++ b/internal/forward/answersize.go
@@ -10,7 +10,7 @@
 // takeAnswer makes room for an answer of the size that recent ones of the route had: a request that has run
 // cannot be refused. It reports false if there is no room.
 func (s *Server) takeAnswer(q *request) bool {
-	if q.conn == nil {
+	if q.conn == nil || !s.largeAnswers.Load() {
 		return true
 	}
 	expected := 0
@@ -20,12 +20,12 @@
 
 // holdAnswer counts an answer that is about to be written, and remembers its size.
 func (s *Server) holdAnswer(q *request, size int) {
-	if q.conn == nil || q.route == nil {
+	if q.conn == nil || q.route == nil || size <= smallAnswer && !s.largeAnswers.Load() {
 		return
 	}
-	expected := 0
-	if size > smallAnswer || s.answerSizes.View(q.route.Name, func(known *int) { expected = *known }) && expected > smallAnswer {
-		s.answerSizes.Update(q.route.Name, func(known *int) { *known = max(size, int(answerDecay*float64(*known))) })
+	s.largeAnswers.Store(true)
+	s.answerSizes.Update(q.route.Name, func(known *int) { *known = max(size, int(answerDecay*float64(*known))) })
+	if size > smallAnswer {
 		q.conn.Hold(size)
 	}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -123,6 +123,7 @@
 	cut           context.CancelCauseFunc
 	durations     *sharded.Map[string, stop.Durations] // by route
 	answerSizes   *sharded.Map[string, int]            // by route; see takeAnswer
+	largeAnswers  atomic.Bool                          // answerSizes is in use
 	inFlight      atomic.Int64
 }
 
