ingress: a body that ends while its connection is chosen to be closed is refused, not run and cut

Cause: between the look whether the connection is being closed and the change of its phase, the gate could choose it; the request then ran and lost its answer. No refusal was untrue. Found by reading, not seen. The phase now changes first.

Measured: internal/ingress with -race passes, FuzzRequestHeads 20 s without a finding.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -60,13 +60,14 @@
 		b.conn.gate.log.refused(reasonMemory, b.conn, b.conn.gate)
 		return 0, ErrNoRoom
 	}
+	ended := err == io.EOF //nolint:errorlint // readers return io.EOF itself
+	if ended {
+		b.conn.setPhase(clientlimit.Running) // from here on the connection is not closed to make room
+	}
 	if b.conn.isClosing() {
 		return 0, ErrNoRoom
 	}
-	if err == io.EOF { //nolint:errorlint // readers return io.EOF itself
-		b.ended = true
-		b.conn.setPhase(clientlimit.Running)
-	}
+	b.ended = ended
 	return n, err
 }
 
