Catalog: the upstreams of evacuated zones are left out

Cause: operators can't withdraw all work from a zone before its upstreams or VMs go away; an upstream only leaves the catalog by its own entry. Change: the mirror decodes the item op/evacuate/ZONE by its key, and compile leaves out the upstreams of these zones, as it does draining ones. A change of the set is compiled at once. After the store came back from a copy that lacks the item, the evacuation is kept for 30 s instead of the 2.5 s of other items, unless the item changes in the new era; one that the copy holds counts as published, although other items are doubted for 6 s then. Ruled out: a flag of each upstream that code which picks upstreams must check, since there are many such places; a decoded value, since any item counts. A key that ends before the zone is no evacuation.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -69,6 +69,9 @@
 	// ZoneCoverage maps the name of a sharded route and an availability zone to the share
 	// of the route's shards, 0 to 1, that have a replica in that zone.
 	ZoneCoverage map[string]map[string]float64
+	// Evacuated are the availability zones whose upstreams get no requests, sorted. The other fields
+	// do not list these upstreams.
+	Evacuated []string
 
 	earlier []*Catalog // routes of the versions before this one, the latest first
 }
@@ -82,9 +85,9 @@
 // mapVersion is the same for every sharded route, because each has only one partition map.
 const mapVersion = 1
 
-// compile builds the lookup tables. It omits draining upstreams, so they get no new
-// requests.
-func compile(c *Config, entries []Entry) *Catalog {
+// compile builds the lookup tables. It omits draining upstreams and those of evacuated zones, so they
+// get no new requests.
+func compile(c *Config, entries []Entry, evacuated []string) *Catalog {
 	m := &manifest.Manifest{
 		Generation: c.Version,
 		Workloads:  make(map[string]*manifest.Workload, len(c.Services)),
@@ -101,7 +104,7 @@
 	entries = slices.DeleteFunc(entries, func(e Entry) bool { return m.Workloads[e.Service] == nil })
 	for _, e := range latestPerAddress(entries) {
 		w := m.Workloads[e.Service]
-		if e.Draining {
+		if e.Draining || slices.Contains(evacuated, e.Zone) {
 			continue
 		}
 		u := &gen.Upstream{
@@ -112,7 +115,7 @@
 		w.Upstreams = append(w.Upstreams, u)
 	}
 	return &Catalog{
-		Config: c, Table: route.NewTable(c.Routes), Manifest: m, SearchWorkloads: searchWorkloads(c.Routes),
+		Config: c, Table: route.NewTable(c.Routes), Manifest: m, SearchWorkloads: searchWorkloads(c.Routes), Evacuated: evacuated,
 		ServiceZones: serviceZones(m), ZoneCoverage: zoneCoverage(c.Routes, m), ShardLimits: shardLimits(c.Routes, limits),
 	}
 }
--- a/internal/catalog/mirror.go
+++ b/internal/catalog/mirror.go
@@ -24,6 +24,9 @@
 	Config(Item) (*Config, bool, error)
 	// Entry decodes an upstream's entry; false if the item is of another kind.
 	Entry(Item) (Entry, bool, error)
+	// Evacuation returns the zone whose evacuation the item with a key requests; false if the item is
+	// of another kind. The item's value has no meaning.
+	Evacuation(key string) (zone string, ok bool)
 	// Equivalent reports whether two values of an item differ only in fields that change
 	// with each heartbeat.
 	Equivalent(a, b []byte) bool
@@ -33,8 +36,9 @@
 // concurrent use.
 //
 // When the store comes back from a copy, the mirror keeps what the copy lacks: the configuration in
-// force until a newer one is published, an upstream's entry for keepTime. An upstream that the
-// mirror knows as draining or gone stays so for doubtTime, unless its entry changes in the new era.
+// force until a newer one is published, an upstream's entry for keepTime, an evacuation for
+// evacuationKeepTime. An upstream that the mirror knows as draining or gone stays so for doubtTime,
+// unless its entry changes in the new era. An evacuation that the copy holds is in force.
 type Mirror struct {
 	decoder         Decoder
 	now             func() time.Duration
@@ -74,6 +78,9 @@
 	// keepTime is how long entries that a copy lacks are kept: upstreams that live and reach the
 	// store write theirs again within 2 s, and a reader gets them within minWatchInterval.
 	keepTime = 2500 * time.Millisecond
+	// evacuationKeepTime is how long an evacuation that a copy lacks is kept: operators may take that
+	// long to publish it again.
+	evacuationKeepTime = 30 * time.Second
 	// doubtTime is longer than the store keeps the entry of an upstream that is gone: three
 	// heartbeats after its return.
 	doubtTime = 6 * time.Second
@@ -84,7 +91,9 @@
 	Item
 	entry   Entry
 	isEntry bool
-	err     error // why the value could not be decoded
+	// evacuates is the zone whose evacuation the item requests; empty for other items and tombstones.
+	evacuates string
+	err       error // why the value could not be decoded
 }
 
 // maxTombstones is several times the number of entries that a fleet of a thousand upstreams
@@ -97,13 +106,16 @@
 	Version int
 	// Upstreams counts the valid entries of upstreams, Draining those of them that drain.
 	Upstreams, Draining int
+	// EmptyZones are the evacuated zones without upstreams, sorted.
+	EmptyZones []string
 	// Refused maps the key of each item that could not be decoded to the reason.
 	Refused map[string]error
 }
 
 // NewMirror returns an empty mirror. It calls onChange with each new catalog, one call at
 // a time and with the mirror's lock held, so onChange must not call the mirror. A catalog
-// follows a change at once if the version is new, else at most compileInterval later.
+// follows a change at once if the version or the set of evacuated zones is new, else at most
+// compileInterval later.
 func NewMirror(d Decoder, now func() time.Duration, compileInterval time.Duration, onChange func(*Catalog, Change)) *Mirror {
 	return &Mirror{
 		decoder: d, now: now, compileInterval: compileInterval, onChange: onChange,
@@ -169,7 +181,7 @@
 			continue
 		case ok && !old.before(it.Position):
 			continue
-		case ok && !old.Removed && !it.Removed && old.Era == it.Era && m.decoder.Equivalent(old.Value, it.Value):
+		case ok && !old.Removed && !it.Removed && old.Era == it.Era && m.equivalent(old, it):
 			continue
 		case ok && m.contradictsCopy(old, it):
 			m.doubted[it.Key] = it
@@ -182,6 +194,11 @@
 	return changed
 }
 
+// equivalent reports whether an item changed only in what has no effect on the catalog.
+func (m *Mirror) equivalent(old storedItem, it Item) bool {
+	return old.evacuates != "" || m.decoder.Equivalent(old.Value, it.Value)
+}
+
 // mergeConfig stores the configuration if it is newer than the one in force. An item of the
 // same or an older version never replaces that: a store that has come back from a copy may hold
 // one. The caller holds mu.
@@ -213,6 +230,9 @@
 	if old.Era >= it.Era || it.Removed || it.Revision > m.eraStart || m.now()-m.eraSince >= doubtTime {
 		return false
 	}
+	if _, ok := m.decoder.Evacuation(it.Key); ok {
+		return false // the zone may get requests again once the operators withdraw the evacuation
+	}
 	return old.Removed || old.isEntry && old.entry.Draining
 }
 
@@ -223,7 +243,8 @@
 	since := m.confirmedAt - m.eraSince
 	if since >= keepTime {
 		for key, it := range m.items {
-			if it.Era < m.position.Era && !it.Removed && !m.decoder.IsConfig(key) && m.doubted[key].Key == "" {
+			if it.Era < m.position.Era && !it.Removed && !m.decoder.IsConfig(key) && m.doubted[key].Key == "" &&
+				(it.evacuates == "" || since >= evacuationKeepTime) {
 				m.items[key] = storedItem{Item: Item{Position: m.position, Key: key, Removed: true}}
 				changed = true
 			}
@@ -242,7 +263,12 @@
 // decodeEntry returns an item with its decoded entry.
 func (m *Mirror) decodeEntry(it Item) storedItem {
 	stored := storedItem{Item: it}
-	if !it.Removed {
+	if it.Removed {
+		return stored
+	}
+	if zone, ok := m.decoder.Evacuation(it.Key); ok {
+		stored.evacuates = zone
+	} else {
 		stored.entry, stored.isEntry, stored.err = m.decoder.Entry(it)
 		stored.entry.Position = it.Position
 	}
@@ -297,8 +323,8 @@
 	close(m.changed)
 	m.changed = make(chan struct{})
 	switch wait := m.compiledAt + m.compileInterval - m.now(); {
-	case m.config == nil || m.delayed && !m.isNewVersion():
-	case m.isNewVersion() || wait <= 0:
+	case m.config == nil || m.delayed && !m.isUrgent():
+	case m.isUrgent() || wait <= 0:
 		m.compile()
 	default:
 		m.delayed = true
@@ -312,10 +338,21 @@
 	}
 }
 
-// isNewVersion reports whether the last catalog is of another version than the configuration. The caller
-// holds mu.
-func (m *Mirror) isNewVersion() bool {
-	return m.compiled == nil || m.compiled.Config.Version != m.config.Version
+// isUrgent reports whether the last catalog is of another version than the configuration, or of another
+// set of evacuated zones. The caller holds mu.
+func (m *Mirror) isUrgent() bool {
+	return m.compiled == nil || m.compiled.Config.Version != m.config.Version || !slices.Equal(m.compiled.Evacuated, m.evacuated())
+}
+
+// evacuated returns the evacuated zones, sorted. The caller holds mu.
+func (m *Mirror) evacuated() (zones []string) {
+	for _, it := range m.items {
+		if it.evacuates != "" {
+			zones = append(zones, it.evacuates)
+		}
+	}
+	slices.Sort(zones)
+	return zones
 }
 
 // compile passes a new catalog to onChange. The caller holds mu.
@@ -337,7 +374,13 @@
 	}
 	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Identity, b.Identity) })
 	change.Version, change.Upstreams = m.config.Version, len(entries)
-	c := compile(m.config, entries)
+	evacuated := m.evacuated()
+	for _, zone := range evacuated {
+		if !slices.ContainsFunc(entries, func(e Entry) bool { return e.Zone == zone }) {
+			change.EmptyZones = append(change.EmptyZones, zone)
+		}
+	}
+	c := compile(m.config, entries, evacuated)
 	c.KeepEarlier(m.compiled)
 	m.compiled = c
 	m.onChange(c, change)
--- a/internal/catalog/mirror_test.go
+++ b/internal/catalog/mirror_test.go
@@ -20,13 +20,18 @@
 func TestCatalog(t *testing.T) { testkit.Run(t, "catalog") }
 
 // wordDecoder decodes values of space-separated words: "VERSION SERVICE..." for the key
-// "config", "SERVICE ADDRESS STATE HEARTBEAT" for any other key.
+// "config", "SERVICE ADDRESS STATE HEARTBEAT" for any other key. An upstream's zone is the part of its
+// key before a slash. Items with keys "evacuate/ZONE" are evacuations.
 type wordDecoder struct{}
 
 var errWordCount = errors.New("not four words")
 
 func (wordDecoder) IsConfig(key string) bool { return key == "config" }
 
+func (wordDecoder) Evacuation(key string) (zone string, ok bool) {
+	return strings.CutPrefix(key, "evacuate/")
+}
+
 func (wordDecoder) Config(it catalog.Item) (*catalog.Config, bool, error) {
 	f := strings.Fields(string(it.Value))
 	if it.Key != "config" {
@@ -51,7 +56,8 @@
 	if len(f) != 4 {
 		return catalog.Entry{}, false, fmt.Errorf("%w: %s", errWordCount, it.Value)
 	}
-	return catalog.Entry{Identity: it.Key, Service: f[0], Address: f[1], Draining: f[2] == "draining", Slots: 2}, true, nil
+	zone, _, _ := strings.Cut(it.Key, "/")
+	return catalog.Entry{Identity: it.Key, Zone: zone, Service: f[0], Address: f[1], Draining: f[2] == "draining", Slots: 2}, true, nil
 }
 
 func (wordDecoder) Equivalent(a, b []byte) bool {
--- a/internal/catalog/sync_test.go
+++ b/internal/catalog/sync_test.go
@@ -47,6 +47,8 @@
 
 func (plainDecoder) IsConfig(key string) bool { return key == "config" }
 
+func (plainDecoder) Evacuation(string) (zone string, ok bool) { return "", false }
+
 func (plainDecoder) Config(it Item) (*Config, bool, error) {
 	return &Config{Version: int(it.Revision)}, it.Key == "config", nil
 }
