Fleet: while a zone is evacuated, requests are delegated only to builds that know evacuations

Cause: VMs of earlier builds ignore the item, so they would send to the evacuated zone what this build delegates to them. Change: incarnations of this build begin with "3-", which implies "2-". The roster's incarnation, that of the last hello, decides over announcements, which outlive a process by two minutes; the connection's decides once more when a request is sent. An evacuation is logged ("evacuation changed", and a warning once for a zone without upstreams), counted in spindle_evacuated_zones, and shown by spindlectl status. Ruled out: a fact of its own that says which VMs know evacuations; the incarnation comes with each fact.

--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -4,19 +4,21 @@
 
 // Status is the state of a VM.
 type Status struct {
-	Name        string           `json:"name"`
-	Zone        string           `json:"zone"`
-	Incarnation string           `json:"incarnation"`
-	UptimeMs    int64            `json:"uptime_ms"`
-	Ready       bool             `json:"ready"`
-	Stopping    bool             `json:"stopping"`
-	InFlight    int64            `json:"in_flight"`
-	Generation  int              `json:"generation"`
-	HeadDigest  string           `json:"head_digest"`
-	Relay       bool             `json:"relay"`
-	Facts       int              `json:"facts"`
-	Roster      []Member         `json:"roster"`
-	Upstreams   []upstream.State `json:"upstreams"`
+	Name        string `json:"name"`
+	Zone        string `json:"zone"`
+	Incarnation string `json:"incarnation"`
+	UptimeMs    int64  `json:"uptime_ms"`
+	Ready       bool   `json:"ready"`
+	Stopping    bool   `json:"stopping"`
+	InFlight    int64  `json:"in_flight"`
+	Generation  int    `json:"generation"`
+	// Evacuated are the availability zones whose upstreams get no requests.
+	Evacuated  []string         `json:"evacuated,omitempty"`
+	HeadDigest string           `json:"head_digest"`
+	Relay      bool             `json:"relay"`
+	Facts      int              `json:"facts"`
+	Roster     []Member         `json:"roster"`
+	Upstreams  []upstream.State `json:"upstreams"`
 }
 
 // Member is a VM in the roster of the VM that reports its status.
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -69,6 +69,22 @@
 		Expect(err).NotTo(BeAssignableToTypeOf(ctl.UsageError{}))
 	})
 
+	It("status lists the evacuated zones, and no line of them if there are none", func() {
+		evacuated := `,"evacuated":["zone-a","zone-c"]`
+		vm := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(`{"name":"vm-1","zone":"zone-a"` + evacuated + `}`))
+		}))
+		defer vm.Close()
+		address := strings.TrimPrefix(vm.URL, "http://")
+		out, err := run("status", "--vm", address)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(out).To(ContainSubstring("Evacuated zones: zone-a, zone-c\n"))
+		evacuated = ""
+		out, err = run("status", "--vm", address)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(out).NotTo(ContainSubstring("Evacuated"))
+	})
+
 	It("query prints the reason and fails if the request is not answered", func() {
 		vm := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/ctl/vm.go
+++ b/internal/ctl/vm.go
@@ -47,6 +47,9 @@
 	if err != nil {
 		return err
 	}
+	if len(s.Evacuated) > 0 {
+		fmt.Fprintf(c.out, "\nEvacuated zones: %s\n", strings.Join(s.Evacuated, ", "))
+	}
 	fmt.Fprintln(c.out)
 	t := table{header: []string{"MEMBER", "ZONE", "STATE", "INCARNATION"}}
 	for _, m := range s.Roster {
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -70,6 +70,7 @@
 	started    time.Duration
 	seeds      atomic.Pointer[[]settings.Address]
 	shardLimit atomic.Int64 // lowest connection limit of the upstreams of shards; 0 if unknown
+	evacuating atomic.Bool  // an availability zone is evacuated
 	view       atomic.Pointer[fleetView]
 
 	stranded         *ownState       // this VM reaches no upstream
@@ -88,12 +89,12 @@
 	vms       []delegate.VM // live; this VM included unless it is leaving
 	names     []string      // VMs that may be alive, this one included
 	mayGather []string      // VMs that may be alive and gather, this one included if it does
-	// gatherers are those that reach upstreams and run searches by version, by zone; this VM only if it is
+	// gatherers are those that reach upstreams and may be given searches, by zone; this VM only if it is
 	// the one of its zone.
 	gatherers     map[string][]string
 	gathererCount int                 // number of gatherers, this VM counted if it is one
 	isGatherer    bool                // whether this VM is a gatherer
-	others        map[string][]string // live VMs that reach upstreams, by zone, without this one
+	others        map[string][]string // live VMs that reach upstreams and may be given requests, by zone, without this one
 	zoneVMs       int                 // number of live VMs in this VM's zone
 	stranded      map[string]bool     // VMs that reach no upstream
 }
@@ -130,6 +131,19 @@
 	}
 }
 
+// setEvacuating sets whether an availability zone is evacuated: VMs of builds that ignore that are then
+// given no requests and are no sources.
+func (f *fleet) setEvacuating(evacuating bool) {
+	if f.evacuating.Swap(evacuating) != evacuating {
+		f.update()
+	}
+}
+
+// mayDelegate reports whether a VM with an incarnation may be given requests.
+func (f *fleet) mayDelegate(incarnation string) bool {
+	return !f.evacuating.Load() || liveness.KnowsEvacuations(incarnation)
+}
+
 // run announces this VM and keeps the view up to date until ctx ends.
 func (f *fleet) run(ctx context.Context) {
 	var nextAnnouncement time.Duration
@@ -201,13 +215,17 @@
 		if !ok {
 			continue
 		}
-		vm := delegate.VM{Name: fact.VM(), Zone: a.Zone, Capacity: a.Capacity, ByVersion: liveness.RunsByVersion(fact.Incarnation())}
+		vm := delegate.VM{
+			Name: fact.VM(), Zone: a.Zone, Capacity: a.Capacity, ByVersion: liveness.RunsByVersion(fact.Incarnation()),
+			KnowsEvacuations: liveness.KnowsEvacuations(fact.Incarnation()),
+		}
 		if !liveness.Refuted(fact.Incarnation(), a, statements[fact.VM()]) {
 			lost[fact.VM()] = vm
 			continue
 		}
 		// The announcement of the process before may not have expired yet.
 		vm.ByVersion = vm.ByVersion || known[fact.VM()].ByVersion
+		vm.KnowsEvacuations = vm.KnowsEvacuations || known[fact.VM()].KnowsEvacuations
 		known[fact.VM()] = vm
 	}
 	maps.DeleteFunc(lost, func(name string, _ delegate.VM) bool { return known[name].Name != "" })
@@ -254,23 +272,28 @@
 	v.stranded[f.self.Name] = f.stranded.holds()
 	for _, m := range f.node.Roster() {
 		if vm, ok := known[m.Name]; ok && m.State == roster.Live {
+			if m.Incarnation != "" { // that of the process that runs now; announcements may be older
+				vm.KnowsEvacuations = liveness.KnowsEvacuations(m.Incarnation)
+			}
 			v.vms = append(v.vms, vm)
 		}
 	}
 	limit := f.gatherLimit(len(v.vms))
 	reaching := slices.DeleteFunc(slices.Clone(v.vms), func(vm delegate.VM) bool { return v.stranded[vm.Name] })
-	v.others = namesByZone(reaching, f.self.Name)
+	evacuating := f.evacuating.Load()
+	receiving := slices.DeleteFunc(slices.Clone(reaching), func(vm delegate.VM) bool { return !vm.MayReceive(evacuating) })
+	v.others = namesByZone(receiving, f.self.Name)
 	for _, vm := range v.vms {
 		if vm.Zone == f.self.Zone {
 			v.zoneVMs++
 		}
 	}
 	gatherers := delegate.ChooseGatherers(v.vms, reaching, limit, f.node.JustStarted())
-	gatherers = delegate.AddByVersion(gatherers, v.vms, reaching)
+	gatherers = delegate.AddByVersion(gatherers, v.vms, reaching, evacuating)
 	v.gathererCount = len(gatherers)
 	v.isGatherer = slices.ContainsFunc(gatherers, func(vm delegate.VM) bool { return vm.Name == f.self.Name })
 	v.mayGather = f.mayGather(v.vms, lost, gatherers, limit)
-	gatherers = slices.DeleteFunc(gatherers, func(vm delegate.VM) bool { return v.stranded[vm.Name] || !vm.ByVersion })
+	gatherers = slices.DeleteFunc(gatherers, func(vm delegate.VM) bool { return v.stranded[vm.Name] || !vm.RunsSearches(evacuating) })
 	v.gatherers = namesByZone(gatherers, f.self.Name)
 	if v.runsSearches(f.self.Name) && len(v.gatherers[f.self.Zone]) == 0 {
 		v.gatherers[f.self.Zone] = []string{f.self.Name}
@@ -382,9 +405,12 @@
 }
 
 // sources returns where this VM learns the catalog. VMs that announced the store as unreachable
-// are left out, unless all did.
+// are left out, unless all did. While a zone is evacuated, so are VMs that don't know evacuations: when the
+// store comes back from a copy, they drop one that the copy lacks at once.
 func (f *fleet) sources() delegate.Sources {
 	unreachable := f.storeUnreachable.vms()
-	reaching := except(f.view.Load().vms, func(vm delegate.VM) bool { return unreachable[vm.Name] })
+	evacuating := f.evacuating.Load()
+	vms := slices.DeleteFunc(slices.Clone(f.view.Load().vms), func(vm delegate.VM) bool { return !vm.MayReceive(evacuating) })
+	reaching := except(vms, func(vm delegate.VM) bool { return unreachable[vm.Name] })
 	return delegate.ChooseSources(f.self, reaching)
 }
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -22,6 +22,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/peer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/connbudget"
 	"github.com/sardinespindle/sardinespindle/internal/policy/delegate"
+	"github.com/sardinespindle/sardinespindle/internal/policy/liveness"
 	"github.com/sardinespindle/sardinespindle/internal/settings"
 	"github.com/sardinespindle/sardinespindle/internal/testkit"
 	manifestgen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
@@ -40,34 +41,44 @@
 // startStoppableFleet is like startFleet and also returns a function for each VM that ends it
 // without a word.
 func startStoppableFleet(n int) (fleets []*fleet, stops []func()) {
+	fleets, stops = make([]*fleet, n), make([]func(), n)
+	for i := range fleets {
+		fleets[i], stops[i] = startFleetVM(i, min(n, 3), fmt.Sprint(i))
+	}
+	return fleets, stops
+}
+
+// startFleetVM starts VM i of a fleet whose first VMs are the seeds, as a process with an incarnation. It also
+// returns a function that ends the VM without a word.
+func startFleetVM(i, seedCount int, incarnation string) (f *fleet, stop func()) {
 	ip := func(i int) string { return fmt.Sprintf("127.32.%d.%d", i/200, 1+i%200) }
 	var seeds []gen.Address
-	for i := range min(n, 3) {
+	for i := range seedCount {
 		seeds = append(seeds, gen.Address(fmt.Sprintf("%s:%d", ip(i), fleetPort)))
 	}
-	fleets, stops = make([]*fleet, n), make([]func(), n)
-	for i := range fleets {
-		node := peer.New(peer.Options{
-			OnUnreachable: func(vm string) { fleets[i].reportLost(vm) },
-			Name:          ip(i), Zone: fmt.Sprintf("z%d", i%3), Incarnation: fmt.Sprint(i), Started: clock.Boot(),
-			ListenIP: ip(i), Log: log.New(io.Discard), Registerer: prometheus.NewRegistry(),
-		})
-		self := delegate.VM{Name: ip(i), Zone: fmt.Sprintf("z%d", i%3), Capacity: 0.13}
-		fleets[i] = newFleet(node, self, fleetPort, seeds)
-		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip(i), fleetPort))
-		Expect(err).NotTo(HaveOccurred())
-		mux := http.NewServeMux()
-		mux.Handle(peer.Path, node.Handler())
-		server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-		ctx, cancel := context.WithCancel(context.Background())
-		go func() { _ = server.Serve(l) }()
-		done := make(chan struct{})
-		go func() { defer close(done); node.Run(ctx) }()
-		go fleets[i].run(ctx)
-		stops[i] = sync.OnceFunc(func() { cancel(); <-done; _ = server.Close() })
-		DeferCleanup(stops[i])
+	node := peer.New(peer.Options{
+		OnUnreachable: func(vm string) { f.reportLost(vm) }, MayDelegate: func(incarnation string) bool { return f.mayDelegate(incarnation) },
+		Name: ip(i), Zone: fmt.Sprintf("z%d", i%3), Incarnation: incarnation, Started: clock.Boot(),
+		ListenIP: ip(i), Log: log.New(io.Discard), Registerer: prometheus.NewRegistry(),
+	})
+	self := delegate.VM{
+		Name: ip(i), Zone: fmt.Sprintf("z%d", i%3), Capacity: 0.13,
+		ByVersion: liveness.RunsByVersion(incarnation), KnowsEvacuations: liveness.KnowsEvacuations(incarnation),
 	}
-	return fleets, stops
+	f = newFleet(node, self, fleetPort, seeds)
+	l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip(i), fleetPort))
+	Expect(err).NotTo(HaveOccurred())
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, node.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = server.Serve(l) }()
+	done := make(chan struct{})
+	go func() { defer close(done); node.Run(ctx) }()
+	go f.run(ctx)
+	stop = sync.OnceFunc(func() { cancel(); <-done; _ = server.Close() })
+	DeferCleanup(stop)
+	return f, stop
 }
 
 // knowing returns how many of the fleets have n live VMs in their view.
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -45,6 +46,7 @@
 	stopping    atomic.Bool
 	catalog     atomic.Pointer[catalog.Catalog] // in force; determines shares of connections
 	served      atomic.Pointer[catalog.Catalog] // the catalog whose upstreams are set up; used by requests
+	emptyZones  []string                        // evacuated zones without upstreams; used by apply only
 
 	node      *peer.Node
 	fleet     *fleet
@@ -66,7 +68,9 @@
 	}
 	f.registry.MustRegister(collectors.NewGoCollector(), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "spindle_gatherer", Help: "1 if this VM runs searches for the fleet.",
-	}, f.gathererGauge))
+	}, f.gathererGauge), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "spindle_evacuated_zones", Help: "Number of availability zones that are evacuated: their upstreams get no requests.",
+	}, f.evacuatedGauge))
 	if err := f.wireFleet(); err != nil {
 		return nil, err
 	}
@@ -83,9 +87,10 @@
 	f.node = peer.New(peer.Options{
 		Name: ip, Zone: f.s.Zone, Incarnation: f.incarnation, Started: f.started, ListenIP: ip,
 		Log: f.log, Registerer: f.registry, OnUnreachable: f.reportLost,
-		NoRelays: true,
+		NoRelays: true, MayDelegate: func(incarnation string) bool { return f.fleet.mayDelegate(incarnation) },
 	})
-	f.fleet = newFleet(f.node, delegate.VM{Name: ip, Zone: f.s.Zone, Capacity: f.s.Fleet.Capacity, ByVersion: true}, peerPort(f.s, peers.Port()), f.s.Fleet.Seeds)
+	self := delegate.VM{Name: ip, Zone: f.s.Zone, Capacity: f.s.Fleet.Capacity, ByVersion: true, KnowsEvacuations: true}
+	f.fleet = newFleet(f.node, self, peerPort(f.s, peers.Port()), f.s.Fleet.Seeds)
 	f.mirror = catalog.NewMirror(platform.Decoder{}, clock.Boot, catalog.DefaultCompileInterval, f.apply)
 	f.sync = catalog.NewSync(catalog.SyncOptions{
 		Mirror:              f.mirror,
@@ -221,19 +226,52 @@
 // apply puts a catalog into force. The catalog is served last, so that no request uses it
 // before its upstreams are set up.
 func (f *Forwarder) apply(c *catalog.Catalog, change catalog.Change) {
-	f.catalog.Store(c)
+	before := f.catalog.Swap(c)
 	f.fleet.setShardLimits(c.ShardLimits)
+	f.fleet.setEvacuating(len(c.Evacuated) > 0)
 	f.upstreams.Apply(c.Manifest)
 	f.fleet.eachLeaving(f.upstreams.RecordPeerLeaving) // facts may be older than the upstreams
 	f.fleet.eachLimit(f.upstreams.RecordPeerLimit)
 	f.served.Store(c)
 	f.log.Info("catalog in force", "era", change.Era, "revision", change.Revision, "version", change.Version,
 		"upstreams", change.Upstreams, "draining", change.Draining)
+	f.logEvacuations(before, c, change)
 	for key, err := range change.Refused {
 		f.log.Warn("item refused", "key", key, "err", err)
 	}
 }
 
+// maxLoggedZones bounds the zones in one log line. Any item under the key of evacuations counts as one.
+const maxLoggedZones = 16
+
+// logEvacuations logs a change of the evacuated zones, and each of these that has no upstreams when it is
+// first found so.
+func (f *Forwarder) logEvacuations(before, c *catalog.Catalog, change catalog.Change) {
+	var earlier []string
+	if before != nil {
+		earlier = before.Evacuated
+	}
+	if !slices.Equal(earlier, c.Evacuated) {
+		f.log.Info("evacuation changed", "zones", firstZones(c.Evacuated), "count", len(c.Evacuated), "era", change.Era,
+			"revision", change.Revision)
+	}
+	unknown := slices.DeleteFunc(slices.Clone(change.EmptyZones), func(zone string) bool { return slices.Contains(f.emptyZones, zone) })
+	if len(unknown) > 0 {
+		f.log.Warn("evacuated zone has no upstreams", "zones", firstZones(unknown), "count", len(unknown), "revision", change.Revision)
+	}
+	f.emptyZones = change.EmptyZones
+}
+
+func firstZones(zones []string) []string { return zones[:min(len(zones), maxLoggedZones)] }
+
+// evacuatedGauge returns the number of evacuated zones.
+func (f *Forwarder) evacuatedGauge() float64 {
+	if c := f.catalog.Load(); c != nil {
+		return float64(len(c.Evacuated))
+	}
+	return 0
+}
+
 // ready reports whether the VM takes new requests.
 func (f *Forwarder) ready() bool { return !f.stopping.Load() && f.served.Load() != nil }
 
@@ -246,7 +284,7 @@
 		Facts: f.node.Facts().Len(), Upstreams: f.upstreams.States(),
 	}
 	if c != nil {
-		s.Generation = c.Config.Version
+		s.Generation, s.Evacuated = c.Config.Version, c.Evacuated
 	}
 	return s
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -36,6 +36,8 @@
 	ErrNotSent = errors.New("request not sent")
 	// ErrSilent: the VM sent no notice, or no further one, that it runs the request.
 	ErrSilent = errors.New("VM silent")
+
+	errNoDelegate = errors.New("the VM's build may not be delegated requests")
 )
 
 // Options configures a Node.
@@ -61,6 +63,8 @@
 	// OnUnreachable is called when a neighbour cannot be reached although other VMs can;
 	// may be nil.
 	OnUnreachable func(vm string)
+	// MayDelegate reports whether the process with an incarnation may be delegated requests; nil for all.
+	MayDelegate func(incarnation string) bool
 	// Accept reports whether a connection from a remote IP address is accepted; nil for
 	// all.
 	Accept func(remoteIP string) bool
@@ -84,6 +88,7 @@
 	now         func() time.Duration
 	accept      func(string) bool
 	unreachable func(string)
+	mayDelegate func(string) bool
 	noRelays    bool
 	log         *log.Logger
 	metrics     *metrics
@@ -135,13 +140,16 @@
 	if o.OnUnreachable == nil {
 		o.OnUnreachable = func(string) {}
 	}
+	if o.MayDelegate == nil {
+		o.MayDelegate = func(string) bool { return true }
+	}
 	if o.Limits == nil {
 		o.Limits = &DefaultLimits
 	}
 	n := &Node{
 		limits: *o.Limits, reads: readlimit.New(readBytes),
 		name: o.Name, zone: o.Zone, incarnation: o.Incarnation, started: o.Started,
-		generation: o.Generation, now: o.Now, accept: o.Accept, unreachable: o.OnUnreachable, noRelays: o.NoRelays, log: o.Log,
+		generation: o.Generation, now: o.Now, accept: o.Accept, unreachable: o.OnUnreachable, mayDelegate: o.MayDelegate, noRelays: o.NoRelays, log: o.Log,
 		metrics: newMetrics(o.Registerer),
 		facts: facts.New(facts.Options{
 			Name: o.Name, Incarnation: o.Incarnation, Now: o.Now, Registerer: o.Registerer,
@@ -326,6 +334,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if m.Delegate != nil && !n.mayDelegate(c.incarnation) {
+		return nil, fmt.Errorf("%w: %w: incarnation %s", ErrNotSent, errNoDelegate, c.incarnation)
+	}
 	return c.call(ctx, m, w)
 }
 
--- a/internal/policy/delegate/gatherers.go
+++ b/internal/policy/delegate/gatherers.go
@@ -17,8 +17,18 @@
 	// ByVersion says that the VM runs a delegated request by the version of the configuration that
 	// the request names. VMs of earlier builds do not.
 	ByVersion bool
+	// KnowsEvacuations says that the VM sends nothing to evacuated zones. VMs of earlier builds ignore
+	// evacuations.
+	KnowsEvacuations bool
 }
 
+// RunsSearches reports whether the VM may be given searches by others; evacuating says that a zone is
+// evacuated.
+func (vm VM) RunsSearches(evacuating bool) bool { return vm.ByVersion && vm.MayReceive(evacuating) }
+
+// MayReceive reports whether the VM may be given any request by others.
+func (vm VM) MayReceive(evacuating bool) bool { return vm.KnowsEvacuations || !evacuating }
+
 const (
 	// minConnections is the number of connections to each upstream that a gatherer
 	// needs: with fewer, a search waits for earlier searches of the same VM.
@@ -63,12 +73,13 @@
 
 // AddByVersion adds gatherers while VMs of earlier builds, which get no searches from others, are replaced: of
 // those in reaching that run searches by version, as many gather as in a fleet of such VMs only. At
-// least one does, so that the first one that is replaced has where to run its searches.
-func AddByVersion(gatherers, vms, reaching []VM) []VM {
-	if !slices.ContainsFunc(vms, func(vm VM) bool { return !vm.ByVersion }) {
+// least one does, so that the first one that is replaced has where to run its searches. While a zone is
+// evacuated, which evacuating says, only VMs that know evacuations get searches.
+func AddByVersion(gatherers, vms, reaching []VM, evacuating bool) []VM {
+	if !slices.ContainsFunc(vms, func(vm VM) bool { return !vm.RunsSearches(evacuating) }) {
 		return gatherers
 	}
-	able := Rank(filter(reaching, func(vm VM) bool { return vm.ByVersion }))
+	able := Rank(filter(reaching, func(vm VM) bool { return vm.RunsSearches(evacuating) }))
 	present := len(filter(gatherers, func(vm VM) bool { return slices.Contains(able, vm) }))
 	missing := (len(gatherers)*len(able)+len(vms)-1)/len(vms) - present
 	for _, vm := range able {
--- a/internal/policy/delegate/gatherers_test.go
+++ b/internal/policy/delegate/gatherers_test.go
@@ -34,7 +34,7 @@
 		for replaced := 1; replaced <= size; replaced++ {
 			vms := fleet(replaced)
 			usual := delegate.Gatherers(vms, limit, false)
-			got := delegate.AddByVersion(usual, vms, vms)
+			got := delegate.AddByVersion(usual, vms, vms, false)
 			Expect(able(got)*size).To(BeNumerically(">=", len(usual)*replaced), "%d replaced", replaced)
 			Expect(got[:len(usual)]).To(Equal(usual))
 			Expect(len(got)-len(usual)).To(BeNumerically("<=", len(usual)/2), "%d replaced: connections are limited", replaced)
@@ -45,7 +45,7 @@
 		for _, replaced := range []int{0, size} {
 			vms := fleet(replaced)
 			usual := delegate.Gatherers(vms, limit, false)
-			Expect(delegate.AddByVersion(usual, vms, vms)).To(Equal(usual))
+			Expect(delegate.AddByVersion(usual, vms, vms, false)).To(Equal(usual))
 		}
 	})
 
@@ -56,8 +56,28 @@
 		cutOff := func(vm delegate.VM) bool { return vm.ByVersion && slices.Contains(usual, vm) }
 		reaching := slices.DeleteFunc(slices.Clone(vms), cutOff)
 		Expect(len(reaching)).To(BeNumerically("<", size), "some of the usual ones are new")
-		added := delegate.AddByVersion(usual, vms, reaching)[len(usual):]
+		added := delegate.AddByVersion(usual, vms, reaching, false)[len(usual):]
 		Expect(added).NotTo(BeEmpty())
 		Expect(added).To(HaveEach(HaveField("ByVersion", true)))
 	})
+
+	// Load pattern: a zone is evacuated in the middle of an upgrade. VMs of the build before this one
+	// run searches by version, but send on to the zone.
+	It("include VMs that know evacuations while a zone is evacuated", func() {
+		for replaced := 1; replaced < size; replaced++ {
+			vms := fleet(size)
+			for i := range replaced {
+				vms[i].KnowsEvacuations = true
+			}
+			usual := delegate.Gatherers(vms, limit, false)
+			Expect(delegate.AddByVersion(usual, vms, vms, false)).To(Equal(usual), "no zone is evacuated")
+			n := 0
+			for _, vm := range delegate.AddByVersion(usual, vms, vms, true) {
+				if vm.RunsSearches(true) {
+					n++
+				}
+			}
+			Expect(n*size).To(BeNumerically(">=", len(usual)*replaced), "%d replaced", replaced)
+		}
+	})
 })
--- a/internal/policy/liveness/liveness_test.go
+++ b/internal/policy/liveness/liveness_test.go
@@ -61,6 +61,15 @@
 var _ = Describe("An incarnation", func() {
 	It("says whether its VM runs delegated requests by the version that they name", func() {
 		Expect(liveness.RunsByVersion(liveness.NewIncarnation("0a1b2c"))).To(BeTrue())
+		Expect(liveness.RunsByVersion("2-0a1b2c")).To(BeTrue())
 		Expect(liveness.RunsByVersion("2f0a1b2c")).To(BeFalse(), "drawn by an earlier build, 8 hexadecimal digits")
+		Expect(liveness.RunsByVersion("3f0a1b2c")).To(BeFalse(), "drawn by an earlier build, 8 hexadecimal digits")
+	})
+
+	It("says whether its VM sends nothing to evacuated zones", func() {
+		Expect(liveness.KnowsEvacuations(liveness.NewIncarnation("0a1b2c"))).To(BeTrue())
+		Expect(liveness.KnowsEvacuations("2-0a1b2c")).To(BeFalse())
+		Expect(liveness.KnowsEvacuations("3f0a1b2c")).To(BeFalse(), "drawn by an earlier build, 8 hexadecimal digits")
+		Expect(liveness.KnowsEvacuations("")).To(BeFalse(), "not known yet")
 	})
 })
