Evacuation: refused at once where too few shards are left, and no attempt that waits is sent

Cause: a wide search is divided into parts, each of which needs the minimum share of its own shards; shards without upstreams failed whole parts, and a search that could not reach its share ended as unknown after other parts had run. An attempt that already held a connection could be sent after its upstream had left the catalog. When all zones were evacuated, upstreams that came back were taken for known ones and got no slow start. Change: while a zone is evacuated, a search is divided without the shards that have no upstreams left, which count as missing, and is refused as not run if fewer than the minimum share are left. The check before the first byte refuses attempts at upstreams that left the manifest. Upstreams are taken for known only in the first manifest that has any. Ruled out: giving those shards to a part as before and lowering its share, since a part does not know the others.

--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -101,6 +101,9 @@
 // maxDelegations failures, or if no other VM is left, the request runs here. If this VM finds only
 // then that it reaches no upstream, the request is passed on.
 func (s *Server) runOrDelegate(ctx context.Context, q *request, p *upstream.PassThroughRequest) outcome.Outcome {
+	if o, refused := q.refuseEvacuated(); refused && !q.maybeSent {
+		return o
+	}
 	if groups := s.groups(q); groups != nil {
 		return s.searchGroups(ctx, q, p, groups)
 	}
--- a/internal/forward/groups.go
+++ b/internal/forward/groups.go
@@ -20,7 +20,7 @@
 		gatherers = maps.Clone(gatherers)
 		gatherers[s.o.Zone] = append(slices.Clone(own), s.o.VM)
 	}
-	return delegate.Groups(s.o.Zone, q.route.Shards, q.catalog.ServiceZones, gatherers)
+	return delegate.Groups(s.o.Zone, q.servedShards(), q.catalog.ServiceZones, gatherers)
 }
 
 // searchGroups has a leaf of each group search its shards and merges the parts.
--- a/internal/forward/groups_test.go
+++ b/internal/forward/groups_test.go
@@ -154,6 +154,50 @@
 		Expect(run().Kind).To(Equal(caller.OutcomeNotRun))
 	})
 
+	Describe("while zones are evacuated", func() {
+		// evacuate leaves the first n shards without upstreams.
+		evacuate := func(n int) {
+			q.catalog.Evacuated = []string{"d"}
+			for _, shard := range q.route.Shards[:n] {
+				q.catalog.ServiceZones[shard] = nil
+			}
+			q.catalog.ZoneCoverage["find"]["b"] = 1 - float64(n)/90
+		}
+
+		// A group needs the minimum share of its own shards, so that it would fail for those that no VM can search.
+		It("is divided without the shards that have no upstreams left, which count as missing", func() {
+			q.route.MinimumShare = 0.95
+			evacuate(4)
+			o := run()
+			Expect(o.Kind).To(Equal(caller.OutcomeAnswered))
+			Expect(o.Coverage.ShardsCovered).To(Equal(86))
+			Expect(o.Coverage.ShardsTotal).To(Equal(90))
+			Expect(o.Coverage.Complete).To(BeFalse())
+			for _, d := range others.delegated {
+				Expect(d.Shards).NotTo(ContainElement("s00"))
+			}
+		})
+
+		It("is refused at once as not run if too few shards are left", func() {
+			q.route.MinimumShare = 0.95
+			evacuate(5)
+			start := time.Now()
+			o := run()
+			Expect(time.Since(start)).To(BeNumerically("<", 100*time.Millisecond))
+			Expect(o.Kind).To(Equal(caller.OutcomeNotRun))
+			Expect(o.RetryAfter).To(BeNumerically(">", 0))
+			Expect(others.delegated).To(BeEmpty())
+			Expect(local.searches).To(BeEmpty())
+		})
+
+		It("is refused at once if no shard is left", func() {
+			q.route.MinimumShare = 0
+			evacuate(90)
+			Expect(run().Kind).To(Equal(caller.OutcomeNotRun))
+			Expect(others.delegated).To(BeEmpty())
+		})
+	})
+
 	It("keeps the VMs that its groups tried apart", func() {
 		q.tried = append(make([]string, 0, 4), "vm-7")
 		a, b := q.part(nil, control{}, nil), q.part(nil, control{}, nil)
--- a/internal/forward/parts.go
+++ b/internal/forward/parts.go
@@ -129,7 +129,10 @@
 	}
 	timer := time.NewTimer(time.Until(s.decideBy(q)) + partGrace)
 	defer timer.Stop()
-	w := partsProgress{q: q, running: len(parts), openShards: q.totalShards(), due: map[int]int{}}
+	w := partsProgress{q: q, running: len(parts), due: map[int]int{}}
+	for _, p := range parts {
+		w.openShards += len(p.shards)
+	}
 	for !w.complete() {
 		select {
 		case <-timer.C:
--- a/internal/forward/sent.go
+++ b/internal/forward/sent.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
 
+	"github.com/sardinespindle/sardinespindle/internal/outcome"
 	"github.com/sardinespindle/sardinespindle/internal/peer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/takeover"
+	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/peer"
 )
 
@@ -23,6 +26,31 @@
 	return q.route.Shards
 }
 
+// servedShards returns the searched shards that have upstreams outside the evacuated zones. While no zone is
+// evacuated, it returns all searched shards.
+func (q *request) servedShards() []string {
+	shards := q.searchedShards()
+	if len(q.catalog.Evacuated) == 0 {
+		return shards
+	}
+	return slices.DeleteFunc(slices.Clone(shards), func(shard string) bool { return len(q.catalog.ServiceZones[shard]) == 0 })
+}
+
+// refuseEvacuated refuses a search, of which nothing has been sent, if evacuations leave fewer shards than the
+// minimum share. Divided into parts, it would end as unknown, since the parts that have upstreams run.
+func (q *request) refuseEvacuated() (outcome.Outcome, bool) {
+	if len(q.catalog.Evacuated) == 0 || !q.route.Sharded() {
+		return outcome.Outcome{}, false
+	}
+	served, total := len(q.servedShards()), q.totalShards()
+	if served >= q.minShards() {
+		return outcome.Outcome{}, false
+	}
+	o := outcome.NotRun(outcome.NoUpstream, fmt.Sprintf("%d of %d shards have upstreams outside the evacuated zones", served, total), startRetryAfter)
+	o.Coverage = &caller.Coverage{ShardsTotal: total}
+	return o, true
+}
+
 // mustConfirmFirst reports whether a VM that runs the search announces each replica that it uses,
 // the first one of a shard included.
 func (q *request) mustConfirmFirst() bool {
--- a/internal/forward/split.go
+++ b/internal/forward/split.go
@@ -49,7 +49,7 @@
 	if !self {
 		return s.recordCoverage(q, s.searchLocally(ctx, q, p, shards))
 	}
-	local, byZone := delegate.Split(s.o.Zone, shards, q.catalog.ServiceZones, gatherers)
+	local, byZone := delegate.Split(s.o.Zone, q.servedShards(), q.catalog.ServiceZones, gatherers)
 	if len(byZone) == 0 {
 		return s.recordCoverage(q, s.searchLocally(ctx, q, p, shards))
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -125,6 +125,7 @@
 
 	sharesDue    chan struct{} // holds an element if the connection shares must be set at once
 	applyMu      sync.Mutex    // held while a manifest is applied or shares are set
+	hadUpstreams bool          // a manifest with upstreams was applied; guarded by applyMu
 	current      atomic.Pointer[table]
 	probeSlots   chan struct{} // bounds background probes
 	routeLatency *sharded.Map[string, forecast.TypicalLatency]
@@ -194,7 +195,8 @@
 
 // Apply replaces the manifest. It keeps the state of upstreams whose address and
 // identity stay the same. Connections to other upstreams of the previous manifest are
-// closed, those in use when their attempt ends.
+// closed, those in use when their attempt ends. Attempts at these upstreams that have not been
+// sent when Apply returns are not sent.
 func (c *Client) Apply(m *manifest.Manifest) {
 	c.applyMu.Lock()
 	defer c.applyMu.Unlock()
@@ -208,7 +210,7 @@
 	for address, u := range m.Upstreams {
 		s := old.servers[address]
 		if s == nil || s.identity != u.Identity || s.started != u.StartedMs {
-			s = c.newServer(u, len(old.servers) == 0)
+			s = c.newServer(u, !c.hadUpstreams)
 		}
 		s.update(u, next.zone(old, string(u.Zone)), string(u.Zone) == c.opts.Zone)
 		next.servers[address] = s
@@ -216,9 +218,11 @@
 	for name, w := range m.Workloads {
 		next.addWorkload(w, c.metrics.lazyForWorkload(name))
 	}
+	c.hadUpstreams = c.hadUpstreams || len(next.servers) > 0
 	c.current.Store(next)
 	for address, s := range old.servers {
 		if next.servers[address] != s {
+			s.removed.Store(true)
 			s.pool.setMaxOpen(0)
 			c.metrics.connections.DeleteLabelValues(address)
 		}
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -178,6 +178,9 @@
 	if !c.hasLease(s) {
 		return errLeaseExpired
 	}
+	if s.removed.Load() {
+		return fmt.Errorf("%w: %w", errBeforeWrite, ErrNoReplica)
+	}
 	if err := s.refuses(c.opts.Now()); err != nil {
 		return fmt.Errorf("%w: %w", errBeforeWrite, err)
 	}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/mechanism"
+	"github.com/sardinespindle/sardinespindle/internal/policy/replica"
 	"github.com/sardinespindle/sardinespindle/internal/testkit"
 	"github.com/sardinespindle/sardinespindle/schema/gen/settings"
 )
@@ -191,6 +192,45 @@
 		Expect(err).To(MatchError(ErrNoReplica))
 	})
 
+	// The upstreams of an evacuated zone leave the manifest while attempts wait for a connection to them.
+	It("get no attempt that waits or has a connection when their address leaves the manifest", func() {
+		vms := atomic.Int64{}
+		vms.Store(40)
+		c := newClient(Options{VMs: func() int { return int(vms.Load()) }}, m)
+		arrived, release := make(chan struct{}), make(chan struct{})
+		f.setHandler(func(w http.ResponseWriter, r *http.Request) { close(arrived); <-release; f.replyEmpty(w, r) })
+		finish := sync.OnceFunc(func() { close(release) })
+		DeferCleanup(finish) // also if the test fails: the upstream waits for it
+		first, second := make(chan Result, 1), make(chan Result, 1)
+		go func() { first <- attemptOnce(bg, c, m, newSearch()) }()
+		<-arrived
+		go func() { second <- attemptOnce(bg, c, m, newSearch()) }()
+		s := c.current.Load().servers[f.address()]
+		Eventually(func() int { s.pool.mu.Lock(); defer s.pool.mu.Unlock(); return len(s.pool.waiters) }).Should(Equal(1))
+		a := newSearch()
+		Expect(c.checkBeforeWrite(bg, s, &a)).To(Succeed())
+		c.Apply(newManifest())
+		var r Result
+		Eventually(second).Should(Receive(&r))
+		Expect(r.Class).To(Equal(NotSent))
+		Expect(c.checkBeforeWrite(bg, s, &a)).NotTo(Succeed())
+		finish()
+		Eventually(first).Should(Receive(&r))
+		Expect(r.Class).To(Equal(OK), "the upstream had received it")
+		Expect(f.requests.Load()).To(BeEquivalentTo(1))
+	})
+
+	// When all zones were evacuated, no upstream was known, and those that came back, maybe cold, were
+	// taken for known ones as at the start of a VM.
+	It("start slowly when they come back after none was left", func() {
+		c := newClient(Options{Now: func() time.Duration { return time.Minute }}, m)
+		health := func() replica.State { return c.current.Load().servers[f.address()].health }
+		Expect(health()).To(Equal(replica.New(time.Minute, true)), "the VM has just started")
+		c.Apply(newManifest())
+		c.Apply(m)
+		Expect(health()).To(Equal(replica.New(time.Minute, false)))
+	})
+
 	// An attempt that ran but is reported as not run would be sent again, and run twice.
 	It("never classify an attempt that ran as not run, and leak no goroutines, under random failures", func() {
 		existing := goleak.IgnoreCurrent()
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -21,6 +22,7 @@
 	identity string // the name under which the upstream was published; empty for none
 	started  int    // when its process started, as published; 0 if not known
 	pool     *pool
+	removed  atomic.Bool // the upstream is no longer in the manifest
 	// openGauge counts open connections; nil until one was open. Client.applyMu guards it.
 	openGauge prometheus.Gauge
 
