--- a/internal/ctl/vm.go
+++ b/internal/ctl/vm.go
@@ -48,7 +48,8 @@
 		return err
 	}
 	if len(s.Evacuated) > 0 {
-		fmt.Fprintf(c.out, "\nEvacuated zones: %s\n", strings.Join(s.Evacuated, ", "))
+		fmt.Fprintln(c.out)
+		fmt.Fprintln(c.out, "Evacuated zones:", strings.Join(s.Evacuated, ", "))
 	}
 	fmt.Fprintln(c.out)
 	t := table{header: []string{"MEMBER", "ZONE", "STATE", "INCARNATION"}}
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -270,14 +270,7 @@
 	slices.Sort(names)
 	v := &fleetView{names: names, stranded: f.stranded.vms()}
 	v.stranded[f.self.Name] = f.stranded.holds()
-	for _, m := range f.node.Roster() {
-		if vm, ok := known[m.Name]; ok && m.State == roster.Live {
-			if m.Incarnation != "" { // that of the process that runs now; announcements may be older
-				vm.KnowsEvacuations = liveness.KnowsEvacuations(m.Incarnation)
-			}
-			v.vms = append(v.vms, vm)
-		}
-	}
+	v.vms = f.live(known)
 	limit := f.gatherLimit(len(v.vms))
 	reaching := slices.DeleteFunc(slices.Clone(v.vms), func(vm delegate.VM) bool { return v.stranded[vm.Name] })
 	evacuating := f.evacuating.Load()
@@ -309,6 +302,21 @@
 	}
 }
 
+// live returns the live VMs of those that announced themselves.
+func (f *fleet) live(known map[string]delegate.VM) (vms []delegate.VM) {
+	for _, m := range f.node.Roster() {
+		vm, ok := known[m.Name]
+		if !ok || m.State != roster.Live {
+			continue
+		}
+		if m.Incarnation != "" { // that of the process that runs now; announcements may be older
+			vm.KnowsEvacuations = liveness.KnowsEvacuations(m.Incarnation)
+		}
+		vms = append(vms, vm)
+	}
+	return vms
+}
+
 // gatherLimit returns how many connections the upstreams of shards accept from all gatherers, of vms VMs,
 // at least.
 func (f *fleet) gatherLimit(vms int) int {
