--- a/internal/catalog/sync.go
+++ b/internal/catalog/sync.go
@@ -140,6 +140,10 @@
 	}
 	if sources.ReadsStore || alone {
 		s.syncWithStore(ctx)
+		if s.o.Mirror.Version() == 0 && !alone {
+			// This VM started while the store is down: it serves what the others have in force.
+			s.pullAny(ctx, s.orderSources(sources.VMs), staleAfter)
+		}
 		return
 	}
 	maxAge := staleAfter
