Soak: zones are evacuated at random, and no request may reach them later than 5 s

Cause: the soak had no evacuations. Change: one more actor, except in calm seeds, evacuates a zone for 6 to 9 s; a request that reaches a server of the zone between 5 s after the item was written and its end is a broken promise (sent_to_evacuated). VMs that were unavailable meanwhile are excused, and evacuations in whose first 5 s the store failed for some VM. Ruled out: calm seeds, whose shares of limits need all servers. The fault may outlast the duration of a seed by up to 9 s.

--- a/internal/bench/soak.go
+++ b/internal/bench/soak.go
@@ -110,13 +110,14 @@
 	closers  []func()
 	outages  spanLog // while the store failed for some VM
 
-	mu         sync.Mutex // guards the rest
-	version    int
-	extraPaths []string // paths of the routes that configFault added
-	below      belowSearch
-	halved     bool // the search has only the later half of the shards
-	notices    []*notice
-	strandings []stranding
+	mu          sync.Mutex // guards the rest
+	version     int
+	extraPaths  []string // paths of the routes that configFault added
+	below       belowSearch
+	halved      bool // the search has only the later half of the shards
+	notices     []*notice
+	strandings  []stranding
+	evacuations []evacuation
 }
 
 // Soak runs one seed: it starts a fleet of daemons, sends requests, injects faults
@@ -152,6 +153,7 @@
 	}
 	s.checkNotices()
 	s.checkStrandings()
+	s.checkEvacuations()
 	return s.evidence.evaluate(o.Seed, s.outages.all()), nil
 }
 
--- a/internal/bench/soak_check.go
+++ b/internal/bench/soak_check.go
@@ -18,30 +18,31 @@
 
 // Violations that the soak detects.
 const (
-	mixedAnswer    = "mixed"            // an answer holds data of another request, or its shards or records are wrong
-	belowMinimum   = "below_minimum"    // an answer covers less than the minimum share
-	deniedRoute    = "denied"           // a published route was rejected
-	ranTwice       = "ran_twice"        // an order ran more than once
-	refusedButRan  = "refused_but_ran"  // status 503 for a request that a server ran
-	lateReply      = "late"             // no answer within soakLateSlack of the deadline
-	cutOff         = "cut_off"          // a VM that was not killed closed the connection of a request that ran
-	workAfterDrain = "work_after_drain" // a request reached a server long after its drain was published
-	configLate     = "config_late"      // a new route was not served in time
-	configReverted = "config_reverted"  // a VM took a route out of force that it had served
-	overBudget     = "over_budget"      // more repeats to a service than the fleet's budget allows
-	overAttempts   = "over_attempts"    // too many servers of one service ran a request
-	overTime       = "over_time"        // a server got a longer deadline than the caller set, or none
-	endedByItself  = "ended_by_itself"  // a VM's process ended without a signal
-	uncleanStop    = "unclean_stop"     // a stop failed or exceeded the grace time
-	notRecovered   = "not_recovered"    // requests still failed long after the last fault
-	sentAfterGone  = "sent_after_gone"  // requests reached servers long after their callers had canceled
-	workAfterGone  = "work_after_gone"  // servers kept working on canceled requests
-	strandedWorse  = "stranded_worse"   // VMs cut off from all servers served their callers far worse than the others
-	sentToLeaving  = "sent_to_leaving"  // a request reached a server long after it had replied that it leaves
-	sentInPause    = "sent_in_pause"    // requests reached a server in a pause that it had asked for
-	endlessRead    = "endless_read"     // a VM did not close a connection that brought bytes without end
-	tooMuchMemory  = "too_much_memory"  // a VM's process used more than the smallest VM has
-	overLimit      = "over_limit"       // a server got far more requests than the limit that it had named
+	mixedAnswer     = "mixed"             // an answer holds data of another request, or its shards or records are wrong
+	belowMinimum    = "below_minimum"     // an answer covers less than the minimum share
+	deniedRoute     = "denied"            // a published route was rejected
+	ranTwice        = "ran_twice"         // an order ran more than once
+	refusedButRan   = "refused_but_ran"   // status 503 for a request that a server ran
+	lateReply       = "late"              // no answer within soakLateSlack of the deadline
+	cutOff          = "cut_off"           // a VM that was not killed closed the connection of a request that ran
+	workAfterDrain  = "work_after_drain"  // a request reached a server long after its drain was published
+	configLate      = "config_late"       // a new route was not served in time
+	configReverted  = "config_reverted"   // a VM took a route out of force that it had served
+	overBudget      = "over_budget"       // more repeats to a service than the fleet's budget allows
+	overAttempts    = "over_attempts"     // too many servers of one service ran a request
+	overTime        = "over_time"         // a server got a longer deadline than the caller set, or none
+	endedByItself   = "ended_by_itself"   // a VM's process ended without a signal
+	uncleanStop     = "unclean_stop"      // a stop failed or exceeded the grace time
+	notRecovered    = "not_recovered"     // requests still failed long after the last fault
+	sentAfterGone   = "sent_after_gone"   // requests reached servers long after their callers had canceled
+	workAfterGone   = "work_after_gone"   // servers kept working on canceled requests
+	strandedWorse   = "stranded_worse"    // VMs cut off from all servers served their callers far worse than the others
+	sentToLeaving   = "sent_to_leaving"   // a request reached a server long after it had replied that it leaves
+	sentInPause     = "sent_in_pause"     // requests reached a server in a pause that it had asked for
+	endlessRead     = "endless_read"      // a VM did not close a connection that brought bytes without end
+	tooMuchMemory   = "too_much_memory"   // a VM's process used more than the smallest VM has
+	overLimit       = "over_limit"        // a server got far more requests than the limit that it had named
+	sentToEvacuated = "sent_to_evacuated" // a request reached an evacuated zone later than soakEvacuateTime
 )
 
 // Bounds of the checks, as the users publish them.
@@ -69,6 +70,7 @@
 // arrival is a request that reached a server.
 type arrival struct {
 	id, service, server string
+	zone                string    // of the server
 	at, end             time.Time // end is zero if the server did not run it or still works on it
 	deadline            time.Duration
 	workTime            time.Duration // how long the server works on it unless it is canceled
--- a/internal/bench/soak_faults.go
+++ b/internal/bench/soak_faults.go
@@ -33,7 +33,7 @@
 // VMs and for links between VMs, and one each for misbehaving servers, for replaced servers, for
 // links to servers, for the store with its configuration, and for routes and shards of searches. A fault listed twice is drawn twice as often.
 // In calm seeds, servers with notices and VMs that are cut off from all servers take
-// the place of broken links between VMs.
+// the place of broken links between VMs and of evacuated zones.
 func (s *soak) injectFaults(ctx context.Context, rng *rand.Rand) error {
 	vms := []fault{{"pause", s.pauseFault}, {"kill", s.killFault}, {"stop", s.stopFault}, {"hup", s.reloadFault}}
 	store := []fault{{"store", s.storeFault}, {"forget", s.compactFault}, {"config", s.configFault}, {"config", s.configFault}}
@@ -55,6 +55,9 @@
 		actors = append(actors, []fault{{"peers", s.peersFault}}, []fault{{"peers", s.peersFault}})
 	}
 	actors = append(actors, []fault{{"route below", s.routeBelowFault}, {"repartition", s.repartitionFault}})
+	if !s.isCalm() {
+		actors = append(actors, []fault{{"evacuate", s.evacuationFault}})
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	for _, faults := range actors {
 		own := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
@@ -256,6 +259,7 @@
 // clearFaults ends the faults of the store, the links and the servers.
 func (s *soak) clearFaults() {
 	s.store.Intercept(nil)
+	s.endEvacuations()
 	for _, vm := range s.vms {
 		vm.storeLink.SetFault(relay.Fault{})
 		relay.SetFaults(vm.serverLinks, relay.Fault{})
--- a/internal/bench/soak_servers.go
+++ b/internal/bench/soak_servers.go
@@ -158,7 +158,7 @@
 func (sv *soakServer) intercept(srv *standin.Server, w http.ResponseWriter, r *http.Request) bool {
 	fault := *sv.fault.Load()
 	a := arrival{
-		id: r.Header.Get(platform.RequestID), service: srv.Service, server: srv.ID, at: time.Now(),
+		id: r.Header.Get(platform.RequestID), service: srv.Service, server: srv.ID, zone: srv.Zone, at: time.Now(),
 		deadline: parseMilliseconds(r.Header.Get(platform.Deadline)), vm: sourceVM(r),
 	}
 	tell := func() {}
