--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -79,6 +79,9 @@
 	// Warmups maps the addresses of upstreams that tolerate a number of requests a second while they are
 	// cold to that; nil if there are none.
 	Warmups map[string]warmup.Upstream
+	// Evacuated are the availability zones whose upstreams get no requests, sorted. The other fields
+	// do not list these upstreams.
+	Evacuated []string
 
 	earlier []*Catalog // routes of the versions before this one, the latest first
 }
@@ -92,10 +95,10 @@
 // mapVersion is the same for every sharded route, because each has only one partition map.
 const mapVersion = 1
 
-// compile builds the lookup tables. It omits draining upstreams, so they get no new
-// requests. What did not change since older, nil for none, is taken over from it: on a small VM
+// compile builds the lookup tables. It omits draining upstreams and those of evacuated zones, so they
+// get no new requests. What did not change since older, nil for none, is taken over from it: on a small VM
 // a whole compilation delays the requests that arrive meanwhile by tens of milliseconds.
-func compile(c *Config, entries []Entry, older *Catalog) *Catalog {
+func compile(c *Config, entries []Entry, evacuated []string, older *Catalog) *Catalog {
 	if older == nil {
 		older = &Catalog{Manifest: &manifest.Manifest{}}
 	}
@@ -112,7 +115,7 @@
 	// An entry of a service that is not published names no upstream, and none ended because of it.
 	entries = slices.DeleteFunc(entries, func(e Entry) bool { return services[e.Service] == nil })
 	for _, e := range latestPerAddress(entries) {
-		if e.Draining {
+		if e.Draining || slices.Contains(evacuated, e.Zone) {
 			continue
 		}
 		s := services[e.Service]
@@ -121,7 +124,7 @@
 		s.upstreams = append(s.upstreams, u)
 		warmups.add(e)
 	}
-	out := &Catalog{Config: c, Manifest: m, ServiceZones: make(map[string][]string, len(services)), Warmups: warmups.upstreams}
+	out := &Catalog{Config: c, Manifest: m, ServiceZones: make(map[string][]string, len(services)), Warmups: warmups.upstreams, Evacuated: evacuated}
 	for name, s := range services {
 		m.Workloads[name], out.ServiceZones[name] = s.workload(name, older)
 	}
--- a/internal/ctl/vm.go
+++ b/internal/ctl/vm.go
@@ -47,6 +47,10 @@
 	if err != nil {
 		return err
 	}
+	if len(s.Evacuated) > 0 {
+		fmt.Fprintln(c.out)
+		fmt.Fprintln(c.out, "Evacuated zones:", strings.Join(s.Evacuated, ", "))
+	}
 	fmt.Fprintln(c.out)
 	t := table{header: []string{"MEMBER", "ZONE", "STATE", "INCARNATION"}}
 	for _, m := range s.Roster {
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -24,6 +24,7 @@
 	pool     *pool
 	// published is the upstream in the manifest; Client.applyMu guards it.
 	published *gen.Upstream
+	removed   atomic.Bool // the upstream is no longer in the manifest
 	// openGauge counts open connections; nil until one was open. Client.applyMu guards it.
 	openGauge prometheus.Gauge
 	bounded   atomic.Bool // cold.published has a bound
