--- a/internal/daemon/heaplimit.go
+++ b/internal/daemon/heaplimit.go
@@ -2,7 +2,7 @@
 
 const (
 	// outsideBytes is what a process uses besides the memory that the collector counts: the mapped
-	// program and libc (16 MB measured), threads, and a margin.
+	// program and libc (13 MB measured), threads, and a margin.
 	outsideBytes = 20_000_000
 	// The collector may use heapNumerator/heapDenominator of the rest. What is left is for the buffers
 	// of the sockets, which the kernel holds for the process.
