Gather: one function decides that a reply is a good part

Cause: the decision was spread over the class of a result, which serves single services too, and a case of handle that was added for signed statuses of 3xx and 4xx.

Change: isGoodPart (internal/gather/handle.go) states it whole: class OK, a signature, a status of 2xx. Every attempt of a pass-through search ends in handle, so first attempts, hedges, retries and taken-over parts pass it on the VM that sent them, and delegated parts on the VM that runs them. coverage.Merge.Add has no other caller for pass-through parts. Two fakes of replies lacked a status, which no reply of an upstream lacks; they have 200 now.

Ruled out: a second check on the VM that delegates. A part of a delegated search is merged records and signatures; the statuses behind them are not in it.

Measured: internal/gather and internal/forward pass with -race.

--- a/internal/forward/takeover_test.go
+++ b/internal/forward/takeover_test.go
@@ -261,7 +261,7 @@
 func (u *fleetUpstreams) Do(ctx context.Context, t fleetTicket, a upstream.Attempt) upstream.Result {
 	f := u.fleet
 	if f.answered.Load() {
-		return upstream.Result{Class: upstream.OK, Address: string(t), Signature: "s", Body: make([]byte, recordSize)}
+		return upstream.Result{Class: upstream.OK, Status: 200, Address: string(t), Signature: "s", Body: make([]byte, recordSize)}
 	}
 	f.mu.Lock()
 	if f.reached[a.Shard] == nil {
--- a/internal/gather/handle.go
+++ b/internal/gather/handle.go
@@ -1,7 +1,6 @@
 package gather
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
@@ -27,8 +26,8 @@
 	switch {
 	case at.result.Class != upstream.OK:
 		q.handleFailure(sh, at, at.result.Class)
-	case q.s.PassThrough != nil && at.result.Status >= http.StatusMultipleChoices:
-		q.handleFailure(sh, at, upstream.Failed) // a part is a success, even a failure that is signed is none
+	case q.s.PassThrough != nil && !isGoodPart(&at.result):
+		q.handleFailure(sh, at, upstream.Failed)
 	case q.s.PassThrough != nil:
 		q.handlePassThroughReply(sh, &at.result)
 	case !q.matches(sh, at, at.result.Reply):
@@ -41,6 +40,14 @@
 	}
 }
 
+// isGoodPart decides whether the result of a pass-through attempt is a part of its search. First attempts,
+// hedges, retries, taken-over and delegated parts all pass through here, on the VM that sent the attempt.
+// Class OK says that the reply is complete, signed, and not for another request. That is not enough: a
+// signed 4xx has this class too, since it is passed on to the callers of single services.
+func isGoodPart(r *upstream.Result) bool {
+	return r.Class == upstream.OK && r.Signature != "" && r.Status/100 == 2
+}
+
 // account adds an attempt's result to cost, mayHaveRun and maxRetryAfter.
 func (q *query) account(r *upstream.Result) {
 	q.mayHaveRun = q.mayHaveRun || r.Class.MayHaveRun()
--- a/internal/gather/pass_test.go
+++ b/internal/gather/pass_test.go
@@ -54,7 +54,7 @@
 }
 
 func replyPart(context.Context, upstream.Attempt) upstream.Result {
-	return upstream.Result{Class: upstream.OK, Signature: "s", Body: []byte("0123456789abcdef")}
+	return upstream.Result{Class: upstream.OK, Status: 200, Signature: "s", Body: []byte("0123456789abcdef")}
 }
 
 var _ = Describe("A pass-through search", func() {
