Upstream: a request is not sent again on a connection on which it was refused

Cause: a refusal is matched with its request by id. A request that an upstream refused may be sent to it again: as a retry of the same search once the other replicas refused it too, or because the caller sent it again. On the kept connection the second copy of the refusal then bears the id of the request under way.

Change: a connection keeps hashes of the ids of the requests that were refused on it; one with the id of the attempt is closed and another one used. At 64 ids it is closed instead of reused, so they take 512 bytes at most and an upstream that refuses everything gets one new connection for 64 refusals.

Ruled out: forbidding the replica, since a search whose replicas all refuse needs it; a fresh connection for each retry, which costs a dial each; keeping ids for a time, as 3 s is only how late copies were seen. Copies of other replies under the same id need nothing: a failure says that the request may have run, an answer is one to this request.

--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -87,7 +87,7 @@
 		if a.Kind == PassThrough && c.path.isStranded() {
 			return Result{Class: NotSent, Err: ErrUnreachable}, 0
 		}
-		cn, err := s.pool.get(ctx)
+		cn, err := s.pool.getFor(ctx, a)
 		if err != nil {
 			return Result{Class: NotSent, Err: err}, 0
 		}
@@ -157,7 +157,11 @@
 		return r, sent
 	}
 	s.pool.clearSaturation()
-	s.pool.put(cn)
+	if a.Kind == PassThrough && r.Class == Shed && !cn.recordRefusal(a.PassThrough.ID) {
+		cn.drop()
+	} else {
+		s.pool.put(cn)
+	}
 	if a.Kind == PassThrough {
 		r.load = c.passThroughLoad(resp.Header)
 		return r, sent
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"maps"
 	"net/http"
 	"slices"
@@ -30,6 +31,27 @@
 	*http.ClientConn
 	sock      *sock
 	idleSince time.Duration
+	// refused holds hashes of the ids of the requests that were refused on this connection.
+	refused []uint64
+}
+
+// maxRefusedIDs bounds the ids that a connection keeps; one that has as many is not used again. At 64, an
+// upstream that refuses all requests gets one new connection for 64 refusals.
+const maxRefusedIDs = 64
+
+var idSeed = maphash.MakeSeed()
+
+// recordRefusal records that a request was refused on this connection, and reports whether the connection
+// can carry another one. A refusal may come a second time, and would then be taken for the reply to a request
+// with the same id.
+func (c *conn) recordRefusal(id string) bool {
+	c.refused = append(c.refused, maphash.String(idSeed, id))
+	return len(c.refused) < maxRefusedIDs
+}
+
+// hasRefused reports whether a request with the id was refused on this connection.
+func (c *conn) hasRefused(id string) bool {
+	return len(c.refused) > 0 && slices.Contains(c.refused, maphash.String(idSeed, id))
 }
 
 // drop closes the connection. The error of Close is ignored because the connection
@@ -90,6 +112,17 @@
 	}
 }
 
+// getFor is get for an attempt. It closes idle connections on which a request of the same id was refused.
+func (p *pool) getFor(ctx context.Context, a *Attempt) (*conn, error) {
+	for {
+		c, err := p.get(ctx)
+		if err != nil || a.Kind != PassThrough || !c.hasRefused(a.PassThrough.ID) {
+			return c, err
+		}
+		c.drop()
+	}
+}
+
 // takeOrWait returns an idle connection, or queues w and returns nil.
 func (p *pool) takeOrWait(w *waiter) (*conn, error) {
 	p.mu.Lock()
--- a/internal/upstream/stray_test.go
+++ b/internal/upstream/stray_test.go
@@ -7,6 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -106,4 +109,39 @@
 		Entry("that it leaves", "Leaving: 1"),
 		Entry("that it takes hardly any requests", "Limit: 0.01"),
 	)
+
+	// Orders ran though they were refused: an upstream that had refused an order got it again, from the same caller
+	// or as a retry, and the refusal that came twice bore the id of both.
+	It("does not send a request again on a connection on which it was refused", func() {
+		var mu sync.Mutex
+		conns := map[net.Conn][]string{}
+		address := serveConns(func(c net.Conn) {
+			in := bufio.NewReader(c)
+			for {
+				r, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				id := r.Header.Get("Id")
+				mu.Lock()
+				conns[c] = append(conns[c], id)
+				mu.Unlock()
+				_, _ = fmt.Fprintf(c, refusal, id)
+			}
+		})
+		u := &gen.Upstream{Address: address, Zone: "a", Workload: wlOrder, Slots: 2, ConnectionLimit: 60}
+		c = newClient(Options{ManifestOnly: true, Headers: passThroughHeaders}, newManifest(u))
+		for i := range 200 {
+			Expect(call(strconv.Itoa(i % 150)).Class).To(Equal(Shed))
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		most := 0
+		for _, ids := range conns {
+			most = max(most, len(ids))
+			slices.Sort(ids)
+			Expect(slices.Compact(slices.Clone(ids))).To(Equal(ids), "no id twice")
+		}
+		Expect(most).To(Equal(maxRefusedIDs), "a connection is used again for other requests, up to its bound")
+	})
 })
