Soak: servers send replies of all statuses twice

Cause: the fault Doubled sent refusals twice and nothing else, without a signature, and whether a server refused a request depended on the two alone, so that no server ran a request that it had refused.

The rate of refusals under Doubled stays at one in two.

--- a/internal/bench/soak.go
+++ b/internal/bench/soak.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -109,6 +110,8 @@
 	evidence *evidence
 	closers  []func()
 	outages  spanLog // while the store failed for some VM
+	// doublesSome says that all servers send one in twiceEvery of their replies as under the fault Doubled.
+	doublesSome atomic.Bool
 
 	mu         sync.Mutex // guards the rest
 	version    int
@@ -141,6 +144,7 @@
 	for i, sv := range s.servers {
 		calling.Go(func() { sv.sendHeartbeats(callers, rand.New(rand.NewPCG(o.Seed, uint64(2+i)))) })
 	}
+	s.doublesSome.Store(s.opts.Seed%twiceSeeds == 1)
 	err := s.injectFaults(ctx, rng)
 	s.clearFaults()
 	s.checkRecovery(ctx)
--- a/internal/bench/soak_faults.go
+++ b/internal/bench/soak_faults.go
@@ -255,6 +255,7 @@
 
 // clearFaults ends the faults of the store, the links and the servers.
 func (s *soak) clearFaults() {
+	s.doublesSome.Store(false)
 	s.store.Intercept(nil)
 	for _, vm := range s.vms {
 		vm.storeLink.SetFault(relay.Fault{})
