Reading the change: one spec that stood twice, evacuated zones listed once a change, gates and evacuations in files of their own (moved)

Change: the second, identical copy of the spec is gone; publish asks once; code moved within internal/daemon. Ruled out: a change of behaviour; no check, bound or expectation differs.

--- a/internal/catalog/mirror.go
+++ b/internal/catalog/mirror.go
@@ -327,9 +327,10 @@
 func (m *Mirror) publish() {
 	close(m.changed)
 	m.changed = make(chan struct{})
+	urgent := m.isUrgent()
 	switch wait := m.compiledAt + m.compileInterval - m.now(); {
-	case m.config == nil || m.delayed && !m.isUrgent():
-	case m.isUrgent() || wait <= 0:
+	case m.config == nil || m.delayed && !urgent:
+	case urgent || wait <= 0:
 		m.compile()
 	default:
 		m.delayed = true
--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -194,36 +193,6 @@
 // 136 MB. Bodies of callers' requests have as much if the machine's memory is not known.
 const readBytes = 16 << 20
 
-// callerReadsFactor makes the memory for bodies of callers' requests that are being read so large that the
-// gate refuses them first: a body may use a part of what others leave, and the gate closes others to make
-// room.
-const callerReadsFactor = 4
-
-// callerReads returns the memory for bodies of callers' requests that are being read.
-func (f *Forwarder) callerReads(plan clientlimit.Plan) int64 {
-	if f.s.Limits.MemoryMb == 0 {
-		return readBytes
-	}
-	return callerReadsFactor * plan.Callers.Memory
-}
-
-// peerIdleTimeout is how long a connection may stay idle that has not been upgraded.
-const peerIdleTimeout = 30 * time.Second
-
-// newGates creates the gates of the servers for peers, operators and callers. headLimit returns the
-// published limit of heads.
-func (f *Forwarder) newGates(plan clientlimit.Plan, headLimit func() int) {
-	metrics := ingress.NewMetrics(f.registry)
-	gate := func(listener string, c clientlimit.Capacity, headLimit func() int) *ingress.Gate {
-		return ingress.New(ingress.Options{Listener: listener, Capacity: c, HeadLimit: headLimit, Metrics: metrics, Log: f.log})
-	}
-	f.gates = []*ingress.Gate{
-		gate("peers", plan.Peers, func() int { return maxPeerHeaderBytes }),
-		gate("admin", plan.Admin, func() int { return admin.MaxHeaderBytes }),
-		gate("callers", plan.Callers, headLimit),
-	}
-}
-
 // wireRequests creates the parts that serve callers and send requests to upstreams.
 func (f *Forwarder) wireRequests() error {
 	var err error
@@ -315,37 +284,6 @@
 	return out
 }
 
-// maxLoggedZones bounds the zones in one log line. Any item under the key of evacuations counts as one.
-const maxLoggedZones = 16
-
-// logEvacuations logs a change of the evacuated zones, and each of these that has no upstreams when it is
-// first found so.
-func (f *Forwarder) logEvacuations(before, c *catalog.Catalog, change catalog.Change) {
-	var earlier []string
-	if before != nil {
-		earlier = before.Evacuated
-	}
-	if !slices.Equal(earlier, c.Evacuated) {
-		f.log.Info("evacuation changed", "zones", firstZones(c.Evacuated), "count", len(c.Evacuated), "era", change.Era,
-			"revision", change.Revision)
-	}
-	unknown := slices.DeleteFunc(slices.Clone(change.EmptyZones), func(zone string) bool { return slices.Contains(f.emptyZones, zone) })
-	if len(unknown) > 0 {
-		f.log.Warn("evacuated zone has no upstreams", "zones", firstZones(unknown), "count", len(unknown), "revision", change.Revision)
-	}
-	f.emptyZones = change.EmptyZones
-}
-
-func firstZones(zones []string) []string { return zones[:min(len(zones), maxLoggedZones)] }
-
-// evacuatedGauge returns the number of evacuated zones.
-func (f *Forwarder) evacuatedGauge() float64 {
-	if c := f.catalog.Load(); c != nil {
-		return float64(len(c.Evacuated))
-	}
-	return 0
-}
-
 // ready reports whether the VM takes new requests.
 func (f *Forwarder) ready() bool { return !f.stopping.Load() && f.served.Load() != nil }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -60,20 +60,6 @@
 		Expect(s.Limits.Descriptors).To(BeEquivalentTo(2870))
 	})
 
-	// The template of the users' platform leaves a value out that is not published.
-	It("reads limits of the machine, each of which may be missing", func() {
-		s, err := settings.Parse([]byte(validText))
-		Expect(err).NotTo(HaveOccurred())
-		Expect(s.Limits.MemoryMb).To(BeZero())
-		s, err = settings.Parse([]byte(validText + "[limits]\n\n"))
-		Expect(err).NotTo(HaveOccurred())
-		Expect(s.Limits.Descriptors).To(BeZero())
-		s, err = settings.Parse([]byte(validText + "[limits]\nmemory_mb = 136\ndescriptors = 2870\n"))
-		Expect(err).NotTo(HaveOccurred())
-		Expect(s.Limits.MemoryMb).To(BeEquivalentTo(136))
-		Expect(s.Limits.Descriptors).To(BeEquivalentTo(2870))
-	})
-
 	DescribeTable("rejects invalid text and names the keys",
 		func(extra string, want ...string) {
 			_, err := settings.Parse([]byte(validText + extra))
