Observability: losses of requests that may end upstreams, and what is decided of them, are logged

Cause: three hypotheses on a request that ends servers could not be told apart; the counter of events names no request. Change: log lines of the poison guard and for each connection that is lost while a request runs; 'request' names the fingerprint of a suspected request. Ruled out: counters by fingerprint, which have no bound.

--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -113,7 +113,7 @@
 	})
 	f.node.Handle(f.sync.Handle)
 	f.fleet.watchVersions(f.sync.Announced)
-	f.poison = poison.New(poison.Options{VM: ip, Fleet: f.node, Registerer: f.registry})
+	f.poison = poison.New(poison.Options{VM: ip, Fleet: f.node, Log: f.log, Registerer: f.registry})
 	return nil
 }
 
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -82,6 +82,7 @@
 		Fleet:      d.node,
 		Now:        clock.Boot,
 		Disabled:   !d.mechanisms.On(settings.ExperimentDisableElemPoison),
+		Log:        d.log,
 		Registerer: d.registry,
 	})
 	return nil
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -402,6 +402,9 @@
 	if !q.decidedAt.IsZero() {
 		fields = append(fields, "decided_ms", q.decidedAt.Sub(q.start).Milliseconds())
 	}
+	if o.Reason == outcome.CrashSuspected {
+		fields = append(fields, "fingerprint", q.fingerprint)
+	}
 	if o.Coverage != nil {
 		fields = append(fields, "covered", o.Coverage.ShardsCovered, "shards", o.Coverage.ShardsTotal)
 	}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -7,12 +7,14 @@
 
 import (
 	"context"
+	"io"
 	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
@@ -67,7 +69,8 @@
 	Fleet Fleet
 	// Now reads a clock that also runs while the process is paused; nil for clock.Boot.
 	Now        func() time.Duration
-	Disabled   bool // turns the mechanism off, for experiments
+	Disabled   bool        // turns the mechanism off, for experiments
+	Log        *log.Logger // may be nil
 	Registerer prometheus.Registerer
 }
 
@@ -79,6 +82,7 @@
 	disabled      bool
 	shards        [numShards]shard
 	spreadLimiter *rate.Limiter
+	log           *log.Logger
 	events        *prometheus.CounterVec
 }
 
@@ -94,7 +98,10 @@
 	if o.Now == nil {
 		o.Now = clock.Boot
 	}
-	g := &Guard{vm: o.VM, fleet: o.Fleet, now: o.Now, disabled: o.Disabled}
+	if o.Log == nil {
+		o.Log = log.New(io.Discard)
+	}
+	g := &Guard{vm: o.VM, fleet: o.Fleet, now: o.Now, disabled: o.Disabled, log: o.Log}
 	g.spreadLimiter = rate.NewLimiter(spreadRate, spreadBurst)
 	for i := range g.shards {
 		g.shards[i].records = mustLRU[*policy.Record](recordsPerShard)
@@ -139,13 +146,15 @@
 		return 0, false
 	}
 	now := g.now()
-	verdict, retryAfter := g.snapshot(fingerprint).Decide(now)
+	record := g.snapshot(fingerprint)
+	verdict, retryAfter := record.Decide(now)
 	switch verdict {
 	case policy.Allow:
 		g.startRun(fingerprint, now)
 		return 0, false
 	case policy.Refuse:
 		g.events.WithLabelValues("refused").Inc()
+		g.log.Info("suspected request refused", "fingerprint", fingerprint, "losses", len(record.Losses), "retry_after_ms", retryAfter.Milliseconds())
 		return retryAfter, true
 	}
 	return g.requestPermission(fingerprint)
@@ -163,6 +172,7 @@
 func (g *Guard) requestPermission(fingerprint string) (time.Duration, bool) {
 	if !g.tryStartRun(fingerprint) {
 		g.events.WithLabelValues("not_permitted").Inc()
+		g.log.Info("suspected request not permitted", "fingerprint", fingerprint, "running_here", true)
 		return busyRetryAfter, true
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
@@ -175,8 +185,10 @@
 	record := g.snapshot(fingerprint)
 	if record.Permit(g.now(), store.Origin(), acks, guards) {
 		g.events.WithLabelValues("permitted").Inc()
+		g.log.Info("suspected request permitted", "fingerprint", fingerprint, "losses", len(record.Losses), "acks", acks, "guards", guards)
 		return 0, false
 	}
+	g.log.Info("suspected request not permitted", "fingerprint", fingerprint, "losses", len(record.Losses), "acks", acks, "guards", guards)
 	g.endRun(fingerprint)
 	g.withdraw(fingerprint)
 	g.events.WithLabelValues("not_permitted").Inc()
@@ -204,18 +216,21 @@
 	}
 	if g.endRun(fingerprint) {
 		g.events.WithLabelValues("loss_of_proven").Inc()
+		g.log.Info("loss not counted", "id", requestID, "fingerprint", fingerprint, "reason", "answered_lately")
 		return
 	}
 	g.events.WithLabelValues("loss").Inc()
 	if verdict, _ := g.snapshot(fingerprint).Decide(g.now()); verdict == policy.Refuse {
-		return // refused already, another loss could only prolong that
+		g.log.Info("loss not counted", "id", requestID, "fingerprint", fingerprint, "reason", "refused_already")
+		return // another loss could only prolong that
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	g.withdraw(fingerprint)
 	id := strings.ReplaceAll(requestID, "/", "_")
 	f := g.fleet.Facts().PutFact(keyPrefix+fingerprint+"/"+id, "", policy.SuspicionTTL)
-	g.spread(ctx, fingerprint, f)
+	acks, guards := g.spread(ctx, fingerprint, f)
+	g.log.Info("loss recorded", "id", requestID, "fingerprint", fingerprint, "losses", len(g.snapshot(fingerprint).Losses), "acks", acks, "guards", guards)
 }
 
 // spread sends a fact to the fingerprint's guards. It returns how many of them hold the
@@ -256,6 +271,7 @@
 	g.withdraw(fingerprint)
 	g.fleet.Facts().Put(keyPrefix+fingerprint+"/"+answeredID, strings.Join(ids, "\n"), policy.SuspicionTTL)
 	g.events.WithLabelValues("cleared").Inc()
+	g.log.Info("suspicion cleared", "fingerprint", fingerprint, "losses", len(ids))
 }
 
 // onSpread handles a fact from another VM before the fact is acknowledged. If this VM may
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -52,7 +52,9 @@
 	r.Address = s.address
 	r.Latency = now - t.pickedAt
 	if a.Kind == PassThrough && r.Class == Lost {
-		r.Crashed = s.pool.refusesConnections(ctx) && c.reachesOther(ctx, s)
+		refused := s.pool.refusesConnections(ctx)
+		r.Crashed = refused && c.reachesOther(ctx, s)
+		c.logLost(s, &a, refused, r.Crashed)
 	}
 	if a.Kind == PassThrough {
 		c.recordPassThrough(s, t, &a, &r, now, now-sentAt)
@@ -69,6 +71,14 @@
 	return r
 }
 
+// logLost logs a lost connection and what was found about the upstream then.
+func (c *Client) logLost(s *server, a *Attempt, refused, crashed bool) {
+	if c.opts.Log != nil {
+		c.opts.Log.Info("connection lost while a request ran", "id", a.PassThrough.ID, "address", s.address, "identity", s.identity,
+			"refused", refused, "ended", crashed)
+	}
+}
+
 // recordedClass returns the class under which the replica's state records r.
 func recordedClass(r *Result) Class {
 	switch {
