--- a/internal/forward/delegate_test.go
+++ b/internal/forward/delegate_test.go
@@ -12,6 +12,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
 	"github.com/sardinespindle/sardinespindle/internal/peer"
+	"github.com/sardinespindle/sardinespindle/internal/poison"
 	"github.com/sardinespindle/sardinespindle/internal/policy/repeat"
 	"github.com/sardinespindle/sardinespindle/internal/policy/route"
 	"github.com/sardinespindle/sardinespindle/internal/policy/takeover"
@@ -20,12 +21,10 @@
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/peer"
 )
 
-// noPoison never blocks a request.
+// noPoison admits every request.
 type noPoison struct{}
 
-func (noPoison) Refused(string) (time.Duration, bool)       { return 0, false }
-func (noPoison) RecordLoss(context.Context, string, string) {}
-func (noPoison) RecordAnswer(string)                        {}
+func (noPoison) Admit(string, string) poison.Admission { return poison.Admission{} }
 
 // The VM under test is not a gatherer and delegates each search to one of two gatherers.
 var _ = Describe("A delegated search", func() {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -22,6 +22,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/ingress"
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/poison"
 	"github.com/sardinespindle/sardinespindle/internal/policy/answer"
 	"github.com/sardinespindle/sardinespindle/internal/policy/repeat"
 	"github.com/sardinespindle/sardinespindle/internal/policy/route"
@@ -59,15 +60,10 @@
 	Run(ctx context.Context, q single.Request) outcome.Outcome
 }
 
-// Poison tracks poisoned requests, which crash the upstreams that run them.
+// Poison tracks poisoned requests, which end the upstreams that run them.
 type Poison interface {
-	// Refused reports whether a request must not run now, and after how long the caller
-	// may resend it.
-	Refused(fingerprint string) (time.Duration, bool)
-	// RecordLoss records that an upstream ended while it ran the request.
-	RecordLoss(ctx context.Context, fingerprint, requestID string)
-	// RecordAnswer records a complete answer.
-	RecordAnswer(fingerprint string)
+	// Admit decides whether a request may run now; the caller ends the run that it returns.
+	Admit(fingerprint, requestID string) poison.Admission
 }
 
 // Options configure a Server.
@@ -180,11 +176,13 @@
 	// fingerprint is the hash by which poisoned requests are recognized; empty until the
 	// request runs on this VM.
 	fingerprint string
-	start       time.Time
-	route       *route.Route
-	service     string
-	catalog     *catalog.Catalog
-	deadline    time.Time // the caller gets an answer or an error by then
+	// run watches the attempts while the request runs on this VM.
+	run      *poison.Run
+	start    time.Time
+	route    *route.Route
+	service  string
+	catalog  *catalog.Catalog
+	deadline time.Time // the caller gets an answer or an error by then
 	// callerResent says that the caller seems to resend the request after it was shed: the
 	// caller waits for less than resentTimeoutShare of the route's timeout.
 	callerResent bool
@@ -278,16 +276,13 @@
 // run runs a request on this VM, unless it is suspected to crash upstreams.
 func (s *Server) run(ctx context.Context, q *request, p *upstream.PassThroughRequest) outcome.Outcome {
 	q.fingerprint = fingerprint(p)
-	if retryAfter, blocked := s.o.Poison.Refused(q.fingerprint); blocked {
-		return outcome.NotRun(outcome.CrashSuspected, "requests like this one ended upstreams", retryAfter)
+	admission := s.o.Poison.Admit(q.fingerprint, q.id)
+	if admission.Refused {
+		return outcome.NotRun(outcome.CrashSuspected, "requests like this one ended upstreams", admission.RetryAfter)
 	}
+	q.run = admission.Run
 	o := s.dispatch(ctx, q, p)
-	switch {
-	case o.Reason == outcome.CrashSuspected:
-		s.o.Poison.RecordLoss(ctx, q.fingerprint, q.id)
-	case o.Kind == caller.OutcomeAnswered && (o.Coverage == nil || o.Coverage.Complete):
-		s.o.Poison.RecordAnswer(q.fingerprint)
-	}
+	q.run.End(ctx)
 	return o
 }
 
@@ -362,6 +357,7 @@
 		Fingerprint: q.fingerprint,
 		Workload:    workload,
 		Deadline:    q.deadline,
+		Watcher:     q.run,
 		PassThrough: &single.PassThrough{
 			Request:     p,
 			Route:       q.route.Name,
--- a/internal/forward/split.go
+++ b/internal/forward/split.go
@@ -125,6 +125,7 @@
 		Fingerprint: q.fingerprint,
 		Workload:    q.searchWorkload(shards),
 		Deadline:    q.deadline,
+		Watcher:     q.run,
 		PassThrough: &gather.PassThrough{
 			Request:      p,
 			Shards:       q.catalog.Manifest.Workloads,
--- a/internal/gather/send.go
+++ b/internal/gather/send.go
@@ -216,6 +216,7 @@
 		Deadline:  q.answerBy,
 		Body:      q.body,
 		Hedge:     at.hedge,
+		Watcher:   q.s.Watcher,
 	}
 	if p := q.s.PassThrough; p != nil {
 		a.Kind, a.PassThrough, a.Route, a.Deadline = upstream.PassThrough, p.Request, q.workload, q.s.Deadline
--- a/internal/gather/types.go
+++ b/internal/gather/types.go
@@ -26,6 +26,8 @@
 	Caller      string
 	Query       upstreamgen.Query
 	Deadline    time.Time
+	// Watcher watches the attempts; may be nil.
+	Watcher upstream.Watcher
 	// PassThrough is set for a pass-through search, which does not use Grant and Query.
 	PassThrough *PassThrough
 }
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -138,6 +138,27 @@
 	return &g.shards[h%numShards]
 }
 
+// Admission is the decision on a request.
+type Admission struct {
+	// Refused says that the request must not run now, and RetryAfter when it may.
+	Refused    bool
+	RetryAfter time.Duration
+	// Run watches the request's attempts; nil if it is refused.
+	Run *Run
+}
+
+// Admit decides whether a request may run. If so, its Run must be ended. Only for a suspected request are other
+// VMs asked, for at most askTimeout.
+func (g *Guard) Admit(fingerprint, requestID string) Admission {
+	if retryAfter, refused := g.Refused(fingerprint); refused {
+		return Admission{Refused: true, RetryAfter: retryAfter}
+	}
+	if g.disabled {
+		return Admission{}
+	}
+	return Admission{Run: &Run{g: g, fingerprint: fingerprint, id: requestID}}
+}
+
 // Refused reports whether a request must not run now, and when to retry. It is called
 // before each attempt; if it reports false, the run counts as started. Only for a
 // suspected request are other VMs asked, for at most askTimeout.
@@ -214,7 +235,12 @@
 	if g.disabled {
 		return
 	}
-	if g.endRun(fingerprint) {
+	g.reportLoss(ctx, fingerprint, requestID, g.endRun(fingerprint))
+}
+
+// reportLoss is RecordLoss for a run that has ended; proven says that the fingerprint was answered shortly before.
+func (g *Guard) reportLoss(ctx context.Context, fingerprint, requestID string, proven bool) {
+	if proven {
 		g.events.WithLabelValues("loss_of_proven").Inc()
 		g.log.Info("loss not counted", "id", requestID, "fingerprint", fingerprint, "reason", "answered_lately")
 		return
@@ -224,11 +250,10 @@
 		g.log.Info("loss not counted", "id", requestID, "fingerprint", fingerprint, "reason", "refused_already")
 		return // another loss could only prolong that
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
 	defer cancel()
 	g.withdraw(fingerprint)
-	id := strings.ReplaceAll(requestID, "/", "_")
-	f := g.fleet.Facts().PutFact(keyPrefix+fingerprint+"/"+id, "", policy.SuspicionTTL)
+	f := g.fleet.Facts().PutFact(keyPrefix+fingerprint+"/"+factID(requestID), "", policy.SuspicionTTL)
 	acks, guards := g.spread(ctx, fingerprint, f)
 	g.log.Info("loss recorded", "id", requestID, "fingerprint", fingerprint, "losses", len(g.snapshot(fingerprint).Losses), "acks", acks, "guards", guards)
 }
--- a/internal/single/pass.go
+++ b/internal/single/pass.go
@@ -112,6 +112,7 @@
 		PassThrough: p.q.PassThrough.Request,
 		Route:       p.q.PassThrough.Route,
 		Hedge:       hedged,
+		Watcher:     p.q.Watcher,
 	})
 }
 
--- a/internal/single/single.go
+++ b/internal/single/single.go
@@ -54,6 +54,8 @@
 	// FirstAttempt is set if the caller states that it has not sent this request before.
 	FirstAttempt bool
 	Deadline     time.Time
+	// Watcher watches the attempts; may be nil.
+	Watcher upstream.Watcher
 	// PassThrough is set for a request that goes to upstreams unchanged.
 	PassThrough *PassThrough
 }
@@ -217,6 +219,7 @@
 		Deadline:       q.Deadline,
 		Body:           q.Body,
 		IdempotencyKey: q.Key,
+		Watcher:        q.Watcher,
 		BeforeWrite:    beforeWrite,
 	})
 	span.SetAttributes(attribute.String("upstream", t.Address()), attribute.Int("class", int(res.Class)))
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/sardinespindle/sardinespindle/internal/guard"
+	"github.com/sardinespindle/sardinespindle/internal/policy/poison"
 )
 
 // maxTries bounds the tries of an attempt, the first one included. An attempt is tried
@@ -65,12 +66,29 @@
 			s.returnRate()
 		}
 	}
+	if a.Watcher != nil {
+		a.Watcher.Sent(s.address, fateOf(&r))
+	}
 	s.recordResult(now, recordedClass(&r), now-sentAt, r.Latency, r.RetryAfter)
 	c.recordCut(s, &r, now)
 	t.metrics.count(r.Class, r.Latency)
 	return r
 }
 
+// fateOf returns what the result of an attempt says of its upstream.
+func fateOf(r *Result) poison.Fate {
+	switch {
+	case r.Class == OK || r.Class == Failed:
+		return poison.Ran
+	case r.Class == Shed || r.Class == NotSent:
+		return poison.Lives
+	case r.Crashed:
+		return poison.Ended
+	default:
+		return poison.Unknown
+	}
+}
+
 // logLost logs a lost connection and what was found about the upstream then.
 func (c *Client) logLost(s *server, a *Attempt, refused, crashed bool) {
 	if c.opts.Log != nil {
@@ -216,6 +234,9 @@
 	if a.Kind == PassThrough {
 		c.countSent(s)
 	}
+	if a.Watcher != nil {
+		a.Watcher.Sending(s.address)
+	}
 	return nil
 }
 
--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sardinespindle/sardinespindle/internal/policy/forecast"
+	"github.com/sardinespindle/sardinespindle/internal/policy/poison"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/upstream"
 )
 
@@ -79,6 +80,8 @@
 	IdempotencyKey string
 	// Hedge marks a hedge. Do ignores it, and Pick has an argument for it.
 	Hedge bool
+	// Watcher, if set, is told what becomes of the upstream.
+	Watcher Watcher
 	// BeforeWrite, if set, is called right before the first byte is written. An error ends
 	// the attempt as NotSent. It must not block.
 	BeforeWrite func() error
@@ -86,6 +89,14 @@
 	takenAt time.Duration // when a PassThrough was counted for its upstream: at the pick, then at the write
 }
 
+// Watcher watches the attempts of one request. Its methods must not block.
+type Watcher interface {
+	// Sending is called before the first byte of an attempt is sent.
+	Sending(address string)
+	// Sent is called after an attempt with what is known of the upstream.
+	Sent(address string, f poison.Fate)
+}
+
 // Result is the outcome of one attempt.
 type Result struct {
 	Class   Class
