--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -113,7 +113,12 @@
 	})
 	f.node.Handle(f.sync.Handle)
 	f.fleet.watchVersions(f.sync.Announced)
-	f.poison = poison.New(poison.Options{VM: ip, Fleet: f.node, Log: f.log, Registerer: f.registry})
+	f.poison = poison.New(poison.Options{
+		VM: ip, Fleet: f.node, Log: f.log, Registerer: f.registry,
+		Hears: func(ctx context.Context, since time.Duration, except []string) bool {
+			return f.upstreams.Hears(ctx, since, except)
+		},
+	})
 	return nil
 }
 
--- a/internal/forward/delegate_test.go
+++ b/internal/forward/delegate_test.go
@@ -24,7 +24,7 @@
 // noPoison admits every request.
 type noPoison struct{}
 
-func (noPoison) Admit(string, string) poison.Admission { return poison.Admission{} }
+func (noPoison) Admit(poison.Request) poison.Admission { return poison.Admission{} }
 
 // The VM under test is not a gatherer and delegates each search to one of two gatherers.
 var _ = Describe("A delegated search", func() {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -63,7 +63,7 @@
 // Poison tracks poisoned requests, which end the upstreams that run them.
 type Poison interface {
 	// Admit decides whether a request may run now; the caller ends the run that it returns.
-	Admit(fingerprint, requestID string) poison.Admission
+	Admit(q poison.Request) poison.Admission
 }
 
 // Options configure a Server.
@@ -276,7 +276,7 @@
 // run runs a request on this VM, unless it is suspected to crash upstreams.
 func (s *Server) run(ctx context.Context, q *request, p *upstream.PassThroughRequest) outcome.Outcome {
 	q.fingerprint = fingerprint(p)
-	admission := s.o.Poison.Admit(q.fingerprint, q.id)
+	admission := s.o.Poison.Admit(poison.Request{Fingerprint: q.fingerprint, ID: q.id, Slow: q.hedgeAfter()})
 	if admission.Refused {
 		return outcome.NotRun(outcome.CrashSuspected, "requests like this one ended upstreams", admission.RetryAfter)
 	}
@@ -337,6 +337,14 @@
 	singleHedgeShare = 0.5
 )
 
+// hedgeAfter returns the time from the first attempt, of a search from that at a shard, to its hedge.
+func (q *request) hedgeAfter() time.Duration {
+	if q.route.Sharded() {
+		return scale(q.objective(), searchHedgeShare)
+	}
+	return scale(q.objective(), singleHedgeShare)
+}
+
 func (q *request) objective() time.Duration {
 	if q.route.Objective > 0 {
 		return q.route.Objective
@@ -362,7 +370,7 @@
 			Request:     p,
 			Route:       q.route.Name,
 			Idempotent:  q.route.Idempotent,
-			HedgeAfter:  scale(q.objective(), singleHedgeShare),
+			HedgeAfter:  q.hedgeAfter(),
 			MaxAttempts: q.route.MaxAttempts,
 			Used:        q.attempts,
 			Repeat:      func(hedge bool) bool { return s.takeRepeat(q.service, hedge) },
--- a/internal/forward/split.go
+++ b/internal/forward/split.go
@@ -133,7 +133,7 @@
 			MinimumShare: q.route.MinimumShare,
 			AnswerAt:     s.decideBy(q),
 			GiveUpAt:     q.deadline,
-			HedgeAfter:   scale(q.objective(), searchHedgeShare),
+			HedgeAfter:   q.hedgeAfter(),
 			MaxAttempts:  q.route.MaxAttempts,
 			// A part is not shed for being late: other parts of the search may run already, and
 			// the search could not be refused as not run.
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -67,6 +67,9 @@
 type Options struct {
 	VM    string // this VM's name
 	Fleet Fleet
+	// Hears reports whether this VM has run since then and hears of upstreams beside those given. The default is
+	// that it does.
+	Hears func(ctx context.Context, since time.Duration, except []string) bool
 	// Now reads a clock that also runs while the process is paused; nil for clock.Boot.
 	Now        func() time.Duration
 	Disabled   bool        // turns the mechanism off, for experiments
@@ -82,6 +85,7 @@
 	disabled      bool
 	shards        [numShards]shard
 	spreadLimiter *rate.Limiter
+	hears         func(ctx context.Context, since time.Duration, except []string) bool
 	log           *log.Logger
 	events        *prometheus.CounterVec
 }
@@ -101,7 +105,10 @@
 	if o.Log == nil {
 		o.Log = log.New(io.Discard)
 	}
-	g := &Guard{vm: o.VM, fleet: o.Fleet, now: o.Now, disabled: o.Disabled, log: o.Log}
+	if o.Hears == nil {
+		o.Hears = func(context.Context, time.Duration, []string) bool { return true }
+	}
+	g := &Guard{vm: o.VM, fleet: o.Fleet, now: o.Now, disabled: o.Disabled, hears: o.Hears, log: o.Log}
 	g.spreadLimiter = rate.NewLimiter(spreadRate, spreadBurst)
 	for i := range g.shards {
 		g.shards[i].records = mustLRU[*policy.Record](recordsPerShard)
@@ -149,14 +156,14 @@
 
 // Admit decides whether a request may run. If so, its Run must be ended. Only for a suspected request are other
 // VMs asked, for at most askTimeout.
-func (g *Guard) Admit(fingerprint, requestID string) Admission {
-	if retryAfter, refused := g.Refused(fingerprint); refused {
+func (g *Guard) Admit(q Request) Admission {
+	if retryAfter, refused := g.Refused(q.Fingerprint); refused {
 		return Admission{Refused: true, RetryAfter: retryAfter}
 	}
 	if g.disabled {
 		return Admission{}
 	}
-	return Admission{Run: &Run{g: g, fingerprint: fingerprint, id: requestID}}
+	return Admission{Run: &Run{g: g, q: q}}
 }
 
 // Refused reports whether a request must not run now, and when to retry. It is called
@@ -253,11 +260,22 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
 	defer cancel()
 	g.withdraw(fingerprint)
-	f := g.fleet.Facts().PutFact(keyPrefix+fingerprint+"/"+factID(requestID), "", policy.SuspicionTTL)
+	f := g.putLoss(fingerprint, requestID)
 	acks, guards := g.spread(ctx, fingerprint, f)
 	g.log.Info("loss recorded", "id", requestID, "fingerprint", fingerprint, "losses", len(g.snapshot(fingerprint).Losses), "acks", acks, "guards", guards)
 }
 
+func (g *Guard) putLoss(fingerprint, requestID string) facts.Fact {
+	return g.fleet.Facts().PutFact(keyPrefix+fingerprint+"/"+factID(requestID), "", policy.SuspicionTTL)
+}
+
+// stateLoss records a loss of a run that has not ended. It does not wait for the guards.
+func (g *Guard) stateLoss(fingerprint, requestID string) {
+	g.events.WithLabelValues("loss").Inc()
+	g.putLoss(fingerprint, requestID)
+	g.log.Info("loss recorded", "id", requestID, "fingerprint", fingerprint, "losses", len(g.snapshot(fingerprint).Losses))
+}
+
 // spread sends a fact to the fingerprint's guards. It returns how many of them hold the
 // fact, including this VM if it is a guard, and how many guards there are. Over the rate
 // limit it sends nothing and returns no acks: the fact then spreads by gossip only.
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -41,7 +41,8 @@
 	index   int
 	store   *facts.Store
 	hooks   []func(facts.Fact)
-	spreads int // calls of SpreadTo
+	spreads atomic.Int32 // calls of SpreadTo
+	deaf    atomic.Bool  // it hears of no upstream
 }
 
 func newFleet(n int) *fleet {
@@ -50,7 +51,10 @@
 	for i := range n {
 		v := &modelVM{fleet: f, index: i}
 		v.store = facts.New(facts.Options{Name: name(i), Incarnation: "x", Now: f.clock})
-		v.Guard = poison.New(poison.Options{VM: name(i), Fleet: v, Now: f.clock})
+		v.Guard = poison.New(poison.Options{
+			VM: name(i), Fleet: v, Now: f.clock,
+			Hears: func(context.Context, time.Duration, []string) bool { return !v.deaf.Load() },
+		})
 		f.vms = append(f.vms, v)
 	}
 	return f
@@ -93,7 +97,7 @@
 
 func (v *modelVM) SpreadTo(_ context.Context, f facts.Fact, vms []string) int {
 	acks := 0
-	v.spreads++
+	v.spreads.Add(1)
 	for _, to := range v.fleet.vms {
 		if !slices.Contains(vms, name(to.index)) || !v.fleet.connected(v.index, to.index) {
 			continue
@@ -292,7 +296,7 @@
 		for i := range 500 {
 			v.RecordLoss(context.Background(), fmt.Sprint("innocent", i), "r")
 		}
-		Expect(v.spreads).To(BeNumerically("<", 100))
+		Expect(v.spreads.Load()).To(BeNumerically("<", 100))
 		_, refused := v.Refused("innocent499")
 		Expect(refused).To(BeTrue())
 	})
@@ -303,7 +307,7 @@
 		for i := range 20 {
 			f.vms[0].RecordLoss(context.Background(), fp, fmt.Sprint("shard", i))
 		}
-		Expect(f.vms[0].spreads).To(Equal(policy.SuspicionLimit))
+		Expect(f.vms[0].spreads.Load()).To(BeEquivalentTo(policy.SuspicionLimit))
 		for _, v := range f.vms {
 			_, refused := v.Refused(fp)
 			Expect(refused).To(BeTrue())
--- a/internal/poison/recent.go
+++ b/internal/poison/recent.go
@@ -73,6 +73,15 @@
 	return policy.Proven(g.now(), r.lastAnswer, r.everAnswered)
 }
 
+// proven reports whether a recent complete answer shows that the fingerprint does not crash upstreams.
+func (g *Guard) proven(fingerprint string) bool {
+	sh := g.shard(fingerprint)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	r, _ := sh.local.Get(fingerprint)
+	return policy.Proven(g.now(), r.lastAnswer, r.everAnswered)
+}
+
 // setAnnounced records whether this VM's run of a fingerprint is announced to the other
 // VMs, and returns the previous value.
 func (g *Guard) setAnnounced(fingerprint string, announced bool) (before bool) {
--- a/internal/poison/run.go
+++ b/internal/poison/run.go
@@ -5,72 +5,152 @@
 	"fmt"
 	"strings"
 	"sync"
+	"time"
 
 	policy "github.com/sardinespindle/sardinespindle/internal/policy/poison"
 )
 
+// Request is a request that a Guard decides on.
+type Request struct {
+	Fingerprint, ID string
+	// Slow is the longest that an idle upstream usually takes to reply.
+	Slow time.Duration
+}
+
 // Run is one run of a request on this VM. It watches the request's attempts, and records upstreams that ended
 // under it. The methods of a nil Run do nothing.
 type Run struct {
-	g               *Guard
-	fingerprint, id string
+	g *Guard
+	q Request
+
+	mu       sync.Mutex // guards the fields below
+	attempts map[string]*watched
+	check    *time.Timer // nil before the first attempt
+	reported int         // losses
+	ended    bool
+}
 
-	mu       sync.Mutex // guards attempts
-	attempts map[string]*policy.Attempt
+// watched is an attempt that a run watches.
+type watched struct {
+	upstream policy.Upstream
+	sentAt   time.Duration
+	attempt  policy.Attempt // Waited and SinceReply are set once done
+	done     bool
 }
 
-// Sending records that an attempt is about to be sent to the upstream at an address.
-func (r *Run) Sending(address string) {
+// checkAfter is how long after its first attempt a run that still waits is judged for the first time: others may
+// get the request again before its deadline.
+const checkAfter = 2500 * time.Millisecond
+
+// Sending records that an attempt is about to be sent to an upstream.
+func (r *Run) Sending(u policy.Upstream) {
 	if r == nil {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.attempts == nil {
-		r.attempts = map[string]*policy.Attempt{}
+		r.attempts = map[string]*watched{}
+	}
+	w := &watched{upstream: u, sentAt: r.g.now()}
+	if asked := u.AskedAt(); asked > 0 {
+		w.attempt.SilentBefore = w.sentAt - asked
+	}
+	r.attempts[u.Address()] = w
+	if r.check == nil && !r.ended {
+		r.check = time.AfterFunc(checkAfter, r.judgeEarly)
 	}
-	r.attempts[address] = &policy.Attempt{}
 }
 
 // Sent records what is known of an upstream after the attempt at it.
-func (r *Run) Sent(address string, f policy.Fate) {
+func (r *Run) Sent(u policy.Upstream, f policy.Fate) {
 	if r == nil {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if a := r.attempts[address]; a != nil {
-		a.Fate = f
+	if w := r.attempts[u.Address()]; w != nil {
+		w.attempt = w.at(r.g.now())
+		w.attempt.Fate, w.done = f, true
 	}
 }
 
+// at returns the attempt as it is at now.
+func (w *watched) at(now time.Duration) policy.Attempt {
+	a := w.attempt
+	if !w.done {
+		a.Waited, a.SinceReply = now-w.sentAt, now-w.upstream.RepliedAt()
+	}
+	return a
+}
+
 // End records what the run shows. If upstreams ended, it returns once the guards have acknowledged that, after
 // askTimeout at the latest. Attempts that end later do not count.
 func (r *Run) End(ctx context.Context) {
 	if r == nil {
 		return
 	}
-	ran, losses := r.judge()
+	r.mu.Lock()
+	r.ended = true
+	if r.check != nil {
+		r.check.Stop()
+	}
+	r.mu.Unlock()
+	ran, losses := r.judge(ctx)
 	if ran {
-		r.g.RecordAnswer(r.fingerprint)
+		r.g.RecordAnswer(r.q.Fingerprint)
 		return
 	}
-	proven := r.g.endRun(r.fingerprint)
-	var reported sync.WaitGroup
-	for i := range losses {
-		reported.Go(func() { r.g.reportLoss(ctx, r.fingerprint, fmt.Sprint(r.id, "-", i), proven) })
+	proven := r.g.endRun(r.q.Fingerprint)
+	var told sync.WaitGroup
+	for _, id := range r.takeUnreported(losses) {
+		told.Go(func() { r.g.reportLoss(ctx, r.q.Fingerprint, id, proven) })
 	}
-	reported.Wait()
+	told.Wait()
 }
 
-func (r *Run) judge() (ran bool, losses int) {
+// judgeEarly reports what the run shows before its end. The fleet learns that by gossip.
+func (r *Run) judgeEarly() {
+	ran, losses := r.judge(context.Background())
+	r.mu.Lock()
+	ended := r.ended
+	r.mu.Unlock()
+	if ran || ended || r.g.proven(r.q.Fingerprint) {
+		return
+	}
+	for _, id := range r.takeUnreported(losses) {
+		r.g.stateLoss(r.q.Fingerprint, id)
+	}
+}
+
+// judge returns whether the request ran at an upstream that replied, and else how many losses the run shows.
+func (r *Run) judge(ctx context.Context) (ran bool, losses int) {
+	now := r.g.now()
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	attempts := make([]policy.Attempt, 0, len(r.attempts))
-	for _, a := range r.attempts {
-		attempts = append(attempts, *a)
+	addresses := make([]string, 0, len(r.attempts))
+	since := now
+	for address, w := range r.attempts {
+		attempts, addresses, since = append(attempts, w.at(now)), append(addresses, address), min(since, w.sentAt)
+	}
+	r.mu.Unlock()
+	e := policy.Judge(attempts, r.q.Slow)
+	hears := e.Silent && r.g.hears(ctx, since, addresses)
+	if losses = e.Losses(hears); losses > 0 || e.Silent {
+		r.g.log.Info("no upstream replied to a request", "id", r.q.ID, "fingerprint", r.q.Fingerprint, "attempts", len(attempts),
+			"ended", e.Ended, "silent", e.Silent, "hears_others", hears, "losses", losses)
+	}
+	return e.Ran, losses
+}
+
+// takeUnreported returns the ids of the losses that have not been reported yet.
+func (r *Run) takeUnreported(losses int) (ids []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for ; r.reported < losses; r.reported++ {
+		ids = append(ids, fmt.Sprint(r.q.ID, "-", r.reported))
 	}
-	return policy.Judge(attempts)
+	return ids
 }
 
 // factID returns the form in which the id of a request is part of a fact's key.
--- a/internal/poison/run_test.go
+++ b/internal/poison/run_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -11,17 +12,33 @@
 	policy "github.com/sardinespindle/sardinespindle/internal/policy/poison"
 )
 
-// run runs a request on a VM. Its attempts have the given fates, each at another upstream.
-func (v *modelVM) run(fingerprint, id string, fates ...policy.Fate) poison.Admission {
-	a := v.Admit(fingerprint, id)
+const slow = 80 * time.Millisecond
+
+// fakeUpstream has not replied to any request.
+type fakeUpstream string
+
+func (u fakeUpstream) Address() string        { return string(u) }
+func (fakeUpstream) RepliedAt() time.Duration { return 0 }
+func (fakeUpstream) AskedAt() time.Duration   { return 0 }
+
+// start starts a run of a request on a VM, with n attempts, each at another upstream.
+func (v *modelVM) start(fingerprint, id string, n int) poison.Admission {
+	a := v.Admit(poison.Request{Fingerprint: fingerprint, ID: id, Slow: slow})
+	for i := range n {
+		a.Run.Sending(fakeUpstream(fmt.Sprint(id, "-upstream-", i)))
+	}
+	return a
+}
+
+// run runs a request on a VM. Its attempts end after a while with the given fates, each at another upstream.
+func (v *modelVM) run(fingerprint, id string, after time.Duration, fates ...policy.Fate) poison.Admission {
+	a := v.start(fingerprint, id, len(fates))
 	if a.Refused {
 		return a
 	}
-	for i := range fates {
-		a.Run.Sending(fmt.Sprint(id, "-upstream-", i))
-	}
+	v.fleet.now.Add(int64(after))
 	for i, fate := range fates {
-		a.Run.Sent(fmt.Sprint(id, "-upstream-", i), fate)
+		a.Run.Sent(fakeUpstream(fmt.Sprint(id, "-upstream-", i)), fate)
 	}
 	a.Run.End(context.Background())
 	return a
@@ -31,15 +48,56 @@
 	// All upstreams of a run counted as one, so the request ended as many again at the next VM.
 	It("counts each upstream that ended under it", func() {
 		f := newFleet(3)
-		Expect(f.vms[0].run(fp, "r1", policy.Ended, policy.Ended, policy.Ended).Refused).To(BeFalse())
-		Expect(f.vms[1].run(fp, "r2").Refused).To(BeTrue())
-		Expect(f.vms[0].spreads).To(Equal(policy.SuspicionLimit))
+		Expect(f.vms[0].run(fp, "r1", 0, policy.Ended, policy.Ended, policy.Ended).Refused).To(BeFalse())
+		Expect(f.vms[1].run(fp, "r2", 0).Refused).To(BeTrue())
+		Expect(f.vms[0].spreads.Load()).To(BeEquivalentTo(policy.SuspicionLimit))
 	})
 
 	It("counts none if another upstream ran the request", func() {
 		f := newFleet(3)
-		f.vms[0].run(fp, "r1", policy.Ended, policy.Ran, policy.Ended)
-		Expect(f.vms[1].run(fp, "r2").Refused).To(BeFalse())
-		Expect(f.vms[0].spreads).To(BeZero())
+		f.vms[0].run(fp, "r1", 0, policy.Ended, policy.Ran, policy.Ended)
+		f.vms[0].run(fp, "r2", time.Second, policy.Unknown, policy.Ran, policy.Unknown, policy.Unknown)
+		Expect(f.vms[1].run(fp, "r3", 0).Refused).To(BeFalse())
+		Expect(f.vms[0].spreads.Load()).To(BeZero())
+	})
+
+	// Servers without power close no connection, so nothing was recorded of them.
+	It("counts upstreams that fell silent under it", func() {
+		f := newFleet(3)
+		for i := range policy.SuspicionLimit {
+			f.vms[i].run(fp, fmt.Sprint("r", i), time.Second, policy.Unknown, policy.Unknown, policy.Unknown)
+		}
+		Expect(f.vms[2].run(fp, "r", 0).Refused).To(BeTrue())
+	})
+
+	It("counts upstreams that are silent at its end, with attempts under way", func() {
+		f := newFleet(3)
+		for i := range policy.SuspicionLimit {
+			a := f.vms[i].start(fp, fmt.Sprint("r", i), 3)
+			f.now.Add(int64(time.Second))
+			a.Run.End(context.Background())
+		}
+		Expect(f.vms[2].run(fp, "r", 0).Refused).To(BeTrue())
+	})
+
+	It("counts no silent upstreams on a VM that hears of no other", func() {
+		f := newFleet(3)
+		f.vms[0].deaf.Store(true)
+		for i := range policy.SuspicionLimit {
+			f.vms[0].run(fp, fmt.Sprint("r", i), time.Second, policy.Unknown, policy.Unknown, policy.Unknown)
+		}
+		Expect(f.vms[1].Suspected(fp)).To(BeFalse())
+	})
+
+	// A caller may wait for its answer for many seconds, and send the request again through another VM before.
+	It("tells of silent upstreams before its end if it lasts for long", func() {
+		f := newFleet(3)
+		a := f.vms[0].start(fp, "r1", 3)
+		f.now.Add(int64(3 * time.Second))
+		Eventually(func() bool { f.gossip(); return f.vms[1].Suspected(fp) }, 5*time.Second, 50*time.Millisecond).Should(BeTrue())
+		a.Run.Sent(fakeUpstream("r1-upstream-0"), policy.Ran)
+		a.Run.End(context.Background())
+		f.gossip()
+		Expect(f.vms[1].Suspected(fp)).To(BeFalse(), "one of them has replied after all")
 	})
 })
--- a/internal/policy/poison/judge.go
+++ b/internal/policy/poison/judge.go
@@ -1,5 +1,7 @@
 package poison
 
+import "time"
+
 // Fate is what is known of an upstream after an attempt at it.
 type Fate int
 
@@ -15,22 +17,72 @@
 	Ended
 )
 
+// Upstream is an upstream that a request is sent to.
+type Upstream interface {
+	Address() string
+	// RepliedAt returns when it last replied to any request of this VM; 0 if it has not.
+	RepliedAt() time.Duration
+	// AskedAt returns when the first request was sent that it has not replied to since; 0 for none.
+	AskedAt() time.Duration
+}
+
 // Attempt is an attempt of a request at one upstream.
 type Attempt struct {
 	Fate Fate
+	// Waited is how long the request waited for a reply, and SinceReply how long ago the upstream had replied to
+	// any request of this VM when it stopped waiting.
+	Waited, SinceReply time.Duration
+	// SilentBefore is how long the upstream had not replied to other requests when this one was sent.
+	SilentBefore time.Duration
+}
+
+// fellSilent reports whether the upstream has been silent while the request waited, for at least d, and was not
+// before. It may have replied to others at first, while this request waited for a slot.
+func (a Attempt) fellSilent(d, slow time.Duration) bool {
+	return a.Fate == Unknown && a.Waited >= d && 2*a.SinceReply >= a.Waited && a.SilentBefore < slow
+}
+
+// manySilent is the number of silent upstreams that are evidence at once.
+const manySilent = 3
+
+// Evidence is what the attempts of one run of a request show.
+type Evidence struct {
+	// Ran: an upstream ran the request and replied, so it does not end each of them.
+	Ran bool
+	// Ended is the number of upstreams that ended.
+	Ended int
+	// Silent says that upstreams fell silent. That shows nothing if this VM hears of no others either.
+	Silent bool
 }
 
-// Judge returns what the attempts of one run of a request show: that upstreams run it, or else how many losses
-// they are evidence of, at most SuspicionLimit.
-func Judge(attempts []Attempt) (ran bool, losses int) {
+// Judge returns what the attempts of one run show; slow is the longest that an idle upstream usually takes to reply.
+// An upstream that ends may fall silent instead of closing its connections, as one that loses power does. So may one
+// that hangs, so unless there are many, their silence is evidence only after twice that time.
+func Judge(attempts []Attempt, slow time.Duration) (e Evidence) {
+	silent := 0
 	for _, a := range attempts {
-		switch a.Fate {
-		case Ran:
-			return true, 0
-		case Ended:
-			losses++
-		case Unknown, Lives:
+		switch {
+		case a.Fate == Ran:
+			return Evidence{Ran: true}
+		case a.Fate == Ended && a.SilentBefore < slow:
+			e.Ended++
+		case a.fellSilent(slow, slow):
+			silent++
+			e.Silent = e.Silent || silent >= manySilent || a.fellSilent(2*slow, slow)
 		}
 	}
-	return false, min(losses, SuspicionLimit)
+	return e
+}
+
+// Losses returns the number of losses to report, at most SuspicionLimit. hears says that this VM hears of other
+// upstreams. Upstreams that fell silent count as one loss: ordinary requests wait at them too.
+func (e Evidence) Losses(hears bool) int {
+	if e.Ran {
+		return 0
+	}
+	n := e.Ended
+	if e.Silent && hears {
+		n++
+	}
+	return min(n, SuspicionLimit)
 }
--- a/internal/policy/poison/judge_test.go
+++ b/internal/policy/poison/judge_test.go
@@ -1,12 +1,16 @@
 package poison_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinespindle/sardinespindle/internal/policy/poison"
 )
 
+const slow = 80 * time.Millisecond
+
 func attempts(fates ...poison.Fate) (out []poison.Attempt) {
 	for _, f := range fates {
 		out = append(out, poison.Attempt{Fate: f})
@@ -14,24 +18,66 @@
 	return out
 }
 
+// unanswered returns n attempts that waited for so long at upstreams that had not replied to any request for a while.
+func unanswered(n int, waited, sinceReply time.Duration) (out []poison.Attempt) {
+	for range n {
+		out = append(out, poison.Attempt{Waited: waited, SinceReply: sinceReply})
+	}
+	return out
+}
+
 // Load pattern: a search of 30 shards that ends each server, and one that runs while some servers end by themselves.
 var _ = Describe("Judge", func() {
+	losses := func(attempts []poison.Attempt) int { return poison.Judge(attempts, slow).Losses(true) }
+
 	It("counts each upstream that ended, up to the limit, if none ran the request", func() {
-		_, losses := poison.Judge(attempts(poison.Ended, poison.Lives, poison.Unknown))
-		Expect(losses).To(Equal(1))
-		_, losses = poison.Judge(attempts(poison.Ended, poison.Ended, poison.Ended))
-		Expect(losses).To(Equal(poison.SuspicionLimit))
+		Expect(losses(attempts(poison.Ended, poison.Lives, poison.Unknown))).To(Equal(1))
+		Expect(losses(attempts(poison.Ended, poison.Ended, poison.Ended))).To(Equal(poison.SuspicionLimit))
 	})
 
 	It("counts none if an upstream ran the request and replied", func() {
-		ran, losses := poison.Judge(attempts(poison.Ended, poison.Ran, poison.Ended))
-		Expect(ran).To(BeTrue())
-		Expect(losses).To(BeZero())
+		Expect(poison.Judge(attempts(poison.Ended, poison.Ran, poison.Ended), slow)).To(Equal(poison.Evidence{Ran: true}))
+		Expect(losses(append(unanswered(30, time.Second, time.Second), poison.Attempt{Fate: poison.Ran}))).To(BeZero())
 	})
 
 	It("counts none if no upstream ended", func() {
-		ran, losses := poison.Judge(attempts(poison.Lives, poison.Unknown))
-		Expect(ran).To(BeFalse())
-		Expect(losses).To(BeZero())
+		Expect(losses(attempts(poison.Lives, poison.Unknown))).To(BeZero())
+	})
+
+	// An upstream that loses power closes no connection. Other requests may wait at it, too.
+	It("counts upstreams that fell silent as one: several at once, or one after a longer time", func() {
+		Expect(losses(unanswered(3, slow, slow))).To(Equal(1))
+		Expect(losses(unanswered(2, slow, slow))).To(BeZero())
+		Expect(losses(unanswered(2, 2*slow, 2*slow))).To(Equal(1))
+		Expect(losses(append(unanswered(1, 2*slow, 2*slow), attempts(poison.Ended)...))).To(Equal(2))
+	})
+
+	It("counts no upstream that was silent before", func() {
+		dark := unanswered(30, time.Second, time.Hour)
+		for i := range dark {
+			dark[i].SilentBefore = slow
+		}
+		Expect(losses(dark)).To(BeZero())
+		dark[0].Fate = poison.Ended
+		Expect(losses(dark)).To(BeZero())
+	})
+
+	It("counts no upstream that is only slow: it replies to others meanwhile", func() {
+		Expect(losses(unanswered(30, time.Second, 400*time.Millisecond))).To(BeZero())
+	})
+
+	It("counts one that replied to others at first, while the request waited for a slot", func() {
+		Expect(losses(unanswered(30, time.Second, 600*time.Millisecond))).To(Equal(1))
+	})
+
+	// Load pattern: a caller that leaves after half of its objective.
+	It("counts no silence if the caller leaves early", func() {
+		Expect(losses(unanswered(30, slow/2, time.Hour))).To(BeZero())
+	})
+
+	// Load pattern: a VM that is cut off from its upstreams.
+	It("counts no silence if the VM hears of no other upstream", func() {
+		Expect(poison.Judge(unanswered(30, time.Second, time.Second), slow).Losses(false)).To(BeZero())
+		Expect(poison.Judge(attempts(poison.Ended, poison.Unknown), slow).Losses(false)).To(Equal(1))
 	})
 })
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -142,6 +142,8 @@
 	probeSlots   chan struct{} // bounds background probes
 	routeLatency *sharded.Map[string, forecast.TypicalLatency]
 	objectives   atomic.Pointer[map[string]time.Duration] // by route; nil until SetObjectives
+	// tickedAt is when maintenance last ran; resumedAt when it ran again after it had not for a while.
+	tickedAt, resumedAt atomic.Int64
 }
 
 // maxRoutes bounds the routes whose typical latency is stored.
@@ -394,6 +396,7 @@
 		case <-tick.C:
 		}
 		now := c.opts.Now()
+		c.recordTick(now)
 		if now-sharedAt >= shareInterval {
 			sharedAt = now
 			c.updateShares()
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -67,7 +67,7 @@
 		}
 	}
 	if a.Watcher != nil {
-		a.Watcher.Sent(s.address, fateOf(&r))
+		a.Watcher.Sent(s, fateOf(&r))
 	}
 	s.recordResult(now, recordedClass(&r), now-sentAt, r.Latency, r.RetryAfter)
 	c.recordCut(s, &r, now)
@@ -231,11 +231,12 @@
 			return fmt.Errorf("%w: %w", errBeforeWrite, err)
 		}
 	}
+	if a.Watcher != nil {
+		a.Watcher.Sending(s)
+	}
 	if a.Kind == PassThrough {
 		c.countSent(s)
-	}
-	if a.Watcher != nil {
-		a.Watcher.Sending(s.address)
+		s.recordAsked(c.opts.Now())
 	}
 	return nil
 }
--- a/internal/upstream/reach.go
+++ b/internal/upstream/reach.go
@@ -25,6 +25,8 @@
 	now      func() time.Duration
 	stranded atomic.Bool   // equal to that of state, read without the lock
 	doubt    chan struct{} // holds an element if a check may be due at once
+	// repliedAt is when an upstream last replied, on the clock of now.
+	repliedAt atomic.Int64
 
 	mu    sync.Mutex // guards state
 	state reach.State
@@ -42,6 +44,7 @@
 
 // replied records that an upstream replied.
 func (p *pathState) replied() {
+	p.repliedAt.Store(int64(p.now()))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.state.Replied()
@@ -160,10 +163,39 @@
 // reachesOther reports whether another upstream than s accepts a connection now, or there is none.
 // Otherwise a refused connection is no evidence about s.
 func (c *Client) reachesOther(ctx context.Context, s *server) bool {
-	sample := slices.DeleteFunc(c.reachSample(), func(address string) bool { return address == s.address })
+	sample := c.reachSample(s.address)
 	return len(sample) == 0 || c.connectsToAny(context.WithoutCancel(ctx), sample)
 }
 
+// Hears reports whether this process has run since then, and an upstream has replied since or, of upstreams beside
+// those in except, one accepts a connection now.
+func (c *Client) Hears(ctx context.Context, since time.Duration, except []string) bool {
+	if c.stalledSince(since) {
+		return false
+	}
+	if time.Duration(c.path.repliedAt.Load()) > since {
+		return true
+	}
+	sample := c.reachSample(except...)
+	return len(sample) > 0 && c.connectsToAny(context.WithoutCancel(ctx), sample)
+}
+
+// maxTickDelay is how late a tick of maintenance may be in a process that runs.
+const maxTickDelay = 500 * time.Millisecond
+
+// recordTick records that maintenance runs now.
+func (c *Client) recordTick(now time.Duration) {
+	if before := time.Duration(c.tickedAt.Swap(int64(now))); before > 0 && now-before > maintenanceInterval+maxTickDelay {
+		c.resumedAt.Store(int64(now))
+	}
+}
+
+// stalledSince reports whether the process has not run for a while since then.
+func (c *Client) stalledSince(since time.Duration) bool {
+	ticked := time.Duration(c.tickedAt.Load())
+	return time.Duration(c.resumedAt.Load()) > since || ticked > 0 && c.opts.Now()-ticked > maintenanceInterval+maxTickDelay
+}
+
 func checkResult(connected bool) string {
 	if connected {
 		return "connected"
@@ -171,10 +203,13 @@
 	return "failed"
 }
 
-// reachSample returns the addresses of upstreams to check, first those that replied last.
-func (c *Client) reachSample() []string {
+// reachSample returns the addresses of upstreams to check, without those in except, first those that replied last.
+func (c *Client) reachSample(except ...string) []string {
 	var all []reach.Candidate
 	for address, s := range c.current.Load().servers {
+		if slices.Contains(except, address) {
+			continue
+		}
 		s.mu.Lock()
 		all = append(all, reach.Candidate{Address: address, Zone: string(s.entry.Zone), RepliedAt: s.repliedAt})
 		s.mu.Unlock()
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -45,6 +45,7 @@
 	probe            *probeCall // nil if none is under way
 	probedAt         time.Duration
 	repliedAt        time.Duration // to a pass-through request
+	askedAt          time.Duration // of the first pass-through request sent since then; 0 for none
 	forecast         forecast.Server
 	passThroughPicks []time.Duration // pick times of the pass-through requests under way
 }
@@ -91,11 +92,38 @@
 	s.forecast = forecast.Server{}
 }
 
+// Address returns the upstream's address.
+func (s *server) Address() string { return s.address }
+
+// RepliedAt returns when the upstream last replied to a pass-through request; 0 if it has not.
+func (s *server) RepliedAt() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.repliedAt
+}
+
+// AskedAt returns when the first pass-through request was sent that the upstream has not replied to since; 0 for
+// none.
+func (s *server) AskedAt() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.askedAt
+}
+
+// recordAsked records that a pass-through request is sent to the upstream.
+func (s *server) recordAsked(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.askedAt == 0 {
+		s.askedAt = now
+	}
+}
+
 // recordReplied records that the upstream replied to a pass-through request.
 func (s *server) recordReplied(now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.repliedAt = now
+	s.repliedAt, s.askedAt = now, 0
 }
 
 // candidate is a replica considered by a pick. If err is set, the replica may not be
--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -92,9 +92,9 @@
 // Watcher watches the attempts of one request. Its methods must not block.
 type Watcher interface {
 	// Sending is called before the first byte of an attempt is sent.
-	Sending(address string)
+	Sending(u poison.Upstream)
 	// Sent is called after an attempt with what is known of the upstream.
-	Sent(address string, f poison.Fate)
+	Sent(u poison.Upstream, f poison.Fate)
 }
 
 // Result is the outcome of one attempt.
