Poison: a suspected request runs on one upstream first (BUDGET)

Callers saw: a request with one recorded loss was sent to all 30 shards once more, to two replicas each. Cause: a permitted run of a suspected request was an ordinary run. Decision 0013 asked for one shard first, and named Guard.Suspected for it; nothing called it. Change: a permitted run is on trial. A search asks one shard, and the others when that has replied; without a reply by the objective it fails. A single request gets one attempt, no hedge. A trial that may have run and got no reply is a loss. Replies that begin and break off say that the upstream lives. Specs of gather (new: 8, one shard first), poison, forward, single, upstream pass with -race.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -176,8 +176,9 @@
 	// fingerprint is the hash by which poisoned requests are recognized; empty until the
 	// request runs on this VM.
 	fingerprint string
-	// run watches the attempts while the request runs on this VM.
+	// run watches the attempts while the request runs on this VM. On trial, the request may end its upstreams.
 	run      *poison.Run
+	trial    bool
 	start    time.Time
 	route    *route.Route
 	service  string
@@ -280,7 +281,7 @@
 	if admission.Refused {
 		return outcome.NotRun(outcome.CrashSuspected, "requests like this one ended upstreams", admission.RetryAfter)
 	}
-	q.run = admission.Run
+	q.run, q.trial = admission.Run, admission.Trial
 	o := s.dispatch(ctx, q, p)
 	q.run.End(ctx)
 	return o
@@ -360,6 +361,10 @@
 		return outcome.NotRun(outcome.NoUpstream, fmt.Sprintf("service %s is not published", q.service), startRetryAfter)
 	}
 	s.earnRepeats(q, q.service)
+	maxAttempts := q.route.MaxAttempts
+	if q.trial {
+		maxAttempts = 1
+	}
 	return s.o.Runner.Run(ctx, single.Request{
 		ID:          q.id,
 		Fingerprint: q.fingerprint,
@@ -371,7 +376,7 @@
 			Route:       q.route.Name,
 			Idempotent:  q.route.Idempotent,
 			HedgeAfter:  q.hedgeAfter(),
-			MaxAttempts: q.route.MaxAttempts,
+			MaxAttempts: maxAttempts,
 			Used:        q.attempts,
 			Repeat:      func(hedge bool) bool { return s.takeRepeat(q.service, hedge) },
 		},
--- a/internal/forward/split.go
+++ b/internal/forward/split.go
@@ -36,13 +36,13 @@
 	c.state.Record(covered, total, late)
 }
 
-// search runs a search from this VM. A gatherer splits it by zone, unless another VM may
-// have sent it to upstreams or recent searches were often late or missed too many shards: a
+// search runs a search from this VM. A gatherer splits it by zone, unless it is on trial, another VM
+// may have sent it to upstreams, or recent searches were often late or missed too many shards: a
 // part cannot make up for shards that another part misses.
 func (s *Server) search(ctx context.Context, q *request, p *upstream.PassThroughRequest) outcome.Outcome {
 	defer func() { q.decidedAt = time.Now() }()
 	shards := q.searchedShards()
-	if s.o.Peers == nil || q.isPart || q.maybeSent || !s.coverage.allowsSplit() {
+	if s.o.Peers == nil || q.isPart || q.maybeSent || q.trial || !s.coverage.allowsSplit() {
 		return s.recordCoverage(q, s.searchLocally(ctx, q, p, shards))
 	}
 	gatherers, self := s.o.Gatherers()
@@ -138,6 +138,7 @@
 			// A part is not shed for being late: other parts of the search may run already, and
 			// the search could not be refused as not run.
 			CallerResent: q.callerResent || q.isPart,
+			Trial:        q.trial,
 			Before:       q.sent,
 			Announce:     q.announce,
 			ConfirmFirst: q.mustConfirmFirst(),
--- a/internal/gather/announce.go
+++ b/internal/gather/announce.go
@@ -145,5 +145,6 @@
 		return
 	}
 	sh.gaveUp, sh.missingCause = true, "no_"+sh.repeatDenied
+	q.moveTrial()
 	q.askLeftOut()
 }
--- a/internal/gather/pass.go
+++ b/internal/gather/pass.go
@@ -53,6 +53,9 @@
 	// may be nil.
 	OnDue  func(covered int)
 	Finish <-chan struct{}
+	// Trial means that the request may end the upstreams that run it: it is sent to one shard, to one replica, and
+	// to the others once that has replied. Without a reply at AnswerAt, the search fails.
+	Trial bool
 	// CallerResent means that the request was shed before and the caller sent it again.
 	CallerResent bool
 	// TakeRepeat takes one repeat from the budget of a service and reports whether the budget
@@ -75,6 +78,7 @@
 // it. If plan.Decide sheds the search, nothing is sent.
 func (q *query) launchPassThrough() {
 	now := time.Now()
+	q.trial.underway = q.s.PassThrough.Trial
 	for i, sh := range q.plan {
 		sh.index = i
 	}
@@ -113,6 +117,8 @@
 		switch t := tickets[i]; {
 		case t == nil:
 			sh.gaveUp, sh.missingCause = true, cmp.Or(sh.missingCause, "no_replica")
+		case v.Ask[i] && !v.Shed && !q.mayAsk(sh):
+			t.Cancel()
 		case v.Ask[i] && !v.Shed:
 			q.sendOrAnnounce(sh, t, announced{paid: true})
 		default:
@@ -120,6 +126,7 @@
 			t.Cancel()
 		}
 	}
+	q.moveTrial()
 }
 
 // untilEnough returns how long it takes until enough replicas that want a pause, or are at their
@@ -192,11 +199,15 @@
 	if sh.status == covered {
 		q.cancelAttempts(sh)
 	}
+	q.endTrial(true)
 }
 
 // decidePassThrough returns the outcome, and whether the search ends now.
 func (q *query) decidePassThrough(now time.Time) (outcome.Outcome, bool) {
 	p := q.s.PassThrough
+	if !now.Before(p.AnswerAt) {
+		q.endTrial(false)
+	}
 	s := answer.State{
 		Minimum: p.MinimumShare, Total: len(q.plan), Covered: q.counts[covered], Pending: q.counts[open],
 		TimeUp: !now.Before(p.AnswerAt),
@@ -282,7 +293,7 @@
 	detail := coverageDetail(cov) + ": " + q.missingCauses()
 	q.maxRetryAfter = max(q.maxRetryAfter, q.untilEnough())
 	out := outcome.NotRun(outcome.Overloaded, detail, q.retryAfter())
-	if q.crashesUpstreams() {
+	if q.crashesUpstreams() || q.trial.failed && (q.mayHaveRun || q.inflight > 0) {
 		out = crashSuspected()
 	} else if q.mayHaveRun || q.inflight > 0 {
 		out = outcome.Unknown(outcome.CoverageTooLow, detail, q.retryAfter())
--- a/internal/gather/query.go
+++ b/internal/gather/query.go
@@ -78,8 +78,9 @@
 	deferred          int // shards deferred by deferReask
 	cost              outcome.Cost
 	losses            int
-	lossRetries       int           // retries since the first loss
-	unreachable       bool          // this VM reaches no upstream
+	lossRetries       int  // retries since the first loss
+	unreachable       bool // this VM reaches no upstream
+	trial             trial
 	waitSeen          bool          // a replica of a pass-through search wants a pause, or is at its limit
 	maxRetryAfter     time.Duration // longest wait that an upstream asked for or plan.Decide estimates
 }
@@ -114,6 +115,7 @@
 	hedged          bool          // a hedge was sent or is no longer tried
 	awaitingPermit  bool          // its retry waits until the fleet permits it
 	deferred        bool          // its re-ask waits for resumeDeferred
+	awaitsTrial     bool          // it is asked once the shard on trial has replied
 	gaveUp          bool          // no further attempt is sent, except by askLeftOut
 	retries         int
 	reasks          int
@@ -297,7 +299,7 @@
 	switch {
 	case q.merge.Has(q.target, sh.name):
 		return covered
-	case len(sh.inflight) > 0 || sh.announced != nil || sh.awaitingPermit || sh.deferred || !sh.pickAt.IsZero():
+	case len(sh.inflight) > 0 || sh.announced != nil || sh.awaitingPermit || sh.deferred || sh.awaitsTrial || !sh.pickAt.IsZero():
 		return open
 	default:
 		return idle
--- a/internal/gather/repeat.go
+++ b/internal/gather/repeat.go
@@ -11,7 +11,7 @@
 
 // hedgePassThrough hedges a slow shard once, if its budget and replicas allow.
 func (q *query) hedgePassThrough(sh *shard) {
-	if sh.hedged || len(sh.inflight) != 1 {
+	if sh.hedged || len(sh.inflight) != 1 || q.trial.underway {
 		return
 	}
 	sh.hedged = true
@@ -24,6 +24,11 @@
 	if sh.status != idle {
 		return
 	}
+	q.judgeTrial(sh, c)
+	if q.trial.failed {
+		sh.gaveUp, sh.missingCause = true, classNames[c]
+		return
+	}
 	if c == upstream.Lost && sh.pickAt.IsZero() {
 		// A request that crashes upstreams crashes all that run it at about the same time:
 		// wait for lossDelay to see whether others are lost too.
@@ -48,6 +53,7 @@
 		return
 	}
 	sh.gaveUp, sh.missingCause = true, classNames[c]
+	q.moveTrial()
 	q.askLeftOut()
 }
 
@@ -65,7 +71,7 @@
 // askLeftOut asks shards that launchPassThrough left out, the fastest first, while the
 // minimum share depends on them.
 func (q *query) askLeftOut() {
-	for q.counts[covered]+q.counts[open] < q.minShards() {
+	for !q.trial.failed && q.counts[covered]+q.counts[open] < q.minShards() {
 		var best *shard
 		var ticket Ticket
 		least := plan.Never
--- /dev/null
+++ b/internal/gather/trial.go
@@ -0,0 +1,87 @@
+package gather
+
+import "github.com/sardinespindle/sardinespindle/internal/upstream"
+
+// A search on trial may end the upstreams that run it. It asks one shard; the others wait until that has replied.
+type trial struct {
+	underway, failed bool
+	shard            *shard // the one asked
+}
+
+// mayAsk reports whether a shard may be asked now. If not, it waits for the end of the trial.
+func (q *query) mayAsk(sh *shard) bool {
+	if !q.trial.underway || q.trial.shard == sh {
+		return true
+	}
+	if q.trial.shard == nil {
+		q.trial.shard = sh
+		return true
+	}
+	sh.awaitsTrial = true
+	q.updateStatus(sh)
+	return false
+}
+
+// endTrial ends the trial, if it is under way. The shards that wait are asked if it passed, and else given up.
+func (q *query) endTrial(passed bool) {
+	if !q.trial.underway {
+		return
+	}
+	q.trial.underway, q.trial.failed = false, !passed
+	for _, sh := range q.plan {
+		if !sh.awaitsTrial {
+			continue
+		}
+		sh.awaitsTrial = false
+		if !passed || !q.askAwaiting(sh) {
+			sh.gaveUp = true
+		}
+		if !passed {
+			sh.missingCause = "suspected"
+		}
+		q.updateStatus(sh)
+	}
+}
+
+// askAwaiting asks a shard that has waited, and reports whether it did.
+func (q *query) askAwaiting(sh *shard) bool {
+	t, _, err := q.pickPassThrough(sh)
+	if err != nil {
+		sh.missingCause = "no_replica"
+		return false
+	}
+	return q.sendOrAnnounce(sh, t, announced{paid: true})
+}
+
+// judgeTrial ends the trial if the attempt of its shard has ended with a class that decides it.
+func (q *query) judgeTrial(sh *shard, c upstream.Class) {
+	if q.trial.shard != sh {
+		return
+	}
+	switch {
+	case c == upstream.Failed:
+		q.endTrial(true) // the upstream ran the request and replied
+	case c.MayHaveRun():
+		q.endTrial(false)
+	}
+}
+
+// moveTrial asks another shard if the request has not been sent to that on trial and is not about to be.
+func (q *query) moveTrial() {
+	if !q.trial.underway || q.trial.shard != nil && q.trial.shard.status == open {
+		return
+	}
+	for _, sh := range q.plan {
+		if !sh.awaitsTrial {
+			continue
+		}
+		sh.awaitsTrial, q.trial.shard = false, sh
+		asked := q.askAwaiting(sh)
+		sh.gaveUp = !asked
+		q.updateStatus(sh)
+		if asked {
+			return
+		}
+	}
+	q.endTrial(false)
+}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -150,6 +150,8 @@
 	// Refused says that the request must not run now, and RetryAfter when it may.
 	Refused    bool
 	RetryAfter time.Duration
+	// Trial says that the request is suspected: it may be sent to one upstream, and to others once that has replied.
+	Trial bool
 	// Run watches the request's attempts; nil if it is refused.
 	Run *Run
 }
@@ -157,21 +159,29 @@
 // Admit decides whether a request may run. If so, its Run must be ended. Only for a suspected request are other
 // VMs asked, for at most askTimeout.
 func (g *Guard) Admit(q Request) Admission {
-	if retryAfter, refused := g.Refused(q.Fingerprint); refused {
+	retryAfter, trial, refused := g.decide(q.Fingerprint)
+	switch {
+	case refused:
 		return Admission{Refused: true, RetryAfter: retryAfter}
-	}
-	if g.disabled {
+	case g.disabled:
 		return Admission{}
+	default:
+		return Admission{Trial: trial, Run: &Run{g: g, q: q, trial: trial}}
 	}
-	return Admission{Run: &Run{g: g, q: q}}
 }
 
 // Refused reports whether a request must not run now, and when to retry. It is called
 // before each attempt; if it reports false, the run counts as started. Only for a
 // suspected request are other VMs asked, for at most askTimeout.
 func (g *Guard) Refused(fingerprint string) (time.Duration, bool) {
+	retryAfter, _, refused := g.decide(fingerprint)
+	return retryAfter, refused
+}
+
+// decide is Refused, and also reports whether the request is suspected and permitted to run.
+func (g *Guard) decide(fingerprint string) (retryAfter time.Duration, permitted, refused bool) {
 	if g.disabled {
-		return 0, false
+		return 0, false, false
 	}
 	now := g.now()
 	record := g.snapshot(fingerprint)
@@ -179,17 +189,17 @@
 	switch verdict {
 	case policy.Allow:
 		g.startRun(fingerprint, now)
-		return 0, false
+		return 0, false, false
 	case policy.Refuse:
 		g.events.WithLabelValues("refused").Inc()
 		g.log.Info("suspected request refused", "fingerprint", fingerprint, "losses", len(record.Losses), "retry_after_ms", retryAfter.Milliseconds())
-		return retryAfter, true
+		return retryAfter, false, true
 	}
-	return g.requestPermission(fingerprint)
+	retryAfter, refused = g.requestPermission(fingerprint)
+	return retryAfter, !refused, refused
 }
 
-// Suspected reports whether a request is suspected but not refused yet. A search should
-// then send its first sub-request alone, so that a crash costs only one upstream.
+// Suspected reports whether a request is suspected but not refused yet.
 func (g *Guard) Suspected(fingerprint string) bool {
 	verdict, _ := g.snapshot(fingerprint).Decide(g.now())
 	return !g.disabled && verdict == policy.Ask
--- a/internal/poison/run.go
+++ b/internal/poison/run.go
@@ -20,8 +20,9 @@
 // Run is one run of a request on this VM. It watches the request's attempts, and records upstreams that ended
 // under it. The methods of a nil Run do nothing.
 type Run struct {
-	g *Guard
-	q Request
+	g     *Guard
+	q     Request
+	trial bool
 
 	mu       sync.Mutex // guards the fields below
 	attempts map[string]*watched
@@ -136,7 +137,11 @@
 	r.mu.Unlock()
 	e := policy.Judge(attempts, r.q.Slow)
 	hears := e.Silent && r.g.hears(ctx, since, addresses)
-	if losses = e.Losses(hears); losses > 0 || e.Silent {
+	losses = e.Losses(hears)
+	if r.trial {
+		losses = policy.JudgeTrial(attempts)
+	}
+	if losses > 0 || e.Silent {
 		r.g.log.Info("no upstream replied to a request", "id", r.q.ID, "fingerprint", r.q.Fingerprint, "attempts", len(attempts),
 			"ended", e.Ended, "silent", e.Silent, "hears_others", hears, "losses", losses)
 	}
--- a/internal/policy/poison/judge.go
+++ b/internal/policy/poison/judge.go
@@ -86,3 +86,18 @@
 	}
 	return min(n, SuspicionLimit)
 }
+
+// JudgeTrial returns the number of losses of a run on trial: one if an upstream may have run the request and did not
+// reply. A trial without a result would else be followed by the next.
+func JudgeTrial(attempts []Attempt) (losses int) {
+	for _, a := range attempts {
+		switch a.Fate {
+		case Ran:
+			return 0
+		case Unknown, Ended:
+			losses = 1
+		case Lives:
+		}
+	}
+	return losses
+}
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -80,7 +80,7 @@
 	switch {
 	case r.Class == OK || r.Class == Failed:
 		return poison.Ran
-	case r.Class == Shed || r.Class == NotSent:
+	case r.Class == Shed || r.Class == NotSent || r.Class == InvalidReply:
 		return poison.Lives
 	case r.Crashed:
 		return poison.Ended
