--- a/internal/gather/pass.go
+++ b/internal/gather/pass.go
@@ -117,10 +117,8 @@
 		switch t := tickets[i]; {
 		case t == nil:
 			sh.gaveUp, sh.missingCause = true, cmp.Or(sh.missingCause, "no_replica")
-		case v.Ask[i] && !v.Shed && !q.mayAsk(sh):
-			t.Cancel()
 		case v.Ask[i] && !v.Shed:
-			q.sendOrAnnounce(sh, t, announced{paid: true})
+			q.askFirst(sh, t)
 		default:
 			sh.gaveUp, sh.missingCause = true, "expected_late"
 			t.Cancel()
@@ -129,6 +127,15 @@
 	q.moveTrial()
 }
 
+// askFirst sends the first attempt of a shard, unless it has to wait for a trial.
+func (q *query) askFirst(sh *shard, t Ticket) {
+	if !q.mayAsk(sh) {
+		t.Cancel()
+		return
+	}
+	q.sendOrAnnounce(sh, t, announced{paid: true})
+}
+
 // untilEnough returns how long it takes until enough replicas that want a pause, or are at their
 // limit, take requests for the minimum share; 0 if it does not depend on them.
 func (q *query) untilEnough() time.Duration {
