Poison: upstreams that end at the same time count as one loss

Callers saw: nothing yet; found by reading. An ordinary search that runs at servers which end under another request lost as many, and would be refused when it comes again. Cause: class: one event counted by each of its effects. Which of the requests that run at several upstreams ended them cannot be told from one event; a request that ends the next upstream that gets it can. Change: of the upstreams that ended, those count that got the request after another was known to have ended, and the first. A request with one loss goes on trial, which costs an innocent one a round trip. Ruled out: counting none of several ends: the next VM would send the request to all shards.

--- a/internal/poison/run.go
+++ b/internal/poison/run.go
@@ -34,8 +34,7 @@
 // watched is an attempt that a run watches.
 type watched struct {
 	upstream policy.Upstream
-	sentAt   time.Duration
-	attempt  policy.Attempt // Waited and SinceReply are set once done
+	attempt  policy.Attempt // Until and RepliedAt are set once done
 	done     bool
 }
 
@@ -53,9 +52,9 @@
 	if r.attempts == nil {
 		r.attempts = map[string]*watched{}
 	}
-	w := &watched{upstream: u, sentAt: r.g.now()}
+	w := &watched{upstream: u, attempt: policy.Attempt{Sent: r.g.now()}}
 	if asked := u.AskedAt(); asked > 0 {
-		w.attempt.SilentBefore = w.sentAt - asked
+		w.attempt.SilentBefore = w.attempt.Sent - asked
 	}
 	r.attempts[u.Address()] = w
 	if r.check == nil && !r.ended {
@@ -80,7 +79,7 @@
 func (w *watched) at(now time.Duration) policy.Attempt {
 	a := w.attempt
 	if !w.done {
-		a.Waited, a.SinceReply = now-w.sentAt, now-w.upstream.RepliedAt()
+		a.Until, a.RepliedAt = now, w.upstream.RepliedAt()
 	}
 	return a
 }
@@ -132,7 +131,7 @@
 	addresses := make([]string, 0, len(r.attempts))
 	since := now
 	for address, w := range r.attempts {
-		attempts, addresses, since = append(attempts, w.at(now)), append(addresses, address), min(since, w.sentAt)
+		attempts, addresses, since = append(attempts, w.at(now)), append(addresses, address), min(since, w.attempt.Sent)
 	}
 	r.mu.Unlock()
 	e := policy.Judge(attempts, r.q.Slow)
@@ -143,7 +142,7 @@
 	}
 	if losses > 0 || e.Silent {
 		r.g.log.Info("no upstream replied to a request", "id", r.q.ID, "fingerprint", r.q.Fingerprint, "attempts", len(attempts),
-			"ended", e.Ended, "silent", e.Silent, "hears_others", hears, "losses", losses)
+			"ended", e.Ended, "ended_in_turn", e.EndedInTurn, "silent", e.Silent, "hears_others", hears, "losses", losses)
 	}
 	return e.Ran, losses
 }
--- a/internal/policy/poison/judge.go
+++ b/internal/policy/poison/judge.go
@@ -1,6 +1,10 @@
 package poison
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Fate is what is known of an upstream after an attempt at it.
 type Fate int
@@ -29,9 +33,10 @@
 // Attempt is an attempt of a request at one upstream.
 type Attempt struct {
 	Fate Fate
-	// Waited is how long the request waited for a reply, and SinceReply how long ago the upstream had replied to
-	// any request of this VM when it stopped waiting.
-	Waited, SinceReply time.Duration
+	// Sent is when the request was sent, Until when its fate was known or, if it still waits, the present.
+	Sent, Until time.Duration
+	// RepliedAt is when the upstream had last replied to any request of this VM, at Until.
+	RepliedAt time.Duration
 	// SilentBefore is how long the upstream had not replied to other requests when this one was sent.
 	SilentBefore time.Duration
 }
@@ -39,7 +44,8 @@
 // fellSilent reports whether the upstream has been silent while the request waited, for at least d, and was not
 // before. It may have replied to others at first, while this request waited for a slot.
 func (a Attempt) fellSilent(d, slow time.Duration) bool {
-	return a.Fate == Unknown && a.Waited >= d && 2*a.SinceReply >= a.Waited && a.SilentBefore < slow
+	waited := a.Until - a.Sent
+	return a.Fate == Unknown && waited >= d && 2*(a.Until-a.RepliedAt) >= waited && a.SilentBefore < slow
 }
 
 // manySilent is the number of silent upstreams that are evidence at once.
@@ -49,8 +55,9 @@
 type Evidence struct {
 	// Ran: an upstream ran the request and replied, so it does not end each of them.
 	Ran bool
-	// Ended is the number of upstreams that ended.
-	Ended int
+	// Ended is the number of upstreams that ended, EndedInTurn how many of them got the request after another was
+	// known to have ended, and the first.
+	Ended, EndedInTurn int
 	// Silent says that upstreams fell silent. That shows nothing if this VM hears of no others either.
 	Silent bool
 }
@@ -60,12 +67,18 @@
 // that hangs, so unless there are many, their silence is evidence only after twice that time.
 func Judge(attempts []Attempt, slow time.Duration) (e Evidence) {
 	silent := 0
+	var known time.Duration // when the last upstream that counts in turn was known to have ended
+	attempts = slices.SortedFunc(slices.Values(attempts), func(a, b Attempt) int { return cmp.Compare(a.Sent, b.Sent) })
 	for _, a := range attempts {
 		switch {
 		case a.Fate == Ran:
 			return Evidence{Ran: true}
 		case a.Fate == Ended && a.SilentBefore < slow:
 			e.Ended++
+			if e.Ended == 1 || a.Sent > known {
+				e.EndedInTurn++
+				known = a.Until
+			}
 		case a.fellSilent(slow, slow):
 			silent++
 			e.Silent = e.Silent || silent >= manySilent || a.fellSilent(2*slow, slow)
@@ -75,12 +88,12 @@
 }
 
 // Losses returns the number of losses to report, at most SuspicionLimit. hears says that this VM hears of other
-// upstreams. Upstreams that fell silent count as one loss: ordinary requests wait at them too.
+// upstreams. Upstreams that end at the same time, or fall silent, count as one: other requests run there too.
 func (e Evidence) Losses(hears bool) int {
 	if e.Ran {
 		return 0
 	}
-	n := e.Ended
+	n := e.EndedInTurn
 	if e.Silent && hears {
 		n++
 	}
