Poison: a refused request is tried again after 10 s, then after ever longer pauses

Callers saw: a request that lost two unrelated upstreams was refused for 5 minutes. Cause: class: a breaker without a half-open state. Two losses refused a request until one of them expired; nothing could show that it had been innocent. Change: after two losses it is refused for 10 s, then one VM may run it, on trial, on one upstream. Each failed trial makes the pause six times as long: at most three more upstreams in 5 minutes, the users' bound for ever being three. When more losses are known than a record holds, one of several at once is dropped, not the newest. Ruled out: shorter lives of losses: the count would start anew and allow two more each time.

--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -387,8 +387,8 @@
 		for _, lost := range strings.SplitN(f.Value, "\n", policy.MaxLosses+1) {
 			r.Cleared[lost] = f.Expires
 		}
-	case id != runID && len(r.Losses) < policy.MaxLosses:
-		r.Losses[id] = f.Expires
+	case id != runID:
+		r.AddLoss(id, f.Expires)
 	}
 }
 
--- a/internal/policy/poison/poison.go
+++ b/internal/policy/poison/poison.go
@@ -4,13 +4,23 @@
 // clock; the owner guards a Record that it modifies.
 package poison
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
-	// SuspicionLimit is the number of suspicions from which a fingerprint is refused.
+	// SuspicionLimit is the number of suspicions from which a fingerprint is refused for a while.
 	SuspicionLimit = 2
 	// SuspicionTTL is how long a loss counts against a fingerprint.
 	SuspicionTTL = 5 * time.Minute
+	// firstPause is how long a fingerprint is refused after SuspicionLimit suspicions; each trial that fails after that
+	// makes it pauseFactor times as long, up to SuspicionTTL. So a request that ends upstreams reaches at most three more
+	// within SuspicionTTL, and one that does not is refused for firstPause.
+	firstPause  = 10 * time.Second
+	pauseFactor = 6
 	// RunLease is how long a run of a suspected fingerprint on one VM excludes runs on
 	// others.
 	RunLease = 5 * time.Second
@@ -44,34 +54,71 @@
 	Allow Verdict = iota
 	// Ask: it is suspected; run it only if Permit allows it.
 	Ask
-	// Refuse: do not run it until fewer than SuspicionLimit suspicions are left.
+	// Refuse: do not run it for now.
 	Refuse
 )
 
-// Decide returns the verdict on the fingerprint and, for Refuse, the time until fewer than
-// SuspicionLimit suspicions are left.
+// Decide returns the verdict on the fingerprint and, for Refuse, how long it holds.
 func (r Record) Decide(now time.Duration) (Verdict, time.Duration) {
-	var count int
-	var nextToLast, last time.Duration
+	suspected := r.suspicions(now)
+	switch {
+	case len(suspected) == 0:
+		return Allow, 0
+	case len(suspected) < SuspicionLimit:
+		return Ask, 0
+	}
+	until := suspected[len(suspected)-1] + pauseAfter(rounds(suspected))
+	if until <= now {
+		return Ask, 0
+	}
+	return Refuse, until - now
+}
+
+// suspicions returns when the losses occurred that count at now, in order.
+func (r Record) suspicions(now time.Duration) (at []time.Duration) {
 	for id, expires := range r.Losses {
-		if expires <= now || r.Cleared[id] > now {
-			continue
+		if expires > now && r.Cleared[id] <= now {
+			at = append(at, expires-SuspicionTTL)
 		}
-		count++
-		if expires >= last {
-			nextToLast, last = last, expires
-		} else {
-			nextToLast = max(nextToLast, expires)
+	}
+	slices.Sort(at)
+	return at
+}
+
+// rounds returns the number of times at which losses occurred that were not under way at once.
+func rounds(at []time.Duration) (n int) {
+	for i := range at {
+		if i == 0 || at[i]-at[i-1] > RunLease {
+			n++
 		}
 	}
-	switch {
-	case count >= SuspicionLimit:
-		return Refuse, nextToLast - now
-	case count > 0:
-		return Ask, 0
-	default:
-		return Allow, 0
+	return n
+}
+
+// pauseAfter returns how long a fingerprint is refused after its losses in a number of rounds.
+func pauseAfter(rounds int) time.Duration {
+	pause := firstPause
+	for range rounds - 1 {
+		pause = min(pause*pauseFactor, SuspicionTTL)
+	}
+	return pause
+}
+
+// AddLoss records a loss. Of more than MaxLosses, one is dropped that is closest to the one before: how often and when
+// there were losses matters more than how many at once.
+func (r Record) AddLoss(id string, expires time.Duration) {
+	r.Losses[id] = expires
+	if len(r.Losses) <= MaxLosses {
+		return
+	}
+	ids := slices.SortedFunc(maps.Keys(r.Losses), func(a, b string) int { return cmp.Compare(r.Losses[a], r.Losses[b]) })
+	drop := 1
+	for i := 2; i < len(ids); i++ {
+		if r.Losses[ids[i]]-r.Losses[ids[i-1]] < r.Losses[ids[drop]]-r.Losses[ids[drop-1]] {
+			drop = i
+		}
 	}
+	delete(r.Losses, ids[drop])
 }
 
 // Permit decides whether this VM may run a suspected fingerprint, after it announced the
