Poison: an answer shortly before a loss does not outweigh it

Callers saw: nothing yet; found by reading. A request that was answered at a VM within 10 s before was not counted there, however many servers it ended, and any later answer cleared all losses known by then, also that of a run which began before them. Cause: class: evidence of one time used at another. A request may end servers from the moment on at which the data that it asks for changes. Change: losses count whenever they occur. A reply clears those known before its run began, and those of the same request at other VMs. A run is withdrawn once its losses are known to the guards, not before. The spec 'is not suspected if it was answered shortly before a loss' asserted the old rule; its successor has five losses with answers between them, and asserts that the request is not refused, and not suspected anywhere after the next answer. Ruled out: a shorter window; a request that comes every few seconds is answered within any.

--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -166,7 +166,7 @@
 	case g.disabled:
 		return Admission{}
 	default:
-		return Admission{Trial: trial, Run: &Run{g: g, q: q, trial: trial}}
+		return Admission{Trial: trial, Run: &Run{g: g, q: q, trial: trial, known: slices.Collect(maps.Keys(g.snapshot(q.Fingerprint).Losses))}}
 	}
 }
 
@@ -246,22 +246,18 @@
 }
 
 // RecordLoss records that a connection was lost while an attempt of the request ran. It
-// returns once the guards have acknowledged the loss, after askTimeout at the latest. If
-// the fingerprint was answered shortly before, the loss causes no suspicion.
+// returns once the guards have acknowledged the loss, after askTimeout at the latest.
 func (g *Guard) RecordLoss(ctx context.Context, fingerprint, requestID string) {
 	if g.disabled {
 		return
 	}
-	g.reportLoss(ctx, fingerprint, requestID, g.endRun(fingerprint))
+	g.endRun(fingerprint)
+	g.reportLoss(ctx, fingerprint, requestID)
+	g.withdraw(fingerprint)
 }
 
-// reportLoss is RecordLoss for a run that has ended; proven says that the fingerprint was answered shortly before.
-func (g *Guard) reportLoss(ctx context.Context, fingerprint, requestID string, proven bool) {
-	if proven {
-		g.events.WithLabelValues("loss_of_proven").Inc()
-		g.log.Info("loss not counted", "id", requestID, "fingerprint", fingerprint, "reason", "answered_lately")
-		return
-	}
+// reportLoss tells the guards of a loss, unless the fingerprint is refused already.
+func (g *Guard) reportLoss(ctx context.Context, fingerprint, requestID string) {
 	g.events.WithLabelValues("loss").Inc()
 	if verdict, _ := g.snapshot(fingerprint).Decide(g.now()); verdict == policy.Refuse {
 		g.log.Info("loss not counted", "id", requestID, "fingerprint", fingerprint, "reason", "refused_already")
@@ -269,7 +265,6 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
 	defer cancel()
-	g.withdraw(fingerprint)
 	f := g.putLoss(fingerprint, requestID)
 	acks, guards := g.spread(ctx, fingerprint, f)
 	g.log.Info("loss recorded", "id", requestID, "fingerprint", fingerprint, "losses", len(g.snapshot(fingerprint).Losses), "acks", acks, "guards", guards)
@@ -305,23 +300,23 @@
 	if g.disabled {
 		return
 	}
-	now := g.now()
-	sh := g.shard(fingerprint)
-	sh.mu.Lock()
-	r, _ := sh.local.Get(fingerprint)
-	r = r.end()
-	r.lastAnswer, r.everAnswered = now, true
-	sh.local.Add(fingerprint, r)
-	sh.mu.Unlock()
-	record := g.snapshot(fingerprint)
-	if len(record.Losses) == 0 {
-		return
-	}
+	g.endRun(fingerprint)
+	g.clear(fingerprint, func(string) bool { return true })
+	g.withdraw(fingerprint)
+}
+
+// clear clears the losses of a fingerprint whose ids are innocent.
+func (g *Guard) clear(fingerprint string, innocent func(id string) bool) {
 	var ids []string
+	record := g.snapshot(fingerprint)
 	for id := range record.Losses {
-		ids = append(ids, id)
+		if innocent(id) || record.Cleared[id] > 0 {
+			ids = append(ids, id) // the fact replaces the one of an earlier answer at this VM
+		}
+	}
+	if len(ids) == 0 {
+		return
 	}
-	g.withdraw(fingerprint)
 	g.fleet.Facts().Put(keyPrefix+fingerprint+"/"+answeredID, strings.Join(ids, "\n"), policy.SuspicionTTL)
 	g.events.WithLabelValues("cleared").Inc()
 	g.log.Info("suspicion cleared", "fingerprint", fingerprint, "losses", len(ids))
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -257,18 +257,25 @@
 })
 
 var _ = Describe("a request that does not crash upstreams", func() {
-	// An upstream that crashes for another reason must not get its requests refused.
-	It("is not suspected if it was answered shortly before a loss", func() {
+	// Upstreams that crash for another reason must not get their requests refused.
+	It("is not refused if it is answered between losses, and not suspected after the next answer", func() {
 		f := newFleet(3)
 		v := f.vms[0]
 		for i := range 5 {
 			v.Refused(fp)
 			v.RecordAnswer(fp)
+			f.gossip()
 			v.Refused(fp)
 			v.RecordLoss(context.Background(), fp, fmt.Sprint("r", i))
+			f.gossip()
 		}
 		_, refused := f.vms[1].Refused(fp)
 		Expect(refused).To(BeFalse())
+		f.vms[1].RecordAnswer(fp)
+		f.gossip()
+		for _, v := range f.vms {
+			Expect(v.Suspected(fp)).To(BeFalse())
+		}
 	})
 
 	// A loss that was cleared must not add to a later one and get the request refused.
--- a/internal/poison/recent.go
+++ b/internal/poison/recent.go
@@ -6,14 +6,12 @@
 	policy "github.com/sardinespindle/sardinespindle/internal/policy/poison"
 )
 
-// localRuns holds this VM's runs of a fingerprint and its last complete answer. A run
-// whose end was not reported stops counting when its lease expires.
+// localRuns holds this VM's runs of a fingerprint. A run whose end was not reported stops
+// counting when its lease expires.
 type localRuns struct {
-	lastStart    time.Duration
-	running      int
-	announced    bool
-	lastAnswer   time.Duration
-	everAnswered bool
+	lastStart time.Duration
+	running   int
+	announced bool
 }
 
 // leaseLeft returns how long a run may still be under way; 0 or less if none is.
@@ -62,24 +60,13 @@
 	return true
 }
 
-// endRun records the end of a run without an answer. It reports whether a recent complete
-// answer shows that the fingerprint does not crash upstreams.
-func (g *Guard) endRun(fingerprint string) bool {
+// endRun records the end of a run.
+func (g *Guard) endRun(fingerprint string) {
 	sh := g.shard(fingerprint)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	r, _ := sh.local.Get(fingerprint)
 	sh.local.Add(fingerprint, r.end())
-	return policy.Proven(g.now(), r.lastAnswer, r.everAnswered)
-}
-
-// proven reports whether a recent complete answer shows that the fingerprint does not crash upstreams.
-func (g *Guard) proven(fingerprint string) bool {
-	sh := g.shard(fingerprint)
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	r, _ := sh.local.Get(fingerprint)
-	return policy.Proven(g.now(), r.lastAnswer, r.everAnswered)
 }
 
 // setAnnounced records whether this VM's run of a fingerprint is announced to the other
--- a/internal/poison/run.go
+++ b/internal/poison/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -23,6 +24,7 @@
 	g     *Guard
 	q     Request
 	trial bool
+	known []string // the ids of losses before the run
 
 	mu       sync.Mutex // guards the fields below
 	attempts map[string]*watched
@@ -97,16 +99,22 @@
 	}
 	r.mu.Unlock()
 	ran, losses := r.judge(ctx)
+	r.g.endRun(r.q.Fingerprint)
 	if ran {
-		r.g.RecordAnswer(r.q.Fingerprint)
-		return
+		r.g.clear(r.q.Fingerprint, r.disproves)
 	}
-	proven := r.g.endRun(r.q.Fingerprint)
 	var told sync.WaitGroup
 	for _, id := range r.takeUnreported(losses) {
-		told.Go(func() { r.g.reportLoss(ctx, r.q.Fingerprint, id, proven) })
+		told.Go(func() { r.g.reportLoss(ctx, r.q.Fingerprint, id) })
 	}
 	told.Wait()
+	r.g.withdraw(r.q.Fingerprint)
+}
+
+// disproves reports whether a reply to the run's request shows that a loss has another cause: it occurred before the
+// run, or in the same request.
+func (r *Run) disproves(lossID string) bool {
+	return slices.Contains(r.known, lossID) || strings.HasPrefix(lossID, factID(r.q.ID)+"-")
 }
 
 // judgeEarly reports what the run shows before its end. The fleet learns that by gossip.
@@ -115,7 +123,7 @@
 	r.mu.Lock()
 	ended := r.ended
 	r.mu.Unlock()
-	if ran || ended || r.g.proven(r.q.Fingerprint) {
+	if ran || ended {
 		return
 	}
 	for _, id := range r.takeUnreported(losses) {
--- a/internal/poison/run_test.go
+++ b/internal/poison/run_test.go
@@ -97,6 +97,27 @@
 		Expect(f.vms[1].Suspected(fp)).To(BeFalse())
 	})
 
+	// A request may be harmless until the data that it asks for changes. Losses within 10 s of an answer did not count.
+	It("counts upstreams that ended shortly after the request was answered", func() {
+		f := newFleet(3)
+		f.vms[0].run(fp, "r1", 0, policy.Ran)
+		f.vms[0].run(fp, "r2", 0, policy.Ended, policy.Ended)
+		Expect(f.vms[1].Suspected(fp)).To(BeTrue())
+	})
+
+	It("is not cleared by a run that began before", func() {
+		f := newFleet(3)
+		a := f.vms[1].start(fp, "r1", 1)
+		f.vms[0].run(fp, "r2", 0, policy.Ended, policy.Ended)
+		a.Run.Sent(fakeUpstream("r1-upstream-0"), policy.Ran)
+		a.Run.End(context.Background())
+		f.gossip()
+		Expect(f.vms[2].Suspected(fp)).To(BeTrue())
+		Expect(f.vms[2].run(fp, "r3", 0, policy.Ran).Trial).To(BeTrue())
+		f.gossip()
+		Expect(f.vms[0].Suspected(fp)).To(BeFalse())
+	})
+
 	// A caller may wait for its answer for many seconds, and send the request again through another VM before.
 	It("tells of silent upstreams before its end if it lasts for long", func() {
 		f := newFleet(3)
--- a/internal/policy/poison/poison.go
+++ b/internal/policy/poison/poison.go
@@ -24,9 +24,6 @@
 	// RunLease is how long a run of a suspected fingerprint on one VM excludes runs on
 	// others.
 	RunLease = 5 * time.Second
-	// ProvenTTL is how long after a complete answer a loss counts against the upstream
-	// alone, not against the fingerprint.
-	ProvenTTL = 10 * time.Second
 	// MaxGuards is the largest number of VMs that are asked about one fingerprint.
 	MaxGuards = 63
 	// MaxLosses is the largest number of losses recorded for one fingerprint.
@@ -156,10 +153,3 @@
 	}
 	return true
 }
-
-// Proven reports whether a loss at now counts against the upstream alone, because the same
-// fingerprint was answered completely less than ProvenTTL ago. ever says whether it was
-// answered at all.
-func Proven(now, answered time.Duration, ever bool) bool {
-	return ever && now-answered < ProvenTTL
-}
