Poison: a divided request is judged as a whole, and refused where it comes in

Callers saw: nothing yet; found by reading. Of a search that is divided, each VM judged its part alone: a part whose servers had lost power looked like a request that ends servers; and a suspected search was divided, so the parts competed for one permission. Cause: class: a decision on the whole taken on a part. Change: the VM that takes a request from its caller checks the fingerprint: a refused one ends there, a suspected one is run whole by one VM; and a reply to any part clears what the other parts recorded for this request.

--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -104,6 +104,19 @@
 	if o, refused := q.refuseEvacuated(); refused && !q.maybeSent {
 		return o
 	}
+	if q.delegated || q.isPart {
+		return s.runUnchecked(ctx, q, p)
+	}
+	if o, refused := s.checkSuspicion(q, p); refused {
+		return o
+	}
+	o := s.runUnchecked(ctx, q, p)
+	s.recordReply(q, &o)
+	return o
+}
+
+// runUnchecked is runOrDelegate without regard to what is known of the request's fingerprint.
+func (s *Server) runUnchecked(ctx context.Context, q *request, p *upstream.PassThroughRequest) outcome.Outcome {
 	if groups := s.groups(q); groups != nil {
 		return s.searchGroups(ctx, q, p, groups)
 	}
--- a/internal/forward/delegate_test.go
+++ b/internal/forward/delegate_test.go
@@ -13,6 +13,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
 	"github.com/sardinespindle/sardinespindle/internal/peer"
 	"github.com/sardinespindle/sardinespindle/internal/poison"
+	policy "github.com/sardinespindle/sardinespindle/internal/policy/poison"
 	"github.com/sardinespindle/sardinespindle/internal/policy/repeat"
 	"github.com/sardinespindle/sardinespindle/internal/policy/route"
 	"github.com/sardinespindle/sardinespindle/internal/policy/takeover"
@@ -24,7 +25,9 @@
 // noPoison admits every request.
 type noPoison struct{}
 
-func (noPoison) Admit(poison.Request) poison.Admission { return poison.Admission{} }
+func (noPoison) Admit(poison.Request) poison.Admission        { return poison.Admission{} }
+func (noPoison) Check(string) (policy.Verdict, time.Duration) { return policy.Allow, 0 }
+func (noPoison) RecordReply(poison.Request)                   {}
 
 // The VM under test is not a gatherer and delegates each search to one of two gatherers.
 var _ = Describe("A delegated search", func() {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -24,6 +24,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
 	"github.com/sardinespindle/sardinespindle/internal/poison"
 	"github.com/sardinespindle/sardinespindle/internal/policy/answer"
+	policy "github.com/sardinespindle/sardinespindle/internal/policy/poison"
 	"github.com/sardinespindle/sardinespindle/internal/policy/repeat"
 	"github.com/sardinespindle/sardinespindle/internal/policy/route"
 	"github.com/sardinespindle/sardinespindle/internal/policy/stop"
@@ -62,8 +63,12 @@
 
 // Poison tracks poisoned requests, which end the upstreams that run them.
 type Poison interface {
+	// Check returns what is known of a fingerprint, and how long a refusal holds. It starts no run.
+	Check(fingerprint string) (policy.Verdict, time.Duration)
 	// Admit decides whether a request may run now; the caller ends the run that it returns.
 	Admit(q poison.Request) poison.Admission
+	// RecordReply records that an upstream has replied to a request that ran on other VMs, or in parts.
+	RecordReply(q poison.Request)
 }
 
 // Options configure a Server.
@@ -173,9 +178,10 @@
 // request is the state of a request while this VM serves it.
 type request struct {
 	id string
-	// fingerprint is the hash by which poisoned requests are recognized; empty until the
-	// request runs on this VM.
+	// fingerprint is the hash by which poisoned requests are recognized; empty until it is computed.
 	fingerprint string
+	// suspected says that the request may end the upstreams that run it: one VM runs all of it.
+	suspected bool
 	// run watches the attempts while the request runs on this VM. On trial, the request may end its upstreams.
 	run      *poison.Run
 	trial    bool
@@ -274,19 +280,6 @@
 	return s.runOrDelegate(r.Context(), q, passThrough)
 }
 
-// run runs a request on this VM, unless it is suspected to crash upstreams.
-func (s *Server) run(ctx context.Context, q *request, p *upstream.PassThroughRequest) outcome.Outcome {
-	q.fingerprint = fingerprint(p)
-	admission := s.o.Poison.Admit(poison.Request{Fingerprint: q.fingerprint, ID: q.id, Slow: q.hedgeAfter()})
-	if admission.Refused {
-		return outcome.NotRun(outcome.CrashSuspected, "requests like this one ended upstreams", admission.RetryAfter)
-	}
-	q.run, q.trial = admission.Run, admission.Trial
-	o := s.dispatch(ctx, q, p)
-	q.run.End(ctx)
-	return o
-}
-
 func (s *Server) dispatch(ctx context.Context, q *request, p *upstream.PassThroughRequest) outcome.Outcome {
 	if q.route.Sharded() {
 		return s.search(ctx, q, p)
--- a/internal/forward/groups.go
+++ b/internal/forward/groups.go
@@ -10,9 +10,10 @@
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 )
 
-// groups divides a caller's search among gatherers near its shards; nil if one VM runs it.
+// groups divides a caller's search among gatherers near its shards; nil if one VM runs it, as one that is
+// suspected to end upstreams.
 func (s *Server) groups(q *request) []delegate.Group {
-	if s.o.Peers == nil || q.delegated || q.isPart || !q.route.Sharded() {
+	if s.o.Peers == nil || q.delegated || q.isPart || q.suspected || !q.route.Sharded() {
 		return nil
 	}
 	gatherers, self := s.o.Gatherers()
--- a/internal/forward/groups_test.go
+++ b/internal/forward/groups_test.go
@@ -19,6 +19,30 @@
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
 )
 
+// newWideSearch returns a search of 90 shards at a VM that delegates it to the three gatherers of zone b, or is one.
+func newWideSearch(p Poison, self func() bool) (*Server, *request, *fakePeers, *fakeSearcher) {
+	local, others := &fakeSearcher{}, &fakePeers{delays: map[string]time.Duration{}, errs: map[string]error{}}
+	s := New(Options{
+		Searcher: local, Peers: others, VM: "vm-0", Zone: "b", Log: log.New(GinkgoWriter), Poison: p,
+		VMs: func(string) int { return 3 }, Repeats: repeat.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+		Now: func() time.Duration { return time.Second },
+		Gatherers: func() (map[string][]string, bool) {
+			return map[string][]string{"b": {"vm-1", "vm-2", "vm-3"}, "c": {"vm-9"}}, self()
+		},
+	})
+	r := &route.Route{Name: "find", MinimumShare: 0.6, MaxRecords: 5, Objective: 200 * time.Millisecond}
+	zones := map[string][]string{}
+	for i := range 90 {
+		r.Shards = append(r.Shards, fmt.Sprintf("s%02d", i))
+		zones[r.Shards[i]] = []string{"b"}
+	}
+	q := &request{id: "id", start: time.Now(), route: r, deadline: time.Now().Add(time.Second), catalog: &catalog.Catalog{
+		Config: &catalog.Config{Version: 1}, Manifest: &manifest.Manifest{},
+		ServiceZones: zones, ZoneCoverage: map[string]map[string]float64{"find": {"b": 1}},
+	}}
+	return s, q, others, local
+}
+
 // The VM under test delegates searches of 90 shards to the three gatherers of zone b.
 var _ = Describe("A wide search", func() {
 	var local *fakeSearcher
@@ -27,26 +51,8 @@
 	var q *request
 	var self bool
 	BeforeEach(func() {
-		local, self = &fakeSearcher{}, false
-		others = &fakePeers{delays: map[string]time.Duration{}, errs: map[string]error{}}
-		s = New(Options{
-			Searcher: local, Peers: others, VM: "vm-0", Zone: "b", Log: log.New(GinkgoWriter), Poison: noPoison{},
-			VMs: func(string) int { return 3 }, Repeats: repeat.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
-			Now: func() time.Duration { return time.Second },
-			Gatherers: func() (map[string][]string, bool) {
-				return map[string][]string{"b": {"vm-1", "vm-2", "vm-3"}, "c": {"vm-9"}}, self
-			},
-		})
-		r := &route.Route{Name: "find", MinimumShare: 0.6, MaxRecords: 5, Objective: 200 * time.Millisecond}
-		zones := map[string][]string{}
-		for i := range 90 {
-			r.Shards = append(r.Shards, fmt.Sprintf("s%02d", i))
-			zones[r.Shards[i]] = []string{"b"}
-		}
-		q = &request{id: "id", start: time.Now(), route: r, deadline: time.Now().Add(time.Second), catalog: &catalog.Catalog{
-			Config: &catalog.Config{Version: 1}, Manifest: &manifest.Manifest{},
-			ServiceZones: zones, ZoneCoverage: map[string]map[string]float64{"find": {"b": 1}},
-		}}
+		self = false
+		s, q, others, local = newWideSearch(noPoison{}, func() bool { return self })
 	})
 	run := func() outcome.Outcome {
 		return s.runOrDelegate(context.Background(), q, &upstream.PassThroughRequest{})
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -199,10 +199,20 @@
 	return retryAfter, !refused, refused
 }
 
-// Suspected reports whether a request is suspected but not refused yet.
-func (g *Guard) Suspected(fingerprint string) bool {
-	verdict, _ := g.snapshot(fingerprint).Decide(g.now())
-	return !g.disabled && verdict == policy.Ask
+// Check returns what this VM knows of a fingerprint, and how long a refusal holds. It starts no run.
+func (g *Guard) Check(fingerprint string) (policy.Verdict, time.Duration) {
+	if g.disabled {
+		return policy.Allow, 0
+	}
+	return g.snapshot(fingerprint).Decide(g.now())
+}
+
+// RecordReply records that an upstream has replied to a request that ran on other VMs, or in parts. Losses that were
+// recorded for it have another cause.
+func (g *Guard) RecordReply(q Request) {
+	if !g.disabled {
+		g.clear(q.Fingerprint, q.hasLoss)
+	}
 }
 
 // requestPermission asks the guards whether a suspected request may run here. While this
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -274,7 +274,7 @@
 		f.vms[1].RecordAnswer(fp)
 		f.gossip()
 		for _, v := range f.vms {
-			Expect(v.Suspected(fp)).To(BeFalse())
+			Expect(v.suspects(fp)).To(BeFalse())
 		}
 	})
 
@@ -296,7 +296,7 @@
 	It("is refused while another VM may be running it, until that VM's lease expires", func() {
 		f := newFleet(3)
 		f.vms[0].RecordLoss(context.Background(), fp, "r1")
-		Expect(f.vms[1].Suspected(fp)).To(BeTrue())
+		Expect(f.vms[1].suspects(fp)).To(BeTrue())
 		_, refused := f.vms[1].Refused(fp)
 		Expect(refused).To(BeFalse())
 		after, refused := f.vms[2].Refused(fp)
--- a/internal/poison/run.go
+++ b/internal/poison/run.go
@@ -18,6 +18,12 @@
 	Slow time.Duration
 }
 
+// lossID returns the id of the request's nth loss.
+func (q Request) lossID(n int) string { return fmt.Sprint(q.ID, "-", n) }
+
+// hasLoss reports whether a loss with this id, in the form of a fact's key, is one of the request's.
+func (q Request) hasLoss(id string) bool { return strings.HasPrefix(id, factID(q.ID)+"-") }
+
 // Run is one run of a request on this VM. It watches the request's attempts, and records upstreams that ended
 // under it. The methods of a nil Run do nothing.
 type Run struct {
@@ -114,7 +120,7 @@
 // disproves reports whether a reply to the run's request shows that a loss has another cause: it occurred before the
 // run, or in the same request.
 func (r *Run) disproves(lossID string) bool {
-	return slices.Contains(r.known, lossID) || strings.HasPrefix(lossID, factID(r.q.ID)+"-")
+	return slices.Contains(r.known, lossID) || r.q.hasLoss(lossID)
 }
 
 // judgeEarly reports what the run shows before its end. The fleet learns that by gossip.
@@ -160,7 +166,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for ; r.reported < losses; r.reported++ {
-		ids = append(ids, fmt.Sprint(r.q.ID, "-", r.reported))
+		ids = append(ids, r.q.lossID(r.reported))
 	}
 	return ids
 }
--- a/internal/poison/run_test.go
+++ b/internal/poison/run_test.go
@@ -21,6 +21,12 @@
 func (fakeUpstream) RepliedAt() time.Duration { return 0 }
 func (fakeUpstream) AskedAt() time.Duration   { return 0 }
 
+// suspects reports whether a VM suspects a fingerprint, and would run it on trial.
+func (v *modelVM) suspects(fingerprint string) bool {
+	verdict, _ := v.Check(fingerprint)
+	return verdict == policy.Ask
+}
+
 // start starts a run of a request on a VM, with n attempts, each at another upstream.
 func (v *modelVM) start(fingerprint, id string, n int) poison.Admission {
 	a := v.Admit(poison.Request{Fingerprint: fingerprint, ID: id, Slow: slow})
@@ -48,7 +54,7 @@
 	It("counts upstreams that end at the same time as one loss, those that end in turn as more", func() {
 		f := newFleet(3)
 		f.vms[0].run(fp, "r1", 0, policy.Ended, policy.Ended, policy.Ended)
-		Expect(f.vms[1].Suspected(fp)).To(BeTrue())
+		Expect(f.vms[1].suspects(fp)).To(BeTrue())
 		a := f.vms[1].start("other", "r2", 0)
 		for i := range policy.SuspicionLimit {
 			f.now.Add(int64(time.Millisecond))
@@ -94,7 +100,7 @@
 		for i := range policy.SuspicionLimit {
 			f.vms[0].run(fp, fmt.Sprint("r", i), time.Second, policy.Unknown, policy.Unknown, policy.Unknown)
 		}
-		Expect(f.vms[1].Suspected(fp)).To(BeFalse())
+		Expect(f.vms[1].suspects(fp)).To(BeFalse())
 	})
 
 	// A request may be harmless until the data that it asks for changes. Losses within 10 s of an answer did not count.
@@ -102,7 +108,7 @@
 		f := newFleet(3)
 		f.vms[0].run(fp, "r1", 0, policy.Ran)
 		f.vms[0].run(fp, "r2", 0, policy.Ended, policy.Ended)
-		Expect(f.vms[1].Suspected(fp)).To(BeTrue())
+		Expect(f.vms[1].suspects(fp)).To(BeTrue())
 	})
 
 	It("is not cleared by a run that began before", func() {
@@ -112,10 +118,22 @@
 		a.Run.Sent(fakeUpstream("r1-upstream-0"), policy.Ran)
 		a.Run.End(context.Background())
 		f.gossip()
-		Expect(f.vms[2].Suspected(fp)).To(BeTrue())
+		Expect(f.vms[2].suspects(fp)).To(BeTrue())
 		Expect(f.vms[2].run(fp, "r3", 0, policy.Ran).Trial).To(BeTrue())
 		f.gossip()
-		Expect(f.vms[0].Suspected(fp)).To(BeFalse())
+		Expect(f.vms[0].suspects(fp)).To(BeFalse())
+	})
+
+	// Of a search that is divided, a VM may run a part of which no upstream replies: a zone that lost power.
+	It("is cleared by replies to other parts of the request", func() {
+		f := newFleet(3)
+		f.vms[0].run(fp, "r1", time.Second, policy.Unknown, policy.Unknown, policy.Unknown)
+		Expect(f.vms[1].suspects(fp)).To(BeTrue())
+		f.vms[1].RecordReply(poison.Request{Fingerprint: fp, ID: "r2"})
+		Expect(f.vms[1].suspects(fp)).To(BeTrue())
+		f.vms[1].RecordReply(poison.Request{Fingerprint: fp, ID: "r1"})
+		f.gossip()
+		Expect(f.vms[2].suspects(fp)).To(BeFalse())
 	})
 
 	// A caller may wait for its answer for many seconds, and send the request again through another VM before.
@@ -123,10 +141,10 @@
 		f := newFleet(3)
 		a := f.vms[0].start(fp, "r1", 3)
 		f.now.Add(int64(3 * time.Second))
-		Eventually(func() bool { f.gossip(); return f.vms[1].Suspected(fp) }, 5*time.Second, 50*time.Millisecond).Should(BeTrue())
+		Eventually(func() bool { f.gossip(); return f.vms[1].suspects(fp) }, 5*time.Second, 50*time.Millisecond).Should(BeTrue())
 		a.Run.Sent(fakeUpstream("r1-upstream-0"), policy.Ran)
 		a.Run.End(context.Background())
 		f.gossip()
-		Expect(f.vms[1].Suspected(fp)).To(BeFalse(), "one of them has replied after all")
+		Expect(f.vms[1].suspects(fp)).To(BeFalse(), "one of them has replied after all")
 	})
 })
