--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -182,14 +182,16 @@
 	fingerprint string
 	// suspected says that the request may end the upstreams that run it: one VM runs all of it.
 	suspected bool
-	// run watches the attempts while the request runs on this VM. On trial, the request may end its upstreams.
-	run      *poison.Run
-	trial    bool
-	start    time.Time
-	route    *route.Route
-	service  string
-	catalog  *catalog.Catalog
-	deadline time.Time // the caller gets an answer or an error by then
+	// run watches the attempts while the request runs on this VM. On trial, the request may end its upstreams; of a
+	// search, suspects are shards of which it may, one of which may be tried.
+	run                *poison.Run
+	trial, trySuspects bool
+	suspects           []string
+	start              time.Time
+	route              *route.Route
+	service            string
+	catalog            *catalog.Catalog
+	deadline           time.Time // the caller gets an answer or an error by then
 	// callerResent says that the caller seems to resend the request after it was shed: the
 	// caller waits for less than resentTimeoutShare of the route's timeout.
 	callerResent bool
--- a/internal/forward/split.go
+++ b/internal/forward/split.go
@@ -42,7 +42,7 @@
 func (s *Server) search(ctx context.Context, q *request, p *upstream.PassThroughRequest) outcome.Outcome {
 	defer func() { q.decidedAt = time.Now() }()
 	shards := q.searchedShards()
-	if s.o.Peers == nil || q.isPart || q.maybeSent || q.trial || !s.coverage.allowsSplit() {
+	if s.o.Peers == nil || q.isPart || q.maybeSent || q.trial || q.trySuspects || !s.coverage.allowsSplit() {
 		return s.recordCoverage(q, s.searchLocally(ctx, q, p, shards))
 	}
 	gatherers, self := s.o.Gatherers()
@@ -139,6 +139,8 @@
 			// the search could not be refused as not run.
 			CallerResent: q.callerResent || q.isPart,
 			Trial:        q.trial,
+			Suspects:     q.suspects,
+			TrySuspects:  q.trySuspects,
 			Before:       q.sent,
 			Announce:     q.announce,
 			ConfirmFirst: q.mustConfirmFirst(),
--- a/internal/forward/suspected.go
+++ b/internal/forward/suspected.go
@@ -44,12 +44,12 @@
 	if admission.Refused {
 		return suspectedNotRun(admission.RetryAfter)
 	}
-	q.run, q.trial = admission.Run, admission.Trial
+	q.run, q.trial, q.suspects, q.trySuspects = admission.Run, admission.Trial, admission.Suspects, admission.TrySuspects
 	o := s.dispatch(ctx, q, p)
 	q.run.End(ctx)
 	return o
 }
 
 func (q *request) poisonRequest() poison.Request {
-	return poison.Request{Fingerprint: q.fingerprint, ID: q.id, Slow: q.hedgeAfter()}
+	return poison.Request{Fingerprint: q.fingerprint, ID: q.id, Search: q.route.Sharded(), Slow: q.hedgeAfter()}
 }
--- a/internal/gather/pass.go
+++ b/internal/gather/pass.go
@@ -56,6 +56,10 @@
 	// Trial means that the request may end the upstreams that run it: it is sent to one shard, to one replica, and
 	// to the others once that has replied. Without a reply at AnswerAt, the search fails.
 	Trial bool
+	// Suspects are the shards whose upstreams the request may end. With TrySuspects, they are on trial as with Trial,
+	// while the other shards are asked; else they are left out.
+	Suspects    []string
+	TrySuspects bool
 	// CallerResent means that the request was shed before and the caller sent it again.
 	CallerResent bool
 	// TakeRepeat takes one repeat from the budget of a service and reports whether the budget
@@ -78,7 +82,7 @@
 // it. If plan.Decide sheds the search, nothing is sent.
 func (q *query) launchPassThrough() {
 	now := time.Now()
-	q.trial.underway = q.s.PassThrough.Trial
+	q.startTrial()
 	for i, sh := range q.plan {
 		sh.index = i
 	}
@@ -206,7 +210,7 @@
 	if sh.status == covered {
 		q.cancelAttempts(sh)
 	}
-	q.endTrial(true)
+	q.judgeTrial(sh, upstream.OK)
 }
 
 // decidePassThrough returns the outcome, and whether the search ends now.
@@ -300,7 +304,7 @@
 	detail := coverageDetail(cov) + ": " + q.missingCauses()
 	q.maxRetryAfter = max(q.maxRetryAfter, q.untilEnough())
 	out := outcome.NotRun(outcome.Overloaded, detail, q.retryAfter())
-	if q.crashesUpstreams() || q.trial.failed && (q.mayHaveRun || q.inflight > 0) {
+	if q.crashesUpstreams() || q.trial.ofAll && q.trial.failed && (q.mayHaveRun || q.inflight > 0) {
 		out = crashSuspected()
 	} else if q.mayHaveRun || q.inflight > 0 {
 		out = outcome.Unknown(outcome.CoverageTooLow, detail, q.retryAfter())
--- a/internal/gather/repeat.go
+++ b/internal/gather/repeat.go
@@ -11,7 +11,7 @@
 
 // hedgePassThrough hedges a slow shard once, if its budget and replicas allow.
 func (q *query) hedgePassThrough(sh *shard) {
-	if sh.hedged || len(sh.inflight) != 1 || q.trial.underway {
+	if sh.hedged || len(sh.inflight) != 1 || q.trial.shard == sh {
 		return
 	}
 	sh.hedged = true
@@ -24,8 +24,7 @@
 	if sh.status != idle {
 		return
 	}
-	q.judgeTrial(sh, c)
-	if q.trial.failed {
+	if q.judgeTrial(sh, c) {
 		sh.gaveUp, sh.missingCause = true, classNames[c]
 		return
 	}
@@ -71,12 +70,12 @@
 // askLeftOut asks shards that launchPassThrough left out, the fastest first, while the
 // minimum share depends on them.
 func (q *query) askLeftOut() {
-	for !q.trial.failed && q.counts[covered]+q.counts[open] < q.minShards() {
+	for q.counts[covered]+q.counts[open] < q.minShards() {
 		var best *shard
 		var ticket Ticket
 		least := plan.Never
 		for _, sh := range q.plan {
-			if len(sh.tried) > 0 || sh.announced != nil {
+			if len(sh.tried) > 0 || sh.announced != nil || q.trial.failed && q.onTrial(sh) {
 				continue
 			}
 			t, expected, err := q.pickPassThrough(sh)
--- a/internal/gather/trial.go
+++ b/internal/gather/trial.go
@@ -1,19 +1,43 @@
 package gather
 
-import "github.com/sardinespindle/sardinespindle/internal/upstream"
+import (
+	"slices"
 
-// A search on trial may end the upstreams that run it. It asks one shard; the others wait until that has replied.
+	"github.com/sardinespindle/sardinespindle/internal/upstream"
+)
+
+// trial is that of a search, or of some of its shards, that may end the upstreams that run it. One shard is asked; the
+// others wait until that has replied.
 type trial struct {
+	ofAll            bool     // all shards are on trial
+	suspects         []string // else those that are
 	underway, failed bool
 	shard            *shard // the one asked
 }
 
-// mayAsk reports whether a shard may be asked now. If not, it waits for the end of the trial.
+// startTrial starts the trial, if the search has one. Without a permission to try them, its suspects fail at once.
+func (q *query) startTrial() {
+	p := q.s.PassThrough
+	q.trial = trial{ofAll: p.Trial, suspects: p.Suspects, underway: p.Trial || p.TrySuspects}
+	q.trial.failed = !q.trial.underway
+}
+
+// onTrial reports whether a shard is on trial.
+func (q *query) onTrial(sh *shard) bool {
+	return q.trial.ofAll || slices.Contains(q.trial.suspects, sh.name)
+}
+
+// mayAsk reports whether a shard may be asked now. If not, it waits for the end of the trial, or is given up.
 func (q *query) mayAsk(sh *shard) bool {
-	if !q.trial.underway || q.trial.shard == sh {
+	switch {
+	case !q.onTrial(sh):
 		return true
-	}
-	if q.trial.shard == nil {
+	case q.trial.failed:
+		sh.gaveUp, sh.missingCause = true, "suspected"
+		return false
+	case !q.trial.underway || q.trial.shard == sh:
+		return true
+	case q.trial.shard == nil:
 		q.trial.shard = sh
 		return true
 	}
@@ -53,17 +77,18 @@
 	return q.sendOrAnnounce(sh, t, announced{paid: true})
 }
 
-// judgeTrial ends the trial if the attempt of its shard has ended with a class that decides it.
-func (q *query) judgeTrial(sh *shard, c upstream.Class) {
-	if q.trial.shard != sh {
-		return
-	}
-	switch {
-	case c == upstream.Failed:
-		q.endTrial(true) // the upstream ran the request and replied
-	case c.MayHaveRun():
-		q.endTrial(false)
+// judgeTrial ends the trial if the attempt of its shard has ended with a class that decides it. It reports whether the
+// shard is on a trial that has failed, and so is asked no more.
+func (q *query) judgeTrial(sh *shard, c upstream.Class) (failed bool) {
+	if q.trial.shard == sh {
+		switch {
+		case c == upstream.OK || c == upstream.Failed:
+			q.endTrial(true) // the upstream ran the request and replied
+		case c.MayHaveRun():
+			q.endTrial(false)
+		}
 	}
+	return q.trial.failed && q.onTrial(sh)
 }
 
 // moveTrial asks another shard if the one on trial did not run the request, unless too few shards are left.
--- a/internal/gather/trial_test.go
+++ b/internal/gather/trial_test.go
@@ -84,6 +84,25 @@
 		Entry("shed", upstream.Shed), Entry("not sent", upstream.NotSent), Entry("failed", upstream.Failed),
 	)
 
+	// Some shards' upstreams ended each time, and the search was answered without them.
+	DescribeTable("of some shards asks the others at once", func(try bool, by func(context.Context, upstream.Attempt) upstream.Result, sent, covered int) {
+		serve(replyPart, replyPart)
+		for _, replica := range []string{"s0-a", "s0-b", "s1-a", "s1-b"} {
+			f.serve[replica] = by
+		}
+		s := passThroughSearch(objective, time.Second)
+		s.PassThrough.Suspects, s.PassThrough.TrySuspects, s.PassThrough.MinimumShare = []string{"s0", "s1"}, try, 0.3
+		o := gather.New(gather.Options{Upstream: gather.Adapt(f)}).Search(context.Background(), s)
+		Expect(o.Kind).To(Equal(caller.OutcomeAnswered))
+		Expect(o.Coverage.ShardsCovered).To(Equal(covered))
+		Expect(f.total()).To(Equal(sent))
+	},
+		Entry("and none of those, without a permission", false, replyPart, 1, 1),
+		Entry("and those in turn, with one", true, replyPart, 3, 3),
+		Entry("and one of those, if it ends its upstream", true, result(upstream.Result{Class: upstream.Lost, Crashed: true, Err: errNone}), 2, 1),
+		Entry("and one of those, if it falls silent", true, silent, 2, 1),
+	)
+
 	It("is not run if no shard takes it", func() {
 		shed := result(upstream.Result{Class: upstream.Shed, Status: 503, Err: errNone})
 		serve(shed, shed)
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"io"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -41,7 +40,7 @@
 )
 
 // A fact's key is keyPrefix, the fingerprint, a slash and an id: the request id of a lost
-// attempt, runID for a VM that may be running the fingerprint, or answeredID for a list of
+// attempt, with the shards in its value if other shards replied; runID for a VM that may be running the fingerprint, or answeredID for a list of
 // lost attempts that a later answer cleared. The value idleValue of a runID fact says that
 // the VM no longer runs the fingerprint.
 const (
@@ -145,31 +144,6 @@
 	return &g.shards[h%numShards]
 }
 
-// Admission is the decision on a request.
-type Admission struct {
-	// Refused says that the request must not run now, and RetryAfter when it may.
-	Refused    bool
-	RetryAfter time.Duration
-	// Trial says that the request is suspected: it may be sent to one upstream, and to others once that has replied.
-	Trial bool
-	// Run watches the request's attempts; nil if it is refused.
-	Run *Run
-}
-
-// Admit decides whether a request may run. If so, its Run must be ended. Only for a suspected request are other
-// VMs asked, for at most askTimeout.
-func (g *Guard) Admit(q Request) Admission {
-	retryAfter, trial, refused := g.decide(q.Fingerprint)
-	switch {
-	case refused:
-		return Admission{Refused: true, RetryAfter: retryAfter}
-	case g.disabled:
-		return Admission{}
-	default:
-		return Admission{Trial: trial, Run: &Run{g: g, q: q, trial: trial, known: slices.Collect(maps.Keys(g.snapshot(q.Fingerprint).Losses))}}
-	}
-}
-
 // Refused reports whether a request must not run now, and when to retry. It is called
 // before each attempt; if it reports false, the run counts as started. Only for a
 // suspected request are other VMs asked, for at most askTimeout.
@@ -199,22 +173,6 @@
 	return retryAfter, !refused, refused
 }
 
-// Check returns what this VM knows of a fingerprint, and how long a refusal holds. It starts no run.
-func (g *Guard) Check(fingerprint string) (policy.Verdict, time.Duration) {
-	if g.disabled {
-		return policy.Allow, 0
-	}
-	return g.snapshot(fingerprint).Decide(g.now())
-}
-
-// RecordReply records that an upstream has replied to a request that ran on other VMs, or in parts. Losses that were
-// recorded for it have another cause.
-func (g *Guard) RecordReply(q Request) {
-	if !g.disabled {
-		g.clear(q.Fingerprint, q.hasLoss)
-	}
-}
-
 // requestPermission asks the guards whether a suspected request may run here. While this
 // VM itself runs the fingerprint, the request is refused without asking.
 func (g *Guard) requestPermission(fingerprint string) (time.Duration, bool) {
@@ -275,20 +233,21 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
 	defer cancel()
-	f := g.putLoss(fingerprint, requestID)
+	f := g.putLoss(fingerprint, requestID, nil)
 	acks, guards := g.spread(ctx, fingerprint, f)
 	g.log.Info("loss recorded", "id", requestID, "fingerprint", fingerprint, "losses", len(g.snapshot(fingerprint).Losses), "acks", acks, "guards", guards)
 }
 
-func (g *Guard) putLoss(fingerprint, requestID string) facts.Fact {
-	return g.fleet.Facts().PutFact(keyPrefix+fingerprint+"/"+factID(requestID), "", policy.SuspicionTTL)
+func (g *Guard) putLoss(fingerprint, requestID string, shards []string) facts.Fact {
+	return g.fleet.Facts().PutFact(keyPrefix+fingerprint+"/"+factID(requestID), strings.Join(shards, "\n"), policy.SuspicionTTL)
 }
 
-// stateLoss records a loss of a run that has not ended. It does not wait for the guards.
-func (g *Guard) stateLoss(fingerprint, requestID string) {
+// stateLoss records a loss that the fleet learns of by gossip: that of a run that goes on, or of some shards of an
+// answered search.
+func (g *Guard) stateLoss(fingerprint, requestID string, shards ...string) {
 	g.events.WithLabelValues("loss").Inc()
-	g.putLoss(fingerprint, requestID)
-	g.log.Info("loss recorded", "id", requestID, "fingerprint", fingerprint, "losses", len(g.snapshot(fingerprint).Losses))
+	g.putLoss(fingerprint, requestID, shards)
+	g.log.Info("loss recorded", "id", requestID, "fingerprint", fingerprint, "losses", len(g.snapshot(fingerprint).Losses), "shards", len(shards))
 }
 
 // spread sends a fact to the fingerprint's guards. It returns how many of them hold the
@@ -369,9 +328,7 @@
 	defer sh.mu.Unlock()
 	r, ok := sh.records.Get(fingerprint)
 	if !ok {
-		r = &policy.Record{
-			Losses: map[string]time.Duration{}, Cleared: map[string]time.Duration{}, Runs: map[string]time.Duration{},
-		}
+		r = policy.NewRecord()
 		sh.records.Add(fingerprint, r)
 	}
 	g.applyFact(r, id, f)
@@ -379,10 +336,7 @@
 
 // applyFact drops the expired entries of a record and adds the fact to it.
 func (g *Guard) applyFact(r *policy.Record, id string, f facts.Fact) {
-	now := g.now()
-	for _, m := range []map[string]time.Duration{r.Losses, r.Cleared, r.Runs} {
-		maps.DeleteFunc(m, func(_ string, until time.Duration) bool { return until <= now })
-	}
+	r.DropExpired(g.now())
 	switch {
 	case id == runID && f.Value == idleValue:
 		delete(r.Runs, f.Origin)
@@ -393,7 +347,7 @@
 			r.Cleared[lost] = f.Expires
 		}
 	case id != runID:
-		r.AddLoss(id, f.Expires)
+		r.AddLoss(id, f.Expires, splitLines(f.Value)...)
 	}
 }
 
@@ -406,7 +360,15 @@
 	if !ok {
 		return policy.Record{}
 	}
-	return policy.Record{Losses: maps.Clone(r.Losses), Cleared: maps.Clone(r.Cleared), Runs: maps.Clone(r.Runs)}
+	return r.Clone()
+}
+
+// splitLines splits a text into its lines; none for an empty text.
+func splitLines(text string) []string {
+	if text == "" {
+		return nil
+	}
+	return strings.Split(text, "\n")
 }
 
 // parseKey splits the key of a fact into fingerprint and id.
--- a/internal/poison/run.go
+++ b/internal/poison/run.go
@@ -2,28 +2,13 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	policy "github.com/sardinespindle/sardinespindle/internal/policy/poison"
 )
 
-// Request is a request that a Guard decides on.
-type Request struct {
-	Fingerprint, ID string
-	// Slow is the longest that an idle upstream usually takes to reply.
-	Slow time.Duration
-}
-
-// lossID returns the id of the request's nth loss.
-func (q Request) lossID(n int) string { return fmt.Sprint(q.ID, "-", n) }
-
-// hasLoss reports whether a loss with this id, in the form of a fact's key, is one of the request's.
-func (q Request) hasLoss(id string) bool { return strings.HasPrefix(id, factID(q.ID)+"-") }
-
 // Run is one run of a request on this VM. It watches the request's attempts, and records upstreams that ended
 // under it. The methods of a nil Run do nothing.
 type Run struct {
@@ -31,12 +16,17 @@
 	q     Request
 	trial bool
 	known []string // the ids of losses before the run
+	tried []string // the suspected shards of which one may be asked
+
+	reporting sync.Mutex                 // held while losses of shards are reported: a report replaces the one before
+	shards    [policy.SuspicionLimit]int // the number of shards of each loss reported; guarded by reporting
 
 	mu       sync.Mutex // guards the fields below
 	attempts map[string]*watched
 	check    *time.Timer // nil before the first attempt
 	reported int         // losses
 	ended    bool
+	answered bool // once ended: an upstream has replied
 }
 
 // watched is an attempt that a run watches.
@@ -51,7 +41,7 @@
 const checkAfter = 2500 * time.Millisecond
 
 // Sending records that an attempt is about to be sent to an upstream.
-func (r *Run) Sending(u policy.Upstream) {
+func (r *Run) Sending(u policy.Upstream, shard string) {
 	if r == nil {
 		return
 	}
@@ -60,7 +50,7 @@
 	if r.attempts == nil {
 		r.attempts = map[string]*watched{}
 	}
-	w := &watched{upstream: u, attempt: policy.Attempt{Sent: r.g.now()}}
+	w := &watched{upstream: u, attempt: policy.Attempt{Shard: shard, Sent: r.g.now()}}
 	if asked := u.AskedAt(); asked > 0 {
 		w.attempt.SilentBefore = w.attempt.Sent - asked
 	}
@@ -83,6 +73,26 @@
 	}
 }
 
+// Gone records that an upstream is known to have ended that has not replied since an attempt.
+func (r *Run) Gone(u policy.Upstream) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	w := r.attempts[u.Address()]
+	if w == nil || w.upstream != u || w.attempt.Fate != policy.Unknown {
+		r.mu.Unlock()
+		return
+	}
+	w.attempt = w.at(r.g.now())
+	w.attempt.Fate, w.done = policy.Ended, true
+	answered := r.answered
+	r.mu.Unlock()
+	if answered {
+		r.reportShards()
+	}
+}
+
 // at returns the attempt as it is at now.
 func (w *watched) at(now time.Duration) policy.Attempt {
 	a := w.attempt
@@ -108,6 +118,7 @@
 	r.g.endRun(r.q.Fingerprint)
 	if ran {
 		r.g.clear(r.q.Fingerprint, r.disproves)
+		r.endShards()
 	}
 	var told sync.WaitGroup
 	for _, id := range r.takeUnreported(losses) {
@@ -117,6 +128,52 @@
 	r.g.withdraw(r.q.Fingerprint)
 }
 
+// endShards records what the run of a search, of which some shards replied, shows of the others.
+func (r *Run) endShards() {
+	if !r.q.Search {
+		return
+	}
+	r.mu.Lock()
+	r.answered = true
+	r.mu.Unlock()
+	r.reportShards()
+	if r.tried == nil {
+		return
+	}
+	fingerprint := r.q.shardsFingerprint()
+	replied := r.repliedShards()
+	suspected := r.g.snapshot(fingerprint).Shards
+	r.g.clear(fingerprint, func(lossID string) bool {
+		return slices.ContainsFunc(suspected[lossID], func(shard string) bool { return slices.Contains(replied, shard) })
+	})
+	r.g.endRun(fingerprint)
+	r.g.withdraw(fingerprint)
+}
+
+// reportShards reports the shards whose upstreams ended though others replied.
+func (r *Run) reportShards() {
+	r.reporting.Lock()
+	defer r.reporting.Unlock()
+	attempts, _, _ := r.snapshot()
+	for i, shards := range policy.JudgeShards(attempts, r.q.Slow, r.tried) {
+		if len(shards) > r.shards[i] {
+			r.shards[i] = len(shards)
+			r.g.stateLoss(r.q.shardsFingerprint(), r.q.lossID(i), shards...)
+		}
+	}
+}
+
+// repliedShards returns the shards of which an upstream ran the request and replied.
+func (r *Run) repliedShards() (shards []string) {
+	attempts, _, _ := r.snapshot()
+	for _, a := range attempts {
+		if a.Fate == policy.Ran {
+			shards = append(shards, a.Shard)
+		}
+	}
+	return shards
+}
+
 // disproves reports whether a reply to the run's request shows that a loss has another cause: it occurred before the
 // run, or in the same request.
 func (r *Run) disproves(lossID string) bool {
@@ -139,15 +196,7 @@
 
 // judge returns whether the request ran at an upstream that replied, and else how many losses the run shows.
 func (r *Run) judge(ctx context.Context) (ran bool, losses int) {
-	now := r.g.now()
-	r.mu.Lock()
-	attempts := make([]policy.Attempt, 0, len(r.attempts))
-	addresses := make([]string, 0, len(r.attempts))
-	since := now
-	for address, w := range r.attempts {
-		attempts, addresses, since = append(attempts, w.at(now)), append(addresses, address), min(since, w.attempt.Sent)
-	}
-	r.mu.Unlock()
+	attempts, addresses, since := r.snapshot()
 	e := policy.Judge(attempts, r.q.Slow)
 	hears := e.Silent && r.g.hears(ctx, since, addresses)
 	losses = e.Losses(hears)
@@ -161,6 +210,18 @@
 	return e.Ran, losses
 }
 
+// snapshot returns the attempts as they are now, the addresses of their upstreams, and when the first was sent.
+func (r *Run) snapshot() (attempts []policy.Attempt, addresses []string, since time.Duration) {
+	since = r.g.now()
+	now := since
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for address, w := range r.attempts {
+		attempts, addresses, since = append(attempts, w.at(now)), append(addresses, address), min(since, w.attempt.Sent)
+	}
+	return attempts, addresses, since
+}
+
 // takeUnreported returns the ids of the losses that have not been reported yet.
 func (r *Run) takeUnreported(losses int) (ids []string) {
 	r.mu.Lock()
@@ -170,6 +231,3 @@
 	}
 	return ids
 }
-
-// factID returns the form in which the id of a request is part of a fact's key.
-func factID(requestID string) string { return strings.ReplaceAll(requestID, "/", "_") }
--- a/internal/poison/run_test.go
+++ b/internal/poison/run_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -31,7 +32,7 @@
 func (v *modelVM) start(fingerprint, id string, n int) poison.Admission {
 	a := v.Admit(poison.Request{Fingerprint: fingerprint, ID: id, Slow: slow})
 	for i := range n {
-		a.Run.Sending(fakeUpstream(fmt.Sprint(id, "-upstream-", i)))
+		a.Run.Sending(fakeUpstream(fmt.Sprint(id, "-upstream-", i)), "")
 	}
 	return a
 }
@@ -59,7 +60,7 @@
 		for i := range policy.SuspicionLimit {
 			f.now.Add(int64(time.Millisecond))
 			u := fakeUpstream(fmt.Sprint(i))
-			a.Run.Sending(u)
+			a.Run.Sending(u, "")
 			f.now.Add(int64(time.Millisecond))
 			a.Run.Sent(u, policy.Ended)
 		}
@@ -148,3 +149,101 @@
 		Expect(f.vms[1].suspects(fp)).To(BeFalse(), "one of them has replied after all")
 	})
 })
+
+var _ = Describe("a run of a search of which some shards reply", func() {
+	// search runs a search on a VM: two upstreams of each shard of ends end in turn, and one of each of replies replies.
+	search := func(v *modelVM, id string, ends, replies []string) poison.Admission {
+		a := v.Admit(poison.Request{Fingerprint: fp, ID: id, Slow: slow, Search: true})
+		for _, shard := range replies {
+			u := fakeUpstream(id + shard)
+			a.Run.Sending(u, shard)
+			a.Run.Sent(u, policy.Ran)
+		}
+		for _, replica := range []string{"-a", "-b"} {
+			for _, shard := range ends {
+				u := fakeUpstream(id + shard + replica)
+				v.fleet.now.Add(int64(time.Millisecond))
+				a.Run.Sending(u, shard)
+				v.fleet.now.Add(int64(time.Millisecond))
+				a.Run.Sent(u, policy.Ended)
+			}
+		}
+		a.Run.End(context.Background())
+		v.fleet.gossip()
+		return a
+	}
+	ended, replied := []string{"s0", "s1"}, []string{"s2", "s3"}
+
+	// It was answered in part, so nothing was recorded.
+	It("suspects the shards whose upstreams end, and is not refused", func() {
+		f := newFleet(3)
+		Expect(search(f.vms[0], "r1", ended, replied).Suspects).To(BeEmpty())
+		a := search(f.vms[1], "r2", nil, replied)
+		Expect(a.Refused || a.Trial || a.TrySuspects).To(BeFalse())
+		Expect(a.Suspects).To(Equal(ended))
+		f.now.Add(int64(11 * time.Second))
+		Expect(search(f.vms[2], "r3", nil, append(replied, "s0")).TrySuspects).To(BeTrue())
+		Expect(search(f.vms[0], "r4", nil, replied).Suspects).To(BeEmpty(), "one of them has replied")
+	})
+
+	It("tries one of its suspects at one VM at a time, and pauses for longer if that ends another upstream", func() {
+		f := newFleet(3)
+		search(f.vms[0], "r1", ended, replied)
+		f.now.Add(int64(11 * time.Second))
+		a := f.vms[1].Admit(poison.Request{Fingerprint: fp, ID: "r2", Slow: slow, Search: true})
+		Expect(a.TrySuspects).To(BeTrue())
+		Expect(search(f.vms[2], "r3", nil, replied).TrySuspects).To(BeFalse())
+		a.Run.Sending(fakeUpstream("r2-s0"), "s0")
+		a.Run.Sending(fakeUpstream("r2-s2"), "s2")
+		a.Run.Sent(fakeUpstream("r2-s2"), policy.Ran)
+		a.Run.End(context.Background())
+		f.gossip()
+		f.now.Add(int64(30 * time.Second))
+		Expect(search(f.vms[2], "r4", nil, replied).TrySuspects).To(BeFalse())
+		f.now.Add(int64(31 * time.Second))
+		Expect(search(f.vms[2], "r5", nil, replied).TrySuspects).To(BeTrue())
+	})
+
+	It("suspects shards whose upstreams turn out to have ended after the search was answered", func() {
+		f := newFleet(3)
+		a := f.vms[0].Admit(poison.Request{Fingerprint: fp, ID: "r1", Slow: slow, Search: true})
+		silent := fakeUpstream("silent")
+		a.Run.Sending(silent, "s0")
+		a.Run.Sending(fakeUpstream("other"), "s1")
+		a.Run.Sent(fakeUpstream("other"), policy.Ran)
+		a.Run.End(context.Background())
+		a.Run.Sent(silent, policy.Unknown)
+		f.gossip()
+		Expect(search(f.vms[1], "r2", nil, replied).Suspects).To(BeEmpty())
+		a.Run.Gone(silent)
+		f.gossip()
+		Expect(search(f.vms[1], "r3", nil, replied).Suspects).To(Equal([]string{"s0"}))
+	})
+
+	// Reports of upstreams that ended at the same time replaced each other.
+	It("suspects all shards whose upstreams are found to have ended at the same time", func() {
+		for range 20 {
+			f := newFleet(2)
+			a := f.vms[0].Admit(poison.Request{Fingerprint: fp, ID: "r1", Slow: slow, Search: true})
+			a.Run.Sending(fakeUpstream("other"), "other")
+			a.Run.Sent(fakeUpstream("other"), policy.Ran)
+			for i := range 8 {
+				a.Run.Sending(fakeUpstream(fmt.Sprint(i)), fmt.Sprint("s", i))
+			}
+			a.Run.End(context.Background())
+			var found sync.WaitGroup
+			for i := range 8 {
+				found.Go(func() { a.Run.Gone(fakeUpstream(fmt.Sprint(i))) })
+			}
+			found.Wait()
+			f.gossip()
+			Expect(search(f.vms[1], "r2", nil, replied).Suspects).To(HaveLen(8))
+		}
+	})
+
+	It("suspects no shard of which another upstream replied", func() {
+		f := newFleet(3)
+		search(f.vms[0], "r1", ended, append(replied, ended...))
+		Expect(search(f.vms[1], "r2", nil, replied).Suspects).To(BeEmpty())
+	})
+})
--- a/internal/policy/poison/judge.go
+++ b/internal/policy/poison/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -32,7 +33,9 @@
 
 // Attempt is an attempt of a request at one upstream.
 type Attempt struct {
-	Fate Fate
+	// Shard is the shard that the upstream serves; empty for a request that is not a search.
+	Shard string
+	Fate  Fate
 	// Sent is when the request was sent, Until when its fate was known or, if it still waits, the present.
 	Sent, Until time.Duration
 	// RepliedAt is when the upstream had last replied to any request of this VM, at Until.
@@ -67,26 +70,34 @@
 // that hangs, so unless there are many, their silence is evidence only after twice that time.
 func Judge(attempts []Attempt, slow time.Duration) (e Evidence) {
 	silent := 0
-	var known time.Duration // when the last upstream that counts in turn was known to have ended
-	attempts = slices.SortedFunc(slices.Values(attempts), func(a, b Attempt) int { return cmp.Compare(a.Sent, b.Sent) })
 	for _, a := range attempts {
 		switch {
 		case a.Fate == Ran:
 			return Evidence{Ran: true}
 		case a.Fate == Ended && a.SilentBefore < slow:
 			e.Ended++
-			if e.Ended == 1 || a.Sent > known {
-				e.EndedInTurn++
-				known = a.Until
-			}
 		case a.fellSilent(slow, slow):
 			silent++
 			e.Silent = e.Silent || silent >= manySilent || a.fellSilent(2*slow, slow)
 		}
 	}
+	e.EndedInTurn = endedInTurn(attempts, slow)
 	return e
 }
 
+// endedInTurn returns how many upstreams ended that got the request after another was known to have ended, and the
+// first. An upstream that was silent before does not count.
+func endedInTurn(attempts []Attempt, slow time.Duration) (n int) {
+	var known time.Duration // when the last one that counts was known to have ended
+	for _, a := range slices.SortedFunc(slices.Values(attempts), func(a, b Attempt) int { return cmp.Compare(a.Sent, b.Sent) }) {
+		if a.Fate == Ended && a.SilentBefore < slow && (n == 0 || a.Sent > known) {
+			n++
+			known = a.Until
+		}
+	}
+	return n
+}
+
 // Losses returns the number of losses to report, at most SuspicionLimit. hears says that this VM hears of other
 // upstreams. Upstreams that end at the same time, or fall silent, count as one: other requests run there too.
 func (e Evidence) Losses(hears bool) int {
@@ -114,3 +125,27 @@
 	}
 	return losses
 }
+
+// JudgeShards returns, for a search of which some shards replied, the shards whose upstreams ended under it, and to
+// which loss they belong: the nth holds those of which n more upstreams ended in turn. onTrial are the shards of which
+// one was asked as a trial.
+func JudgeShards(attempts []Attempt, slow time.Duration, onTrial []string) (losses [SuspicionLimit][]string) {
+	byShard := map[string][]Attempt{}
+	for _, a := range attempts {
+		byShard[a.Shard] = append(byShard[a.Shard], a)
+	}
+	for _, shard := range slices.Sorted(maps.Keys(byShard)) {
+		n := 0
+		switch {
+		case slices.ContainsFunc(byShard[shard], func(a Attempt) bool { return a.Fate == Ran }):
+		case slices.Contains(onTrial, shard):
+			n = JudgeTrial(byShard[shard])
+		default:
+			n = min(endedInTurn(byShard[shard], slow), SuspicionLimit)
+		}
+		for i := range n {
+			losses[i] = append(losses[i], shard)
+		}
+	}
+	return losses
+}
--- a/internal/policy/poison/poison.go
+++ b/internal/policy/poison/poison.go
@@ -34,6 +34,8 @@
 type Record struct {
 	// Losses holds the expiry of each suspicion, by the request ID of the lost attempt.
 	Losses map[string]time.Duration
+	// Shards holds the shards of a loss whose search was answered by others; empty for other losses.
+	Shards map[string][]string
 	// Cleared holds the request IDs of suspicions that a later answer cleared, and until
 	// when they are cleared.
 	Cleared map[string]time.Duration
@@ -82,6 +84,17 @@
 	return at
 }
 
+// SuspectedShards returns the shards of the losses that count at now, sorted.
+func (r Record) SuspectedShards(now time.Duration) (shards []string) {
+	for id, expires := range r.Losses {
+		if expires > now && r.Cleared[id] <= now {
+			shards = append(shards, r.Shards[id]...)
+		}
+	}
+	slices.Sort(shards)
+	return slices.Compact(shards)
+}
+
 // rounds returns the number of times at which losses occurred that were not under way at once.
 func rounds(at []time.Duration) (n int) {
 	for i := range at {
@@ -101,10 +114,10 @@
 	return pause
 }
 
-// AddLoss records a loss. Of more than MaxLosses, one is dropped that is closest to the one before: how often and when
+// AddLoss records a loss and its shards, if any. Of more than MaxLosses, one is dropped that is closest to the one before: how often and when
 // there were losses matters more than how many at once.
-func (r Record) AddLoss(id string, expires time.Duration) {
-	r.Losses[id] = expires
+func (r Record) AddLoss(id string, expires time.Duration, shards ...string) {
+	r.Losses[id], r.Shards[id] = expires, shards
 	if len(r.Losses) <= MaxLosses {
 		return
 	}
@@ -116,6 +129,27 @@
 		}
 	}
 	delete(r.Losses, ids[drop])
+	delete(r.Shards, ids[drop])
+}
+
+// NewRecord returns a Record without suspicions that can be modified.
+func NewRecord() *Record {
+	return &Record{
+		Losses: map[string]time.Duration{}, Shards: map[string][]string{}, Cleared: map[string]time.Duration{}, Runs: map[string]time.Duration{},
+	}
+}
+
+// Clone returns a copy of the record.
+func (r *Record) Clone() Record {
+	return Record{Losses: maps.Clone(r.Losses), Shards: maps.Clone(r.Shards), Cleared: maps.Clone(r.Cleared), Runs: maps.Clone(r.Runs)}
+}
+
+// DropExpired drops the entries that have expired.
+func (r *Record) DropExpired(now time.Duration) {
+	for _, m := range []map[string]time.Duration{r.Losses, r.Cleared, r.Runs} {
+		maps.DeleteFunc(m, func(_ string, until time.Duration) bool { return until <= now })
+	}
+	maps.DeleteFunc(r.Shards, func(id string, _ []string) bool { return r.Losses[id] == 0 })
 }
 
 // Permit decides whether this VM may run a suspected fingerprint, after it announced the
@@ -141,15 +175,3 @@
 	}
 	return false
 }
-
-// Expired reports whether every entry of the record has expired.
-func (r Record) Expired(now time.Duration) bool {
-	for _, m := range []map[string]time.Duration{r.Losses, r.Cleared, r.Runs} {
-		for _, expiresAt := range m {
-			if expiresAt > now {
-				return false
-			}
-		}
-	}
-	return true
-}
--- a/internal/policy/poison/poison_test.go
+++ b/internal/policy/poison/poison_test.go
@@ -17,9 +17,7 @@
 func TestPoison(t *testing.T) { testkit.Run(t, "policy/poison") }
 
 var _ = Describe("Decide", func() {
-	newRecord := func() poison.Record {
-		return poison.Record{Losses: map[string]time.Duration{}, Cleared: map[string]time.Duration{}}
-	}
+	newRecord := func() poison.Record { return *poison.NewRecord() }
 
 	It("asks from the first suspicion on, and refuses for a while after the second", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
--- a/internal/upstream/backoff.go
+++ b/internal/upstream/backoff.go
@@ -74,8 +74,12 @@
 // Attempts that wait for a connection end at once if they may not be sent any more.
 func (c *Client) recordReplyHead(s *server, a *Attempt, resp *http.Response, sentAt time.Duration) {
 	c.path.replied()
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		s.tellGone()
+		return
+	}
 	s.recordReplied(c.opts.Now())
-	if resp.StatusCode == http.StatusMisdirectedRequest || c.checkPassThroughEcho(a, resp) != nil {
+	if c.checkPassThroughEcho(a, resp) != nil {
 		return
 	}
 	if c.opts.Headers.Leaving != "" && resp.Header.Get(c.opts.Headers.Leaving) == "1" {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -254,6 +254,7 @@
 	for address, s := range old.servers {
 		if next.servers[address] != s {
 			s.removed.Store(true)
+			c.judgeRemoved(s, next.servers[address] != nil)
 			s.pool.setMaxOpen(0)
 			c.metrics.connections.DeleteLabelValues(address)
 		}
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -67,7 +67,7 @@
 		}
 	}
 	if a.Watcher != nil {
-		a.Watcher.Sent(s, fateOf(&r))
+		s.tellFate(a.Watcher, fateOf(&r))
 	}
 	s.recordResult(now, recordedClass(&r), now-sentAt, r.Latency, r.RetryAfter)
 	c.recordCut(s, &r, now)
@@ -232,7 +232,7 @@
 		}
 	}
 	if a.Watcher != nil {
-		a.Watcher.Sending(s)
+		a.Watcher.Sending(s, a.Shard)
 	}
 	if a.Kind == PassThrough {
 		c.countSent(s)
--- a/internal/upstream/liveness_test.go
+++ b/internal/upstream/liveness_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -17,9 +18,13 @@
 )
 
 // recordedFate is the fate that a watcher was told of last.
-type recordedFate struct{ fate poison.Fate }
+type recordedFate struct {
+	fate poison.Fate
+	gone atomic.Bool
+}
 
-func (*recordedFate) Sending(poison.Upstream)                 {}
+func (*recordedFate) Sending(poison.Upstream, string)         {}
+func (r *recordedFate) Gone(poison.Upstream)                  { r.gone.Store(true) }
 func (r *recordedFate) Sent(_ poison.Upstream, f poison.Fate) { r.fate = f }
 
 var _ = Describe("Client that loses a connection while a request runs", func() {
@@ -45,19 +50,20 @@
 		u := &gen.Upstream{Address: l.Addr().String(), Zone: "a", Workload: wlOrder, Slots: 1000, ConnectionLimit: 20_000}
 		c = newClient(Options{ManifestOnly: true, Headers: passThroughHeaders}, newManifest(u))
 	})
-	// call sends a request and returns its result and the fate of the upstream once it has ended.
-	call := func(id string) (chan Result, *recordedFate) {
+	// callFor sends a request with a timeout and returns its result and the fate of the upstream once it has ended.
+	callFor := func(id string, timeout time.Duration) (chan Result, *recordedFate) {
 		t, _, err := c.PickPassThrough(newManifest().Workloads[wlOrder], "route", nil)
 		Expect(err).NotTo(HaveOccurred())
 		done, fate := make(chan Result, 1), &recordedFate{}
 		go func() {
 			done <- c.Do(context.Background(), t, Attempt{
-				Kind: PassThrough, Route: "route", Deadline: time.Now().Add(2 * time.Second), Watcher: fate,
+				Kind: PassThrough, Route: "route", Deadline: time.Now().Add(timeout), Watcher: fate,
 				PassThrough: &PassThroughRequest{Method: http.MethodGet, Target: "/x", Host: "h", ID: id, Header: http.Header{"Id": {id}}},
 			})
 		}()
 		return done, fate
 	}
+	call := func(id string) (chan Result, *recordedFate) { return callFor(id, 2*time.Second) }
 	// accept returns the next connection once a request has arrived on it.
 	accept := func() net.Conn {
 		var conn net.Conn
@@ -112,4 +118,51 @@
 		Expect(r.Crashed).To(BeFalse())
 		Expect(fate.fate).To(Equal(poison.Unknown))
 	})
+
+	// An upstream that falls silent closes no connection, and it was not known later on that it had ended.
+	Describe("or gets no reply", func() {
+		const reply = "HTTP/1.1 %s\r\nId: %s\r\nSignature: s\r\nContent-Length: 0\r\n\r\n"
+		var fate *recordedFate
+		BeforeEach(func() {
+			done, f := callFor("silent", 20*time.Millisecond)
+			accept()
+			Eventually(done, time.Second).Should(Receive(HaveField("Class", TimedOut)))
+			fate = f
+			Expect(fate.fate).To(Equal(poison.Unknown))
+		})
+		answer := func(id, status string) {
+			done, _ := call(id)
+			_, err := fmt.Fprintf(accept(), reply, status, id)
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(done, time.Second).Should(Receive())
+		}
+
+		It("learns that the upstream has ended if another one replies at its address", func() {
+			answer("next", "421 Misdirected Request")
+			Expect(fate.gone.Load()).To(BeTrue())
+		})
+
+		It("learns it if another one is published at its address", func() {
+			c.Apply(newManifest(&gen.Upstream{Address: l.Addr().String(), Identity: "other", Zone: "a", Workload: wlOrder, Slots: 2, ConnectionLimit: 60}))
+			Eventually(fate.gone.Load, time.Second).Should(BeTrue())
+		})
+
+		It("learns it if it is not published any more and takes no connection", func() {
+			Expect(l.Close()).To(Succeed())
+			c.Apply(newManifest())
+			Eventually(fate.gone.Load, time.Second).Should(BeTrue())
+		})
+
+		It("does not take it for ended while it takes connections, as one that drains", func() {
+			c.Apply(newManifest())
+			Consistently(fate.gone.Load, 200*time.Millisecond).Should(BeFalse())
+		})
+
+		It("does not take it for ended if it has replied since", func() {
+			answer("next", "200 OK")
+			Expect(l.Close()).To(Succeed())
+			c.Apply(newManifest())
+			Consistently(fate.gone.Load, 200*time.Millisecond).Should(BeFalse())
+		})
+	})
 })
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -46,6 +46,7 @@
 	probedAt         time.Duration
 	repliedAt        time.Duration // to a pass-through request
 	askedAt          time.Duration // of the first pass-through request sent since then; 0 for none
+	unanswered       []Watcher     // of attempts that have ended without a reply since repliedAt, the latest
 	forecast         forecast.Server
 	passThroughPicks []time.Duration // pick times of the pass-through requests under way
 }
@@ -123,7 +124,7 @@
 func (s *server) recordReplied(now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.repliedAt, s.askedAt = now, 0
+	s.repliedAt, s.askedAt, s.unanswered = now, 0, nil
 }
 
 // candidate is a replica considered by a pick. If err is set, the replica may not be
--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -91,10 +91,12 @@
 
 // Watcher watches the attempts of one request. Its methods must not block.
 type Watcher interface {
-	// Sending is called before the first byte of an attempt is sent.
-	Sending(u poison.Upstream)
+	// Sending is called before the first byte of an attempt is sent; shard is empty for a single service.
+	Sending(u poison.Upstream, shard string)
 	// Sent is called after an attempt with what is known of the upstream.
 	Sent(u poison.Upstream, f poison.Fate)
+	// Gone is called when an upstream has ended that has replied to nothing since an attempt of unknown fate.
+	Gone(u poison.Upstream)
 }
 
 // Result is the outcome of one attempt.
