Poison on the project's own interface: a suspected request runs on one upstream first, and silent upstreams count

On the project's own interface a permitted request ran in full, which since refusals end after 10 s would have ended one upstream of each shard at each trial, and upstreams that fall silent did not count. Change: both interfaces admit requests in the same way (Guard.Admit); a search on trial asks one shard, a single request makes one attempt without a hedge; replies and requests of all kinds tell a silent upstream from a slow one. Ruled out: keeping the refusal for 5 minutes there: one engine serves both.

--- a/internal/daemon/evidence.go
+++ b/internal/daemon/evidence.go
@@ -9,6 +9,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/facts"
 	"github.com/sardinespindle/sardinespindle/internal/gather"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/poison"
 	"github.com/sardinespindle/sardinespindle/internal/single"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
@@ -52,6 +53,9 @@
 // poisonAdapter adapts the poison guard to the interfaces of the search engine and the runner.
 type poisonAdapter struct{ d *Daemon }
 
+// Admit decides whether a request may run.
+func (s poisonAdapter) Admit(q poison.Request) poison.Admission { return s.d.poison.Admit(q) }
+
 // Refused reports whether requests with this fingerprint must not run now.
 func (s poisonAdapter) Refused(fingerprint string) bool {
 	_, refused := s.d.poison.Refused(fingerprint)
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -84,6 +84,9 @@
 		Disabled:   !d.mechanisms.On(settings.ExperimentDisableElemPoison),
 		Log:        d.log,
 		Registerer: d.registry,
+		Hears: func(ctx context.Context, since time.Duration, except []string) bool {
+			return d.upstreams.Hears(ctx, since, except)
+		},
 	})
 	return nil
 }
--- a/internal/forward/split.go
+++ b/internal/forward/split.go
@@ -126,6 +126,7 @@
 		Workload:    q.searchWorkload(shards),
 		Deadline:    q.deadline,
 		Watcher:     q.run,
+		Trial:       q.trial,
 		PassThrough: &gather.PassThrough{
 			Request:      p,
 			Shards:       q.catalog.Manifest.Workloads,
@@ -138,7 +139,6 @@
 			// A part is not shed for being late: other parts of the search may run already, and
 			// the search could not be refused as not run.
 			CallerResent: q.callerResent || q.isPart,
-			Trial:        q.trial,
 			Suspects:     q.suspects,
 			TrySuspects:  q.trySuspects,
 			Before:       q.sent,
--- a/internal/gather/engine.go
+++ b/internal/gather/engine.go
@@ -10,6 +10,7 @@
 
 	"github.com/sardinespindle/sardinespindle/internal/mechanism"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/poison"
 	"github.com/sardinespindle/sardinespindle/internal/policy/coverage"
 	"github.com/sardinespindle/sardinespindle/internal/policy/hedge"
 	"github.com/sardinespindle/sardinespindle/internal/policy/retry"
@@ -26,6 +27,8 @@
 	// losses of one fingerprint at one upstream count as one crash if each follows the one
 	// before within this time.
 	crashWindow = 100 * time.Millisecond
+	// An idle upstream replies within the time of a search divided by slowDivisor.
+	slowDivisor = 4
 )
 
 // Options configure an Engine.
@@ -114,12 +117,17 @@
 	if s.Workload.NewestMap == nil || len(s.Workload.NewestMap.Shards) == 0 {
 		return outcome.NotRun(outcome.CoverageUnknown, "workload has no partition map", 0)
 	}
-	if e.refused(s.Fingerprint) {
-		return crashSuspected()
-	}
 	if !time.Now().Before(s.Deadline) {
 		return outcome.NotRun(outcome.DeadlineExceeded, "the deadline passed before anything was sent", 0)
 	}
+	if e.enabled.poison {
+		a := e.poison.Admit(poison.Request{Fingerprint: s.Fingerprint, ID: s.ID, Slow: time.Until(s.Deadline) / slowDivisor})
+		if a.Refused {
+			return crashSuspected()
+		}
+		defer a.Run.End(ctx)
+		s.Trial, s.Watcher = a.Trial, a.Run
+	}
 	q, err := e.newQuery(ctx, s)
 	if err != nil {
 		return outcome.Rejected(outcome.BadRequest, err.Error())
@@ -128,10 +136,6 @@
 	return q.run()
 }
 
-func (e *Engine) refused(fingerprint string) bool {
-	return e.enabled.poison && e.poison.Refused(fingerprint)
-}
-
 // firstLoss records a loss and reports whether it is the first that this VM sees
 // of a crash.
 func (e *Engine) firstLoss(fingerprint, address string) bool {
--- a/internal/gather/failure_test.go
+++ b/internal/gather/failure_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/sardinespindle/sardinespindle/internal/gather"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/poison"
 	"github.com/sardinespindle/sardinespindle/internal/policy/retry"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
@@ -23,6 +24,11 @@
 type fakePoison struct {
 	limit, losses atomic.Int64
 	delay         time.Duration
+	trial         bool // requests that are admitted are on trial
+}
+
+func (p *fakePoison) Admit(q poison.Request) poison.Admission {
+	return poison.Admission{Refused: p.Refused(q.Fingerprint), Trial: p.trial}
 }
 
 func (p *fakePoison) Refused(string) bool {
@@ -108,6 +114,32 @@
 		Expect(f.total()).To(Equal(2))
 	})
 
+	// A permitted search ended one upstream of each shard once more.
+	It("asks one shard of a search on trial, and the others once that has replied", func() {
+		w := workload(map[int][]string{1: names("s", 10)})
+		trial := &fakePoison{trial: true}
+		trial.limit.Store(2)
+		f := newFake(w, serving(7, v5))
+		out := engine(f, trial).Search(ctx, search(w, complete, 0, time.Second))
+		Expect(out.Kind).To(Equal(caller.OutcomeAnswered))
+		Expect(out.Coverage.Complete).To(BeTrue())
+		for _, class := range []upstream.Class{upstream.Lost, upstream.TimedOut} {
+			f = newFake(w, endsWith(class))
+			out = engine(f, trial).Search(ctx, search(w, partial, 0, time.Second))
+			Expect(out.Kind).To(Equal(caller.OutcomeUnknown))
+			Expect(f.total()).To(Equal(1), "class %v", class)
+		}
+	})
+
+	It("goes on with a search on trial if an upstream does not run it", func() {
+		w := workload(map[int][]string{1: names("s", 3)})
+		trial := &fakePoison{trial: true}
+		trial.limit.Store(2)
+		f := newFake(w, serving(7, v5))
+		f.serve[address("s0", 0)] = endsWith(upstream.Shed)
+		Expect(engine(f, trial).Search(ctx, search(w, complete, 0, time.Second)).Kind).To(Equal(caller.OutcomeAnswered))
+	})
+
 	It("retries a lost sub-request if the fleet permits it, and answers without its shard if not", func() {
 		w := workload(map[int][]string{1: names("s", 5)})
 		f := newFake(w, serving(7, v5))
--- a/internal/gather/handle.go
+++ b/internal/gather/handle.go
@@ -75,6 +75,7 @@
 func (q *query) handleReply(sh *shard, at *attempt, r *upstreamgen.Reply) {
 	q.replied = true
 	q.goodReplies++
+	q.judgeTrial(sh, upstream.OK)
 	verdict := q.recordReply(sh, at, r)
 	if !q.e.enabled.snapshot {
 		q.forceTarget(r)
@@ -217,8 +218,12 @@
 		q.retryPassThrough(sh, c)
 		return
 	}
-	if sh.status == idle && sh.planned {
+	switch {
+	case q.judgeTrial(sh, c):
+		sh.gaveUp = true
+	case sh.status == idle && sh.planned:
 		q.retry(sh, c)
+		q.moveTrial()
 	}
 	if c == upstream.Lost {
 		q.reportLoss(sh, at)
--- a/internal/gather/pass.go
+++ b/internal/gather/pass.go
@@ -53,10 +53,7 @@
 	// may be nil.
 	OnDue  func(covered int)
 	Finish <-chan struct{}
-	// Trial means that the request may end the upstreams that run it: it is sent to one shard, to one replica, and
-	// to the others once that has replied. Without a reply at AnswerAt, the search fails.
-	Trial bool
-	// Suspects are the shards whose upstreams the request may end. With TrySuspects, they are on trial as with Trial,
+	// Suspects are the shards whose upstreams the request may end. With TrySuspects, they are on trial as with Search.Trial,
 	// while the other shards are asked; else they are left out.
 	Suspects    []string
 	TrySuspects bool
@@ -82,7 +79,6 @@
 // it. If plan.Decide sheds the search, nothing is sent.
 func (q *query) launchPassThrough() {
 	now := time.Now()
-	q.startTrial()
 	for i, sh := range q.plan {
 		sh.index = i
 	}
@@ -115,6 +111,7 @@
 			sh.missingCause, q.waitSeen = cause, true
 		}
 	}
+	q.startTrial()
 	v := plan.Decide(s)
 	q.maxRetryAfter = max(q.maxRetryAfter, v.TimeToMinShare)
 	for i, sh := range q.plan {
@@ -193,9 +190,11 @@
 	return excluded
 }
 
-// minShards returns the least number of parts that reaches the minimum share of a
-// pass-through search.
+// minShards returns the least number of parts that reaches the search's minimum.
 func (q *query) minShards() int {
+	if q.s.PassThrough == nil {
+		return answer.MinShards(answer.State{Minimum: q.s.Grant.MinimumCoverage, Total: len(q.plan)})
+	}
 	return answer.MinShards(answer.State{Minimum: q.s.PassThrough.MinimumShare, Total: len(q.plan)})
 }
 
--- a/internal/gather/send.go
+++ b/internal/gather/send.go
@@ -51,14 +51,20 @@
 		w.hedge.Earn(len(q.plan), q.s.Grant.HedgePercent)
 		q.hedgeFill = w.hedge.Fill()
 	})
+	q.startTrial()
 	for i, sh := range q.plan {
 		pin := q.pin
 		if i == q.cursor%len(q.plan) {
 			pin = nil // discovers newer snapshots
 		}
-		q.launch(sh, pin)
+		if q.mayAsk(sh) {
+			q.launch(sh, pin)
+		}
+	}
+	q.moveTrial()
+	if !q.trial.underway {
+		q.probeNewestMap()
 	}
-	q.probeNewestMap()
 }
 
 // probeNewestMap asks a shard that is in the newest partition map but not in the target's,
@@ -300,7 +306,7 @@
 		Losses:    q.losses,
 		Remaining: q.answerBy.Sub(now),
 	})
-	if !allowed || len(sh.inflight) != 1 || len(sh.tried) >= maxAttempts {
+	if !allowed || len(sh.inflight) != 1 || len(sh.tried) >= maxAttempts || q.trial.shard == sh {
 		return
 	}
 	if due := sh.started.Add(hedge.Delay(sh.quantile, q.hedgeFill)); now.Before(due) {
--- a/internal/gather/trial.go
+++ b/internal/gather/trial.go
@@ -17,8 +17,10 @@
 
 // startTrial starts the trial, if the search has one. Without a permission to try them, its suspects fail at once.
 func (q *query) startTrial() {
-	p := q.s.PassThrough
-	q.trial = trial{ofAll: p.Trial, suspects: p.Suspects, underway: p.Trial || p.TrySuspects}
+	q.trial = trial{ofAll: q.s.Trial, underway: q.s.Trial}
+	if p := q.s.PassThrough; p != nil {
+		q.trial.suspects, q.trial.underway = p.Suspects, q.s.Trial || p.TrySuspects
+	}
 	q.trial.failed = !q.trial.underway
 }
 
@@ -69,6 +71,9 @@
 
 // askAwaiting asks a shard that has waited, and reports whether it did.
 func (q *query) askAwaiting(sh *shard) bool {
+	if q.s.PassThrough == nil {
+		return q.launch(sh, q.pin) || !sh.pickAt.IsZero()
+	}
 	t, _, err := q.pickPassThrough(sh)
 	if err != nil {
 		sh.missingCause = "no_replica"
--- a/internal/gather/trial_test.go
+++ b/internal/gather/trial_test.go
@@ -35,7 +35,7 @@
 	}
 	run := func() outcome.Outcome {
 		s := passThroughSearch(objective, time.Second)
-		s.PassThrough.Trial, s.PassThrough.HedgeAfter = true, 20*time.Millisecond
+		s.Trial, s.PassThrough.HedgeAfter = true, 20*time.Millisecond
 		return gather.New(gather.Options{Upstream: gather.Adapt(f)}).Search(context.Background(), s)
 	}
 	result := func(r upstream.Result) func(context.Context, upstream.Attempt) upstream.Result {
--- a/internal/gather/types.go
+++ b/internal/gather/types.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
+	"github.com/sardinespindle/sardinespindle/internal/poison"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	manifestgen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
 	upstreamgen "github.com/sardinespindle/sardinespindle/schema/gen/upstream"
@@ -28,6 +29,9 @@
 	Deadline    time.Time
 	// Watcher watches the attempts; may be nil.
 	Watcher upstream.Watcher
+	// Trial means that the request may end the upstreams that run it: it is sent to one shard, to one replica, and
+	// to the others once that has replied. A pass-through search without a reply at AnswerAt fails.
+	Trial bool
 	// PassThrough is set for a pass-through search, which does not use Grant and Query.
 	PassThrough *PassThrough
 }
@@ -51,7 +55,9 @@
 
 // Poison tracks requests that are suspected to crash upstreams.
 type Poison interface {
-	// Refused reports whether requests with this fingerprint must not run.
+	// Admit decides whether a request may run; the caller ends the run that it returns.
+	Admit(q poison.Request) poison.Admission
+	// Refused reports whether a request must not be retried. If not, the retry counts as another run.
 	Refused(fingerprint string) bool
 	// RecordLoss records that a connection was lost while the request ran.
 	RecordLoss(fingerprint, requestID string)
--- a/internal/single/hedge_test.go
+++ b/internal/single/hedge_test.go
@@ -60,6 +60,16 @@
 		Eventually(up.canceled.Load).Should(BeEquivalentTo(1))
 	})
 
+	// A request that ends its upstream would end a second one.
+	It("is not hedged if the request is on trial", func() {
+		up := &stalledUpstream{firstDelay: 100 * time.Millisecond}
+		r := single.New(single.Options{Upstream: up, Claims: newClaims(), Poison: &fakePoison{limit: 2, trial: true}})
+		q := request(true)
+		q.HedgePercent = 3
+		Expect(r.Run(context.Background(), q).Kind).To(Equal(caller.OutcomeAnswered))
+		Expect(up.attempts.Load()).To(BeEquivalentTo(1))
+	})
+
 	// A hedge could run the request twice.
 	It("is not hedged if the request is not idempotent", func() {
 		up, kind := run(false, 3)
--- a/internal/single/single.go
+++ b/internal/single/single.go
@@ -20,6 +20,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/gather"
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/poison"
 	"github.com/sardinespindle/sardinespindle/internal/policy/hedge"
 	"github.com/sardinespindle/sardinespindle/internal/sharded"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
@@ -58,6 +59,8 @@
 	Watcher upstream.Watcher
 	// PassThrough is set for a request that goes to upstreams unchanged.
 	PassThrough *PassThrough
+
+	trial bool // the request may end its upstream: one attempt runs at most
 }
 
 // Claims claims idempotency keys, so that at most one VM runs the request of a key.
@@ -102,9 +105,11 @@
 func (r *Runner) runIdempotent(ctx context.Context, q Request) outcome.Outcome {
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
-	if r.o.Poison.Refused(q.Fingerprint) {
+	a := r.admit(&q)
+	if a.Refused {
 		return outcome.Unknown(outcome.CrashSuspected, "requests like this one crashed upstreams", retryAfter)
 	}
+	defer a.Run.End(ctx)
 	return r.attempts(ctx, q, nil)
 }
 
@@ -143,9 +148,11 @@
 // runClaimed runs a request whose key this VM has claimed. An outcome "not run" is final,
 // because runOnce records it for the key and no later attempt with that key runs.
 func (r *Runner) runClaimed(ctx context.Context, q Request, h *claims.Hold) outcome.Outcome {
-	if r.o.Poison.Refused(q.Fingerprint) {
+	a := r.admit(&q)
+	if a.Refused {
 		return outcome.NotRun(outcome.CrashSuspected, "requests like this one crashed upstreams; the key is closed", retryAfter)
 	}
+	defer a.Run.End(ctx)
 	return r.attempts(ctx, q, func() error {
 		if !h.StillValid(clock.Boot()) {
 			return errClaimEnded
@@ -154,6 +161,16 @@
 	})
 }
 
+// An idle upstream replies within the time of a request divided by slowDivisor.
+const slowDivisor = 4
+
+// admit decides whether a request may run, and has its run watch the attempts.
+func (r *Runner) admit(q *Request) poison.Admission {
+	a := r.o.Poison.Admit(poison.Request{Fingerprint: q.Fingerprint, ID: q.ID, Slow: time.Until(q.Deadline) / slowDivisor})
+	q.Watcher, q.trial = a.Run, a.Trial
+	return a
+}
+
 // attempts makes up to maxAttempts attempts, until one succeeds, ctx ends, no upstream can
 // be picked, or no retry is allowed (see mayRetry). beforeWrite, unless it is nil, is
 // called right before the first byte of an attempt is written; its error stops the attempt.
@@ -171,7 +188,7 @@
 		}
 		res := r.attempt(ctx, q, t, state, beforeWrite)
 		last = attemptOutcome(res)
-		if res.Class == upstream.OK || !r.mayRetry(q, res.Class) {
+		if res.Class == upstream.OK || q.trial && res.Class.MayHaveRun() || !r.mayRetry(q, res.Class) {
 			break
 		}
 	}
@@ -184,7 +201,7 @@
 
 // attempt makes one attempt, and may hedge it if the request is idempotent.
 func (r *Runner) attempt(ctx context.Context, q Request, t gather.Ticket, state *attemptState, beforeWrite func() error) upstream.Result {
-	if q.Workload.Idempotent {
+	if q.Workload.Idempotent && !q.trial {
 		return r.sendHedged(ctx, q, t, state)
 	}
 	res := r.send(ctx, q, t, state.start(t), beforeWrite)
--- a/internal/single/single_test.go
+++ b/internal/single/single_test.go
@@ -14,6 +14,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/gather"
 	"github.com/sardinespindle/sardinespindle/internal/manifest"
 	"github.com/sardinespindle/sardinespindle/internal/outcome"
+	"github.com/sardinespindle/sardinespindle/internal/poison"
 	"github.com/sardinespindle/sardinespindle/internal/policy/once"
 	"github.com/sardinespindle/sardinespindle/internal/single"
 	"github.com/sardinespindle/sardinespindle/internal/testkit"
@@ -67,8 +68,14 @@
 }
 
 // fakePoison refuses requests once as many losses as its limit were recorded.
-type fakePoison struct{ losses, limit int }
+type fakePoison struct {
+	losses, limit int
+	trial         bool
+}
 
+func (p *fakePoison) Admit(poison.Request) poison.Admission {
+	return poison.Admission{Refused: p.losses >= p.limit, Trial: p.trial}
+}
 func (p *fakePoison) Refused(string) bool       { return p.losses >= p.limit }
 func (p *fakePoison) RecordLoss(string, string) { p.losses++ }
 
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -233,8 +233,8 @@
 	}
 	if a.Kind == PassThrough {
 		c.countSent(s)
-		s.recordAsked(c.opts.Now())
 	}
+	s.recordAsked(c.opts.Now())
 	return nil
 }
 
@@ -318,6 +318,8 @@
 
 // recordHeaders records the drain state and the load that a reply reports.
 func (c *Client) recordHeaders(s *server, resp *http.Response, sent, received time.Duration) {
+	c.path.replied()
+	s.recordReplied(received)
 	c.recordDrainState(s, sent, received, isDraining(resp))
 	if load, ok := parseLoad(resp); ok {
 		s.recordLoad(received, load)
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -44,8 +44,8 @@
 	latencies        histogram
 	probe            *probeCall // nil if none is under way
 	probedAt         time.Duration
-	repliedAt        time.Duration // to a pass-through request
-	askedAt          time.Duration // of the first pass-through request sent since then; 0 for none
+	repliedAt        time.Duration // to any request
+	askedAt          time.Duration // of the first request sent since then; 0 for none
 	unanswered       []Watcher     // of attempts that have ended without a reply since repliedAt, the latest
 	forecast         forecast.Server
 	passThroughPicks []time.Duration // pick times of the pass-through requests under way
@@ -96,22 +96,21 @@
 // Address returns the upstream's address.
 func (s *server) Address() string { return s.address }
 
-// RepliedAt returns when the upstream last replied to a pass-through request; 0 if it has not.
+// RepliedAt returns when the upstream last replied; 0 if it has not.
 func (s *server) RepliedAt() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.repliedAt
 }
 
-// AskedAt returns when the first pass-through request was sent that the upstream has not replied to since; 0 for
-// none.
+// AskedAt returns when the first request was sent that the upstream has not replied to since; 0 for none.
 func (s *server) AskedAt() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.askedAt
 }
 
-// recordAsked records that a pass-through request is sent to the upstream.
+// recordAsked records that a request is sent to the upstream.
 func (s *server) recordAsked(now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,7 +119,7 @@
 	}
 }
 
-// recordReplied records that the upstream replied to a pass-through request.
+// recordReplied records that the upstream replied.
 func (s *server) recordReplied(now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
