Bench: the checker bounds crashes by one request over all shards, as the users do

The users allow three in all, later than livenessMs after the third. Change: stand-ins record when upstreams crash. Until 4 s after the third crash of a request the bound is two a shard as before; later it is three in all. Ruled out: a bound on the first fan-out, which no VM can know of in time.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -137,10 +137,19 @@
 	})
 
 	It("counts the violations that upstreams report, and crashes beyond two per shard", func() {
-		l := standin.Log{Counts: standin.Counts{WorkAfterDrain: 2, ConnectionsRefused: 3}, Crashes: map[string]int{"w/s01": 2, "w/s02": 4}}
+		l := standin.Log{Counts: standin.Counts{WorkAfterDrain: 2, ConnectionsRefused: 3}, Crashes: map[string][]int64{"w/s01": {1, 2}, "w/s02": {1, 2, 3, 4}}}
 		Expect(check(Evidence{Log: l})).To(Equal(map[ViolationKind]int{WorkAfterDrain: 2, ConnectionLimit: 3, CrashRepeated: 2}))
 	})
 
+	// The users' bound is one for the request, whatever shards its upstreams serve.
+	It("counts crashes beyond three of all shards from when all VMs know of the request", func() {
+		late := int64(crashNotice) + 100
+		crashes := map[string][]int64{"w/s01": {1, late}, "w/s02": {2, late}, "w/s03": {3, late}, "v/s01": {late, late + 1}}
+		Expect(check(Evidence{Log: standin.Log{Crashes: crashes}})).To(BeEmpty())
+		crashes["w/s04"] = []int64{late, late}
+		Expect(check(Evidence{Log: standin.Log{Crashes: crashes}})).To(Equal(map[ViolationKind]int{CrashRepeated: 2}))
+	})
+
 	It("counts a manifest that reverts, and one that is late unless the VM was cut off", func() {
 		j := Journal{
 			Commits: []CommitTime{{Generation: 2, At: now}},
--- a/internal/bench/check.go
+++ b/internal/bench/check.go
@@ -40,8 +40,11 @@
 	deadlineSlack = 200 * time.Millisecond
 	// manifestTimeout is how soon after its commit every VM must have a manifest in force.
 	manifestTimeout = 5 * time.Second
-	// maxCrashes is how often one request may crash upstreams of one shard.
-	maxCrashes = 2
+	// maxCrashes is how often one request may crash upstreams of one shard until all VMs know of it: crashNotice after
+	// its third crash. Later, it may crash up to maxLateCrashes in all, as the users allow.
+	maxCrashes     = 2
+	crashNotice    = 4 * time.Second
+	maxLateCrashes = 3
 	// clockSlack covers the time between an event and its time stamp.
 	clockSlack = 2 * time.Millisecond
 	// maxExamples bounds the violations that a verdict describes.
--- a/internal/bench/check_runs.go
+++ b/internal/bench/check_runs.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -82,14 +84,46 @@
 	n := c.Log.Counts
 	c.v.add(WorkAfterDrain, n.WorkAfterDrain, "%d requests", n.WorkAfterDrain)
 	c.v.add(ConnectionLimit, n.ConnectionsRefused, "%d connections", n.ConnectionsRefused)
-	for word, k := range c.Log.Crashes {
-		c.v.add(CrashRepeated, k-maxCrashes, "%s crashed %d upstreams", word, k)
-	}
+	c.checkCrashes()
 	for _, vm := range c.Journal.Unclean {
 		c.v.add(CutOff, 1, "%s ended uncleanly", vm)
 	}
 }
 
+// checkCrashes checks how often each request crashed upstreams, at first of one shard, then of all.
+func (c *checker) checkCrashes() {
+	byWord := map[string][]int64{}
+	for key, at := range c.Log.Crashes {
+		word, _, _ := strings.Cut(key, "/")
+		byWord[word] = append(byWord[word], at...)
+	}
+	noticed := map[string]int64{}
+	for word, at := range byWord {
+		slices.Sort(at)
+		noticed[word] = math.MaxInt64
+		if len(at) >= 3 {
+			noticed[word] = at[2] + int64(crashNotice)
+		}
+		late := countAfter(at, noticed[word])
+		c.v.add(CrashRepeated, late-maxLateCrashes, "%s crashed %d upstreams %v after its third", word, late, crashNotice)
+	}
+	for key, at := range c.Log.Crashes {
+		word, _, _ := strings.Cut(key, "/")
+		early := len(at) - countAfter(at, noticed[word])
+		c.v.add(CrashRepeated, early-maxCrashes, "%s crashed %d upstreams", key, early)
+	}
+}
+
+// countAfter counts the times later than t.
+func countAfter(at []int64, t int64) (n int) {
+	for _, u := range at {
+		if u > t {
+			n++
+		}
+	}
+	return n
+}
+
 // checkManifests checks that the generation in force never decreases during one incarnation
 // of a VM, and reaches each committed one within manifestTimeout.
 func (c *checker) checkManifests() {
--- a/internal/standin/recorder.go
+++ b/internal/standin/recorder.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -47,14 +49,14 @@
 type Recorder struct {
 	mu      sync.Mutex
 	counts  Counts
-	crashes map[string]int // by crash word and shard of the request
+	crashes map[string][]int64 // see Log.Crashes
 	runs    []Run
 	nonces  [nonceShards]nonceShard
 }
 
 // NewRecorder returns an empty recorder.
 func NewRecorder() *Recorder {
-	r := &Recorder{crashes: map[string]int{}}
+	r := &Recorder{crashes: map[string][]int64{}}
 	for i := range r.nonces {
 		r.nonces[i].runs = map[string]int{}
 	}
@@ -79,7 +81,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.counts.Crashes++
-	r.crashes[word]++
+	r.crashes[word] = append(r.crashes[word], time.Now().UnixNano())
 }
 
 func (r *Recorder) shard(nonce string) *nonceShard {
@@ -98,21 +100,22 @@
 // Log is everything recorded so far.
 type Log struct {
 	Counts Counts `json:"counts"`
-	// Crashes counts the crashes by "WORD/SHARD": the crash word and the shard of the request.
-	Crashes map[string]int `json:"crashes"`
-	Runs    []Run          `json:"runs"`
+	// Crashes holds when upstreams crashed, in Unix nanoseconds, by "WORD/SHARD": the crash word and the shard of the
+	// request.
+	Crashes map[string][]int64 `json:"crashes"`
+	Runs    []Run              `json:"runs"`
 	// Nonces counts the runs of each request by its nonce.
 	Nonces map[string]int `json:"nonces"`
 }
 
 // Log returns a copy of everything recorded so far.
 func (r *Recorder) Log() Log {
-	l := Log{Crashes: map[string]int{}, Nonces: map[string]int{}}
+	l := Log{Crashes: map[string][]int64{}, Nonces: map[string]int{}}
 	r.mu.Lock()
 	l.Counts = r.counts
 	l.Runs = append(l.Runs, r.runs...)
-	for k, n := range r.crashes {
-		l.Crashes[k] = n
+	for k, at := range r.crashes {
+		l.Crashes[k] = slices.Clone(at)
 	}
 	r.mu.Unlock()
 	for i := range r.nonces {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -185,7 +185,7 @@
 		Expect(err).To(HaveOccurred())
 		_, _, err = search("2", "")
 		Expect(err).To(HaveOccurred())
-		Expect(rec.Log().Crashes).To(Equal(map[string]int{"w1/a": 1}))
+		Expect(rec.Log().Crashes).To(And(HaveLen(1), HaveKeyWithValue("w1/a", HaveLen(1))))
 		Eventually(func() error { _, _, err := search("3", ""); return err }, "3s").Should(Succeed())
 	})
 
