Soak: requests that end the servers that run them

Later than 4 s after the third end at most three more may arrive (deadly_again). Only two VMs have faults there, and nothing else breaks links or replaces servers: with broken links between VMs almost every moment excuses some VM, and the check found nothing on.

--- a/internal/bench/soak.go
+++ b/internal/bench/soak.go
@@ -112,6 +112,7 @@
 	outages  spanLog // while the store failed for some VM
 	// doublesSome says that all servers send one in twiceEvery of their replies as under the fault Doubled.
 	doublesSome atomic.Bool
+	deadly      deadlyLog
 
 	mu          sync.Mutex // guards the rest
 	version     int
@@ -132,6 +133,7 @@
 	s := &soak{
 		opts: o, Cluster: &Cluster{Options: Options{BinDir: o.BinDir, Dir: o.Dir}, http: &http.Client{Timeout: callTimeout}},
 		store: standin.NewStore(), evidence: newEvidence(o.Shards), version: 1,
+		deadly: deadlyLog{arrivals: map[string][]deadlyArrival{}},
 	}
 	defer s.close()
 	if err := s.start(ctx); err != nil {
@@ -158,6 +160,7 @@
 	s.checkNotices()
 	s.checkStrandings()
 	s.checkEvacuations()
+	s.checkDeadly()
 	return s.evidence.evaluate(o.Seed, s.outages.all()), nil
 }
 
--- a/internal/bench/soak_callers.go
+++ b/internal/bench/soak_callers.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -38,6 +39,7 @@
 	kind        string // find, read, order, extra, or quick: below the search
 	vm          *soakVM
 	sent, end   time.Time
+	text        string        // the request's body; empty for one of its own
 	cancelAfter time.Duration // after which the caller cancels; 0 for never
 	canceledAt  time.Time     // zero if it was not canceled
 	status      int
@@ -136,7 +138,7 @@
 			}
 		}()
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.callers(q.vm)+path, strings.NewReader("body of "+q.id))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.callers(q.vm)+path, strings.NewReader(cmp.Or(q.text, "body of "+q.id)))
 	if err != nil {
 		q.err = err
 		return
--- a/internal/bench/soak_check.go
+++ b/internal/bench/soak_check.go
@@ -43,6 +43,7 @@
 	tooMuchMemory   = "too_much_memory"   // a VM's process used more than the smallest VM has
 	overLimit       = "over_limit"        // a server got far more requests than the limit that it had named
 	sentToEvacuated = "sent_to_evacuated" // a request reached an evacuated zone later than soakEvacuateTime
+	deadlyAgain     = "deadly_again"      // a request that ends servers reached more of them once all VMs should know it
 )
 
 // Bounds of the checks, as the users publish them.
--- a/internal/bench/soak_faults.go
+++ b/internal/bench/soak_faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -32,6 +33,8 @@
 // injectFaults runs actors that inject faults at random until the duration is over: two each for
 // VMs and for links between VMs, and one each for misbehaving servers, for replaced servers, for
 // links to servers, for the store with its configuration, and for routes and shards of searches. A fault listed twice is drawn twice as often.
+// In seeds with requests that end servers, those take the place of replaced servers and of broken links to servers and
+// between VMs.
 // In calm seeds, servers with notices and VMs that are cut off from all servers take
 // the place of broken links between VMs and of evacuated zones.
 func (s *soak) injectFaults(ctx context.Context, rng *rand.Rand) error {
@@ -47,11 +50,14 @@
 		{{"link", s.linkFault}, {"reset", s.resetFault}},
 		store,
 	}
+	if s.hasDeadly() {
+		actors = slices.Replace(actors, 3, 5, []fault{{"deadly", s.deadlyFault}})
+	}
 	if s.isCalm() {
 		actors = append(actors,
 			[]fault{{"limit", s.limitFault}, {"leaving", s.leavingFault}, {"pause notice", s.pauseNoticeFault}},
 			[]fault{{"strand", s.strandFault}})
-	} else {
+	} else if !s.hasDeadly() {
 		actors = append(actors, []fault{{"peers", s.peersFault}}, []fault{{"peers", s.peersFault}})
 	}
 	actors = append(actors, []fault{{"route below", s.routeBelowFault}, {"repartition", s.repartitionFault}})
@@ -79,7 +85,7 @@
 // randomVM returns a VM for a fault.
 func (s *soak) randomVM(rng *rand.Rand) *soakVM {
 	n := len(s.vms)
-	if s.isCalm() {
+	if s.isCalm() || s.hasDeadly() {
 		n = min(n, faultyVMs)
 	}
 	return s.vms[rng.IntN(n)]
--- a/internal/bench/soak_servers.go
+++ b/internal/bench/soak_servers.go
@@ -33,6 +33,7 @@
 	broken  spanLog                // while the link to the address was broken
 	slots   chan struct{}          // holds an element for each running request
 	again   sync.Map               // twiceReply that is due again, by the address of its connection
+	dying   atomic.Pointer[string] // the id of the server that a deadly request has ended; nil for none
 
 	stateMu sync.Mutex // guards the fields below, and that the state is published in order
 	state   string     // published last; empty while no server is there
@@ -156,6 +157,7 @@
 // intercept records a request that is meant for srv, and replies if srv has no
 // free slot or misbehaves; false leaves the reply to srv.
 func (sv *soakServer) intercept(srv *standin.Server, w http.ResponseWriter, r *http.Request) bool {
+	sv.interceptDeadly(srv.ID, r)
 	fault := *sv.fault.Load()
 	a := arrival{
 		id: r.Header.Get(platform.RequestID), service: srv.Service, server: srv.ID, zone: srv.Zone, at: time.Now(),
