Poison: watching a request's attempts costs less

Each attempt was looked up in a map twice and read the clock four more times, and each answered search was judged by shard. Change: an attempt has a handle (upstream.WatchedAttempt), attempts share an allocation, the time is read once before and once after, and an answered run is judged only if one of its upstreams ended or it was on trial. Ruled out: sampling; the one request that matters may come once.

--- a/internal/poison/run.go
+++ b/internal/poison/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	policy "github.com/sardinespindle/sardinespindle/internal/policy/poison"
+	"github.com/sardinespindle/sardinespindle/internal/upstream"
 )
 
 // Run is one run of a request on this VM. It watches the request's attempts, and records upstreams that ended
@@ -21,70 +22,79 @@
 	reporting sync.Mutex                 // held while losses of shards are reported: a report replaces the one before
 	shards    [policy.SuspicionLimit]int // the number of shards of each loss reported; guarded by reporting
 
-	mu       sync.Mutex // guards the fields below
-	attempts map[string]*watched
+	mu       sync.Mutex // guards the fields below, and the attempts
+	attempts []*watched
+	spare    []watched   // allocated for the next attempts
 	check    *time.Timer // nil before the first attempt
 	reported int         // losses
-	ended    bool
-	judged   bool // it has ended, and End has reported what it showed then
-	answered bool // an upstream had replied then
+	ran      bool        // an upstream ran the request and replied
+	endedAny bool        // an upstream has ended
+	over     bool        // End was called
+	judged   bool        // End has reported what the run showed then
 }
 
 // watched is an attempt that a run watches.
 type watched struct {
+	run      *Run
 	upstream policy.Upstream
 	attempt  policy.Attempt // Until and RepliedAt are set once done
 	done     bool
 }
 
-// checkAfter is how long after its first attempt a run that still waits is judged for the first time: others may
-// get the request again before its deadline.
-const checkAfter = 2500 * time.Millisecond
+const (
+	// checkAfter is how long after its first attempt a run that still waits is judged for the first time: others may
+	// get the request again before its deadline.
+	checkAfter = 2500 * time.Millisecond
+	// fewAttempts is the number of attempts for which there is room at first.
+	fewAttempts = 2
+)
 
 // Sending records that an attempt is about to be sent to an upstream.
-func (r *Run) Sending(u policy.Upstream, shard string) {
+func (r *Run) Sending(u policy.Upstream, shard string, now time.Duration) upstream.WatchedAttempt {
 	if r == nil {
-		return
+		return nil
+	}
+	a := policy.Attempt{Shard: shard, Sent: now}
+	if asked := u.AskedAt(); asked > 0 {
+		a.SilentBefore = now - asked
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.attempts == nil {
-		r.attempts = map[string]*watched{}
+	if len(r.spare) == 0 {
+		r.spare = make([]watched, max(fewAttempts, len(r.attempts)))
 	}
-	w := &watched{upstream: u, attempt: policy.Attempt{Shard: shard, Sent: r.g.now()}}
-	if asked := u.AskedAt(); asked > 0 {
-		w.attempt.SilentBefore = w.attempt.Sent - asked
-	}
-	r.attempts[u.Address()] = w
-	if r.check == nil && !r.ended {
+	w := &r.spare[0]
+	r.spare = r.spare[1:]
+	*w = watched{run: r, upstream: u, attempt: a}
+	r.attempts = append(r.attempts, w)
+	if r.check == nil && !r.over {
 		r.check = time.AfterFunc(checkAfter, r.judgeEarly)
 	}
+	return w
 }
 
-// Sent records what is known of an upstream after the attempt at it.
-func (r *Run) Sent(u policy.Upstream, f policy.Fate) { r.recordFate(u, f) }
+// Sent records what is known of the upstream after the attempt.
+func (w *watched) Sent(f policy.Fate, now time.Duration) { w.run.recordFate(w, f, now) }
 
-// Gone records that an upstream is known to have ended that has not replied since an attempt.
-func (r *Run) Gone(u policy.Upstream) { r.recordFate(u, policy.Ended) }
+// Gone records that the upstream has ended and has not replied since the attempt.
+func (w *watched) Gone(now time.Duration) { w.run.recordFate(w, policy.Ended, now) }
 
-// recordFate records the fate of an upstream, unless one is known. If the run has ended, it reports what follows.
-func (r *Run) recordFate(u policy.Upstream, f policy.Fate) {
-	if r == nil {
-		return
-	}
+// recordFate records the fate of an attempt's upstream, unless one is known. If the run has ended, it reports what
+// follows.
+func (r *Run) recordFate(w *watched, f policy.Fate, now time.Duration) {
 	r.mu.Lock()
-	w := r.attempts[u.Address()]
-	if w == nil || w.upstream != u || w.attempt.Fate != policy.Unknown {
+	if w.attempt.Fate != policy.Unknown {
 		r.mu.Unlock()
 		return
 	}
-	w.attempt = w.at(r.g.now())
+	w.attempt = w.at(now)
 	w.attempt.Fate, w.done = f, true
-	late, answered := r.judged && f == policy.Ended, r.answered
+	r.ran, r.endedAny = r.ran || f == policy.Ran, r.endedAny || f == policy.Ended
+	late, ran := r.judged && f == policy.Ended, r.ran
 	r.mu.Unlock()
 	switch {
 	case !late:
-	case answered:
+	case ran:
 		r.reportShards()
 	default:
 		r.reportByGossip()
@@ -107,31 +117,50 @@
 		return
 	}
 	r.mu.Lock()
-	r.ended = true
+	r.over = true
 	if r.check != nil {
 		r.check.Stop()
 	}
+	ran, endedAny := r.ran, r.endedAny
 	r.mu.Unlock()
-	ran, losses := r.judge(ctx)
-	r.mu.Lock()
-	r.judged, r.answered = true, ran
-	r.mu.Unlock()
-	r.g.endRun(r.q.Fingerprint)
 	if ran {
-		r.g.clear(r.q.Fingerprint, r.disproves)
+		r.endAnswered(endedAny)
+	} else {
+		r.endUnanswered(ctx)
+	}
+	r.g.endRun(r.q.Fingerprint)
+	r.g.withdraw(r.q.Fingerprint)
+	if r.tried != nil {
+		r.g.endRun(r.q.shardsFingerprint())
+		r.g.withdraw(r.q.shardsFingerprint())
+	}
+}
+
+// endAnswered ends a run of which an upstream replied.
+func (r *Run) endAnswered(endedAny bool) {
+	r.setJudged()
+	r.g.clear(r.q.Fingerprint, r.disproves)
+	if endedAny || r.tried != nil {
 		r.reportShards()
 		r.clearShards()
 	}
+}
+
+// endUnanswered ends a run of which no upstream replied.
+func (r *Run) endUnanswered(ctx context.Context) {
+	losses := r.judge(ctx)
+	r.setJudged()
 	var told sync.WaitGroup
 	for _, id := range r.takeUnreported(losses) {
 		told.Go(func() { r.g.reportLoss(ctx, r.q.Fingerprint, id) })
 	}
 	told.Wait()
-	r.g.withdraw(r.q.Fingerprint)
-	if r.tried != nil {
-		r.g.endRun(r.q.shardsFingerprint())
-		r.g.withdraw(r.q.shardsFingerprint())
-	}
+}
+
+func (r *Run) setJudged() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.judged = true
 }
 
 // clearShards clears the losses of a suspected shard that was tried and has replied.
@@ -183,26 +212,22 @@
 // judgeEarly reports what the run shows before its end.
 func (r *Run) judgeEarly() {
 	r.mu.Lock()
-	ended := r.ended
+	needless := r.over || r.ran
 	r.mu.Unlock()
-	if !ended {
+	if !needless {
 		r.reportByGossip()
 	}
 }
 
-// reportByGossip reports what the run shows now. The fleet learns that by gossip.
+// reportByGossip reports what the run, of which no upstream replied, shows now. The fleet learns that by gossip.
 func (r *Run) reportByGossip() {
-	ran, losses := r.judge(context.Background())
-	if ran {
-		return
-	}
-	for _, id := range r.takeUnreported(losses) {
+	for _, id := range r.takeUnreported(r.judge(context.Background())) {
 		r.g.stateLoss(r.q.Fingerprint, id)
 	}
 }
 
-// judge returns whether the request ran at an upstream that replied, and else how many losses the run shows.
-func (r *Run) judge(ctx context.Context) (ran bool, losses int) {
+// judge returns how many losses the run shows.
+func (r *Run) judge(ctx context.Context) (losses int) {
 	attempts, addresses, since := r.snapshot()
 	e := policy.Judge(attempts, r.q.Slow)
 	hears := e.Silent && r.g.hears(ctx, since, addresses)
@@ -214,7 +239,7 @@
 		r.g.log.Info("no upstream replied to a request", "id", r.q.ID, "fingerprint", r.q.Fingerprint, "attempts", len(attempts),
 			"ended", e.Ended, "ended_in_turn", e.EndedInTurn, "silent", e.Silent, "hears_others", hears, "losses", losses)
 	}
-	return e.Ran, losses
+	return losses
 }
 
 // snapshot returns the attempts as they are now, the addresses of their upstreams, and when the first was sent.
@@ -223,8 +248,8 @@
 	now := since
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for address, w := range r.attempts {
-		attempts, addresses, since = append(attempts, w.at(now)), append(addresses, address), min(since, w.attempt.Sent)
+	for _, w := range r.attempts {
+		attempts, addresses, since = append(attempts, w.at(now)), append(addresses, w.upstream.Address()), min(since, w.attempt.Sent)
 	}
 	return attempts, addresses, since
 }
--- a/internal/poison/run_test.go
+++ b/internal/poison/run_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sardinespindle/sardinespindle/internal/poison"
 	policy "github.com/sardinespindle/sardinespindle/internal/policy/poison"
+	"github.com/sardinespindle/sardinespindle/internal/upstream"
 )
 
 const slow = 80 * time.Millisecond
@@ -28,27 +29,55 @@
 	return verdict == policy.Ask
 }
 
-// start starts a run of a request on a VM, with n attempts, each at another upstream.
-func (v *modelVM) start(fingerprint, id string, n int) poison.Admission {
-	a := v.Admit(poison.Request{Fingerprint: fingerprint, ID: id, Slow: slow})
-	for i := range n {
-		a.Run.Sending(fakeUpstream(fmt.Sprint(id, "-upstream-", i)), "")
+// modelRun is a run of a request on a VM.
+type modelRun struct {
+	poison.Admission
+	vm       *modelVM
+	id       string
+	attempts []upstream.WatchedAttempt
+}
+
+// admit has a VM decide on a request.
+func (v *modelVM) admit(fingerprint, id string, search bool) *modelRun {
+	return &modelRun{Admission: v.Admit(poison.Request{Fingerprint: fingerprint, ID: id, Search: search, Slow: slow}), vm: v, id: id}
+}
+
+// send sends an attempt to another upstream.
+func (r *modelRun) send(shard string) upstream.WatchedAttempt {
+	u := fakeUpstream(fmt.Sprint(r.id, "-", len(r.attempts)))
+	r.attempts = append(r.attempts, r.Run.Sending(u, shard, r.vm.fleet.clock()))
+	return r.attempts[len(r.attempts)-1]
+}
+
+// ends ends an attempt with a fate.
+func (r *modelRun) ends(a upstream.WatchedAttempt, f policy.Fate) { a.Sent(f, r.vm.fleet.clock()) }
+
+func (r *modelRun) end() { r.Run.End(context.Background()) }
+
+// start starts a run with n attempts.
+func (v *modelVM) start(fingerprint, id string, n int) *modelRun {
+	r := v.admit(fingerprint, id, false)
+	for range n {
+		r.send("")
 	}
-	return a
+	return r
 }
 
-// run runs a request on a VM. Its attempts end after a while with the given fates, each at another upstream.
-func (v *modelVM) run(fingerprint, id string, after time.Duration, fates ...policy.Fate) poison.Admission {
-	a := v.start(fingerprint, id, len(fates))
-	if a.Refused {
-		return a
+// run runs a request on a VM. Its attempts, sent at once, end after a while with the given fates.
+func (v *modelVM) run(fingerprint, id string, after time.Duration, fates ...policy.Fate) *modelRun {
+	r := v.admit(fingerprint, id, false)
+	if r.Refused {
+		return r
+	}
+	for range fates {
+		r.send("")
 	}
 	v.fleet.now.Add(int64(after))
 	for i, fate := range fates {
-		a.Run.Sent(fakeUpstream(fmt.Sprint(id, "-upstream-", i)), fate)
+		r.ends(r.attempts[i], fate)
 	}
-	a.Run.End(context.Background())
-	return a
+	r.end()
+	return r
 }
 
 var _ = Describe("a run of a request", func() {
@@ -56,15 +85,14 @@
 		f := newFleet(3)
 		f.vms[0].run(fp, "r1", 0, policy.Ended, policy.Ended, policy.Ended)
 		Expect(f.vms[1].suspects(fp)).To(BeTrue())
-		a := f.vms[1].start("other", "r2", 0)
-		for i := range policy.SuspicionLimit {
+		r := f.vms[1].admit("other", "r2", false)
+		for range policy.SuspicionLimit {
 			f.now.Add(int64(time.Millisecond))
-			u := fakeUpstream(fmt.Sprint(i))
-			a.Run.Sending(u, "")
+			a := r.send("")
 			f.now.Add(int64(time.Millisecond))
-			a.Run.Sent(u, policy.Ended)
+			r.ends(a, policy.Ended)
 		}
-		a.Run.End(context.Background())
+		r.end()
 		Expect(f.vms[2].run("other", "r3", 0).Refused).To(BeTrue())
 	})
 
@@ -88,9 +116,9 @@
 	It("counts upstreams that are silent at its end, with attempts under way", func() {
 		f := newFleet(3)
 		for i := range policy.SuspicionLimit {
-			a := f.vms[i].start(fp, fmt.Sprint("r", i), 3)
+			r := f.vms[i].start(fp, fmt.Sprint("r", i), 3)
 			f.now.Add(int64(time.Second))
-			a.Run.End(context.Background())
+			r.end()
 		}
 		Expect(f.vms[2].run(fp, "r", 0).Refused).To(BeTrue())
 	})
@@ -114,10 +142,10 @@
 
 	It("is not cleared by a run that began before", func() {
 		f := newFleet(3)
-		a := f.vms[1].start(fp, "r1", 1)
+		r := f.vms[1].start(fp, "r1", 1)
 		f.vms[0].run(fp, "r2", 0, policy.Ended, policy.Ended)
-		a.Run.Sent(fakeUpstream("r1-upstream-0"), policy.Ran)
-		a.Run.End(context.Background())
+		r.ends(r.attempts[0], policy.Ran)
+		r.end()
 		f.gossip()
 		Expect(f.vms[2].suspects(fp)).To(BeTrue())
 		Expect(f.vms[2].run(fp, "r3", 0, policy.Ran).Trial).To(BeTrue())
@@ -127,14 +155,23 @@
 
 	It("counts upstreams that are found to have ended after it", func() {
 		f := newFleet(3)
-		a := f.vms[0].start(fp, "r1", 3)
-		a.Run.End(context.Background())
+		r := f.vms[0].start(fp, "r1", 3)
+		r.end()
 		Expect(f.vms[1].suspects(fp)).To(BeFalse())
-		a.Run.Sent(fakeUpstream("r1-upstream-0"), policy.Ended)
+		r.ends(r.attempts[0], policy.Ended)
 		f.gossip()
 		Expect(f.vms[1].suspects(fp)).To(BeTrue())
 	})
 
+	It("counts an unanswered trial, however short", func() {
+		f := newFleet(3)
+		f.vms[0].run(fp, "r1", 0, policy.Ended)
+		r := f.vms[1].start(fp, "r2", 1)
+		Expect(r.Trial).To(BeTrue())
+		r.end()
+		Expect(f.vms[2].run(fp, "r3", 0).Refused).To(BeTrue())
+	})
+
 	// Of a search that is divided, a VM may run a part of which no upstream replies: a zone that lost power.
 	It("is cleared by replies to other parts of the request", func() {
 		f := newFleet(3)
@@ -150,11 +187,11 @@
 	// A caller may wait for its answer for many seconds, and send the request again through another VM before.
 	It("tells of silent upstreams before its end if it lasts for long", func() {
 		f := newFleet(3)
-		a := f.vms[0].start(fp, "r1", 3)
+		r := f.vms[0].start(fp, "r1", 3)
 		f.now.Add(int64(3 * time.Second))
 		Eventually(func() bool { f.gossip(); return f.vms[1].suspects(fp) }, 5*time.Second, 50*time.Millisecond).Should(BeTrue())
-		a.Run.Sent(fakeUpstream("r1-upstream-0"), policy.Ran)
-		a.Run.End(context.Background())
+		r.ends(r.attempts[0], policy.Ran)
+		r.end()
 		f.gossip()
 		Expect(f.vms[1].suspects(fp)).To(BeFalse(), "one of them has replied after all")
 	})
@@ -162,25 +199,22 @@
 
 var _ = Describe("a run of a search of which some shards reply", func() {
 	// search runs a search on a VM: two upstreams of each shard of ends end in turn, and one of each of replies replies.
-	search := func(v *modelVM, id string, ends, replies []string) poison.Admission {
-		a := v.Admit(poison.Request{Fingerprint: fp, ID: id, Slow: slow, Search: true})
+	search := func(v *modelVM, id string, ends, replies []string) *modelRun {
+		r := v.admit(fp, id, true)
 		for _, shard := range replies {
-			u := fakeUpstream(id + shard)
-			a.Run.Sending(u, shard)
-			a.Run.Sent(u, policy.Ran)
+			r.ends(r.send(shard), policy.Ran)
 		}
-		for _, replica := range []string{"-a", "-b"} {
+		for range 2 {
 			for _, shard := range ends {
-				u := fakeUpstream(id + shard + replica)
 				v.fleet.now.Add(int64(time.Millisecond))
-				a.Run.Sending(u, shard)
+				a := r.send(shard)
 				v.fleet.now.Add(int64(time.Millisecond))
-				a.Run.Sent(u, policy.Ended)
+				r.ends(a, policy.Ended)
 			}
 		}
-		a.Run.End(context.Background())
+		r.end()
 		v.fleet.gossip()
-		return a
+		return r
 	}
 	ended, replied := []string{"s0", "s1"}, []string{"s2", "s3"}
 
@@ -188,9 +222,9 @@
 	It("suspects the shards whose upstreams end, and is not refused", func() {
 		f := newFleet(3)
 		Expect(search(f.vms[0], "r1", ended, replied).Suspects).To(BeEmpty())
-		a := search(f.vms[1], "r2", nil, replied)
-		Expect(a.Refused || a.Trial || a.TrySuspects).To(BeFalse())
-		Expect(a.Suspects).To(Equal(ended))
+		r := search(f.vms[1], "r2", nil, replied)
+		Expect(r.Refused || r.Trial || r.TrySuspects).To(BeFalse())
+		Expect(r.Suspects).To(Equal(ended))
 		f.now.Add(int64(11 * time.Second))
 		Expect(search(f.vms[2], "r3", nil, append(replied, "s0")).TrySuspects).To(BeTrue())
 		Expect(search(f.vms[0], "r4", nil, replied).Suspects).To(BeEmpty(), "one of them has replied")
@@ -200,13 +234,12 @@
 		f := newFleet(3)
 		search(f.vms[0], "r1", ended, replied)
 		f.now.Add(int64(11 * time.Second))
-		a := f.vms[1].Admit(poison.Request{Fingerprint: fp, ID: "r2", Slow: slow, Search: true})
-		Expect(a.TrySuspects).To(BeTrue())
+		r := f.vms[1].admit(fp, "r2", true)
+		Expect(r.TrySuspects).To(BeTrue())
 		Expect(search(f.vms[2], "r3", nil, replied).TrySuspects).To(BeFalse())
-		a.Run.Sending(fakeUpstream("r2-s0"), "s0")
-		a.Run.Sending(fakeUpstream("r2-s2"), "s2")
-		a.Run.Sent(fakeUpstream("r2-s2"), policy.Ran)
-		a.Run.End(context.Background())
+		r.send("s0")
+		r.ends(r.send("s2"), policy.Ran)
+		r.end()
 		f.gossip()
 		f.now.Add(int64(30 * time.Second))
 		Expect(search(f.vms[2], "r4", nil, replied).TrySuspects).To(BeFalse())
@@ -216,16 +249,14 @@
 
 	It("suspects shards whose upstreams turn out to have ended after the search was answered", func() {
 		f := newFleet(3)
-		a := f.vms[0].Admit(poison.Request{Fingerprint: fp, ID: "r1", Slow: slow, Search: true})
-		silent := fakeUpstream("silent")
-		a.Run.Sending(silent, "s0")
-		a.Run.Sending(fakeUpstream("other"), "s1")
-		a.Run.Sent(fakeUpstream("other"), policy.Ran)
-		a.Run.End(context.Background())
-		a.Run.Sent(silent, policy.Unknown)
+		r := f.vms[0].admit(fp, "r1", true)
+		silent := r.send("s0")
+		r.ends(r.send("s1"), policy.Ran)
+		r.end()
+		r.ends(silent, policy.Unknown)
 		f.gossip()
 		Expect(search(f.vms[1], "r2", nil, replied).Suspects).To(BeEmpty())
-		a.Run.Gone(silent)
+		silent.Gone(f.clock())
 		f.gossip()
 		Expect(search(f.vms[1], "r3", nil, replied).Suspects).To(Equal([]string{"s0"}))
 	})
@@ -234,16 +265,15 @@
 	It("suspects all shards whose upstreams are found to have ended at the same time", func() {
 		for range 20 {
 			f := newFleet(2)
-			a := f.vms[0].Admit(poison.Request{Fingerprint: fp, ID: "r1", Slow: slow, Search: true})
-			a.Run.Sending(fakeUpstream("other"), "other")
-			a.Run.Sent(fakeUpstream("other"), policy.Ran)
+			r := f.vms[0].admit(fp, "r1", true)
+			r.ends(r.send("other"), policy.Ran)
 			for i := range 8 {
-				a.Run.Sending(fakeUpstream(fmt.Sprint(i)), fmt.Sprint("s", i))
+				r.send(fmt.Sprint("s", i))
 			}
-			a.Run.End(context.Background())
+			r.end()
 			var found sync.WaitGroup
-			for i := range 8 {
-				found.Go(func() { a.Run.Gone(fakeUpstream(fmt.Sprint(i))) })
+			for _, a := range r.attempts[1:] {
+				found.Go(func() { a.Gone(f.clock()) })
 			}
 			found.Wait()
 			f.gossip()
--- a/internal/upstream/backoff.go
+++ b/internal/upstream/backoff.go
@@ -73,12 +73,13 @@
 // Another upstream at the address speaks for itself only, and a reply to another request may be old.
 // Attempts that wait for a connection end at once if they may not be sent any more.
 func (c *Client) recordReplyHead(s *server, a *Attempt, resp *http.Response, sentAt time.Duration) {
-	c.path.replied()
+	now := c.opts.Now()
+	c.path.replied(now)
 	if resp.StatusCode == http.StatusMisdirectedRequest {
-		s.tellGone()
+		s.tellGone(now)
 		return
 	}
-	s.recordReplied(c.opts.Now())
+	s.recordReplied(now)
 	if c.checkPassThroughEcho(a, resp) != nil {
 		return
 	}
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -65,8 +65,8 @@
 			s.returnRate()
 		}
 	}
-	if a.Watcher != nil && !lost {
-		s.tellFate(a.Watcher, fateOf(&r))
+	if !lost {
+		s.tellFate(&a, fateOf(&r), now)
 	}
 	s.recordResult(now, recordedClass(&r), now-sentAt, r.Latency, r.RetryAfter)
 	c.recordCut(s, &r, now)
@@ -215,7 +215,8 @@
 	if s.removed.Load() {
 		return fmt.Errorf("%w: %w", errBeforeWrite, ErrNoReplica)
 	}
-	if err := s.refuses(c.opts.Now()); err != nil {
+	now := c.opts.Now()
+	if err := s.refuses(now); err != nil {
 		return fmt.Errorf("%w: %w", errBeforeWrite, err)
 	}
 	if a.Kind == PassThrough {
@@ -228,13 +229,13 @@
 			return fmt.Errorf("%w: %w", errBeforeWrite, err)
 		}
 	}
-	if a.Watcher != nil {
-		a.Watcher.Sending(s, a.Shard)
+	if a.Watcher != nil && a.watched == nil {
+		a.watched = a.Watcher.Sending(s, a.Shard, now)
 	}
 	if a.Kind == PassThrough {
-		c.countSent(s)
+		c.countSent(s, now)
 	}
-	s.recordAsked(c.opts.Now())
+	s.recordAsked(now)
 	return nil
 }
 
@@ -318,7 +319,7 @@
 
 // recordHeaders records the drain state and the load that a reply reports.
 func (c *Client) recordHeaders(s *server, resp *http.Response, sent, received time.Duration) {
-	c.path.replied()
+	c.path.replied(received)
 	s.recordReplied(received)
 	c.recordDrainState(s, sent, received, isDraining(resp))
 	if load, ok := parseLoad(resp); ok {
--- a/internal/upstream/gone.go
+++ b/internal/upstream/gone.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sardinespindle/sardinespindle/internal/policy/poison"
 )
@@ -10,28 +11,31 @@
 // and some sent until this VM noticed.
 const maxUnanswered = 16
 
-// tellFate tells a watcher the fate of the upstream after an attempt. If it is unknown, the watcher is also told
-// should the upstream turn out to have ended.
-func (s *server) tellFate(w Watcher, f poison.Fate) {
-	w.Sent(s, f)
+// tellFate tells the watcher of an attempt the fate of its upstream. If it is unknown, the watcher is also told should
+// the upstream turn out to have ended.
+func (s *server) tellFate(a *Attempt, f poison.Fate, now time.Duration) {
+	if a.watched == nil {
+		return
+	}
+	a.watched.Sent(f, now)
 	if f != poison.Unknown {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.unanswered) < maxUnanswered {
-		s.unanswered = append(s.unanswered, w)
+		s.unanswered = append(s.unanswered, a.watched)
 	}
 }
 
 // tellGone tells the watchers of the attempts without a reply that the upstream has ended.
-func (s *server) tellGone() {
+func (s *server) tellGone(now time.Duration) {
 	s.mu.Lock()
-	watchers := s.unanswered
+	unanswered := s.unanswered
 	s.unanswered = nil
 	s.mu.Unlock()
-	for _, w := range watchers {
-		w.Gone(s)
+	for _, w := range unanswered {
+		w.Gone(now)
 	}
 }
 
@@ -52,7 +56,7 @@
 	go func() {
 		ctx := context.Background()
 		if replaced || !c.connectsToAny(ctx, []string{s.address}) && c.reachesOther(ctx, s) {
-			s.tellGone()
+			s.tellGone(c.opts.Now())
 		}
 	}()
 }
--- a/internal/upstream/liveness.go
+++ b/internal/upstream/liveness.go
@@ -50,9 +50,7 @@
 		c.logRefused(s, a, ended)
 	case livenessUnknown:
 	}
-	if a.Watcher != nil {
-		s.tellFate(a.Watcher, fate)
-	}
+	s.tellFate(a, fate, c.opts.Now())
 	return ended
 }
 
--- a/internal/upstream/liveness_test.go
+++ b/internal/upstream/liveness_test.go
@@ -23,9 +23,9 @@
 	gone  atomic.Bool
 }
 
-func (*recordedFate) Sending(poison.Upstream, string)         {}
-func (r *recordedFate) Sent(_ poison.Upstream, f poison.Fate) { r.known <- f }
-func (r *recordedFate) Gone(poison.Upstream)                  { r.gone.Store(true) }
+func (r *recordedFate) Sending(poison.Upstream, string, time.Duration) WatchedAttempt { return r }
+func (r *recordedFate) Sent(f poison.Fate, _ time.Duration)                           { r.known <- f }
+func (r *recordedFate) Gone(time.Duration)                                            { r.gone.Store(true) }
 
 var _ = Describe("Client that loses a connection while a request runs", func() {
 	const pause = time.Millisecond
--- a/internal/upstream/ratelimit.go
+++ b/internal/upstream/ratelimit.go
@@ -25,11 +25,11 @@
 	*r = append(*r, now)
 }
 
-// countSent counts a request that is about to be sent.
-func (c *Client) countSent(s *server) {
+// countSent counts a request that is about to be sent at now.
+func (c *Client) countSent(s *server, now time.Duration) {
 	c.path.asked()
 	s.mu.Lock()
-	s.rateSent.add(c.opts.Now())
+	s.rateSent.add(now)
 	limited := s.rate.PerSecond() > 0
 	s.mu.Unlock()
 	if limited {
--- a/internal/upstream/reach.go
+++ b/internal/upstream/reach.go
@@ -42,9 +42,9 @@
 	p.state.Asked(p.now())
 }
 
-// replied records that an upstream replied.
-func (p *pathState) replied() {
-	p.repliedAt.Store(int64(p.now()))
+// replied records that an upstream replied at now.
+func (p *pathState) replied(now time.Duration) {
+	p.repliedAt.Store(int64(now))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.state.Replied()
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -44,9 +44,9 @@
 	latencies        histogram
 	probe            *probeCall // nil if none is under way
 	probedAt         time.Duration
-	repliedAt        time.Duration // to any request
-	askedAt          time.Duration // of the first request sent since then; 0 for none
-	unanswered       []Watcher     // of attempts that have ended without a reply since repliedAt, the latest
+	repliedAt        time.Duration    // to any request
+	askedAt          time.Duration    // of the first request sent since then; 0 for none
+	unanswered       []WatchedAttempt // attempts that have ended without a reply since repliedAt, the latest
 	forecast         forecast.Server
 	passThroughPicks []time.Duration // pick times of the pass-through requests under way
 }
--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -86,17 +86,23 @@
 	// the attempt as NotSent. It must not block.
 	BeforeWrite func() error
 
-	takenAt time.Duration // when a PassThrough was counted for its upstream: at the pick, then at the write
+	takenAt time.Duration  // when a PassThrough was counted for its upstream: at the pick, then at the write
+	watched WatchedAttempt // set by Watcher; nil before the first byte
 }
 
-// Watcher watches the attempts of one request. Its methods must not block.
+// Watcher watches the attempts of one request. Its method must not block.
 type Watcher interface {
-	// Sending is called before the first byte of an attempt is sent; shard is empty for a single service.
-	Sending(u poison.Upstream, shard string)
-	// Sent is called after an attempt, if its connection was lost some time after, with what is known of the upstream.
-	Sent(u poison.Upstream, f poison.Fate)
-	// Gone is called when an upstream has ended that has replied to nothing since an attempt of unknown fate.
-	Gone(u poison.Upstream)
+	// Sending is called before the first byte of an attempt is sent; shard is empty for a single service. It may
+	// return nil.
+	Sending(u poison.Upstream, shard string, now time.Duration) WatchedAttempt
+}
+
+// WatchedAttempt is an attempt that a Watcher watches. Its methods must not block.
+type WatchedAttempt interface {
+	// Sent is called after the attempt, if its connection was lost some time after, with what is known of the upstream.
+	Sent(f poison.Fate, now time.Duration)
+	// Gone is called when the upstream has ended, if its fate was unknown and it has replied to nothing since.
+	Gone(now time.Duration)
 }
 
 // Result is the outcome of one attempt.
