Upstream: a reply without an id is taken only on a connection that carried nothing else

Cause: a reply without X-Request-Id's counterpart was taken for that of the request under way, unless it was a refusal.

Change: such a reply is taken if its connection carried no other request; its connection is then closed, since a copy of it could not be told from the next reply. On a connection that carried another request it is an invalid reply: a search goes on elsewhere, an order ends as unknown.

Weighed: rejecting all replies without an id. Callers of a service whose servers never echo the id would get no answer at all; now they get their own, at the price of a connection for each request. A refusal without an id is still never taken.

The tests come first: three specs of "Client of an upstream that sends a reply twice" fail before the change (the stray answer has class OK, the stray failure class Failed, the second of four requests has the signature of the first), all pass after it: GOMAXPROCS=2 go test -p 2 -race ./internal/upstream ./internal/forward ./internal/gather ./internal/single.

--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -160,6 +160,7 @@
 // It also returns the time of the first byte, if one was sent.
 func (c *Client) send(ctx context.Context, s *server, cn *conn, a *Attempt) (Result, time.Duration) {
 	req := c.newAttemptRequest(ctx, s, a)
+	a.reused, cn.carried = cn.carried, true
 	cn.sock.startAttempt(func() error { return c.checkBeforeWrite(ctx, s, a) })
 	resp, err := cn.RoundTrip(req) //nolint:bodyclose // readBody and readPassThrough close it
 	if err != nil {
@@ -187,7 +188,7 @@
 		return r, sent
 	}
 	s.pool.clearSaturation()
-	if a.Kind == PassThrough && r.Class == Shed && !cn.recordRefusal(a.PassThrough.ID) {
+	if a.Kind == PassThrough && !c.canCarryAnother(cn, a, resp, r.Class) {
 		cn.drop()
 	} else {
 		s.pool.put(cn)
@@ -200,6 +201,15 @@
 	return r, sent
 }
 
+// canCarryAnother reports whether a connection can carry another request after a reply to a pass-through one.
+// A copy of a reply without an id could not be told from the next reply.
+func (c *Client) canCarryAnother(cn *conn, a *Attempt, resp *http.Response, class Class) bool {
+	if c.rules.echo && resp.Header.Get(c.opts.Headers.RequestID) == "" {
+		return false
+	}
+	return class != Shed || cn.recordRefusal(a.PassThrough.ID)
+}
+
 // checkBeforeWrite returns an error if the attempt must not be sent any more. It runs
 // right before the first byte is written.
 func (c *Client) checkBeforeWrite(ctx context.Context, s *server, a *Attempt) error {
--- a/internal/upstream/pass.go
+++ b/internal/upstream/pass.go
@@ -66,11 +66,11 @@
 	errEncoded       = errors.New("reply has a content encoding that nobody asked for")
 	errNoSignature   = errors.New("reply does not bear the upstream's signature")
 	errOtherUpstream = errors.New("another upstream has the address")
-	errUnnamed       = errors.New("refusal does not name the request that it is for")
+	errUnnamed       = errors.New("reply does not name the request that it is for")
 )
 
-// checkPassThroughEcho returns an error unless a reply is for the attempt. A reply without an id may be,
-// but a refusal must have one: it promises that this very request has not run.
+// checkPassThroughEcho returns an error unless a reply is for the attempt. A reply without an id is, if its
+// connection carried no other request, but a refusal must have one: it promises that this very request has not run.
 func (c *Client) checkPassThroughEcho(a *Attempt, resp *http.Response) error {
 	id := resp.Header.Get(c.opts.Headers.RequestID)
 	switch {
@@ -78,7 +78,7 @@
 		return nil
 	case id != "":
 		return errOtherAttempt
-	case c.isRefusal(resp):
+	case a.reused || c.isRefusal(resp):
 		return errUnnamed
 	default:
 		return nil
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -30,6 +30,7 @@
 	*http.ClientConn
 	sock      *sock
 	idleSince time.Duration
+	carried   bool // a request was sent on it
 	// refused holds hashes of the ids of the requests that were refused on this connection.
 	refused []uint64
 }
--- a/internal/upstream/stray_test.go
+++ b/internal/upstream/stray_test.go
@@ -63,6 +63,7 @@
 	const (
 		refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nId: %s\r\nContent-Length: 0\r\n\r\n"
 		answer  = "HTTP/1.1 200 OK\r\nSignature: s\r\nId: %s\r\nContent-Length: 0\r\n\r\n"
+		unnamed = "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 0%.0s\r\n\r\n"
 	)
 	var c *Client
 	call := func(id string) Result {
@@ -97,6 +98,8 @@
 		Entry("a refusal of a request without an id", answer, "HTTP/1.1 400 Bad Request\r\nNot-Run: 1\r\nContent-Length: 0%.0s\r\n\r\n", OK),
 		Entry("an answer", answer, answer, OK),
 		Entry("a failure", answer, "HTTP/1.1 500 Internal Server Error\r\nSignature: s\r\nId: %s\r\nContent-Length: 0\r\n\r\n", OK),
+		Entry("an answer without an id", answer, unnamed, OK),
+		Entry("a failure without an id", answer, "HTTP/1.1 500 Internal Server Error\r\nSignature: s\r\nContent-Length: 0%.0s\r\n\r\n", OK),
 	)
 
 	DescribeTable("does not act on what it says of its upstream, which may have changed since", func(header string) {
@@ -110,6 +113,35 @@
 		Entry("that it takes hardly any requests", "Limit: 0.01"),
 	)
 
+	// Callers got the reply to another request from upstreams that do not echo ids and send replies twice.
+	It("uses a connection once if its upstream does not echo the id, so that each request gets its own reply", func() {
+		const late = "HTTP/1.1 %d %s\r\nSignature: %s\r\nContent-Length: 0\r\n\r\n"
+		address := serveConns(func(c net.Conn) {
+			in := bufio.NewReader(c)
+			pending := ""
+			for {
+				r, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				id, status := r.Header.Get("Id"), http.StatusOK
+				if id == "fails" {
+					status = http.StatusNotFound
+				}
+				reply := fmt.Sprintf(late, status, http.StatusText(status), id)
+				_, _ = io.WriteString(c, pending+reply)
+				pending = reply
+			}
+		})
+		u := &gen.Upstream{Address: address, Zone: "a", Workload: wlOrder, Slots: 2, ConnectionLimit: 60}
+		c = newClient(Options{ManifestOnly: true, Headers: passThroughHeaders}, newManifest(u))
+		for _, id := range []string{"first", "fails", "third", "fourth"} {
+			r := call(id)
+			Expect(r.Class).To(Equal(OK), id)
+			Expect(r.Signature).To(Equal(id))
+		}
+	})
+
 	// Orders ran though they were refused: an upstream that had refused an order got it again, from the same caller
 	// or as a retry, and the refusal that came twice bore the id of both.
 	It("does not send a request again on a connection on which it was refused", func() {
--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -88,6 +88,7 @@
 
 	takenAt time.Duration  // when a PassThrough was counted for its upstream: at the pick, then at the write
 	watched WatchedAttempt // set by Watcher; nil before the first byte
+	reused  bool           // its connection carried another request before
 }
 
 // Watcher watches the attempts of one request. Its method must not block.
