A VM whose changes in the store exceed one reply reads the full content, in pages

Found while the known red spec of odd entries was traced.

Cause: the client of the store reads 8 MiB of a reply at most. A watch returns all changes at once, without pages. One that is larger was cut off, could not be decoded, counted as a failed call, and was sent again with the same revision, for as long as the store kept its history: the VM followed the store no more. Seven entries of another writer of 1 MiB, the published greatest value, are enough if they are written between two watches, 400 ms. Callers then saw the earlier configuration (404 for a new route), and requests went to servers that had drained or were gone.

Ruled out: a larger bound, which only moves the fault and costs the memory of small VMs.

The log line says "changes not known, reading anew" instead of "history gone".

--- a/internal/catalog/sync.go
+++ b/internal/catalog/sync.go
@@ -18,6 +18,10 @@
 // full content must be read.
 var ErrHistoryGone = errors.New("the store's history does not reach back to the revision")
 
+// ErrTooManyChanges means that the changes after a revision exceed what is read of one reply, so the
+// full content must be read, which comes in pages.
+var ErrTooManyChanges = errors.New("too many changes in one reply of the store")
+
 var errEarlierEra = errors.New("the store replies from an earlier era")
 
 // Source is the platform's store.
@@ -219,8 +223,8 @@
 		return s.read(ctx)
 	}
 	u, err = s.watch(ctx, at.Revision)
-	if errors.Is(err, ErrHistoryGone) || err == nil && u.Era != at.Era {
-		s.o.Log.Info("history gone, reading anew", "era", at.Era, "revision", at.Revision, "watch", err)
+	if errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrTooManyChanges) || err == nil && u.Era != at.Era {
+		s.o.Log.Info("changes not known, reading anew", "era", at.Era, "revision", at.Revision, "watch", err)
 		u, err = s.read(ctx)
 	}
 	if err == nil && u.Era < at.Era {
