--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -53,10 +53,10 @@
 		return true
 	}
 	more := c.answer.raise(min(int64(n), c.gate.o.Capacity.Memory/maxTakenShare))
-	if c.gate.take(c, more, takeTimeout) {
+	if c.gate.take(c, more, needExpected, takeTimeout) {
 		return true
 	}
-	c.gate.log.refused(reasonMemory, c, c.gate)
+	c.refused(reasonMemory, needExpected)
 	return false
 }
 
@@ -68,7 +68,7 @@
 	more := c.answer.raise(int64(n))
 	c.gate.used.Add(more)
 	c.addHeld(more)
-	for c.gate.isShort(0) && c.gate.closeOne(c, reasonMemory) {
+	for c.gate.isShort(0) && c.gate.closeOne(c, reasonMemory, needAnswer) {
 		continue
 	}
 }
@@ -98,8 +98,8 @@
 }
 
 func (c *Conn) takeReply(n int64, timeout time.Duration) error {
-	if more := c.answer.missing(n); !c.gate.take(c, more, timeout) {
-		c.gate.log.refused(reasonMemory, c, c.gate)
+	if more := c.answer.missing(n); !c.gate.take(c, more, needReply, timeout) {
+		c.refused(reasonMemory, needReply)
 		return fmt.Errorf("%w: replies that callers have not read leave no room", readlimit.ErrNoMemory)
 	}
 	return nil
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -131,10 +131,10 @@
 func (c *Conn) countHead(p []byte) error {
 	lines := c.head.scan(p)
 	if limit := c.gate.o.HeadLimit(); limit > 0 && c.head.size > limit+headSlack {
-		return c.refuse(p, reasonHead, "431 Request Header Fields Too Large")
+		return c.refuse(p, reasonHead, needNone, "431 Request Header Fields Too Large")
 	}
-	if !c.gate.take(c, clientlimit.HeadCost(lines, len(p)), takeTimeout) {
-		return c.refuse(p, reasonMemory, "503 Service Unavailable\r\nRetry-After: 1")
+	if !c.gate.take(c, clientlimit.HeadCost(lines, len(p)), needRequest, takeTimeout) {
+		return c.refuse(p, reasonMemory, needRequest, "503 Service Unavailable\r\nRetry-After: 1")
 	}
 	return nil
 }
@@ -142,8 +142,8 @@
 // refuse answers a request whose head has not been parsed, so that it has not run, and closes the
 // connection. buf is used to read what the client has already sent: an answer is lost if bytes are left
 // unread.
-func (c *Conn) refuse(buf []byte, reason, status string) error {
-	c.gate.log.refused(reason, c, c.gate)
+func (c *Conn) refuse(buf []byte, reason string, what need, status string) error {
+	c.refused(reason, what)
 	c.phase.Store(int32(clientlimit.Closing))
 	c.sendRefusal(status)
 	_ = c.CloseWrite() // fails if the client has closed the connection
@@ -164,6 +164,11 @@
 	refuseBytes   = 128 << 10
 )
 
+// refused records that a request of the connection is refused.
+func (c *Conn) refused(reason string, what need) {
+	c.gate.log.refused(refusal{reason, what, clientlimit.Phase(c.phase.Load()), c}, c.gate)
+}
+
 // sendRefusal sends an answer in place of the server.
 func (c *Conn) sendRefusal(status string) {
 	_ = c.SetWriteDeadline(time.Now().Add(refuseTimeout)) // fails if the client has closed the connection
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -129,13 +129,13 @@
 func (g *Gate) admit(nc net.Conn) *Conn {
 	limit := int64(g.o.Capacity.Connections)
 	if g.open.Load() >= limit {
-		g.closeOne(nil, reasonConnections)
+		g.closeOne(nil, reasonConnections, needConn)
 	}
-	for g.isShort(clientlimit.ConnCost) && g.closeOne(nil, reasonMemory) {
+	for g.isShort(clientlimit.ConnCost) && g.closeOne(nil, reasonMemory, needConn) {
 		continue
 	}
 	if g.open.Load() >= limit+limit/closingShare || g.isShort(clientlimit.ConnCost) {
-		g.log.refused(reasonNotAccepted, nc, g)
+		g.log.refused(refusal{reasonNotAccepted, needConn, clientlimit.Fresh, nc}, g)
 		return nil
 	}
 	c := &Conn{Conn: nc, gate: g}
@@ -189,9 +189,9 @@
 	takeInterval = 20 * time.Millisecond
 )
 
-// take counts n more bytes for a connection. If there is no room, it closes others and waits for a
+// take counts n more bytes for a connection, for what they are needed. If there is no room, it closes others and waits for a
 // moment. It reports false if there is none within the timeout.
-func (g *Gate) take(c *Conn, n int64, timeout time.Duration) bool {
+func (g *Gate) take(c *Conn, n int64, what need, timeout time.Duration) bool {
 	if n == 0 || g.tryTake(c, n) {
 		return true
 	}
@@ -205,7 +205,7 @@
 		if g.tryTake(c, n) {
 			return true
 		}
-		if g.isShort(n) && g.closeOne(c, reasonMemory) {
+		if g.isShort(n) && g.closeOne(c, reasonMemory, what) {
 			continue
 		}
 		t := time.NewTimer(takeInterval)
@@ -229,7 +229,7 @@
 
 // closeOne closes the connection that is the first to make room, except one. It reports false if there is
 // none.
-func (g *Gate) closeOne(except *Conn, reason string) bool {
+func (g *Gate) closeOne(except *Conn, reason string, what need) bool {
 	for {
 		at := now()
 		var victim *Conn
@@ -245,7 +245,7 @@
 			return false
 		}
 		if victim.closeFrom(state.Phase) {
-			g.log.refused(reason, victim, g)
+			g.log.refused(refusal{reason, what, state.Phase, victim}, g)
 			return true
 		}
 	}
@@ -275,7 +275,7 @@
 		g.mu.Unlock()
 		for _, c := range stalled {
 			if c.closeFrom(clientlimit.Running) {
-				g.log.refused(reasonStalled, c, g)
+				g.log.refused(refusal{reasonStalled, needNone, clientlimit.Running, c}, g)
 			}
 		}
 	}
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -56,8 +56,8 @@
 // Read implements io.Reader. It fails with ErrNoRoom if there is no room for the bytes.
 func (b *countedBody) Read(p []byte) (int, error) {
 	n, err := b.from.Read(p)
-	if n > 0 && !b.conn.gate.take(b.conn, clientlimit.BodyCost(n), takeTimeout) {
-		b.conn.gate.log.refused(reasonMemory, b.conn, b.conn.gate)
+	if n > 0 && !b.conn.gate.take(b.conn, clientlimit.BodyCost(n), needRequest, takeTimeout) {
+		b.conn.refused(reasonMemory, needRequest)
 		return 0, ErrNoRoom
 	}
 	ended := err == io.EOF //nolint:errorlint // readers return io.EOF itself
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -86,19 +86,19 @@
 	return resp.StatusCode
 }
 
-func (s *gated) refused(reason string) float64 {
+func (s *gated) refused(reason string) (n float64) {
 	families, err := s.registry.Gather()
 	Expect(err).NotTo(HaveOccurred())
 	for _, f := range families {
 		for _, m := range f.GetMetric() {
 			for _, l := range m.GetLabel() {
-				if f.GetName() == "spindle_client_refused_total" && l.GetValue() == reason {
-					return m.GetCounter().GetValue()
+				if f.GetName() == "spindle_client_refused_total" && l.GetName() == "reason" && l.GetValue() == reason {
+					n += m.GetCounter().GetValue()
 				}
 			}
 		}
 	}
-	return 0
+	return n
 }
 
 const (
@@ -296,6 +296,15 @@
 		Expect(s.lines).To(HaveLen(1))
 		Expect(<-s.lines).To(And(ContainSubstring("client refused"), ContainSubstring("listener=callers"), ContainSubstring("reason=head")))
 	})
+
+	// Guards against a log that does not tell whose connection was closed for what.
+	It("logs the phase of the connection that it closes, and what needed the room", func() {
+		s := serve(clientlimit.Capacity{Memory: 100e3, Connections: 1000}, 0, readBody)
+		for range 7 {
+			s.dial("")
+		}
+		Eventually(s.lines).Should(Receive(And(ContainSubstring("reason=memory"), ContainSubstring("phase=fresh"), ContainSubstring("need=conn"))))
+	})
 })
 
 var _ = Describe("CountReply", func() {
--- a/internal/ingress/refusals.go
+++ b/internal/ingress/refusals.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sardinespindle/sardinespindle/internal/policy/clientlimit"
 )
 
 // Reasons for a refusal: the labels of spindle_client_refused_total.
@@ -17,7 +19,26 @@
 	reasonStalled     = "stalled"      // an answer that makes no progress
 )
 
-var reasons = []string{reasonConnections, reasonNotAccepted, reasonMemory, reasonHead, reasonStalled}
+// need is what room was needed for when a client was refused.
+type need string
+
+// Needs: the values of the label "need" of spindle_client_refused_total.
+const (
+	needNone     = need("none")     // no room was needed
+	needConn     = need("conn")     // a new connection
+	needRequest  = need("request")  // a head or a body
+	needExpected = need("expected") // an answer that is expected
+	needReply    = need("reply")    // the reply of an upstream
+	needAnswer   = need("answer")   // an answer to be written
+)
+
+// refusal says who is refused, and why.
+type refusal struct {
+	reason string
+	need   need
+	phase  clientlimit.Phase // of the connection that is refused or closed
+	client net.Conn
+}
 
 // Metrics are the metrics of all gates of a process.
 type Metrics struct {
@@ -28,8 +49,8 @@
 // NewMetrics registers the metrics.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{registerer: r, refused: prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "spindle_client_refused_total", Help: "Requests refused and connections closed to bound what clients hold, by listener and reason.",
-	}, []string{"listener", "reason"})}
+		Name: "spindle_client_refused_total", Help: "Requests refused and connections closed to bound what clients hold, by listener, reason, phase of the connection and what room was needed for.",
+	}, []string{"listener", "reason", "phase", "need"})}
 	if r != nil {
 		r.MustRegister(m.refused)
 	}
@@ -51,39 +72,46 @@
 	gauge("spindle_client_memory_limit_bytes", "Bytes that clients may make this VM hold, by listener.", func() float64 { return float64(g.o.Capacity.Memory) })
 }
 
-// logInterval is the least time between two log lines about refusals for one reason.
+// logInterval is the least time between two log lines about refusals of one kind.
 const logInterval = 5 * time.Second
 
-// refusalLog counts refusals, and logs them at most once per logInterval and reason.
+// refusalLog counts refusals, and logs them at most once per logInterval and kind.
 type refusalLog struct {
-	counters map[string]prometheus.Counter
+	counter *prometheus.CounterVec // of the listener
 
 	mu      sync.Mutex // guards the fields below
-	next    map[string]time.Duration
-	skipped map[string]int
+	next    map[refusalKind]time.Duration
+	skipped map[refusalKind]int
+}
+
+// refusalKind is the kind of a refusal, each of which is logged for itself.
+type refusalKind struct {
+	reason string
+	need   need
+	phase  clientlimit.Phase
 }
 
 func (l *refusalLog) init(o Options) {
-	l.counters, l.next, l.skipped = map[string]prometheus.Counter{}, map[string]time.Duration{}, map[string]int{}
-	for _, reason := range reasons {
-		l.counters[reason] = o.Metrics.refused.WithLabelValues(o.Listener, reason)
-	}
+	l.counter = o.Metrics.refused.MustCurryWith(prometheus.Labels{"listener": o.Listener})
+	l.next, l.skipped = map[refusalKind]time.Duration{}, map[refusalKind]int{}
 }
 
 // refused records the refusal of a client.
-func (l *refusalLog) refused(reason string, nc net.Conn, g *Gate) {
-	l.counters[reason].Inc()
+func (l *refusalLog) refused(r refusal, g *Gate) {
+	l.counter.WithLabelValues(r.reason, r.phase.String(), string(r.need)).Inc()
+	kind := refusalKind{reason: r.reason, need: r.need, phase: r.phase}
 	at := now()
 	l.mu.Lock()
-	due := at >= l.next[reason]
-	skipped := l.skipped[reason]
-	l.skipped[reason]++
+	due := at >= l.next[kind]
+	skipped := l.skipped[kind]
+	l.skipped[kind]++
 	if due {
-		l.next[reason], l.skipped[reason] = at+logInterval, 0
+		l.next[kind], l.skipped[kind] = at+logInterval, 0
 	}
 	l.mu.Unlock()
 	if due {
-		g.o.Log.Warn("client refused", "listener", g.o.Listener, "reason", reason, "remote", nc.RemoteAddr(), "not_logged", skipped,
+		g.o.Log.Warn("client refused", "listener", g.o.Listener, "reason", r.reason, "phase", r.phase, "need", r.need,
+			"remote", r.client.RemoteAddr(), "not_logged", skipped,
 			"connections", g.open.Load(), "max_connections", g.o.Capacity.Connections, "held_bytes", g.used.Load(), "max_bytes", g.o.Capacity.Memory)
 	}
 }
--- a/internal/policy/clientlimit/clientlimit.go
+++ b/internal/policy/clientlimit/clientlimit.go
@@ -108,6 +108,11 @@
 	Closing
 )
 
+// String returns the phase as it is logged.
+func (p Phase) String() string {
+	return [...]string{Fresh: "fresh", Head: "head", Body: "body", Running: "running", Idle: "idle", Upgraded: "upgraded", Closing: "closing"}[p]
+}
+
 // Conn is the state of a connection that may have to be closed.
 type Conn struct {
 	Phase Phase
