Soak: the example of a late answer says when the request was sent, and its status

That time is when the check was made: checkRequest runs when the run has ended and all VMs have been stopped. Requests that overlap a stop are excused (wasUnavailable), so these were not at one, and the VM's log of that time can't show them.

Change: the example has the time at which the request was sent, and the status of the answer. The check is as before.

Ruled out, by reading net/http's Shutdown, internal/ingress and the stop of the forwarder: a request left unread at a stop. A connection that is not accepted is reset as the listener closes; one that is idle is closed; one that is new, or whose request is read once Shutdown has begun, is closed after the read.

Measured: the new spec failed with "late at ...: order of x through vm: 2s, <nil>" before.

--- a/internal/bench/soak_check.go
+++ b/internal/bench/soak_check.go
@@ -106,11 +106,15 @@
 	e.recordViolationLocked(kind, format, args...)
 }
 
+// clockFormat is the format of times in examples of violations. The time at which one is recorded may be long after
+// the request: many are only found when the run has ended.
+const clockFormat = "15:04:05.000"
+
 // recordViolationLocked is recordViolation for callers that hold the lock.
 func (e *evidence) recordViolationLocked(kind, format string, args ...any) {
 	e.violations[kind]++
 	if len(e.examples) < maxExamples {
-		e.examples = append(e.examples, kind+" at "+time.Now().Format("15:04:05.000")+": "+fmt.Sprintf(format, args...))
+		e.examples = append(e.examples, kind+" at "+time.Now().Format(clockFormat)+": "+fmt.Sprintf(format, args...))
 	}
 }
 
@@ -261,7 +265,8 @@
 	took := q.end.Sub(q.sent)
 	unavailable := q.vm.wasUnavailable(q.sent, q.end)
 	if took > soakDeadline+soakLateSlack && !unavailable && q.canceledAt.IsZero() {
-		e.recordViolationLocked(lateReply, "%s of %s through %s: %v, %v", q.kind, id, q.vm.name, took.Round(time.Millisecond), q.err)
+		e.recordViolationLocked(lateReply, "%s of %s through %s, sent at %s: %v, status %d, %v",
+			q.kind, id, q.vm.name, q.sent.Format(clockFormat), took.Round(time.Millisecond), q.status, q.err)
 	}
 	lost := errors.Is(q.err, io.EOF) || errors.Is(q.err, io.ErrUnexpectedEOF) || errors.Is(q.err, syscall.ECONNRESET)
 	if lost && runs > 0 && !q.vm.killed(q.sent, q.end) {
--- a/internal/bench/soak_test.go
+++ b/internal/bench/soak_test.go
@@ -113,6 +113,13 @@
 		Entry("reports fewer shards, even if it is said that the others are missing", "stamp-i-0-1", "3", records, belowMinimum),
 	)
 
+	// Checks at the end of a run named their own time, at which the logs show only that all VMs stop.
+	It("says when a late request was sent, and how it was answered", func() {
+		e := newEvidence(DefaultSoakShards)
+		e.recordResult(&soakRequest{id: "x", kind: "order", vm: vm, sent: at, end: at.Add(2 * time.Second), status: http.StatusOK, body: "done x"})
+		Expect(e.evaluate(1, nil).Examples).To(ConsistOf(ContainSubstring("sent at " + at.Format(clockFormat) + ": 2s, status 200")))
+	})
+
 	It("reports a server's deadline that is longer than the caller's", func() {
 		e := newEvidence(DefaultSoakShards)
 		e.recordArrival(arrival{id: "x", at: at, deadline: 2 * time.Second})
