--- a/internal/forward/answersize.go
+++ b/internal/forward/answersize.go
@@ -15,7 +15,7 @@
 	}
 	expected := 0
 	s.answerSizes.View(q.route.Name, func(size *int) { expected = *size })
-	return expected <= smallAnswer || q.conn.Take(expected)
+	return expected <= smallAnswer || q.conn.Take(expected, q.deadline)
 }
 
 // holdAnswer counts an answer that is about to be written, and remembers its size.
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -37,6 +37,7 @@
 func (c *Conn) state() clientlimit.Conn {
 	return clientlimit.Conn{
 		Phase: clientlimit.Phase(c.phase.Load()), Since: time.Duration(c.since.Load()), Writing: time.Duration(c.writing.Load()),
+		Answer: c.answer.counted.Load(),
 	}
 }
 
@@ -70,6 +71,7 @@
 		c.endRequest()
 	case http.StateHijacked:
 		c.gate.release(c.held.Swap(0))
+		c.endAnswer()
 		c.setPhase(clientlimit.Upgraded)
 	}
 }
@@ -80,10 +82,10 @@
 		c.gate.release(c.held.Swap(0))
 	}
 	if cost := c.head.next(); cost != 0 {
-		c.gate.used.Add(cost)
+		c.gate.requests.used.Add(cost)
 		c.addHeld(cost)
 	}
-	c.answer.reset()
+	c.endAnswer()
 	c.since.Store(int64(now()))
 	c.setPhase(clientlimit.Idle)
 }
@@ -183,9 +185,11 @@
 	}
 	held := c.held.Load() + clientlimit.ConnCost
 	c.closing.Add(held)
-	c.gate.closing.Add(held)
+	c.gate.requests.closing.Add(held)
+	c.answer.startClosing(&c.gate.answers)
 	if c.removed.Load() {
-		c.gate.closing.Add(-c.closing.Swap(0))
+		c.gate.requests.closing.Add(-c.closing.Swap(0))
+		c.endAnswer()
 	}
 	past := time.Unix(1, 0)
 	switch phase {
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -40,12 +40,13 @@
 
 // Gate bounds the connections of one listener.
 type Gate struct {
-	o    Options
-	used atomic.Int64 // bytes held, as counted by clientlimit
-	// closing is the part of used that connections hold which are being closed.
-	closing atomic.Int64
-	open    atomic.Int64 // connections
-	log     refusalLog
+	o Options
+	// requests are connections and what arrives on them. answers are those that are expected, those that
+	// are not sent yet, and the replies that are read for them. Neither takes room of the other.
+	requests, answers part
+	open              atomic.Int64 // connections
+	waiting           atomic.Int64 // for room for answers
+	log               refusalLog
 
 	mu       sync.Mutex // guards the fields below
 	conns    map[*Conn]struct{}
@@ -58,6 +59,7 @@
 		o.HeadLimit = func() int { return 0 }
 	}
 	g := &Gate{o: o, conns: map[*Conn]struct{}{}, released: make(chan struct{})}
+	g.requests.capacity, g.answers.capacity = o.Capacity.Memory, o.Capacity.Answers
 	g.log.init(o)
 	o.Metrics.watch(g)
 	return g
@@ -129,18 +131,18 @@
 func (g *Gate) admit(nc net.Conn) *Conn {
 	limit := int64(g.o.Capacity.Connections)
 	if g.open.Load() >= limit {
-		g.closeOne(nil, reasonConnections, needConn)
+		g.closeOne(nil, reasonConnections, needConn, clientlimit.MayClose)
 	}
-	for g.isShort(clientlimit.ConnCost) && g.closeOne(nil, reasonMemory, needConn) {
+	for g.requests.isShort(clientlimit.ConnCost, 0) && g.closeOne(nil, reasonMemory, needConn, clientlimit.MayClose) {
 		continue
 	}
-	if g.open.Load() >= limit+limit/closingShare || g.isShort(clientlimit.ConnCost) {
+	if g.open.Load() >= limit+limit/closingShare || g.requests.isShort(clientlimit.ConnCost, 0) {
 		g.log.refused(refusal{reasonNotAccepted, needConn, clientlimit.Fresh, nc}, g)
 		return nil
 	}
 	c := &Conn{Conn: nc, gate: g}
 	c.since.Store(int64(now()))
-	g.used.Add(clientlimit.ConnCost)
+	g.requests.used.Add(clientlimit.ConnCost)
 	g.open.Add(1)
 	g.mu.Lock()
 	g.conns[c] = struct{}{}
@@ -148,12 +150,6 @@
 	return c
 }
 
-// isShort reports whether n more bytes have no room even once the connections that are being closed are
-// gone.
-func (g *Gate) isShort(n int64) bool {
-	return g.used.Load()-g.closing.Load()+n > g.o.Capacity.Memory
-}
-
 // remove no longer counts a connection. It may still be served for a moment.
 func (g *Gate) remove(c *Conn) {
 	c.removed.Store(true)
@@ -161,7 +157,8 @@
 	delete(g.conns, c)
 	g.mu.Unlock()
 	g.open.Add(-1)
-	g.closing.Add(-c.closing.Swap(0))
+	g.requests.closing.Add(-c.closing.Swap(0))
+	c.endAnswer()
 	g.release(c.held.Swap(0) + clientlimit.ConnCost)
 }
 
@@ -170,17 +167,43 @@
 	if n == 0 {
 		return
 	}
-	before := g.used.Add(-n) + n
-	if before+wakeMargin < g.o.Capacity.Memory {
+	before := g.requests.used.Add(-n) + n
+	if before+wakeMargin < g.requests.capacity {
 		return // far from spent: nothing waits
 	}
+	g.wake()
+}
+
+// wake wakes the requests that wait for room.
+func (g *Gate) wake() {
 	g.mu.Lock()
 	close(g.released)
 	g.released = make(chan struct{})
 	g.mu.Unlock()
 }
 
-// wakeMargin is more than what a request asks for at once, apart from an answer.
+// nextRelease returns a channel that is closed when room is given back.
+func (g *Gate) nextRelease() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.released
+}
+
+// wait waits until a channel is closed, for takeInterval or until end at most. It reports false if done is
+// closed.
+func wait(released, done <-chan struct{}, end time.Duration) bool {
+	t := time.NewTimer(min(takeInterval, end-now()))
+	defer t.Stop()
+	select {
+	case <-released:
+	case <-t.C:
+	case <-done:
+		return false
+	}
+	return true
+}
+
+// wakeMargin is more than what a request asks for at once.
 const wakeMargin = 64 << 10
 
 // Times of a request that waits for room: all, and between two tries if nothing is released.
@@ -189,54 +212,46 @@
 	takeInterval = 20 * time.Millisecond
 )
 
-// take counts n more bytes for a connection, for what they are needed. If there is no room, it closes others and waits for a
+// take counts n more bytes of what arrives on a connection. If there is no room, it closes others and waits for a
 // moment. It reports false if there is none within the timeout.
 func (g *Gate) take(c *Conn, n int64, what need, timeout time.Duration) bool {
 	if n == 0 || g.tryTake(c, n) {
 		return true
 	}
-	if n > g.o.Capacity.Memory {
+	if n > g.requests.capacity {
 		return false
 	}
 	for end := now() + timeout; now() < end && !c.isClosing(); {
-		g.mu.Lock()
-		released := g.released
-		g.mu.Unlock()
+		released := g.nextRelease()
 		if g.tryTake(c, n) {
 			return true
 		}
-		if g.isShort(n) && g.closeOne(c, reasonMemory, what) {
+		if g.requests.isShort(n, 0) && g.closeOne(c, reasonMemory, what, clientlimit.MayClose) {
 			continue
 		}
-		t := time.NewTimer(takeInterval)
-		select {
-		case <-released:
-		case <-t.C:
-		}
-		t.Stop()
+		wait(released, nil, end)
 	}
 	return g.tryTake(c, n)
 }
 
 func (g *Gate) tryTake(c *Conn, n int64) bool {
-	if g.used.Add(n) > g.o.Capacity.Memory {
-		g.used.Add(-n)
+	if !g.requests.try(n, 0) {
 		return false
 	}
 	c.addHeld(n)
 	return true
 }
 
-// closeOne closes the connection that is the first to make room, except one. It reports false if there is
-// none.
-func (g *Gate) closeOne(except *Conn, reason string, what need) bool {
+// closeOne closes the connection that is the first to make room, except one, of those that may be closed. It
+// reports false if there is none.
+func (g *Gate) closeOne(except *Conn, reason string, what need, may func(clientlimit.Conn, time.Duration) bool) bool {
 	for {
 		at := now()
 		var victim *Conn
 		var state clientlimit.Conn
 		g.mu.Lock()
 		for c := range g.conns {
-			if s := c.state(); c != except && clientlimit.MayClose(s, at) && (victim == nil || clientlimit.CloseBefore(s, state, at)) {
+			if s := c.state(); c != except && may(s, at) && (victim == nil || clientlimit.CloseBefore(s, state, at)) {
 				victim, state = c, s
 			}
 		}
--- a/internal/ingress/refusals.go
+++ b/internal/ingress/refusals.go
@@ -68,8 +68,10 @@
 	}
 	gauge("spindle_client_connections", "Open connections of clients, by listener.", func() float64 { return float64(g.open.Load()) })
 	gauge("spindle_client_connections_limit", "Connections of clients that may be open, by listener.", func() float64 { return float64(g.o.Capacity.Connections) })
-	gauge("spindle_client_memory_bytes", "Bytes that clients make this VM hold, by listener, as counted.", func() float64 { return float64(g.used.Load()) })
-	gauge("spindle_client_memory_limit_bytes", "Bytes that clients may make this VM hold, by listener.", func() float64 { return float64(g.o.Capacity.Memory) })
+	gauge("spindle_client_memory_bytes", "Bytes of connections and requests that clients make this VM hold, by listener, as counted.", func() float64 { return float64(g.requests.used.Load()) })
+	gauge("spindle_client_memory_limit_bytes", "Bytes of connections and requests that clients may make this VM hold, by listener.", func() float64 { return float64(g.requests.capacity) })
+	gauge("spindle_client_answer_bytes", "Bytes of answers that this VM holds or expects, and of replies read for them, by listener, as counted.", func() float64 { return float64(g.answers.used.Load()) })
+	gauge("spindle_client_answer_limit_bytes", "Bytes of answers that this VM may hold, by listener.", func() float64 { return float64(g.answers.capacity) })
 }
 
 // logInterval is the least time between two log lines about refusals of one kind.
@@ -112,6 +114,6 @@
 	if due {
 		g.o.Log.Warn("client refused", "listener", g.o.Listener, "reason", r.reason, "phase", r.phase, "need", r.need,
 			"remote", r.client.RemoteAddr(), "not_logged", skipped,
-			"connections", g.open.Load(), "max_connections", g.o.Capacity.Connections, "held_bytes", g.used.Load(), "max_bytes", g.o.Capacity.Memory)
+			"connections", g.open.Load(), "max_connections", g.o.Capacity.Connections, "held_bytes", g.requests.used.Load(), "max_bytes", g.requests.capacity, "answer_bytes", g.answers.used.Load(), "max_answer_bytes", g.answers.capacity)
 	}
 }
--- a/internal/policy/clientlimit/clientlimit.go
+++ b/internal/policy/clientlimit/clientlimit.go
@@ -8,8 +8,11 @@
 
 // Capacity is what the connections of one listener may use together.
 type Capacity struct {
-	// Memory is in bytes, counted as by HeadCost, ConnCost and BodyCost.
-	Memory      int64
+	// Memory is in bytes for what clients send, counted as by HeadCost, ConnCost and BodyCost.
+	Memory int64
+	// Answers is in bytes for what they are sent: answers that are expected, that are not yet sent, and the
+	// replies of upstreams that are read for them. What upstreams send then takes no room of requests.
+	Answers     int64
 	Connections int
 }
 
@@ -43,7 +46,10 @@
 	callersConns, peersConns, adminConns    = 0.4, 0.125, 0.03125
 )
 
-// Least capacities: enough for a few requests at the published limits.
+// answersShare is the share of the callers' memory that is for answers. Other listeners serve small ones only.
+const answersShare = 0.45
+
+// Least capacities: enough for a request at the published limits.
 const (
 	minCallersMemory, minOtherMemory = 4e6, 1e6
 	minConns                         = 8
@@ -64,8 +70,11 @@
 	capacity := func(memoryShare, minMemory, connShare float64) Capacity {
 		return Capacity{Memory: int64(max(memoryShare*live, minMemory)), Connections: max(int(connShare*usable), minConns)}
 	}
+	callers := capacity(callersMemory, minCallersMemory, callersConns)
+	callers.Answers = int64(answersShare * float64(callers.Memory))
+	callers.Memory -= callers.Answers
 	return Plan{
-		Callers: capacity(callersMemory, minCallersMemory, callersConns),
+		Callers: callers,
 		Peers:   capacity(peersMemory, minOtherMemory, peersConns),
 		Admin:   capacity(adminMemory, minOtherMemory, adminConns),
 	}
@@ -120,6 +129,8 @@
 	Since time.Duration
 	// Writing is when the last progress was made in sending an answer, which is not yet sent; 0 for none.
 	Writing time.Duration
+	// Answer is in bytes what is counted for the answer.
+	Answer int64
 }
 
 // Times for which an answer may make no progress: until it may be closed to make room, and until it is
@@ -164,6 +175,28 @@
 // given up for others.
 func MayClose(c Conn, now time.Duration) bool { return rank(c, now) != rankKept }
 
+// MayCloseForAnswers reports whether a connection may be closed to make room for an answer: only for its own
+// answer, which is not read. Other connections hold nothing of that room.
+func MayCloseForAnswers(c Conn, now time.Duration) bool {
+	return c.Answer > 0 && rank(c, now) == rankStalled
+}
+
+const (
+	// aheadDivisor is the inverse of the share of the answers' capacity that one answer or reply counts at
+	// most before it is there. A large one is then not refused if nothing else is held.
+	aheadDivisor = 4
+	// growDivisor is the inverse of the share of what others leave that one reply may count. However many
+	// are read at once, they leave room for others.
+	growDivisor = 2
+)
+
+// CountedAhead returns what an answer or reply of a number of bytes, which is not all there, counts of a
+// capacity.
+func CountedAhead(bytes, capacity int64) int64 { return min(bytes, capacity/aheadDivisor) }
+
+// MayGrow reports whether a reply that is being read may grow to a size if others leave a number of bytes.
+func MayGrow(size, left int64) bool { return size <= left/growDivisor }
+
 // Stalled reports whether a connection is closed in any case.
 func Stalled(c Conn, now time.Duration) bool {
 	return c.Phase == Running && c.Writing != 0 && now-c.Writing >= StalledWrite
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -55,9 +55,10 @@
 	// Reads bounds the memory of replies that are being read. The default is 256 MiB.
 	Reads *readlimit.Budget
 	// CountReply returns a reader of the body of a reply to a pass-through request that counts it as held
-	// for the caller of the attempt with the context; length is negative if it is not known. It waits until
-	// there is room for the body, and returns an error if there is none in time. It may be nil.
-	CountReply func(ctx context.Context, body io.Reader, length int64) (io.Reader, error)
+	// for the caller of the attempt with the context; length is negative if it is not known. Its reads wait for
+	// room, and fail with readlimit.ErrNoMemory if there is none in time. Closed before its end, it counts no
+	// longer. It may be nil.
+	CountReply func(ctx context.Context, body io.ReadCloser, length int64) io.ReadCloser
 	// Headers names the headers of attempts of kind PassThrough.
 	Headers    HeaderNames
 	Log        *log.Logger
--- a/internal/upstream/pass.go
+++ b/internal/upstream/pass.go
@@ -177,14 +177,11 @@
 // without a length ends when the upstream closes the connection; net/http reports a
 // reset as an error.
 func (c *Client) readPassThrough(resp *http.Response, limit int64) ([]byte, error) {
-	defer resp.Body.Close()
-	body := io.Reader(resp.Body)
+	body := resp.Body
 	if c.opts.CountReply != nil {
-		var err error
-		if body, err = c.opts.CountReply(resp.Request.Context(), body, resp.ContentLength); err != nil {
-			return nil, err
-		}
+		body = c.opts.CountReply(resp.Request.Context(), body, resp.ContentLength)
 	}
+	defer body.Close()
 	return c.opts.Reads.ReadAll(body, limit, resp.ContentLength)
 }
 
