--- a/internal/readlimit/readlimit.go
+++ b/internal/readlimit/readlimit.go
@@ -16,6 +16,9 @@
 	ErrTooLarge = errors.New("body is too large")
 	// ErrNoMemory: the reads under way leave too little memory for one of this size.
 	ErrNoMemory = errors.New("too much is being read")
+	// ErrOwnSize comes with ErrNoMemory if the read would use too much were it the only one. Otherwise the
+	// other reads are the reason, and the sender of this body did nothing wrong.
+	ErrOwnSize = errors.New("the body alone is more than may be read")
 )
 
 const (
@@ -33,13 +36,14 @@
 
 // Budget bounds the memory of the reads under way beyond the first bytes of each.
 type Budget struct {
+	total  int64
 	left   atomic.Int64
 	chunks sync.Pool // of *chunk
 }
 
 // New returns a budget of a number of bytes.
 func New(bytes int64) *Budget {
-	b := &Budget{}
+	b := &Budget{total: bytes}
 	b.left.Store(bytes)
 	return b
 }
@@ -102,7 +106,7 @@
 			granted = min(2*granted, limit+1)
 			n := max(granted-freeBytes, 0) - taken
 			if n > 0 && !b.take(n, granted) {
-				return nil, fmt.Errorf("%w: no room for %d bytes", ErrNoMemory, granted)
+				return nil, b.noMemory(taken, granted)
 			}
 			taken += max(n, 0)
 		}
@@ -124,6 +128,14 @@
 	}
 }
 
+// noMemory returns the error of a read that has taken some bytes and cannot grow to size.
+func (b *Budget) noMemory(taken, size int64) error {
+	if size > (b.total-taken)/shareDivisor {
+		return fmt.Errorf("%w: %w: no room for %d bytes", ErrNoMemory, ErrOwnSize, size)
+	}
+	return fmt.Errorf("%w: no room for %d bytes", ErrNoMemory, size)
+}
+
 // join returns the first size bytes of head and the chunks, all of which are full but the last.
 func join(head []byte, chunks []*chunk, size int64) []byte {
 	body := append(make([]byte, 0, size), head...)
--- a/internal/readlimit/readlimit_test.go
+++ b/internal/readlimit/readlimit_test.go
@@ -54,10 +54,26 @@
 		Expect(err).To(MatchError(readlimit.ErrTooLarge))
 		b = readlimit.New(1 << 20)
 		_, err = b.ReadAll(endless{}, 8<<20, -1)
-		Expect(err).To(MatchError(readlimit.ErrNoMemory))
+		Expect(err).To(And(MatchError(readlimit.ErrNoMemory), MatchError(readlimit.ErrOwnSize)))
 		Expect(b.Left()).To(BeEquivalentTo(1 << 20))
 	})
 
+	// Guards against upstreams that are blamed for what others send.
+	It("tells a body that is too much by itself from one that others leave no room for", func() {
+		b := readlimit.New(1 << 20)
+		release, started := make(chan struct{}), make(chan struct{}, 20)
+		defer close(release)
+		for range 20 {
+			go func() {
+				_, _ = b.ReadAll(io.MultiReader(strings.NewReader(strings.Repeat("x", 60<<10)), &waiting{release, started}), 8<<20, -1)
+			}()
+		}
+		Eventually(b.Left, "5s").Should(BeNumerically("<", 300<<10))
+		_, err := b.ReadAll(strings.NewReader(strings.Repeat("y", 100<<10)), 8<<20, -1)
+		Expect(err).To(MatchError(readlimit.ErrNoMemory))
+		Expect(err).NotTo(MatchError(readlimit.ErrOwnSize))
+	})
+
 	// Load pattern: hundreds of connections on which bytes come without end, beside requests of
 	// callers.
 	It("leaves room for a body of usual size beside many reads that have taken what they can", func() {
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -97,6 +97,8 @@
 // recordedClass returns the class under which the replica's state records r.
 func recordedClass(r *Result) Class {
 	switch {
+	case errors.Is(r.Err, errNoRoom):
+		return notRead
 	case errors.Is(r.Err, errConnect):
 		return failedConnect
 	case r.Class == Failed && r.Status/100 == 4:
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"runtime"
@@ -60,6 +61,14 @@
 	return e
 }
 
+// held is a reader that sends nothing until it is closed.
+type held chan struct{}
+
+func (h held) Read([]byte) (int, error) {
+	<-h
+	return 0, io.EOF
+}
+
 // Bytes that are no answer may come without end, in a head or a body, until this VM closes.
 var _ = Describe("Client of upstreams that send bytes without end", func() {
 	newEndlessClient := func(us ...*endlessUpstream) *Client {
@@ -107,6 +116,44 @@
 		Entry("in the trailer of a body", head+"Transfer-Encoding: chunked\r\n\r\n0\r\n", "Name: x\r\n"),
 	)
 
+	// Upstreams that did nothing wrong were avoided while others sent bytes without end.
+	It("does not rank an upstream as one that fails whose reply finds no room beside others", func() {
+		address := serveConns(func(c net.Conn) {
+			for in := bufio.NewReader(c); ; {
+				if _, err := http.ReadRequest(in); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, head+"Id: id\r\nContent-Length: 200000\r\n\r\n"+strings.Repeat("x", 200_000))
+			}
+		})
+		c := newClient(Options{ManifestOnly: true, Headers: passThroughHeaders, Reads: readlimit.New(2 << 20)},
+			newManifest(&gen.Upstream{Address: address, Zone: "a", Workload: wlOrder, Slots: 1000, ConnectionLimit: 20_000}))
+		Expect(do(context.Background(), c, 0).Class).To(Equal(OK))
+		release := make(chan struct{})
+		var reading sync.WaitGroup
+		defer reading.Wait()
+		defer close(release)
+		other := strings.Repeat("x", 100_000)
+		for range 60 {
+			reading.Go(func() {
+				_, _ = c.opts.Reads.ReadAll(io.MultiReader(strings.NewReader(other), held(release)), 8<<20, -1)
+			})
+		}
+		Eventually(c.opts.Reads.Left).Should(BeNumerically("<", 800_000))
+		r := do(context.Background(), c, 0)
+		Expect(r.Class).To(Equal(InvalidReply))
+		Expect(r.Err).To(MatchError(readlimit.ErrNoMemory))
+		Expect(c.States()[0].Suspect).To(BeFalse())
+		Expect(c.States()[0].Outstanding).To(BeZero())
+	})
+
+	It("ranks an upstream as one that fails whose reply alone is more than may be read", func() {
+		c := newEndlessClient(newEndlessUpstream(head+"Connection: close\r\n\r\n", "x"))
+		r := do(context.Background(), c, 0)
+		Expect(r.Err).To(MatchError(readlimit.ErrNoMemory))
+		Expect(c.States()[0].Suspect).To(BeTrue())
+	})
+
 	It("ends with the request that it is for, and holds nothing after it", func() {
 		u := newEndlessUpstream(head+"Connection: close\r\n\r\n", "x")
 		u.pause = 20 * time.Millisecond
--- a/internal/upstream/pass.go
+++ b/internal/upstream/pass.go
@@ -182,7 +182,7 @@
 		body = c.opts.CountReply(resp.Request.Context(), body, resp.ContentLength)
 	}
 	defer body.Close()
-	return c.opts.Reads.ReadAll(body, limit, resp.ContentLength)
+	return c.readAll(body, resp, limit)
 }
 
 // passThroughLoad returns the load that a reply to a pass-through request reports; Known
@@ -234,6 +234,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.removePassThrough(t.pickedAt)
+	if errors.Is(r.Err, errNoRoom) {
+		return
+	}
 	switch r.Class {
 	case OK, Failed:
 		s.forecast.Replied(now, sinceSent, typical, r.load)
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/sardinespindle/sardinespindle/internal/readlimit"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/upstream"
 )
 
@@ -41,6 +43,7 @@
 	errOtherShard   = errors.New("reply is of another shard")
 	errNoLength     = errors.New("reply has no length, so its end cannot be told from a cut")
 	errInvalid      = errors.New("reply is not valid")
+	errNoRoom       = errors.New("others leave no room for the reply")
 )
 
 // readBody reads a complete body of at most limit bytes and closes it.
@@ -49,7 +52,17 @@
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return nil, errNoLength
 	}
-	return c.opts.Reads.ReadAll(resp.Body, limit, resp.ContentLength)
+	return c.readAll(resp.Body, resp, limit)
+}
+
+// readAll reads the body of a reply. The error is errNoRoom if the reply has a length, and others leave no
+// room for it. A reply without a length may have no end, so that its upstream is to blame.
+func (c *Client) readAll(body io.Reader, resp *http.Response, limit int64) ([]byte, error) {
+	b, err := c.opts.Reads.ReadAll(body, limit, resp.ContentLength)
+	if resp.ContentLength >= 0 && errors.Is(err, readlimit.ErrNoMemory) && !errors.Is(err, readlimit.ErrOwnSize) {
+		err = fmt.Errorf("%w: %w", errNoRoom, err)
+	}
+	return b, err
 }
 
 // wireReply has pointer fields to distinguish a missing field from a zero one.
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -196,6 +196,8 @@
 	// notServed: the upstream replied with a client error. It is healthy but may, for
 	// example, no longer hold the shard.
 	notServed
+	// notRead: this VM had no room for the reply, which says nothing of the upstream.
+	notRead
 )
 
 // recordResult releases the slot and records the result of an attempt. latency runs from
@@ -228,7 +230,7 @@
 	case Canceled:
 		s.recordCensored(now, total)
 		s.recordUnanswered(now, latency)
-	case NotSent, notServed:
+	case NotSent, notServed, notRead:
 	}
 }
 
