--- a/internal/forward/answersize.go
+++ b/internal/forward/answersize.go
@@ -1,14 +1,12 @@
 package forward
 
+import "github.com/sardinespindle/sardinespindle/internal/policy/clientlimit"
+
 // smallAnswer is the size up to which an answer is not counted: the buffers of its connection hold it.
 const smallAnswer = 16 << 10
 
-// answerDecay is by how much the size that is expected of a route's answers falls with each answer, unless
-// that one is larger.
-const answerDecay = 0.95
-
-// takeAnswer makes room for an answer of the size that recent ones of the route had: a request that has run
-// cannot be refused. It reports false if there is no room.
+// takeAnswer makes room for an answer of the size that recent ones of the route had on average: a request
+// that has run cannot be refused. It reports false if there is no room.
 func (s *Server) takeAnswer(q *request) bool {
 	if q.conn == nil || !s.largeAnswers.Load() {
 		return true
@@ -24,7 +22,7 @@
 		return
 	}
 	s.largeAnswers.Store(true)
-	s.answerSizes.Update(q.route.Name, func(known *int) { *known = max(size, int(answerDecay*float64(*known))) })
+	s.answerSizes.Update(q.route.Name, func(known *int) { *known = clientlimit.ExpectedAnswer(*known, size) })
 	if size > smallAnswer {
 		q.conn.Hold(size)
 	}
--- a/internal/forward/answersize_test.go
+++ b/internal/forward/answersize_test.go
@@ -23,8 +23,9 @@
 	"github.com/sardinespindle/sardinespindle/schema/gen/caller"
 )
 
-// largeRunner answers with 200 KB, while it is released.
+// largeRunner answers with 200 KB, or with less, while it is released.
 type largeRunner struct {
+	small   atomic.Bool
 	runs    atomic.Int64
 	release atomic.Pointer[chan struct{}]
 }
@@ -34,18 +35,24 @@
 	if release := l.release.Load(); release != nil {
 		<-*release
 	}
-	return outcome.Outcome{Kind: caller.OutcomeAnswered, Result: []byte(strings.Repeat("x", 200_000)), ResultStatus: http.StatusOK, Header: http.Header{}}
+	size := 200_000
+	if l.small.Load() {
+		size = 1000
+	}
+	return outcome.Outcome{Kind: caller.OutcomeAnswered, Result: []byte(strings.Repeat("x", size)), ResultStatus: http.StatusOK, Header: http.Header{}}
 }
 
 var _ = Describe("A server whose callers hold what they may", func() {
-	// Guards against answers that exhaust the memory once requests have run and can't be refused any more.
-	It("refuses a request unsent if there is no room for an answer as large as its route's last ones", func() {
+	var runner *largeRunner
+	var statuses chan int
+	var get func()
+	BeforeEach(func() {
 		r := &route.Route{Name: "read", Host: "h", Prefix: "/", Timeout: 5 * time.Second, Idempotent: true, Targets: []route.Target{{Service: "read", Weight: 1}}}
 		c := &catalog.Catalog{
 			Config:   &catalog.Config{Version: 1},
 			Manifest: &manifest.Manifest{Workloads: map[string]*manifest.Workload{"read": {}}}, Table: route.NewTable([]*route.Route{r}),
 		}
-		runner := &largeRunner{}
+		runner = &largeRunner{}
 		s := New(Options{
 			Catalog: func() *catalog.Catalog { return c }, Headers: HeaderNames{RequestID: "Id", Deadline: "Deadline"}, Log: log.New(GinkgoWriter),
 			Runner: runner, Poison: noPoison{}, Repeats: repeat.Limits{Window: time.Second}, VMs: func(string) int { return 1 },
@@ -60,8 +67,8 @@
 		Expect(err).NotTo(HaveOccurred())
 		go func() { _ = server.Serve(gate.Listen(l)) }()
 		DeferCleanup(server.Close)
-		statuses := make(chan int, 10)
-		get := func() {
+		statuses = make(chan int, 10)
+		get = func() {
 			defer GinkgoRecover()
 			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 			req, err := http.NewRequest(http.MethodGet, "http://"+l.Addr().String()+"/x", http.NoBody)
@@ -72,6 +79,10 @@
 			resp.Body.Close()
 			statuses <- resp.StatusCode
 		}
+	})
+
+	// Guards against answers that exhaust the memory once requests have run and can't be refused any more.
+	It("refuses a request unsent if there is no room for an answer as large as its route's last ones", func() {
 		get()
 		Expect(statuses).To(Receive(Equal(http.StatusOK)))
 
@@ -89,4 +100,31 @@
 			Eventually(statuses, 5*time.Second).Should(Receive(Equal(http.StatusOK)))
 		}
 	})
+
+	// One large answer made a route refuse requests with 503 while nearly all room was free.
+	It("does not refuse requests for one large answer among small ones", func() {
+		answer := func() {
+			get()
+			Expect(statuses).To(Receive(Equal(http.StatusOK)))
+		}
+		answer() // a large one, from which on sizes are remembered
+		runner.small.Store(true)
+		for range 200 {
+			answer()
+		}
+		runner.small.Store(false)
+		answer()
+		runner.small.Store(true)
+		release := make(chan struct{})
+		runner.release.Store(&release)
+		before := runner.runs.Load()
+		for range 10 {
+			go get()
+		}
+		Eventually(runner.runs.Load).Should(BeEquivalentTo(before + 10))
+		close(release)
+		for range 10 {
+			Eventually(statuses, 5*time.Second).Should(Receive(Equal(http.StatusOK)))
+		}
+	})
 })
--- a/internal/policy/clientlimit/clientlimit.go
+++ b/internal/policy/clientlimit/clientlimit.go
@@ -197,6 +197,18 @@
 // MayGrow reports whether a reply that is being read may grow to a size if others leave a number of bytes.
 func MayGrow(size, left int64) bool { return size <= left/growDivisor }
 
+// expectedWeight is the inverse of the weight of an answer in what is expected of the next.
+const expectedWeight = 20
+
+// ExpectedAnswer returns the size to expect of a route's answers after one of a size: their mean, since what
+// many requests need together is a multiple of it. known is what was expected, 0 before the first answer.
+func ExpectedAnswer(known, size int) int {
+	if known == 0 {
+		return size
+	}
+	return known + (size-known)/expectedWeight
+}
+
 // Stalled reports whether a connection is closed in any case.
 func Stalled(c Conn, now time.Duration) bool {
 	return c.Phase == Running && c.Writing != 0 && now-c.Writing >= StalledWrite
--- a/internal/policy/clientlimit/clientlimit_test.go
+++ b/internal/policy/clientlimit/clientlimit_test.go
@@ -89,6 +89,23 @@
 		})
 	})
 
+	// Load pattern: a route with small answers and a large one now and then, to many callers at a time.
+	It("is expected by the mean of a route's answers", func() {
+		expected, sum := 0, 0
+		for n := range 1000 {
+			size := 1000
+			if n%50 == 0 {
+				size = 1_000_000
+			}
+			expected = clientlimit.ExpectedAnswer(expected, size)
+			if n >= 500 {
+				sum += expected
+			}
+		}
+		Expect(sum / 500).To(BeNumerically("~", 21_000, 5_000))
+		Expect(clientlimit.ExpectedAnswer(0, 1_000_000)).To(Equal(1_000_000))
+	})
+
 	It("lets one reply of any size be read if nothing else is held", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			capacity, step := rapid.Int64Range(1e6, 1e9).Draw(t, "capacity"), rapid.Int64Range(1, 64<<10).Draw(t, "step")
