--- a/internal/upstream/pass.go
+++ b/internal/upstream/pass.go
@@ -177,15 +177,12 @@
 // without a length ends when the upstream closes the connection; net/http reports a
 // reset as an error.
 func (c *Client) readPassThrough(resp *http.Response, limit int64) ([]byte, error) {
-	defer resp.Body.Close()
-	body := io.Reader(resp.Body)
+	body := resp.Body
 	if c.opts.CountReply != nil {
-		var err error
-		if body, err = c.opts.CountReply(resp.Request.Context(), body, resp.ContentLength); err != nil {
-			return nil, err
-		}
+		body = c.opts.CountReply(resp.Request.Context(), body, resp.ContentLength)
 	}
-	return c.opts.Reads.ReadAll(body, limit, resp.ContentLength)
+	defer body.Close()
+	return c.readAll(body, resp, limit)
 }
 
 // passThroughLoad returns the load that a reply to a pass-through request reports; Known
@@ -237,6 +234,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.removePassThrough(t.pickedAt)
+	if errors.Is(r.Err, errNoRoom) {
+		return
+	}
 	switch r.Class {
 	case OK, Failed:
 		s.forecast.Replied(now, sinceSent, typical, r.load)
