Soak: an order that is answered 408, 421 or 429 and has run is a broken promise, as one answered 503 is

Cause: the users' rule REFUSED names four statuses; the soak knew 503 only, so a 429 of a server that ran the order, passed on, did not count. Found while each bound of the checks was set beside the rule that it stands for. Change: the three others count for orders. Ruled out: the same for other requests: a server's own 429 is passed on to them, and the rule is about orders. Measured: the entry 'reports status 429 for an order that ran' failed and passes.

--- a/internal/bench/soak_check.go
+++ b/internal/bench/soak_check.go
@@ -22,7 +22,7 @@
 	belowMinimum    = "below_minimum"     // an answer covers less than the minimum share
 	deniedRoute     = "denied"            // a published route was rejected
 	ranTwice        = "ran_twice"         // an order ran more than once
-	refusedButRan   = "refused_but_ran"   // status 503 for a request that a server ran
+	refusedButRan   = "refused_but_ran"   // a status that promises "not run" for a request that a server ran
 	lateReply       = "late"              // no answer within soakLateSlack of the deadline
 	cutOff          = "cut_off"           // a VM that was not killed closed the connection of a request that ran
 	workAfterDrain  = "work_after_drain"  // a request reached a server long after its drain was published
@@ -271,10 +271,19 @@
 }
 
 // isRefused reports whether the answer promises that the request did not run. A signed 503 is a server's own, which
-// is passed on to the caller unless it is that to an order.
+// is passed on to the caller unless it is that to an order; so are other statuses that promise it of an order only.
 func (q *soakRequest) isRefused() bool {
-	passedOn := q.kind != "order" && q.header.Get(platform.UpstreamHeaders.Signature) != ""
-	return q.err == nil && q.status == http.StatusServiceUnavailable && !passedOn
+	if q.err != nil {
+		return false
+	}
+	switch q.status {
+	case http.StatusServiceUnavailable:
+		return q.kind == "order" || q.header.Get(platform.UpstreamHeaders.Signature) == ""
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
+		return q.kind == "order"
+	default:
+		return false
+	}
 }
 
 // killed reports whether the VM was killed at any time from a to b.
--- a/internal/bench/soak_test.go
+++ b/internal/bench/soak_test.go
@@ -94,6 +94,8 @@
 		Entry("accepts an order that ran once", soakRequest{kind: "order", status: 502}, 1, ""),
 		Entry("reports an order that ran twice", soakRequest{kind: "order", status: 502}, 2, ranTwice),
 		Entry("reports status 503 for a request that ran", soakRequest{kind: "read", status: 503}, 1, refusedButRan),
+		Entry("reports status 429 for an order that ran", soakRequest{kind: "order", status: 429}, 1, refusedButRan),
+		Entry("accepts status 429 of a server for a read that ran", soakRequest{kind: "read", status: 429}, 1, ""),
 		Entry("accepts status 503 for a request that did not run", soakRequest{kind: "read", status: 503}, 0, ""),
 		Entry("reports status 404 for a published route", soakRequest{kind: "read", status: 404}, 0, deniedRoute),
 		Entry("reports a request that has no answer long after its deadline", soakRequest{kind: "read", sent: at, end: at.Add(2 * time.Second), err: errors.New("time-out")}, 1, lateReply),
