--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -165,7 +165,8 @@
 	// smallReply is the size up to which replies are not counted: the buffers of their connections hold
 	// them.
 	smallReply = 16 << 10
-	// replyTimeout is how long a reply may wait for room. An upstream cuts a reply off that stays unread
+	// replyTimeout is how long a reply may wait for room in all: replies read in part may wait for each
+	// other. An upstream cuts a reply off that stays unread
 	// for some seconds.
 	replyTimeout = 2 * time.Second
 )
@@ -181,7 +182,7 @@
 	}
 	c.answer.mu.Lock()
 	defer c.answer.mu.Unlock()
-	return &countedReply{ctx: ctx, ReadCloser: body, conn: c, request: c.answer.request}
+	return &countedReply{ctx: ctx, ReadCloser: body, conn: c, request: c.answer.request, mayWait: replyTimeout}
 }
 
 // countedReply counts the body of a reply while it is read.
@@ -191,6 +192,7 @@
 	conn          *Conn
 	request       int
 	read, counted int64
+	mayWait       time.Duration
 	ended         bool
 }
 
@@ -223,7 +225,9 @@
 	if n <= 0 {
 		return nil
 	}
-	ok, err := r.conn.waitForRoom(r.ctx.Done(), replyTimeout, needReply, size, func() (int64, error) { return r.conn.add(r.request, n, size) })
+	begun := now()
+	ok, err := r.conn.waitForRoom(r.ctx.Done(), r.mayWait, needReply, size, func() (int64, error) { return r.conn.add(r.request, n, size) })
+	r.mayWait -= now() - begun
 	if err != nil {
 		return err
 	}
--- a/internal/ingress/answer_test.go
+++ b/internal/ingress/answer_test.go
@@ -20,6 +20,16 @@
 
 func (filler) Read(p []byte) (int, error) { return len(p), nil }
 
+// spender is a reader of a reply each piece of which arrives when others hold all room, for a while.
+type spender struct{ gate *Gate }
+
+func (s spender) Read(p []byte) (int, error) {
+	n := s.gate.answers.capacity - s.gate.answers.used.Load()
+	s.gate.answers.used.Add(n)
+	time.AfterFunc(replyTimeout*2/5, func() { s.gate.releaseAnswers(n) })
+	return min(1000, len(p)), nil
+}
+
 func reply(r io.Reader) io.ReadCloser { return io.NopCloser(r) }
 
 var _ = Describe("CountReply", func() {
@@ -118,6 +128,18 @@
 		Expect(<-waited).To(BeNumerically("<", replyTimeout/2))
 	})
 
+	// Replies that were read in part held each other up until the deadlines of their requests.
+	It("waits for a bounded time in all, though each of its reads finds room after a while", func() {
+		ended := make(chan error, 1)
+		s := serveReplies(func(ctx context.Context, c *Conn) {
+			_, err := io.CopyN(io.Discard, CountReply(ctx, reply(spender{c.gate}), -1), 40_000)
+			ended <- err
+		})
+		c := s.dial(getReply)
+		Eventually(ended, 2*replyTimeout).Should(Receive(MatchError(readlimit.ErrNoMemory)))
+		Expect(status(c)).To(Equal(http.StatusOK))
+	})
+
 	// Guards against replies that are counted for the next request on the connection, for good.
 	It("counts nothing for a request that is answered", func() {
 		late := make(chan io.ReadCloser, 1)
