--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -17,6 +17,7 @@
 
 	"github.com/sardinespindle/sardinespindle/internal/guard"
 	"github.com/sardinespindle/sardinespindle/internal/policy/poison"
+	"github.com/sardinespindle/sardinespindle/internal/readlimit"
 )
 
 // maxTries bounds the tries of an attempt, the first one included. An attempt is tried
@@ -76,6 +77,9 @@
 
 // fateOf returns what the result of an attempt says of its upstream; of a lost one, see judgeLost.
 func fateOf(r *Result) poison.Fate {
+	if errors.Is(r.Err, readlimit.ErrNoMemory) {
+		return poison.Lives // whether or not it was in time: a part of the reply is there
+	}
 	switch r.Class {
 	case OK, Failed:
 		return poison.Ran
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/sardinespindle/sardinespindle/internal/policy/poison"
 	"github.com/sardinespindle/sardinespindle/internal/readlimit"
 	"github.com/sardinespindle/sardinespindle/internal/testkit"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
@@ -147,6 +149,14 @@
 		Expect(c.States()[0].Outstanding).To(BeZero())
 	})
 
+	// Requests were taken for ones that end their upstreams since this VM had no room for the replies.
+	It("does not hold against a request that its reply found no room until the deadline", func() {
+		for _, class := range []Class{TimedOut, Canceled, InvalidReply} {
+			Expect(fateOf(&Result{Class: class, Err: fmt.Errorf("%w: no room", readlimit.ErrNoMemory)})).To(Equal(poison.Lives))
+		}
+		Expect(fateOf(&Result{Class: TimedOut, Err: context.DeadlineExceeded})).To(Equal(poison.Unknown))
+	})
+
 	It("ranks an upstream as one that fails whose reply alone is more than may be read", func() {
 		c := newEndlessClient(newEndlessUpstream(head+"Connection: close\r\n\r\n", "x"))
 		r := do(context.Background(), c, 0)
