Facts: a reply to a digest has room for every kind, so that a VM that missed announcements learns of the members

Cause of a VM that knew few others after 60 s (known red: a fleet of 60 that starts at once, at a load of 80). A VM that starts late or slowly has few working connections, and its neighbours state that it is lost. There may be a statement for each pair of VMs, and they last 2 min: 1,000 in a fleet of 60. A reply to a digest holds at most 256 facts or 32 KiB of all facts in the buckets that differ, known ones too, the most urgent kinds first, within a kind those that expire last. Announcements of members are the least urgent: each reply was full of statements, mostly the same ones, and had no room for a single announcement. The VM learned of no member for as long as statements came, though it was connected and got facts all the time. To its callers it was a VM that knows few gatherers and shares limits with few.

Change: facts.Repair chooses what a reply holds: kinds take turns, the most urgent first, and within a kind the order is random, so that the next reply holds others. Pushes are chosen as before. Wire and store are as before; a VM of an earlier build replies as before.

Ruled out: penalties for a hello that did not come in time. Not changed: that each VM states for itself that another is lost.

Test first: both specs found no announcement in the reply before (0 of 60, 0 of 40).

--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -316,6 +316,5 @@
 	}
 	missing := n.facts.Missing(theirs)
 	rand.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
-	chosen, _ := rules.Select(missing, maxPushFacts, maxRepairBytes)
-	n.sendFacts(c, chosen)
+	n.sendFacts(c, rules.Repair(missing, maxPushFacts, maxRepairBytes))
 }
--- a/internal/peer/hostile_test.go
+++ b/internal/peer/hostile_test.go
@@ -329,6 +329,42 @@
 	})
 })
 
+var _ = Describe("the reply to a digest", func() {
+	// VMs that had missed the announcements at their start learned of no other VM for minutes.
+	It("has the announcements of members beside many statements that VMs were lost", func() {
+		f := newFleet(1)
+		for i := range 500 {
+			f.vms[0].Facts().Put(fmt.Sprint("lost/", i), "x 0", time.Minute)
+		}
+		for i := range 40 {
+			f.vms[0].Facts().Put(fmt.Sprint("member/", i), "0 0.13 z1", time.Minute)
+		}
+		ws, err := dialFrom(f.vms[0], "127.0.9.8")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(ws.CloseNow)
+		ws.SetReadLimit(1 << 20)
+		Expect(write(ws, marshal(helloAs("late")))).To(Succeed())
+		Expect(write(ws, marshal(&gen.Message{Digest: &gen.Digest{Buckets: make([]int, 64)}}))).To(Succeed())
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		members := 0
+		for replied := false; !replied; {
+			_, b, err := ws.Read(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			var m gen.Message
+			Expect(cbor.Unmarshal(b, &m)).To(Succeed())
+			if replied = m.Facts != nil; replied {
+				for _, fact := range m.Facts.Facts {
+					if strings.HasPrefix(fact.Key, "member/") {
+						members++
+					}
+				}
+			}
+		}
+		Expect(members).To(Equal(40))
+	})
+})
+
 var _ = Describe("a process that was paused", func() {
 	It("closes the connections opened before and receives facts again over new ones", func() {
 		f := newFleet(5)
--- a/internal/policy/facts/facts.go
+++ b/internal/policy/facts/facts.go
@@ -196,6 +196,37 @@
 	slices.SortStableFunc(fs, func(a, b Fact) int {
 		return cmp.Or(cmp.Compare(Urgency(a.Key), Urgency(b.Key)), cmp.Compare(b.Expires, a.Expires))
 	})
+	return cut(fs, maxFacts, maxBytes)
+}
+
+// Repair chooses the facts with which one digest is answered, within a limit of facts and bytes. The
+// kinds take turns, the most urgent one first, and within a kind the given order is kept, which the caller
+// shuffles: many facts of one kind, most of which may be known, keep no other from being repaired.
+func Repair(fs []Fact, maxFacts, maxBytes int) []Fact {
+	turns := map[string]int{}
+	type turn struct {
+		Fact
+		number int
+	}
+	all := make([]turn, len(fs))
+	for i, f := range fs {
+		kind, _, _ := strings.Cut(f.Key, "/")
+		all[i] = turn{f, turns[kind]}
+		turns[kind]++
+	}
+	slices.SortStableFunc(all, func(a, b turn) int {
+		return cmp.Or(cmp.Compare(a.number, b.number), cmp.Compare(Urgency(a.Key), Urgency(b.Key)))
+	})
+	ordered := make([]Fact, len(all))
+	for i := range all {
+		ordered[i] = all[i].Fact
+	}
+	chosen, _ := cut(ordered, maxFacts, maxBytes)
+	return chosen
+}
+
+// cut returns the first facts within the limits, and the others.
+func cut(fs []Fact, maxFacts, maxBytes int) (first, rest []Fact) {
 	size := 0
 	for i, f := range fs {
 		size += f.Size()
--- a/internal/policy/facts/facts_test.go
+++ b/internal/policy/facts/facts_test.go
@@ -1,6 +1,9 @@
 package facts_test
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -99,3 +102,45 @@
 		})
 	})
 })
+
+var _ = Describe("Repair", func() {
+	// Load pattern: of 60 VMs that started beside other work, six learned of no other VM for 40 s: over 1,000
+	// statements that VMs were lost, each more urgent than an announcement, filled each reply to their digests.
+	It("has room for the announcements of 60 VMs beside 1,000 statements that VMs were lost", func() {
+		var fs []rules.Fact
+		for i := range 1000 {
+			fs = append(fs, rules.Fact{Key: fmt.Sprint("lost/127.32.0.", i%60), Origin: fmt.Sprintf("127.32.0.%d/%d", i/60, i), Value: "12 0", Expires: 2 * time.Minute})
+		}
+		for i := range 60 {
+			fs = append(fs, rules.Fact{Key: fmt.Sprint("member/127.32.0.", i), Origin: fmt.Sprintf("127.32.0.%d/1", i), Value: "0 0.13 z1", Expires: time.Minute})
+		}
+		kinds := map[string]int{}
+		for _, f := range rules.Repair(fs, 256, 32<<10) {
+			kind, _, _ := strings.Cut(f.Key, "/")
+			kinds[kind]++
+		}
+		Expect(kinds["member"]).To(Equal(60))
+		Expect(kinds["lost"]).To(BeNumerically(">=", 150))
+	})
+
+	It("chooses within the limits, the most urgent kind first, and no fact twice", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			fs := rapid.SliceOfNDistinct(rapid.Custom(drawFact), 0, 12, func(f rules.Fact) string { return fmt.Sprint(f) }).Draw(t, "facts")
+			maxFacts, maxBytes := rapid.IntRange(0, 30).Draw(t, "max facts"), rapid.IntRange(0, 2000).Draw(t, "max bytes")
+			chosen := rules.Repair(fs, maxFacts, maxBytes)
+			size := 0
+			for i, f := range chosen {
+				size += f.Size()
+				if !slices.Contains(fs, f) || slices.Contains(chosen[:i], f) {
+					t.Fatalf("%v is chosen twice, or was not given", f)
+				}
+				if rules.Urgency(f.Key) < rules.Urgency(chosen[0].Key) {
+					t.Fatalf("%s is chosen before the more urgent %s", chosen[0].Key, f.Key)
+				}
+			}
+			if size > maxBytes || len(chosen) > maxFacts {
+				t.Fatalf("chose %d facts, %d bytes", len(chosen), size)
+			}
+		})
+	})
+})
