Upstream: a reply that switches protocols ends its attempt

Cause: net/http gives a reply with the status 101 a body that ends with its connection and not with the context of the request. An upstream that sent one, itself or as a stray, held the attempt past its deadline for as long as it kept the connection open: the caller of an order or a search got no answer in time, and the slot and the connection stayed taken.

Change: such a reply is an invalid one, and its connection is closed. The same holds for replies to probes.

--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -162,7 +162,7 @@
 	req := c.newAttemptRequest(ctx, s, a)
 	a.reused, cn.carried = cn.carried, true
 	cn.sock.startAttempt(func() error { return c.checkBeforeWrite(ctx, s, a) })
-	resp, err := cn.RoundTrip(req) //nolint:bodyclose // readBody and readPassThrough close it
+	resp, err := cn.roundTrip(req) //nolint:bodyclose // readBody and readPassThrough close it
 	if err != nil {
 		wrote, read, sent := cn.sock.endAttempt()
 		return s.discardLost(ctx, cn, err, wrote, read), sent
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -24,6 +24,8 @@
 	errConnect  = errors.New("upstream: no connection")
 )
 
+var errSwitched = errors.New("upstream: reply switches to another protocol")
+
 // conn is one HTTP/1.1 connection. Unlike the pool of http.Transport, a ClientConn
 // never replays a request on another connection.
 type conn struct {
@@ -54,6 +56,17 @@
 	return len(c.refused) > 0 && slices.Contains(c.refused, maphash.String(idSeed, id))
 }
 
+// roundTrip is RoundTrip, but fails if the upstream switches to another protocol: the body of such a reply ends
+// with its connection, not with the context.
+func (c *conn) roundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := c.RoundTrip(req)
+	if err != nil || resp.StatusCode != http.StatusSwitchingProtocols {
+		return resp, err
+	}
+	_ = resp.Body.Close() // the connection is not used again
+	return nil, errSwitched
+}
+
 // drop closes the connection. The error of Close is ignored because the connection
 // is not used again.
 func (c *conn) drop() { _ = c.Close() }
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -144,7 +144,7 @@
 	req := newRequest(ctx, http.MethodOptions, s.address, path, nil)
 	req.Header[headerRequestID] = []string{id}
 	cn.sock.startAttempt(func() error { return nil })
-	resp, err := cn.RoundTrip(req)
+	resp, err := cn.roundTrip(req)
 	if err != nil {
 		cn.sock.endAttempt()
 		cn.drop()
