--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -177,9 +177,14 @@
 	_, _ = io.WriteString(c.Conn, "HTTP/1.1 "+status+"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 }
 
-// closeFrom closes the connection if it is in a phase. A request that has arrived in part is answered as
-// not run; the handler does so if it reads the body.
-func (c *Conn) closeFrom(phase clientlimit.Phase) bool {
+// closeFrom closes the connection if it is still in a state: a request that runs may be another one by then
+// than the one whose answer was not read. A request that has arrived in part is answered as not run; the
+// handler does so if it reads the body.
+func (c *Conn) closeFrom(state clientlimit.Conn) bool {
+	phase := state.Phase
+	if phase == clientlimit.Running && c.writing.Load() != int64(state.Writing) {
+		return false
+	}
 	if !c.phase.CompareAndSwap(int32(phase), int32(clientlimit.Closing)) {
 		return false
 	}
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -259,7 +259,7 @@
 		if victim == nil {
 			return false
 		}
-		if victim.closeFrom(state.Phase) {
+		if victim.closeFrom(state) {
 			g.log.refused(refusal{reason, what, state.Phase, victim}, g)
 			return true
 		}
@@ -280,16 +280,16 @@
 		case <-t.C:
 		}
 		at := now()
-		var stalled []*Conn
+		stalled := map[*Conn]clientlimit.Conn{}
 		g.mu.Lock()
 		for c := range g.conns {
-			if clientlimit.Stalled(c.state(), at) {
-				stalled = append(stalled, c)
+			if s := c.state(); clientlimit.Stalled(s, at) {
+				stalled[c] = s
 			}
 		}
 		g.mu.Unlock()
-		for _, c := range stalled {
-			if c.closeFrom(clientlimit.Running) {
+		for c, s := range stalled {
+			if c.closeFrom(s) {
 				g.log.refused(refusal{reasonStalled, needNone, clientlimit.Running, c}, g)
 			}
 		}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -247,12 +247,27 @@
 		h := s.gate.handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { called = true }))
 		r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("b"))
 		r = r.WithContext(context.WithValue(r.Context(), connKey{}, c))
-		Expect(c.closeFrom(clientlimit.Fresh)).To(BeTrue())
+		Expect(c.closeFrom(clientlimit.Conn{Phase: clientlimit.Fresh})).To(BeTrue())
 		c.onState(http.StateActive)
 		Expect(func() { h.ServeHTTP(httptest.NewRecorder(), r) }).To(PanicWith(http.ErrAbortHandler))
 		Expect(called).To(BeFalse())
 	})
 
+	// Guards against a request that runs and loses its connection for the answer to the one before it.
+	It("does not close a connection whose answer has been read meanwhile", func() {
+		s := serve(roomy, 0, readBody)
+		client, server := net.Pipe()
+		DeferCleanup(client.Close)
+		c := s.gate.admit(server)
+		DeferCleanup(c.Close)
+		c.setPhase(clientlimit.Running)
+		c.writing.Store(1)
+		unread := c.state()
+		c.writing.Store(0)
+		Expect(c.closeFrom(unread)).To(BeFalse())
+		Expect(c.isClosing()).To(BeFalse())
+	})
+
 	It("does not let a handler have the end of a body whose connection is being closed", func() {
 		s := serve(roomy, 0, readBody)
 		client, server := net.Pipe()
@@ -261,7 +276,7 @@
 		DeferCleanup(c.Close)
 		c.setPhase(clientlimit.Body)
 		body := countedBody{conn: c, from: io.NopCloser(strings.NewReader("b"))}
-		Expect(c.closeFrom(clientlimit.Body)).To(BeTrue())
+		Expect(c.closeFrom(clientlimit.Conn{Phase: clientlimit.Body})).To(BeTrue())
 		_, err := io.ReadAll(&body)
 		Expect(err).To(MatchError(ErrNoRoom))
 	})
