Upstream: a reply to a probe counts only with the probe's id

A reply without an id was taken for that of the probe under way. From an upstream that sends replies twice, a late copy said of it that it was ready, as of the later probe, though it drained by then: its lease was renewed and it got new work.

The spec "Client that probes an upstream which sends a reply twice" fails before for a copy without an id, and passes; with an id it held before. internal/upstream, gather, single, bench and standin pass (GOMAXPROCS=2 go test -p 2 -race).

--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -157,7 +157,7 @@
 		cn.drop()
 		return err
 	}
-	if echo := resp.Header.Get(headerRequestID); c.rules.echo && echo != "" && echo != id {
+	if c.rules.echo && resp.Header.Get(headerRequestID) != id {
 		cn.drop()
 		return errOtherAttempt
 	}
--- a/internal/upstream/stray_test.go
+++ b/internal/upstream/stray_test.go
@@ -30,7 +30,7 @@
 				return
 			}
 			if id == "" {
-				id = r.Header.Get("Id")
+				id = r.Header.Get("Id") + r.Header.Get(headerRequestID)
 			}
 			_, _ = io.WriteString(c, fmt.Sprintf(reply, id))
 		}
@@ -177,3 +177,18 @@
 		Expect(most).To(Equal(maxRefusedIDs), "a connection is used again for other requests, up to its bound")
 	})
 })
+
+// An upstream that drains counted as ready: a late copy of an earlier reply was taken for the reply to a later probe.
+var _ = DescribeTable("Client that probes an upstream which sends a reply twice, the second time late, does not take it for that to the next probe",
+	func(stray string) {
+		u := &gen.Upstream{Address: strayUpstream("HTTP/1.1 204 No Content\r\nSpindle-Request-Id: %s\r\n\r\n", stray), Zone: "a", Workload: wlOrder, ConnectionLimit: 60}
+		c := newClient(Options{}, newManifest(u))
+		s := c.current.Load().servers[u.Address]
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		Expect(c.tryProbe(ctx, s, probePath(u))).To(Succeed())
+		Expect(c.tryProbe(ctx, s, probePath(u))).To(MatchError(errOtherAttempt))
+	},
+	Entry("with its id", "HTTP/1.1 204 No Content\r\nSpindle-Request-Id: %s\r\n\r\n"),
+	Entry("without an id", "HTTP/1.1 204 No Content\r\n\r\n%.0s"),
+)
