--- a/internal/forward/unreached_test.go
+++ b/internal/forward/unreached_test.go
@@ -178,6 +178,24 @@
 		Expect(others.asked).To(BeEmpty())
 	})
 
+	// Load pattern: 19 of 20 upstreams of a service reset the connections of one zone's VMs for 8 s.
+	It("passes requests on to another zone while it reaches upstreams, but all that it sends to one service fails", func() {
+		reached = true
+		local.o = outcome.Unknown(outcome.UpstreamError, "reset", time.Second)
+		local.o.Cost.Sent = 2
+		now, served := time.Second, 0
+		s.o.Now = func() time.Duration { return now }
+		for range 40 {
+			now += 200 * time.Millisecond
+			q := newRequest(false)
+			q.route.Idempotent = true
+			if run(q).Kind == caller.OutcomeAnswered {
+				served++
+			}
+		}
+		Expect(served).To(BeNumerically(">=", 40*2/3), "other zones serve all, and those cut off owe two thirds of that")
+	})
+
 	It("counts what another VM used that was cut off too", func() {
 		lostToo := unknown
 		lostToo.Cost.Sent = 1
