--- a/internal/policy/ratelimit/ratelimit.go
+++ b/internal/policy/ratelimit/ratelimit.go
@@ -20,7 +20,7 @@
 	holderTime  = 2 * time.Second
 	moreHolders = 5
 	// longestTurn is the longest time that a share takes for one request, unless the limit itself takes longer.
-	longestTurn = 8 * time.Second
+	longestTurn = 4 * time.Second
 	// burstTime is the time whose share a VM may send at once, if that is more than one request.
 	burstTime = 250 * time.Millisecond
 	// spareTime is how long after the next request may be sent the share goes on to add up.
