Test: a connection whose request's body was sent in the end may be used again

Cause: two entries of 'takes no reply to it for that of a later request' asked that a connection is not used again after an upstream that answers 20 ms before it reads the body. net/http waits 50 ms for the rest of the body, and the whole request has been sent then, so that using it again is right; with -race the body took longer. Callers saw nothing.

Change: the entries with 20 ms ask for what the spec is about, that no later request gets another reply. Two more with 300 ms keep the bound on the connection, where the body cannot have been sent. All other entries are as before.

--- a/internal/upstream/reuse_test.go
+++ b/internal/upstream/reuse_test.go
@@ -21,6 +21,8 @@
 var _ = Describe("Client after a request that ended in an unusual way", func() {
 	const ok = "HTTP/1.1 200 OK\r\nSignature: %s\r\nId: %s\r\nContent-Length: 0\r\n\r\n"
 	deadline := 100 * time.Millisecond
+	// unsentBody is longer than net/http waits, after a reply, for the rest of a body to be sent: 50 ms.
+	const unsentBody = 300 * time.Millisecond
 	// play answers the first request on a connection, whose body it has not read.
 	type play func(c net.Conn, r *http.Request, id string)
 	send := func(reply string) play {
@@ -105,8 +107,10 @@
 	},
 		Entry("it was cut off by its deadline, and its reply comes later", late(deadline+10*time.Millisecond, unnamed), 0, false),
 		Entry("the same, with the head of the reply in time", both(send("HTTP/1.1 200 OK\r\nSignature: ID\r\nId: ID\r\nContent-Length: 4\r\n\r\n"), late(deadline+10*time.Millisecond, "body"+unnamed)), 0, false),
-		Entry("it was answered before its body was read", both(send(answer), late(20*time.Millisecond, ""), readBody), 16<<20, false),
-		Entry("the same, and again once the body was read", both(send(answer), late(20*time.Millisecond, ""), readBody, send(unnamed)), 16<<20, false),
+		Entry("it was answered long before its body was read", both(send(answer), late(unsentBody, ""), readBody), 16<<20, false),
+		Entry("the same, and again once the body was read", both(send(answer), late(unsentBody, ""), readBody, send(unnamed)), 16<<20, false),
+		Entry("it was answered shortly before its body was read", both(send(answer), late(20*time.Millisecond, ""), readBody), 16<<20, true),
+		Entry("the same, and again once the body was read", both(send(answer), late(20*time.Millisecond, ""), readBody, send(unnamed)), 16<<20, true),
 		Entry("its reply is too large", send("HTTP/1.1 200 OK\r\nSignature: ID\r\nId: ID\r\nContent-Length: 2000\r\n\r\n"+strings.Repeat("b", 2000)+unnamed), 0, false),
 		Entry("its reply is too large, in chunks", send("HTTP/1.1 200 OK\r\nSignature: ID\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n"+strings.Repeat("b", 2000)+"\r\n0\r\n\r\n"+unnamed), 0, false),
 		Entry("its reply says that the connection is closed", send("HTTP/1.1 200 OK\r\nConnection: close\r\nSignature: ID\r\nId: ID\r\nContent-Length: 0\r\n\r\n"+unnamed), 0, false),
