--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -166,15 +166,15 @@
 	// them.
 	smallReply = 16 << 10
 	// replyTimeout is how long a reply may wait for room in all: replies read in part may wait for each
-	// other. An upstream cuts a reply off that stays unread
-	// for some seconds.
+	// other. An upstream cuts a reply off that stays unread for some seconds.
 	replyTimeout = 2 * time.Second
 )
 
-// CountReply returns a reader of the body of an upstream's reply that counts its bytes, as they arrive, for
-// the caller's connection in ctx, if there is one. Where there is no room, reads wait for it, no longer than
-// ctx lasts. Their errors wrap readlimit.ErrNoMemory. A body that is closed before its end counts no longer.
-// length is negative if it is not known.
+// CountReply returns a reader of the body of an upstream's reply that counts it for the caller's connection in
+// ctx, if there is one. A body of a known length counts as a whole once more than smallReply of it has
+// arrived: replies that are read in part would wait for each other. length is negative if it is not known;
+// the bytes then count as they arrive. Where there is no room, reads wait for it, no longer than ctx lasts.
+// Their errors wrap readlimit.ErrNoMemory. A body that is closed before its end counts no longer.
 func CountReply(ctx context.Context, body io.ReadCloser, length int64) io.ReadCloser {
 	c := FromContext(ctx)
 	if c == nil || length >= 0 && length <= smallReply {
@@ -182,7 +182,7 @@
 	}
 	c.answer.mu.Lock()
 	defer c.answer.mu.Unlock()
-	return &countedReply{ctx: ctx, ReadCloser: body, conn: c, request: c.answer.request, mayWait: replyTimeout}
+	return &countedReply{ctx: ctx, ReadCloser: body, conn: c, request: c.answer.request, length: length, mayWait: replyTimeout}
 }
 
 // countedReply counts the body of a reply while it is read.
@@ -191,6 +191,7 @@
 	ctx           context.Context
 	conn          *Conn
 	request       int
+	length        int64 // negative if it is not known
 	read, counted int64
 	mayWait       time.Duration
 	ended         bool
@@ -218,9 +219,9 @@
 	return r.ReadCloser.Close()
 }
 
-// count counts what has been read, up to a share of the capacity.
+// count counts the reply, up to a share of the capacity.
 func (r *countedReply) count() error {
-	size := clientlimit.CountedAhead(r.read, r.conn.gate.answers.capacity)
+	size := clientlimit.CountedAhead(max(r.read, r.length), r.conn.gate.answers.capacity)
 	n := size - r.counted
 	if n <= 0 {
 		return nil
@@ -232,7 +233,9 @@
 		return err
 	}
 	if !ok {
-		r.conn.refused(reasonMemory, needReply)
+		if !errors.Is(r.ctx.Err(), context.Canceled) { // an attempt that is not needed any more was not refused
+			r.conn.refused(reasonMemory, needReply)
+		}
 		return fmt.Errorf("%w: replies and answers that callers have not read leave no room", readlimit.ErrNoMemory)
 	}
 	r.counted = size
--- a/internal/ingress/answer_test.go
+++ b/internal/ingress/answer_test.go
@@ -30,6 +30,19 @@
 	return min(1000, len(p)), nil
 }
 
+// slowReply is a reader of a reply that arrives in pieces.
+type slowReply struct{ left int }
+
+func (s *slowReply) Read(p []byte) (int, error) {
+	if s.left == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(time.Millisecond)
+	n := min(4000, s.left, len(p))
+	s.left -= n
+	return n, nil
+}
+
 func reply(r io.Reader) io.ReadCloser { return io.NopCloser(r) }
 
 var _ = Describe("CountReply", func() {
@@ -111,6 +124,22 @@
 		}
 	})
 
+	// Replies that were read in part held all the room, waited for each other and failed together.
+	It("lets sound replies be read one after the other that have no room together", func() {
+		const replies, size = 30, 100_000
+		read := make(chan error, replies)
+		s := serveReplies(func(ctx context.Context, _ *Conn) {
+			_, err := io.Copy(io.Discard, CountReply(ctx, reply(&slowReply{left: size}), size))
+			read <- err
+		})
+		for range replies {
+			s.dial(getReply)
+		}
+		for range replies {
+			Eventually(read, 2*replyTimeout).Should(Receive(BeNil()))
+		}
+	})
+
 	// Requests that had been passed on were answered only after their deadline, when their callers had left.
 	It("waits for room no longer than its attempt lasts", func() {
 		waited := make(chan time.Duration, 1)
