--- a/internal/policy/clientlimit/clientlimit.go
+++ b/internal/policy/clientlimit/clientlimit.go
@@ -46,8 +46,9 @@
 	callersConns, peersConns, adminConns    = 0.4, 0.125, 0.03125
 )
 
-// answersShare is the share of the callers' memory that is for answers. Other listeners serve small ones only.
-const answersShare = 0.45
+// answersShare is the share of the callers' memory that is for answers: the rest holds as many connections as
+// there are descriptors for. Other listeners serve small answers only.
+const answersShare = 0.28
 
 // Least capacities: enough for a request at the published limits.
 const (
