Upstream: a reply that names another request as well, or none for a request without an id, is not taken

Callers got the reply to another request then (MIXED).

Change: all id headers of a reply together must be the request's id, and a reply without an id is judged as one.

Measured: the entry 'an answer with the ids of two requests' failed before and passes; go test ./internal/upstream passes.

--- a/internal/upstream/pass.go
+++ b/internal/upstream/pass.go
@@ -72,9 +72,9 @@
 // checkPassThroughEcho returns an error unless a reply is for the attempt. A reply without an id is, if its
 // connection carried no other request, but a refusal must have one: it promises that this very request has not run.
 func (c *Client) checkPassThroughEcho(a *Attempt, resp *http.Response) error {
-	id := resp.Header.Get(c.opts.Headers.RequestID)
+	id := strings.Join(resp.Header.Values(c.opts.Headers.RequestID), ",")
 	switch {
-	case !c.rules.echo || id == a.PassThrough.ID:
+	case !c.rules.echo || id != "" && id == a.PassThrough.ID:
 		return nil
 	case id != "":
 		return errOtherAttempt
--- a/internal/upstream/stray_test.go
+++ b/internal/upstream/stray_test.go
@@ -99,6 +99,7 @@
 		Entry("an answer", answer, answer, OK),
 		Entry("a failure", answer, "HTTP/1.1 500 Internal Server Error\r\nSignature: s\r\nId: %s\r\nContent-Length: 0\r\n\r\n", OK),
 		Entry("an answer without an id", answer, unnamed, OK),
+		Entry("an answer with the ids of two requests", answer, "HTTP/1.1 200 OK\r\nSignature: s\r\nId: later\r\nId: %s\r\nContent-Length: 0\r\n\r\n", OK),
 		Entry("a failure without an id", answer, "HTTP/1.1 500 Internal Server Error\r\nSignature: s\r\nContent-Length: 0%.0s\r\n\r\n", OK),
 	)
 
