--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -21,7 +21,7 @@
 	closeOnce sync.Once
 
 	phase   atomic.Int32 // a clientlimit.Phase
-	since   atomic.Int64 // a time on clock.Boot; see clientlimit.Conn
+	since   atomic.Int64 // a time of now; see clientlimit.Conn
 	writing atomic.Int64 // likewise
 	held    atomic.Int64 // bytes counted besides ConnCost
 	closing atomic.Int64 // what the gate counts of it as closing
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -42,7 +42,7 @@
 type Gate struct {
 	o Options
 	// requests are connections and what arrives on them. answers are those that are expected, those that
-	// are not sent yet, and the replies that are read for them. Neither takes room of the other.
+	// are not sent yet, and the replies that are read for them. They share no room.
 	requests, answers part
 	open              atomic.Int64 // connections
 	waiting           atomic.Int64 // for room for answers
