--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -41,6 +41,7 @@
 	cutOverflow = "queue_overflow"
 	cutGarbage  = "garbage"
 	cutFlood    = "flood"
+	cutNoRoom   = "no_room" // what others send leaves no room for a message
 	cutWrite    = "write"
 	cutRead     = "read"
 	cutPing     = "ping"
@@ -261,8 +262,11 @@
 		m, reason := c.read(ctx)
 		if reason != "" {
 			c.close(reason)
-			if reason == cutGarbage || reason == cutFlood {
+			blamed := reason == cutGarbage || reason == cutFlood
+			if blamed {
 				c.node.penalize(c.peer)
+			}
+			if blamed || reason == cutNoRoom {
 				c.node.log.Warn("peer cut off", "peer", c.peer, "reason", reason)
 			}
 			return
@@ -288,7 +292,7 @@
 	case errors.Is(err, websocket.ErrMessageTooBig) && websocket.CloseStatus(err) == -1, errors.Is(err, readlimit.ErrTooLarge):
 		return nil, cutGarbage
 	case errors.Is(err, readlimit.ErrNoMemory):
-		return nil, cutFlood
+		return nil, cutNoRoom
 	case err != nil:
 		return nil, cutRead
 	}
