Soak: all numbers of shards up to 99 have addresses for their servers

Cause: a server's index was the last octet of its address. With three servers a shard, from 85 shards on the soak ended at its start ("lookup 127.30.11.256: no such host"), though 99 are allowed: no soak of the users' 90 shards ever ran.

Change: the nets after the first two hold the servers from the 251st on.

--- a/internal/bench/soak_links.go
+++ b/internal/bench/soak_links.go
@@ -28,7 +28,7 @@
 // addServerLinks starts the links from VM i to the servers.
 func (s *soak) addServerLinks(ctx context.Context, vm *soakVM, i int) error {
 	for n, sv := range s.servers {
-		l, err := s.startRelayFrom(ctx, s.address(relayNet, n+1, upstreamPort+i+1), sv.address, "")
+		l, err := s.startRelayFrom(ctx, s.serverAddress(relayNet, n, upstreamPort+i+1), sv.address, "")
 		if err != nil {
 			return err
 		}
--- a/internal/bench/soak_servers.go
+++ b/internal/bench/soak_servers.go
@@ -61,8 +61,8 @@
 )
 
 func (s *soak) addServer(ctx context.Context, i int) error {
-	sv := &soakServer{s: s, index: i, address: s.address(relayNet, i+1, upstreamPort), slots: make(chan struct{}, soakSlots+soakQueue)}
-	target := s.address(serverNet, i+1, upstreamPort)
+	sv := &soakServer{s: s, index: i, address: s.serverAddress(relayNet, i, upstreamPort), slots: make(chan struct{}, soakSlots+soakQueue)}
+	target := s.serverAddress(serverNet, i, upstreamPort)
 	var err error
 	if sv.link, err = s.startRelayFrom(ctx, sv.address, target, ""); err != nil { // from the VM's address
 		return err
@@ -73,6 +73,12 @@
 	return s.serve(ctx, target, sv)
 }
 
+// serverAddress returns an address of the ith server in serverNet or relayNet. Each holds 250 servers; the nets after
+// both hold the next ones.
+func (s *soak) serverAddress(net, i, port int) string {
+	return s.address(net+2*(i/250), i%250+1, port)
+}
+
 // startServer starts the next server at the address and publishes it. Index i determines its
 // service and zone.
 func (sv *soakServer) startServer(i int) {
--- a/internal/bench/soak_test.go
+++ b/internal/bench/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -40,6 +41,20 @@
 		slices.Reverse(out)
 		return strings.Join(out[:min(top, len(out))], "")
 	}
+	// Soaks of over 84 shards did not start: the addresses of one net did not reach.
+	It("has a valid address for each server and each relay of the largest number of shards", func() {
+		s := &soak{Cluster: &Cluster{}}
+		seen := map[netip.AddrPort]bool{}
+		for i := range MaxSoakShards*soakReplicas + soakOrderServers {
+			for _, net := range []int{serverNet, relayNet} {
+				address, err := netip.ParseAddrPort(s.serverAddress(net, i, upstreamPort))
+				Expect(err).NotTo(HaveOccurred())
+				Expect(seen).NotTo(HaveKey(address))
+				seen[address] = true
+			}
+		}
+	})
+
 	quick := func(body, signatures, missing string) *soakRequest {
 		q := find("x", body, signatures, missing)
 		q.kind = "quick"
