--- a/internal/policy/ratelimit/ratelimit.go
+++ b/internal/policy/ratelimit/ratelimit.go
@@ -21,6 +21,9 @@
 	moreHolders = 5
 	// longestTurn is the longest time that a share takes for one request, unless the limit itself takes longer.
 	longestTurn = 4 * time.Second
+	// A VM that knows few senders divides a limit by fewSenders times as many; one that knows more, by manySenders
+	// times as many and unseenSenders, until that is no more than it knows.
+	fewSenders, manySenders, unseenSenders = 1.5, 0.92, 2
 	// burstTime is the time whose share a VM may send at once, if that is more than one request.
 	burstTime = 250 * time.Millisecond
 	// spareTime is how long after the next request may be sent the share goes on to add up.
@@ -64,7 +67,7 @@
 // the sum of all shares grows by no more than viewGrowth.
 func fleetSize(senders int) float64 {
 	n := float64(senders)
-	return max(n, min(1.5*n, 0.92*n+2))
+	return max(n, min(fewSenders*n, manySenders*n+unseenSenders))
 }
 
 // Holders returns the senders whose Share of a limit is not 0.
