--- a/internal/forward/groups_test.go
+++ b/internal/forward/groups_test.go
@@ -57,6 +57,15 @@
 	run := func() outcome.Outcome {
 		return s.runOrDelegate(context.Background(), q, &upstream.PassThroughRequest{})
 	}
+	runInFakeTime := func() (o outcome.Outcome, took time.Duration) {
+		fakeTime(func() {
+			start := time.Now()
+			q.start, q.deadline = start, start.Add(time.Second)
+			o = run()
+			took = time.Since(start)
+		})
+		return o, took
+	}
 
 	It("is divided among the gatherers of a zone and merged here", func() {
 		o := run()
@@ -93,9 +102,8 @@
 
 	It("is answered without a late group if the others cover the minimum share", func() {
 		others.delays["vm-1"] = time.Minute
-		start := time.Now()
-		o := run()
-		Expect(time.Since(start)).To(BeNumerically("<", 210*time.Millisecond))
+		o, took := runInFakeTime()
+		Expect(took).To(BeNumerically("<", 210*time.Millisecond))
 		Expect(o.Kind).To(Equal(caller.OutcomeAnswered))
 		Expect(o.Coverage.ShardsCovered).To(BeNumerically("~", 60, 12))
 		Expect(o.Coverage.ShardsTotal).To(Equal(90))
@@ -114,9 +122,8 @@
 	It("is answered in time if one group lacks more shards than it may, but all together do not", func() {
 		q.route.MinimumShare = 0.95
 		others.delays["vm-1"], others.missing = time.Minute, map[string]int{"vm-1": 3}
-		start := time.Now()
-		o := run()
-		Expect(time.Since(start)).To(BeNumerically("<", 200*time.Millisecond))
+		o, took := runInFakeTime()
+		Expect(took).To(BeNumerically("<", 200*time.Millisecond))
 		Expect(o.Kind).To(Equal(caller.OutcomeAnswered))
 		Expect(o.Coverage.ShardsCovered).To(Equal(87))
 	})
--- a/internal/gather/pass_test.go
+++ b/internal/gather/pass_test.go
@@ -220,12 +220,14 @@
 
 	It("does not hedge before the hedge is due, although it is confirmed earlier", func() {
 		f.serve["s1-a"] = hang
-		s := passThroughSearch(time.Second, 2*time.Second)
-		s.PassThrough.HedgeAfter = 100 * time.Millisecond
-		s.PassThrough.Announce = func(_ takeover.Update, onConfirmed func()) { onConfirmed() }
-		start := time.Now()
-		Expect(run(s).Kind).To(Equal(caller.OutcomeAnswered))
-		Expect(time.Since(start)).To(BeNumerically("~", 105*time.Millisecond, 5*time.Millisecond))
+		fakeTime(func(g Gomega) {
+			s := passThroughSearch(time.Second, 2*time.Second)
+			s.PassThrough.HedgeAfter = 100 * time.Millisecond
+			s.PassThrough.Announce = func(_ takeover.Update, onConfirmed func()) { onConfirmed() }
+			start := time.Now()
+			g.Expect(run(s).Kind).To(Equal(caller.OutcomeAnswered))
+			g.Expect(time.Since(start)).To(BeNumerically("~", 105*time.Millisecond, 5*time.Millisecond))
+		})
 	})
 
 	It("asks another replica at once if the first did not run the request, without an announcement", func() {
