Test: peers that fill the memory for messages do so until no more of one size has room

It took the first cut for a full memory, but messages that are still being read hold room which their own cut gives back: the sound VM's message then had room. Read, not traced by a run. Callers saw nothing.

Change: messages are sent one after the other, until two in a row find no room while no other is being read. The assertions are as before.

--- a/internal/peer/hostile_test.go
+++ b/internal/peer/hostile_test.go
@@ -174,16 +174,24 @@
 	It("that fills the memory for messages has no other VM penalized", func() {
 		large := marshal(&gen.Message{PartReply: &gen.PartReply{Body: strings.Repeat("x", 900_000)}, Id: 2})
 		noRoom := func() float64 { return counterSum(f.vms[0], "spindle_peer_cut_total", "no_room") }
-		for i := range 40 {
-			ws, err := dialFrom(f.vms[0], fmt.Sprintf("127.0.8.%d", i+1))
+		// isCut sends a message but for its end, and reports whether it found no room.
+		sent := 0
+		isCut := func() bool {
+			before := noRoom()
+			sent++
+			ws, err := dialFrom(f.vms[0], fmt.Sprintf("127.0.8.%d", sent))
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(ws.CloseNow)
-			Expect(write(ws, marshal(helloAs(fmt.Sprint("evil", i))))).To(Succeed())
+			Expect(write(ws, marshal(helloAs(fmt.Sprint("evil", sent))))).To(Succeed())
 			w, err := ws.Writer(context.Background(), websocket.MessageBinary)
 			Expect(err).NotTo(HaveOccurred())
-			_, _ = w.Write(make([]byte, 900_000)) // not the end of the message; fails if it is cut
+			_, _ = w.Write(make([]byte, 900_000)) // fails if it is cut
+			for end := time.Now().Add(100 * time.Millisecond); time.Now().Before(end) && noRoom() == before; {
+				time.Sleep(5 * time.Millisecond)
+			}
+			return noRoom() > before
 		}
-		Eventually(noRoom, "5s", "5ms").Should(BeNumerically(">", 0))
+		Eventually(func() bool { return isCut() && isCut() }, "10s", "1ms").Should(BeTrue())
 		before := noRoom()
 		ws, err := dialFrom(f.vms[0], otherIP)
 		Expect(err).NotTo(HaveOccurred())
