--- a/review/_driver2/case6.go
+++ b/review/_driver2/case6.go
@@ -76,7 +76,7 @@
 	return o.versions[due], true
 }
 
-// The client's requests with many fields: two characters a name, no value. Their heads have under 6 KB.
+// The client's requests with many fields: three characters a name, one a value. Their heads have under 10 KB.
 const (
 	manyFieldCount = 1100
 	fewFieldCount  = 10
