--- a/review/_driver2/case6.go
+++ b/review/_driver2/case6.go
@@ -50,6 +50,10 @@
 	route := standin.SingleRoute("moving", movingPath, "idempotent")
 	route["service"] = service
 	standin.AddRoute(c, route)
+	for _, older := range o.versions {
+		standin.AddRoute(c, addedRoute(older.number))
+	}
+	standin.AddRoute(c, addedRoute(n))
 	v := version{number: n, service: service, sent: time.Now()}
 	o.f.store.Put(standin.ConfigKey, c)
 	v.acked = time.Now()
@@ -57,6 +61,25 @@
 	o.f.record("operator: version %d acknowledged, %s goes to %s", n, movingPath, service)
 }
 
+// addedRoute is the route that the version with a number adds.
+func addedRoute(number int) map[string]any {
+	r := standin.SingleRoute(fmt.Sprintf("added-%d", number), fmt.Sprintf("/added-%d/", number), "idempotent")
+	r["service"] = "news"
+	return r
+}
+
+// lastAdded returns the path of the route that was added last by a version that is due everywhere, and that version.
+func (o *operator) lastAdded() (path string, v version) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, older := range o.versions {
+		if time.Since(older.acked) > configApply {
+			v = older
+		}
+	}
+	return addedRoute(v.number)["pathPrefix"].(string), v
+}
+
 // stale reports whether a request that was sent at some time may not be run by a service any more, and by which
 // version it should have been handled.
 func (o *operator) stale(sent time.Time, service string) (version, bool) {
@@ -132,7 +155,7 @@
 		defer mu.Unlock()
 		tally[what]++
 	}
-	end := time.Now().Add(80 * time.Second)
+	end := time.Now().Add(95 * time.Second)
 	var running sync.WaitGroup
 	every := func(interval time.Duration, fn func()) {
 		running.Add(1)
@@ -149,7 +172,7 @@
 		fields = shortFields(manyFieldCount)
 	}
 	odd := newClient(f.callers(target))
-	every(400*time.Millisecond, func() {
+	every(250*time.Millisecond, func() {
 		a := odd.send(http.MethodGet, "/find/odd", "", 3*time.Second, fields)
 		f.record("client with %d fields at %s: id %s, status %d, %d ms, err %v", len(fields), target.name, a.id, a.status, a.took.Milliseconds(), a.err)
 	})
@@ -169,6 +192,17 @@
 					a.id, v.name, a.sentAt.Sub(due.acked).Milliseconds(), due.number, a.body, due.service)
 			}
 		})
+		every(500*time.Millisecond, func() {
+			path, due := o.lastAdded()
+			a := probes.send(http.MethodGet, path+"x", "", time.Second, nil)
+			if a.status == http.StatusNotFound {
+				mu.Lock()
+				broken++
+				mu.Unlock()
+				f.record("CONFIG: request %s at %s, sent %d ms after version %d was acknowledged, was refused with 404 though that version added its route",
+					a.id, v.name, a.sentAt.Sub(due.acked).Milliseconds(), due.number)
+			}
+		})
 		every(time.Second, func() {
 			a := ordinary.send(http.MethodGet, "/find/jack", "", 3*time.Second, nil)
 			count(fmt.Sprintf("%s search %d", v.name, a.status))
@@ -177,8 +211,8 @@
 			}
 		})
 	}
-	for i := 1; time.Until(end) > 6*time.Second; i++ {
-		time.Sleep(6 * time.Second)
+	for i := 1; time.Until(end) > 4*time.Second; i++ {
+		time.Sleep(4 * time.Second)
 		o.write(fmt.Sprintf("move-%d", i%3))
 	}
 	running.Wait()
