--- a/review/_driver2/main.go
+++ b/review/_driver2/main.go
@@ -29,8 +29,8 @@
 }
 
 func run() int {
-	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: driver2 CASE PROGRAM RECORD")
+	if len(os.Args) != 5 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: driver2 CASE PROGRAM RECORD TROUBLE")
 		return exitNotRun
 	}
 	f, err := newFleet(os.Args[2], os.Args[3])
@@ -44,7 +44,7 @@
 		f.close()
 		os.Exit(exitNotRun)
 	})
-	trouble := os.Getenv("TROUBLE") != "0"
+	trouble := os.Args[4] != "0"
 	f.record("case %s, trouble %t", os.Args[1], trouble)
 	broken, err := cases[os.Args[1]](f, trouble)
 	switch {
