Review: case 9, a drained server gets orders while the VMs that read the store are frozen

Cause: pullAny waits 1.5 s for each silent reader, readDirectly asks the store by chance only, and changes of entries are not announced.

--- a/review/_driver3/client.go
+++ b/review/_driver3/client.go
@@ -44,7 +44,13 @@
 
 // get sends a request with a deadline, and waits for the answer for as long as wait.
 func (c *client) get(ctx context.Context, path string, deadline, wait time.Duration) answer {
+	return c.send(ctx, path, deadline, wait, func(string) {})
+}
+
+// send is get, and calls before with the request's id before it sends the request.
+func (c *client) send(ctx context.Context, path string, deadline, wait time.Duration, before func(id string)) answer {
 	a := answer{id: fmt.Sprintf("r%d", lastID.Add(1))}
+	before(a.id)
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.vm.callers+path, nil)
@@ -77,5 +83,3 @@
 
 // isUnanswered reports whether the time was over without an answer.
 func (a answer) isUnanswered() bool { return errors.Is(a.err, context.DeadlineExceeded) }
-
-var netDialer = net.Dialer{Timeout: time.Second}
--- a/review/_driver3/fleet.go
+++ b/review/_driver3/fleet.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -38,19 +41,40 @@
 	fmt.Fprintf(r.file, "%8.3f "+format+"\n", append([]any{time.Since(r.start).Seconds()}, args...)...)
 }
 
-// freePort returns a port that was free on an address a moment ago.
-func freePort(ip string) (int, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return 0, err
+// portsOfVM is the number of ports that a VM listens on. The ports are the same on all VMs.
+const portsOfVM = 3
+
+var errNoPorts = errors.New("no free ports")
+
+// freePorts returns the first of portsOfVM ports that are free on all addresses. They are below those that the
+// kernel chooses for clients.
+func freePorts(ips []string) (int, error) {
+	const first, last, tries = 15000, 32000, 50
+	for range tries {
+		port := first + portsOfVM*rand.IntN((last-first)/portsOfVM)
+		if areFree(ips, port) {
+			return port, nil
+		}
+	}
+	return 0, errNoPorts
+}
+
+func areFree(ips []string, port int) bool {
+	for _, ip := range ips {
+		for i := range portsOfVM {
+			l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port+i)))
+			if err != nil {
+				return false
+			}
+			_ = l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return true
 }
 
 // vm is one process of the system.
 type vm struct {
-	name, ip               string
+	name                   string
 	callers, peers, admin  string
 	settings, log, command string
 	process                *exec.Cmd
@@ -89,25 +113,21 @@
 // startVMs starts n processes of the system with the command of the deploy file.
 func startVMs(ctx context.Context, program, dir, store string, n int) ([]*vm, error) {
 	var vms []*vm
-	var seeds []string
+	var ips, seeds []string
 	for i := range n {
-		v := &vm{name: fmt.Sprintf("vm-%d", i+1), ip: fmt.Sprintf("127.43.0.%d", i+1), command: program, exited: make(chan struct{})}
-		for _, address := range []*string{&v.callers, &v.admin} {
-			port, err := freePort(v.ip)
-			if err != nil {
-				return nil, err
-			}
-			*address = net.JoinHostPort(v.ip, fmt.Sprint(port))
-		}
-		vms = append(vms, v)
+		ips = append(ips, fmt.Sprintf("127.43.0.%d", i+1))
 	}
-	// Peers listen on the same port on all machines.
-	port, err := freePort(vms[0].ip)
+	port, err := freePorts(ips)
 	if err != nil {
 		return nil, err
 	}
-	for _, v := range vms {
-		v.peers = net.JoinHostPort(v.ip, fmt.Sprint(port))
+	address := func(ip string, i int) string { return net.JoinHostPort(ip, strconv.Itoa(port+i)) }
+	for i, ip := range ips {
+		v := &vm{
+			name: fmt.Sprintf("vm-%d", i+1), command: program, exited: make(chan struct{}),
+			callers: address(ip, 0), peers: address(ip, 1), admin: address(ip, 2),
+		}
+		vms = append(vms, v)
 		if len(seeds) < 3 {
 			seeds = append(seeds, v.peers)
 		}
@@ -166,9 +186,15 @@
 	}
 }
 
+var errEnded = errors.New("the process has ended")
+
 // waitReady waits until the VM counts as ready, as the platform's balancer asks.
 func (v *vm) waitReady(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if !v.isRunning() {
+			text, _ := os.ReadFile(v.log)
+			return fmt.Errorf("%w: %s: %s", errEnded, v.name, text)
+		}
 		resp, err := http.Get("http://" + v.admin + "/readyz")
 		if err == nil {
 			_ = resp.Body.Close()
--- a/review/_driver3/main.go
+++ b/review/_driver3/main.go
@@ -33,6 +33,7 @@
 
 // cases returns the verdict of each case: whether the rule was broken.
 var cases = map[string]func(ctx context.Context, s *setup) (bool, error){
+	"drain":  playDrain,
 	"status": playStatus,
 }
 
