--- a/review/_driver3/drain.go
+++ b/review/_driver3/drain.go
@@ -106,6 +106,8 @@
 		isBroken = late > 0
 		time.Sleep(drainPause)
 	}
+	stop()
+	time.Sleep(routeTimeout + answerSlack)
 	return isBroken, nil
 }
 
--- a/review/_driver3/main.go
+++ b/review/_driver3/main.go
@@ -1,4 +1,4 @@
-// Command driver plays the scripts of the second review's later cases: it is the platform, the servers, the
+// Command driver3 plays the scripts of review/8 and review/9: it is the platform, the servers, the
 // clients and the operator of a small deployment, and starts the system's own processes.
 package main
 
@@ -38,11 +38,11 @@
 }
 
 func main() {
-	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: driver CASE PROGRAM FOLDER")
+	if len(os.Args) != 5 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: driver3 CASE PROGRAM FOLDER TROUBLE")
 		os.Exit(failed)
 	}
-	code, err := play(os.Args[1], os.Args[2], os.Args[3])
+	code, err := play(os.Args[1], os.Args[2], os.Args[3], os.Args[4] != "0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 	}
@@ -52,16 +52,14 @@
 // timeLimit is less than the 120 s that a script may run.
 const timeLimit = 115 * time.Second
 
-func play(name, program, folder string) (int, error) {
+func play(name, program, folder string, trouble bool) (int, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeLimit)
 	defer cancel()
 	dir, err := os.MkdirTemp("", "review-case-")
 	if err != nil {
 		return failed, err
 	}
-	if os.Getenv("KEEP") == "" {
-		defer os.RemoveAll(dir)
-	}
+	defer os.RemoveAll(dir)
 	record, err := newRecorder(filepath.Join(folder, "record.txt"))
 	if err != nil {
 		return failed, err
@@ -71,7 +69,7 @@
 		return failed, err
 	}
 	s := &setup{
-		program: program, dir: dir, trouble: os.Getenv("TROUBLE") != "0", record: record,
+		program: program, dir: dir, trouble: trouble, record: record,
 		store: standin.NewStore(), address: l.Addr().String(),
 	}
 	go func() { _ = http.Serve(l, s.store) }()
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 go build -o review/bin/driver2 ./review/_driver2
+go build -o review/bin/driver3 ./review/_driver3
