--- a/review/_driver3/fleet.go
+++ b/review/_driver3/fleet.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/sardinespindle/sardinespindle/platform"
 	"github.com/sardinespindle/sardinespindle/platform/standin"
 )
 
@@ -186,6 +187,17 @@
 	}
 }
 
+// isReady reports whether the VM answers the question of the platform's balancer with 200.
+func (v *vm) isReady() bool {
+	c := http.Client{Timeout: time.Second}
+	resp, err := c.Get("http://" + v.admin + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 var errEnded = errors.New("the process has ended")
 
 // waitReady waits until the VM counts as ready, as the platform's balancer asks.
@@ -195,12 +207,8 @@
 			text, _ := os.ReadFile(v.log)
 			return fmt.Errorf("%w: %s: %s", errEnded, v.name, text)
 		}
-		resp, err := http.Get("http://" + v.admin + "/readyz")
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return nil
-			}
+		if v.isReady() {
+			return nil
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
--- a/review/_driver3/status.go
+++ b/review/_driver3/status.go
@@ -146,6 +146,7 @@
 			silent++
 		}
 	}
+	s.record.printf("%s: counts as ready: %v", v.name, v.isReady())
 	s.record.printf("%s: runs: %v; %d of %d requests without an answer %v after the route's timeout", v.name, v.isRunning(), silent, count, answerSlack)
 	return 2*silent > count
 }
