Upstream: a reply with a status that does not exist is no answer

Seen by callers: a server in trouble sent status 000. Its body and signature came with status 200, from single services whether the request was idempotent or not. Status 001, 099 and +20 closed the caller's connection without an answer; 600 and 999 were passed on.

Cause: net/http's reader takes any status of three characters that parses to a number of 0 or more, so such a reply had no error. The class of every signed reply below 500 was OK, a status of 0 stood for none, and net/http's writer panics on 1 to 99.

Change: package replyhead checks the heads of replies while their bytes arrive. Each connection to an upstream runs it in its Read, before net/http sees the line, so that it holds for requests that are passed through, parts of searches, the product's own interface and probes alike, and nothing of such a reply is read: no promise that it has not run, no pause, limit, leaving or draining. The attempt ends as an invalid reply: what is idempotent is repeated within its budget, an order is answered 502. RFC 9110, section 15, knows the statuses 100 to 599 only.

Ruled out: a check of the parsed reply in classifyPassThrough. Its head is read before that (recordReplyHead), and probes and the own interface do not come there.

--- /dev/null
+++ b/internal/replyhead/scanner.go
@@ -0,0 +1,88 @@
+// Package replyhead refuses HTTP/1.1 replies with an invalid head before anything is read from them. It only adds to the
+// checks of net/http, which accepts statuses that do not exist.
+package replyhead
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+)
+
+// ErrInvalid is wrapped by the errors for heads that are not valid.
+var ErrInvalid = errors.New("head of the reply is not valid")
+
+// Scanner checks the heads of the replies on one connection while their bytes arrive. The zero value expects a reply.
+type Scanner struct {
+	ended bool   // the head has arrived in full
+	line  []byte // the start of a line that has not
+	head  head
+}
+
+// Expect says that the bytes that arrive next begin another reply.
+func (s *Scanner) Expect() { *s = Scanner{} }
+
+// Scan checks bytes in the order in which they arrive, up to the end of the head. Its error means that the connection can't
+// be used any more, and wraps ErrInvalid.
+func (s *Scanner) Scan(p []byte) error {
+	for !s.ended && len(p) > 0 {
+		line, rest, complete := bytes.Cut(p, []byte("\n"))
+		p = rest
+		if !complete || len(s.line) > 0 {
+			s.line = append(s.line, line...)
+			line = s.line
+		}
+		if !complete {
+			return nil
+		}
+		ended, err := s.head.add(bytes.TrimSuffix(line, []byte("\r")))
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrInvalid, err)
+		}
+		s.line = s.line[:0]
+		if ended {
+			*s = Scanner{ended: !s.head.isInterim()}
+		}
+	}
+	return nil
+}
+
+// head is what has arrived of one head.
+type head struct {
+	status int // 0 before the first line
+}
+
+// isInterim reports whether another head follows, after one that only announces it.
+func (h *head) isInterim() bool {
+	return h.status < http.StatusOK && h.status != http.StatusSwitchingProtocols
+}
+
+// add checks the next line, and reports whether the head ends with it.
+func (h *head) add(line []byte) (ended bool, err error) {
+	if h.status == 0 {
+		h.status, err = parseStatus(line)
+		return false, err
+	}
+	return len(line) == 0, nil
+}
+
+// Statuses that exist in HTTP.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// parseStatus returns the status in the first line of a head. Like net/http, it allows several blanks before it.
+func parseStatus(line []byte) (int, error) {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	status, err := strconv.ParseUint(string(text), 10, 16)
+	if err != nil || len(text) != 3 || status < minStatus || status > maxStatus {
+		return 0, fmt.Errorf("status in %.*q", maxQuoted, line)
+	}
+	return int(status), nil
+}
+
+// maxQuoted bounds how much of a line an error quotes, in bytes.
+const maxQuoted = 80
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -18,6 +18,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/guard"
 	"github.com/sardinespindle/sardinespindle/internal/policy/poison"
 	"github.com/sardinespindle/sardinespindle/internal/readlimit"
+	"github.com/sardinespindle/sardinespindle/internal/replyhead"
 )
 
 // maxTries bounds the tries of an attempt, the first one included. An attempt is tried
@@ -276,6 +277,8 @@
 		return Result{Class: TimedOut, Err: err}
 	case ctx.Err() != nil:
 		return Result{Class: Canceled, Err: err}
+	case errors.Is(err, replyhead.ErrInvalid):
+		return Result{Class: InvalidReply, Err: err}
 	case read:
 		return Result{Class: InvalidReply, Err: fmt.Errorf("%w: %w", errCut, err)}
 	default:
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -36,6 +36,8 @@
 		"HTTP/1.1 503 x\r\nNot-Run: 1\r\nId: other\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 421 x\r\nId: other\r\nId: id\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 421 x\r\nId: id\r\nContent-Length: 5\r\n\r\nabc",
+		"HTTP/1.1 000 OK\r\nSignature: s\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 103 x\r\n\r\nHTTP/1.1 600 OK\r\nSignature: s\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nSignature: s\r\nLoad: 1,2,3\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n",
 		"\x00\x01\x02", "HTTP/1.1 200", "",
 	} {
@@ -65,7 +67,7 @@
 			t.Fatalf("body %q, want %q", r.Body, body)
 		case want.Header.Get("Signature") == "" || want.Header.Get("Signature") != r.Signature:
 			t.Fatalf("signature %q, want %q", r.Signature, want.Header.Get("Signature"))
-		case want.StatusCode != r.Status || r.Status >= 500:
+		case want.StatusCode != r.Status || r.Status < 200 || r.Status >= 500:
 			t.Fatalf("status %d, want %d", r.Status, want.StatusCode)
 		case want.Header.Get("Id") != "" && want.Header.Get("Id") != "id":
 			t.Fatal("OK for the reply to another request")
--- a/internal/upstream/sock.go
+++ b/internal/upstream/sock.go
@@ -5,13 +5,15 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/sardinespindle/sardinespindle/internal/replyhead"
 )
 
 // errNoAttempt is returned by a write on a connection that has no attempt under way.
 var errNoAttempt = errors.New("upstream: no attempt under way on this connection")
 
-// sock is a net.Conn that calls a check right before the first byte of each attempt
-// and records whether any byte of the attempt was written or read.
+// sock is a net.Conn that calls a check right before the first byte of each attempt, refuses replies with an
+// invalid head, and records whether any byte of the attempt was written or read.
 type sock struct {
 	net.Conn
 	now       func() time.Duration
@@ -31,6 +33,7 @@
 	closedByPeer bool // a read failed before Close
 	closed       bool
 	sentAt       time.Duration
+	reply        replyhead.Scanner
 }
 
 // startAttempt allows writes for one attempt. beforeWrite is called before its first
@@ -40,6 +43,7 @@
 	defer s.mu.Unlock()
 	s.beforeWrite, s.active = beforeWrite, true
 	s.writing, s.wrote, s.read = false, false, false
+	s.reply.Expect()
 }
 
 // endAttempt forbids further writes. It reports whether a byte may have been written,
@@ -103,6 +107,9 @@
 	if err != nil && !s.closed {
 		s.closedByPeer = true
 	}
+	if headErr := s.reply.Scan(p[:n]); headErr != nil {
+		return 0, headErr
+	}
 	return n, err
 }
 
