Upstream: a reply is no answer if the name of one of its fields is not valid

Seen by callers: a server in trouble sent a field whose name holds a blank, or one before its colon. Single services' callers got the reply as an answer. Where the field was a length or the transfer encoding, the body was not the server's: bytes up to the end of the connection, or chunks unread. Searches took such replies for parts.

Cause: net/http refuses control bytes in names but keeps names with blanks as they are, under a name that nothing asks for. The field does not apply then, and the reply has no error.

Change: the check of heads also wants each line of a head to begin with a token and a colon. What breaks that, by HTTP's rules: - A blank in a name or before its colon: RFC 9112, section 5.1, allows none. It has proxies remove one before the colon, which does not help here: a server that writes such lines can't be trusted with the length of its body. - A line that begins with a blank: section 5.2 has a proxy answer 502 or join it to the field before. Joined, a field in trouble became part of the one before it, such as the signature, and a name that begins with a blank can't be told from it. It is refused. - A line without a name, and the same in a head that only announces another. Control bytes in names, and lines without a colon, were refused before; their tests pass on and stay.

Ruled out: a look at the names in the parsed header. Lines that begin with a blank are joined by then.

FuzzReply, whose oracle now wants names without blanks, 20 s: nothing.

--- a/internal/replyhead/scanner.go
+++ b/internal/replyhead/scanner.go
@@ -1,5 +1,5 @@
 // Package replyhead refuses HTTP/1.1 replies with an invalid head before anything is read from them. It only adds to the
-// checks of net/http, which accepts statuses that do not exist.
+// checks of net/http, which accepts statuses that do not exist and names of fields that hold a blank.
 package replyhead
 
 import (
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 )
 
 // ErrInvalid is wrapped by the errors for heads that are not valid.
@@ -58,13 +59,32 @@
 	return h.status < http.StatusOK && h.status != http.StatusSwitchingProtocols
 }
 
-// add checks the next line, and reports whether the head ends with it.
+// add checks the next line, and reports whether the head ends with it. A line that begins with a blank is refused like a
+// field whose name does: HTTP lets a proxy refuse lines that continue a field.
 func (h *head) add(line []byte) (ended bool, err error) {
 	if h.status == 0 {
 		h.status, err = parseStatus(line)
 		return false, err
 	}
-	return len(line) == 0, nil
+	if len(line) == 0 {
+		return true, nil
+	}
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	if !isToken(name) {
+		return false, fmt.Errorf("name of a field in %.*q", maxQuoted, line)
+	}
+	return false, nil
+}
+
+// isToken reports whether a name is a token of HTTP, as the names of fields are.
+func isToken(name []byte) bool {
+	for _, c := range name {
+		isLetterOrDigit := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
+		if !isLetterOrDigit && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return len(name) > 0
 }
 
 // Statuses that exist in HTTP.
--- a/internal/upstream/broken_head_test.go
+++ b/internal/upstream/broken_head_test.go
@@ -21,6 +21,14 @@
 	"HTTP/1.1 +20 Trouble\r\n",
 	"HTTP/1.1 600 Trouble\r\n",
 	"HTTP/1.1 999 Trouble\r\n",
+	"HTTP/1.1 200 OK\r\nBad Name: x\r\n",
+	"HTTP/1.1 200 OK\r\nBad-Name : x\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
+	"HTTP/1.1 200 OK\r\nBad\x01Name: x\r\n",
+	"HTTP/1.1 200 OK\r\nName: x\r\n Bad-Name: x\r\n",
+	"HTTP/1.1 421 Misdirected Request\r\nBad Name: x\r\n",
+	"HTTP/1.1 503 Service Unavailable\r\nBad Name: x\r\n",
+	"HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\n",
 }
 
 var _ = Describe("Client of an upstream that sends replies with a broken head", func() {
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -38,6 +38,8 @@
 		"HTTP/1.1 421 x\r\nId: id\r\nContent-Length: 5\r\n\r\nabc",
 		"HTTP/1.1 000 OK\r\nSignature: s\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 103 x\r\n\r\nHTTP/1.1 600 OK\r\nSignature: s\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length : 3\r\n\r\nabcd",
+		"HTTP/1.1 200 OK\r\nSignature: s\r\n Bad-Name: x\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nSignature: s\r\nLoad: 1,2,3\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n",
 		"\x00\x01\x02", "HTTP/1.1 200", "",
 	} {
@@ -74,6 +76,11 @@
 		case want.Header.Get("Content-Encoding") != "":
 			t.Fatal("OK for an encoded body")
 		}
+		for name := range want.Header {
+			if strings.Contains(name, " ") {
+				t.Fatalf("OK for a reply with a field of the name %q", name)
+			}
+		}
 	})
 }
 
