Upstream: a reply with two lengths of its body is no answer

Seen by callers: a server in trouble sent a reply with Content-Length and Transfer-Encoding. They got the body by the latter, without a sign that the server's own length was another.

Cause: net/http removes the length and reads the chunks. RFC 9112, section 6.3, has the transfer encoding win, and says that such a message ought to be handled as an error, since it may be two replies for one; section 6.1 forbids servers to send it.

Change: the check of heads refuses one that has both fields. Ruled out: a check of the parsed reply; the length is gone by then. Two lengths that differ are refused by net/http.

--- a/internal/replyhead/scanner.go
+++ b/internal/replyhead/scanner.go
@@ -1,5 +1,5 @@
 // Package replyhead refuses HTTP/1.1 replies with an invalid head before anything is read from them. It only adds to the
-// checks of net/http, which accepts statuses that do not exist and names of fields that hold a blank.
+// checks of net/http, which accepts statuses that do not exist, names of fields that hold a blank and bodies with two lengths.
 package replyhead
 
 import (
@@ -14,6 +14,8 @@
 // ErrInvalid is wrapped by the errors for heads that are not valid.
 var ErrInvalid = errors.New("head of the reply is not valid")
 
+var errTwoLengths = errors.New("both Content-Length and Transfer-Encoding")
+
 // Scanner checks the heads of the replies on one connection while their bytes arrive. The zero value expects a reply.
 type Scanner struct {
 	ended bool   // the head has arrived in full
@@ -51,7 +53,8 @@
 
 // head is what has arrived of one head.
 type head struct {
-	status int // 0 before the first line
+	status               int  // 0 before the first line
+	hasLength, isEncoded bool // has Content-Length, Transfer-Encoding
 }
 
 // isInterim reports whether another head follows, after one that only announces it.
@@ -73,6 +76,11 @@
 	if !isToken(name) {
 		return false, fmt.Errorf("name of a field in %.*q", maxQuoted, line)
 	}
+	h.hasLength = h.hasLength || strings.EqualFold(string(name), "Content-Length")
+	h.isEncoded = h.isEncoded || strings.EqualFold(string(name), "Transfer-Encoding")
+	if h.hasLength && h.isEncoded {
+		return false, errTwoLengths
+	}
 	return false, nil
 }
 
--- a/internal/replyhead/scanner_test.go
+++ b/internal/replyhead/scanner_test.go
@@ -28,6 +28,7 @@
 		Entry("a first line without text", "HTTP/1.1 200\r\n\r\n"),
 		Entry("lines that end without a carriage return", "HTTP/1.1 599 x\nName: x\n\n\nbody"),
 		Entry("heads that announce others", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n\r\n\x00"),
+		Entry("a length, after a head that announces it", "HTTP/1.1 103 x\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"),
 		Entry("a switch to another protocol", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n\x00\n\n"),
 		Entry("a head that has not arrived in full", "HTTP/1.1 200 OK\r\nName"),
 	)
@@ -49,6 +50,8 @@
 		Entry("a line that begins with a blank", "HTTP/1.1 200 OK\r\nName: x\r\n Bad-Name: x\r\n"),
 		Entry("a line of blanks", "HTTP/1.1 200 OK\r\nName: x\r\n \r\n"),
 		Entry("a name with a blank in a head that announces others", "HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n"),
+		Entry("two lengths of the body", "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nTransfer-Encoding: chunked\r\n"),
+		Entry("two lengths of the body, the other way round", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n"),
 		Entry("a status that does not exist, after a head that announces it", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 x\r\n"),
 	)
 	It("refuses the next reply on the connection once it is expected", func() {
--- a/internal/upstream/broken_head_test.go
+++ b/internal/upstream/broken_head_test.go
@@ -26,6 +26,7 @@
 	"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
 	"HTTP/1.1 200 OK\r\nBad\x01Name: x\r\n",
 	"HTTP/1.1 200 OK\r\nName: x\r\n Bad-Name: x\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", // beside the length that each reply has
 	"HTTP/1.1 421 Misdirected Request\r\nBad Name: x\r\n",
 	"HTTP/1.1 503 Service Unavailable\r\nBad Name: x\r\n",
 	"HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\n",
