Upstream: a reply is no answer if the name of a field after its body is not valid

Seen by callers: a server in trouble sent a chunked reply whose trailer has a name with a blank. They got it as an answer.

Cause: net/http refuses a control byte in such a name, and keeps a blank, as in heads. The check of heads ends with the head.

Change: readAll, through which the bodies of all replies go, refuses such a trailer. RFC 9110, section 6.5, gives a trailer the fields of a head, and what it says is never used here; a server that writes such a line is in trouble, and RFC 9112, section 7.1, has no such message.

Ruled out: following chunks in the check of heads, a second reader of the coding beside net/http's. So a line of a trailer that begins with a blank is still joined to the one before it by net/http; nobody gets either.

--- a/internal/replyhead/scanner.go
+++ b/internal/replyhead/scanner.go
@@ -84,6 +84,16 @@
 	return false, nil
 }
 
+// CheckTrailer returns an error that wraps ErrInvalid for fields after a body whose names are not valid.
+func CheckTrailer(h http.Header) error {
+	for name := range h {
+		if !isToken([]byte(name)) {
+			return fmt.Errorf("%w: name of a field after the body %.*q", ErrInvalid, maxQuoted, name)
+		}
+	}
+	return nil
+}
+
 // isToken reports whether a name is a token of HTTP, as the names of fields are.
 func isToken(name []byte) bool {
 	for _, c := range name {
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -26,6 +26,7 @@
 		"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 4\r\n\r\nabc",
 		"HTTP/1.1 200 OK\r\nSignature: s\r\nId: id\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nTrailer: x\r\n\r\nextra",
+		"HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nBad Name: x\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nSignature: s\r\nConnection: close\r\n\r\nabc",
 		"HTTP/1.1 200 OK\r\nSignature: s\r\nId: other\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 0\r\n\r\n",
@@ -76,9 +77,11 @@
 		case want.Header.Get("Content-Encoding") != "":
 			t.Fatal("OK for an encoded body")
 		}
-		for name := range want.Header {
-			if strings.Contains(name, " ") {
-				t.Fatalf("OK for a reply with a field of the name %q", name)
+		for _, fields := range []http.Header{want.Header, want.Trailer} {
+			for name := range fields {
+				if strings.Contains(name, " ") {
+					t.Fatalf("OK for a reply with a field of the name %q", name)
+				}
 			}
 		}
 	})
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sardinespindle/sardinespindle/internal/readlimit"
+	"github.com/sardinespindle/sardinespindle/internal/replyhead"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/upstream"
 )
 
@@ -55,13 +56,16 @@
 	return c.readAll(resp.Body, resp, limit)
 }
 
-// readAll reads the body of a reply. The error is errNoRoom if the reply has a length, and others leave no
+// readAll reads the body of a reply, and checks the fields after it. The error is errNoRoom if the reply has a length, and others leave no
 // room for it. A reply without a length may have no end, so that its upstream is to blame.
 func (c *Client) readAll(body io.Reader, resp *http.Response, limit int64) ([]byte, error) {
 	b, err := c.opts.Reads.ReadAll(body, limit, resp.ContentLength)
 	if resp.ContentLength >= 0 && errors.Is(err, readlimit.ErrNoMemory) && !errors.Is(err, readlimit.ErrOwnSize) {
 		err = fmt.Errorf("%w: %w", errNoRoom, err)
 	}
+	if err == nil {
+		err = replyhead.CheckTrailer(resp.Trailer)
+	}
 	return b, err
 }
 
