Store: nothing is taken from a reply whose head is not valid

Seen by callers: nothing; found while checking what else reads replies. Cause: the clients of the platform's store and of the configuration service (kind manifest) read replies by net/http alone. A "Store-Era : 3" was not read, so that the store's content counted as that of era 0; a 410 or 404 counted as the store's in any head; an "ETag : 1" was lost. Change: replyhead.Dial checks the heads on the connections of an http.Transport, and both clients use it. The call fails as it does for other errors, and is made again. Ruled out: one check in the clients' code, after net/http (it has no sight of lines that begin with a blank). Handled before: status 000, 001, +20 and 600 from the store, since only 200 and 410 are taken; the test of 000 is kept. Other VMs: the answer to the handshake of a link counts by its status 101 and three fields; what follows is no HTTP.

--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -32,6 +32,7 @@
 	"github.com/sardinespindle/sardinespindle/internal/policy/liveness"
 	"github.com/sardinespindle/sardinespindle/internal/policy/repeat"
 	"github.com/sardinespindle/sardinespindle/internal/readlimit"
+	"github.com/sardinespindle/sardinespindle/internal/replyhead"
 	"github.com/sardinespindle/sardinespindle/internal/single"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	"github.com/sardinespindle/sardinespindle/platform"
@@ -178,7 +179,7 @@
 func storeTransport(ip string) *http.Transport {
 	d := &net.Dialer{Timeout: storeDialTimeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
 	return &http.Transport{
-		DialContext: d.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: storeIdleTimeout,
+		DialContext: replyhead.Dial(d.DialContext), DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: storeIdleTimeout,
 	}
 }
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sardinespindle/sardinespindle/internal/replyhead"
 )
 
 // Keys of the values that the platform publishes.
@@ -71,7 +73,7 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: o.LocalIP}
 	}
 	transport := &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            replyhead.Dial(dialer.DialContext),
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		IdleConnTimeout:        idleTimeout,
 		MaxIdleConnsPerHost:    4,
--- /dev/null
+++ b/internal/testkit/replies.go
@@ -0,0 +1,44 @@
+package testkit
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+// ServeReplies serves HTTP requests on loopback until the test ends, and returns its address. The bytes of the replies are
+// sent in turn, on whatever connections the requests come; the last one is sent to all that follow.
+func ServeReplies(replies ...string) (address string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(l.Close)
+	var next atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for in := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					i := min(int(next.Add(1)), len(replies)) - 1
+					if _, err := io.WriteString(c, replies[i]); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
