spindlectl: a VM's reply with an invalid head is an error

Seen by operators: a status 000, or a name with a blank, was printed as the VM's status. Cause: the command accepts any status, as VMs answer in JSON by any, and net/http gives no error for such heads. Change: its transport uses replyhead.Dial; proxies of the environment hold as before. Ruled out: a list of statuses in the command; names would be left.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -6,10 +6,13 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/sardinespindle/sardinespindle/internal/replyhead"
 )
 
 // requestTimeout bounds one HTTP request to a VM.
@@ -35,7 +38,9 @@
 // invalid, and another error if a check failed, a file or a VM could not be read, or
 // a query was not answered.
 func Run(ctx context.Context, args []string, out, errOut io.Writer) error {
-	c := &command{out: out, http: &http.Client{Timeout: requestTimeout}}
+	c := &command{out: out, http: &http.Client{
+		Timeout: requestTimeout, Transport: &http.Transport{Proxy: http.ProxyFromEnvironment, DialContext: replyhead.Dial((&net.Dialer{}).DialContext)},
+	}}
 	app := kingpin.New("spindlectl", "Reads what a fleet of sardinespindle VMs knows. Exit codes: 0 done, 1 check failed or VM not read, 2 usage.")
 	app.UsageWriter(errOut)
 	app.ErrorWriter(errOut)
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/sardinespindle/sardinespindle/internal/admin"
 	"github.com/sardinespindle/sardinespindle/internal/ctl"
+	"github.com/sardinespindle/sardinespindle/internal/replyhead"
 	"github.com/sardinespindle/sardinespindle/internal/testkit"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 )
@@ -84,6 +85,14 @@
 		Expect(err).NotTo(BeAssignableToTypeOf(ctl.UsageError{}))
 	})
 
+	DescribeTable("status fails if the head of the VM's reply is not valid", func(head string) {
+		_, err := run("status", "--vm", testkit.ServeReplies(head+"Content-Length: 2\r\nConnection: close\r\n\r\n{}"))
+		Expect(err).To(MatchError(replyhead.ErrInvalid))
+	},
+		Entry("by its status", "HTTP/1.1 000 Trouble\r\n"),
+		Entry("by the name of a field", "HTTP/1.1 200 OK\r\nBad Name: x\r\n"),
+	)
+
 	It("status lists the evacuated zones, and no line of them if there are none", func() {
 		evacuated := `,"evacuated":["zone-a","zone-c"]`
 		vm := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
