--- a/internal/testkit/replies.go
+++ b/internal/testkit/replies.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -14,7 +15,7 @@
 // ServeReplies serves HTTP requests on loopback until the test ends, and returns its address. The bytes of the replies are
 // sent in turn, on whatever connections the requests come; the last one is sent to all that follow.
 func ServeReplies(replies ...string) (address string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ginkgo.DeferCleanup(l.Close)
 	var next atomic.Int64
