Soak: servers send one reply of 50 with an invalid head

Cause: the soak's broken replies were cut, endless, crossed or doubled, all of which net/http or the id tells; none had an invalid head. No draw of a seed changes. sendRaw serves it and the doubled replies. Ruled out: a fault of its own, drawn like the others; it would change what all seeds play.

--- a/internal/bench/soak.go
+++ b/internal/bench/soak.go
@@ -112,7 +112,9 @@
 	outages  spanLog // while the store failed for some VM
 	// doublesSome says that all servers send one in twiceEvery of their replies as under the fault Doubled.
 	doublesSome atomic.Bool
-	deadly      deadlyLog
+	// breaksSome says that all servers send one in brokenEvery of their replies with an invalid head.
+	breaksSome atomic.Bool
+	deadly     deadlyLog
 
 	mu          sync.Mutex // guards the rest
 	version     int
@@ -148,6 +150,7 @@
 		calling.Go(func() { sv.sendHeartbeats(callers, rand.New(rand.NewPCG(o.Seed, uint64(2+i)))) })
 	}
 	s.doublesSome.Store(s.opts.Seed%twiceSeeds == 1)
+	s.breaksSome.Store(true)
 	err := s.injectFaults(ctx, rng)
 	s.clearFaults()
 	s.checkRecovery(ctx)
--- a/internal/bench/soak_faults.go
+++ b/internal/bench/soak_faults.go
@@ -265,6 +265,7 @@
 // clearFaults ends the faults of the store, the links and the servers.
 func (s *soak) clearFaults() {
 	s.doublesSome.Store(false)
+	s.breaksSome.Store(false)
 	s.store.Intercept(nil)
 	s.endEvacuations()
 	for _, vm := range s.vms {
--- a/internal/bench/soak_servers.go
+++ b/internal/bench/soak_servers.go
@@ -209,6 +209,10 @@
 	if losesReply && !fault.Fail {
 		panic(http.ErrAbortHandler)
 	}
+	if sv.s.breaksSome.Load() && hash("broken"+a.id+srv.ID)%brokenEvery == 0 {
+		sv.sendBroken(a, w)
+		return true
+	}
 	return sv.misbehave(fault, srv, a, w, r)
 }
 
--- a/internal/bench/soak_twice.go
+++ b/internal/bench/soak_twice.go
@@ -99,7 +99,7 @@
 // place of the reply to the next request, the rest after one of twiceDelays.
 func (sv *soakServer) sendTwice(reply twiceReply, w http.ResponseWriter, r *http.Request) {
 	if reply.isCopy {
-		sv.sendRaw(w, reply, 0)
+		sv.sendRaw(w, "doubled reply", reply.bytes(), 0)
 		return
 	}
 	if reply.notRun || hash("when"+reply.id)%2 == 0 {
@@ -114,12 +114,12 @@
 		_, _ = w.Write([]byte(reply.body)) // fails only if the VM has closed the connection, or without a body
 		return
 	}
-	sv.sendRaw(w, reply, 0, twiceDelays[int(hash("delay"+reply.id))%len(twiceDelays)])
+	sv.sendRaw(w, "doubled reply", reply.bytes(), 0, twiceDelays[int(hash("delay"+reply.id))%len(twiceDelays)])
 }
 
-// sendRaw sends a reply after each of the delays, and closes the connection.
-func (sv *soakServer) sendRaw(w http.ResponseWriter, reply twiceReply, delays ...time.Duration) {
-	sv.s.evidence.countFault("doubled reply")
+// sendRaw sends the bytes of a reply after each of the delays, closes the connection and counts it as a fault.
+func (sv *soakServer) sendRaw(w http.ResponseWriter, fault, reply string, delays ...time.Duration) {
+	sv.s.evidence.countFault(fault)
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -128,7 +128,7 @@
 		defer conn.Close()
 		for _, d := range delays {
 			time.Sleep(d)
-			_, _ = conn.Write([]byte(reply.bytes())) // fails only if the VM has closed the connection
+			_, _ = conn.Write([]byte(reply)) // fails only if the VM has closed the connection
 		}
 		time.Sleep(soakServiceTime)
 	}()
