--- a/internal/upstream/broken_head_test.go
+++ b/internal/upstream/broken_head_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
 )
 
@@ -35,7 +36,7 @@
 var _ = Describe("Client of an upstream that sends replies with a broken head", func() {
 	// start has a client send requests to an upstream that answers each with a head and more fields.
 	start := func(o Options, head, fields string) (*Client, *gen.Upstream) {
-		address := serveConns(func(c net.Conn) {
+		address := testkit.ServeConns(func(c net.Conn) {
 			r, err := http.ReadRequest(bufio.NewReader(c))
 			if err != nil {
 				return
--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
 )
 
@@ -18,7 +19,7 @@
 var _ = Describe("Client of an upstream that closes the connection in the middle of a reply", func() {
 	// replyWith serves the bytes of one reply on each connection, and closes it.
 	replyWith := func(reply string) *Client {
-		address := serveConns(func(c net.Conn) {
+		address := testkit.ServeConns(func(c net.Conn) {
 			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 				_, _ = io.WriteString(c, reply)
 			}
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -120,7 +120,7 @@
 
 	// Upstreams that did nothing wrong were avoided while others sent bytes without end.
 	It("does not rank an upstream as one that fails whose reply finds no room beside others", func() {
-		address := serveConns(func(c net.Conn) {
+		address := testkit.ServeConns(func(c net.Conn) {
 			for in := bufio.NewReader(c); ; {
 				if _, err := http.ReadRequest(in); err != nil {
 					return
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -56,8 +56,8 @@
 	return c.readAll(resp.Body, resp, limit)
 }
 
-// readAll reads the body of a reply, and checks the fields after it. The error is errNoRoom if the reply has a length, and others leave no
-// room for it. A reply without a length may have no end, so that its upstream is to blame.
+// readAll reads the body of a reply, and checks the fields after it. The error is errNoRoom if the reply has a length,
+// and others leave no room for it. A reply without a length may have no end, so that its upstream is to blame.
 func (c *Client) readAll(body io.Reader, resp *http.Response, limit int64) ([]byte, error) {
 	b, err := c.opts.Reads.ReadAll(body, limit, resp.ContentLength)
 	if resp.ContentLength >= 0 && errors.Is(err, readlimit.ErrNoMemory) && !errors.Is(err, readlimit.ErrOwnSize) {
--- a/internal/upstream/reuse_test.go
+++ b/internal/upstream/reuse_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
 )
 
@@ -55,7 +56,7 @@
 	DescribeTable("takes no reply to it for that of a later request", func(first play, bodySize int, mayReuse bool) {
 		var mu sync.Mutex
 		var alien []string // requests on a connection that has carried the unusual one
-		address := serveConns(func(c net.Conn) {
+		address := testkit.ServeConns(func(c net.Conn) {
 			in := bufio.NewReader(c)
 			unusual := false
 			for {
--- a/internal/upstream/sock.go
+++ b/internal/upstream/sock.go
@@ -33,7 +33,7 @@
 	closedByPeer bool // a read failed before Close
 	closed       bool
 	sentAt       time.Duration
-	reply        replyhead.Scanner
+	reply        replyhead.Scanner // of what is read
 }
 
 // startAttempt allows writes for one attempt. beforeWrite is called before its first
--- a/internal/upstream/stray_test.go
+++ b/internal/upstream/stray_test.go
@@ -15,13 +15,14 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/sardinespindle/sardinespindle/internal/testkit"
 	gen "github.com/sardinespindle/sardinespindle/schema/gen/manifest"
 )
 
 // strayUpstream answers the first request of a connection with first, and sends stray where the reply to
 // the second one is expected. %s in them is the id of the first request.
 func strayUpstream(first, stray string) (address string) {
-	return serveConns(func(c net.Conn) {
+	return testkit.ServeConns(func(c net.Conn) {
 		in := bufio.NewReader(c)
 		id := ""
 		for _, reply := range []string{first, stray} {
@@ -38,26 +39,6 @@
 	})
 }
 
-// serveConns has serve handle each connection to an address of its own, and closes it then.
-func serveConns(serve func(c net.Conn)) (address string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(l.Close)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				serve(c)
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // A reply that came late was taken for that to the next request: orders ran twice, or were refused though they ran.
 var _ = Describe("Client of an upstream that sends a reply twice, the second time late", func() {
 	const (
@@ -117,7 +98,7 @@
 	// Callers got the reply to another request from upstreams that do not echo ids and send replies twice.
 	It("uses a connection once if its upstream does not echo the id, so that each request gets its own reply", func() {
 		const late = "HTTP/1.1 %d %s\r\nSignature: %s\r\nContent-Length: 0\r\n\r\n"
-		address := serveConns(func(c net.Conn) {
+		address := testkit.ServeConns(func(c net.Conn) {
 			in := bufio.NewReader(c)
 			pending := ""
 			for {
@@ -148,7 +129,7 @@
 	It("does not send a request again on a connection on which it was refused", func() {
 		var mu sync.Mutex
 		conns := map[net.Conn][]string{}
-		address := serveConns(func(c net.Conn) {
+		address := testkit.ServeConns(func(c net.Conn) {
 			in := bufio.NewReader(c)
 			for {
 				r, err := http.ReadRequest(in)
