Telemetry: spans are not exported if the collector's status does not exist

Seen by operators: nothing; found while checking what else reads replies. Spans were lost without a line in the log. Cause: the exporter took each status below 300 for success, so 000, too. Change: success is 2xx. Names of fields do not matter here: the status alone is read. Ruled out: replyhead.Dial; the batch would be sent again, as after a network error, to a collector that may have taken it. Measured: the new spec fails without the change (no error reported) and passes with it.

--- a/internal/telemetry/otlp.go
+++ b/internal/telemetry/otlp.go
@@ -63,7 +63,7 @@
 	for attempt := 1; ; attempt++ {
 		status, err := e.post(ctx, body)
 		switch {
-		case err == nil && status < http.StatusMultipleChoices:
+		case err == nil && status/100 == 2:
 			return nil
 		case err == nil && !mayRetry(status) || attempt == otlpAttempts || !pause.Sleep(ctx, pause.Jitter(otlpRetryPause)):
 			return errors.Join(fmt.Errorf("export %d spans: %w, status %d", len(spans), errCollector, status), err)
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -114,6 +114,19 @@
 			Expect(bodies).To(HaveLen(accepted))
 		}
 	})
+
+	It("reports spans as refused if the collector's status does not exist", func() {
+		var reported []error
+		otel.SetErrorHandler(otel.ErrorHandlerFunc(func(err error) { reported = append(reported, err) }))
+		DeferCleanup(func() { otel.SetErrorHandler(otel.ErrorHandlerFunc(func(error) {})) })
+		endpoint := testkit.ServeReplies("HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n")
+		flush, err := telemetry.Traces(&settings.Trace{Exporter: settings.TraceExporterOtlp, Endpoint: endpoint, Sample: 1}, "vm-01", "a")
+		Expect(err).NotTo(HaveOccurred())
+		_, span := otel.Tracer("test").Start(context.Background(), "hop")
+		span.End()
+		Expect(flush(context.Background())).To(Succeed())
+		Expect(reported).To(ConsistOf(MatchError(ContainSubstring("the collector refused the spans"))))
+	})
 })
 
 var _ = Describe("Logger", func() {
