--- a/internal/daemon/forwarder.go
+++ b/internal/daemon/forwarder.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -32,7 +31,6 @@
 	"github.com/sardinespindle/sardinespindle/internal/policy/liveness"
 	"github.com/sardinespindle/sardinespindle/internal/policy/repeat"
 	"github.com/sardinespindle/sardinespindle/internal/readlimit"
-	"github.com/sardinespindle/sardinespindle/internal/replyhead"
 	"github.com/sardinespindle/sardinespindle/internal/single"
 	"github.com/sardinespindle/sardinespindle/internal/upstream"
 	"github.com/sardinespindle/sardinespindle/platform"
@@ -169,20 +167,6 @@
 	f.fleet.reportLost(vm)
 }
 
-// Timeouts of connections to the store.
-const (
-	storeDialTimeout = 500 * time.Millisecond
-	storeIdleTimeout = 20 * time.Second
-)
-
-// storeTransport returns a transport for the store that dials from ip.
-func storeTransport(ip string) *http.Transport {
-	d := &net.Dialer{Timeout: storeDialTimeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
-	return &http.Transport{
-		DialContext: replyhead.Dial(d.DialContext), DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: storeIdleTimeout,
-	}
-}
-
 // dialing returns the IP address that upstreams are dialed from, empty for any, and what is added to
 // their ports.
 func (f *Forwarder) dialing() (fromIP string, portOffset int) {
