--- /dev/null
+++ b/review/_driver4/server.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sardinespindle/sardinespindle/platform"
+	"github.com/sardinespindle/sardinespindle/platform/standin"
+)
+
+// server is one server of a service. It follows the protocol, and records what it runs.
+type server struct {
+	e                       *env
+	id, service, zone, addr string
+	quiet                   bool // runs are not recorded
+	runs                    atomic.Int64
+	// idle is the longest that a connection stays open after an answer; 0 for the time of the stand-in's
+	// listener, longer than a case.
+	idle time.Duration
+	// dark holds a channel that is closed when the server speaks again; nil unless it is silent.
+	dark atomic.Pointer[chan struct{}]
+}
+
+// slots is the number of requests that a server takes at once.
+const slots = 4
+
+// startServer starts a server and registers it in the store.
+func (e *env) startServer(s *server) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.e, s.addr = e, l.Addr().String()
+	e.serve(l, s)
+	e.store.Put(standin.EntryKey(s.id), s.entry())
+	return nil
+}
+
+func (s *server) entry() map[string]any {
+	return (&standin.Server{ID: s.id, Service: s.service, Zone: s.zone, Slots: slots}).Entry(s.addr, "ready")
+}
+
+// fallSilent has the server answer nothing for a while. The connections on which it was asked then are lost.
+func (s *server) fallSilent(d time.Duration) {
+	lit := make(chan struct{})
+	s.dark.Store(&lit)
+	s.e.logf("server %s falls silent for %v", s.id, d)
+	time.AfterFunc(d, func() {
+		s.dark.Store(nil)
+		close(lit)
+		s.e.logf("server %s speaks again", s.id)
+	})
+}
+
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if lit := s.dark.Load(); lit != nil {
+		select {
+		case <-*lit:
+		case <-r.Context().Done():
+		}
+		panic(http.ErrAbortHandler)
+	}
+	h := w.Header()
+	id := r.Header.Get(platform.RequestID)
+	h.Set(platform.RequestID, id)
+	if want := r.Header.Get(platform.UpstreamHeaders.Identity); want != "" && want != s.id {
+		h.Set("X-Instance-Id", s.id)
+		standin.ReplyNotRun(w, http.StatusMisdirectedRequest)
+		return
+	}
+	n := s.runs.Add(1)
+	h.Set(platform.UpstreamHeaders.Signature, fmt.Sprintf("%s.%s.%d", s.id, id, n))
+	h.Set(platform.UpstreamHeaders.Load, fmt.Sprintf("1,0,%d", slots))
+	body := fmt.Sprintf("%s of %s ran %s\n", s.id, s.service, id)
+	if !s.quiet {
+		s.e.logf("server %s of %s runs %s %s, id %s", s.id, s.service, r.Method, r.RequestURI, id)
+	}
+	if s.idle == 0 {
+		fmt.Fprint(w, body) // fails only if the VM has closed the connection
+		return
+	}
+	s.replyOnce(w, h, body)
+}
+
+// replyOnce replies, and closes the connection once it has been idle for a time up to s.idle.
+func (s *server) replyOnce(w http.ResponseWriter, h http.Header, body string) {
+	nc, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer nc.Close()
+	fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n", len(body))
+	_ = h.Write(buf) // a reply that cannot be written is lost with its connection
+	fmt.Fprintf(buf, "\r\n%s", body)
+	_ = buf.Flush()
+	time.Sleep(rand.N(s.idle))
+}
