--- a/review/_driver4/cases.go
+++ b/review/_driver4/cases.go
@@ -13,15 +13,19 @@
 )
 
 const (
-	// silence is how long all servers of a service are silent.
-	silence = 4500 * time.Millisecond
-	// endless is the largest whole number that many languages have, for a client that waits as long as it takes.
+	// darkness is how long all servers of a service are dark.
+	darkness = 4500 * time.Millisecond
+	// endless is the largest whole number of 64 bits, for a client that waits as long as it takes.
 	endless = "9223372036854775807"
-	// sentInSilence is the number of requests that are sent while the servers are silent.
-	sentInSilence = 20
+	// ordinary is the deadline of the clients beside them.
+	ordinary = "60000"
+	// perDeadline is the number of requests with each deadline.
+	perDeadline = 20
+	// patience is how long the clients wait in this case.
+	patience = 40 * time.Second
 )
 
-// playDeadline has all servers of a service fall silent while clients send requests that state a very long deadline.
+// playDeadline has all servers of a service go dark while clients state a very long deadline.
 func playDeadline(ctx context.Context, e *env, trouble bool) (bool, error) {
 	e.configure()
 	var servers []*server
@@ -37,18 +41,18 @@
 	}
 	for _, s := range servers {
 		if trouble {
-			s.fallSilent(silence)
+			s.goDark(darkness)
 		}
 	}
 	time.Sleep(200 * time.Millisecond)
 	var mu sync.Mutex
 	late, none := map[string]int{}, map[string]int{}
 	var wg sync.WaitGroup
-	for i := range sentInSilence {
-		for _, deadline := range []string{endless, "60000"} {
+	for i := range perDeadline {
+		for _, deadline := range []string{endless, ordinary} {
 			wg.Go(func() {
 				id := fmt.Sprintf("r%d-%d", len(deadline), i)
-				a := send(e.vms[i%len(e.vms)].front, request{"GET", "/read/" + id, id, deadline, 20 * time.Second})
+				a := send(e.vms[i%len(e.vms)].front, request{"GET", "/read/" + id, id, deadline, patience})
 				e.logf("client sent %s, which waits for %s ms: %v", id, deadline, a)
 				mu.Lock()
 				defer mu.Unlock()
@@ -62,12 +66,12 @@
 		}
 	}
 	wg.Wait()
-	for _, deadline := range []string{endless, "60000"} {
+	for _, deadline := range []string{endless, ordinary} {
 		e.logf("deadline %s ms: of %d requests, %d last longer than their route's timeout, and %d have no answer %v after it",
-			deadline, sentInSilence, late[deadline], none[deadline], answerSlack)
+			deadline, perDeadline, late[deadline], none[deadline], answerSlack)
 	}
-	lasted, unanswered := late[endless]+late["60000"], none[endless]+none["60000"]
-	return lasted < 8 || 4*unanswered <= lasted, nil
+	lasted, unanswered := late[endless]+late[ordinary], none[endless]+none[ordinary]
+	return unanswered < 8 || 4*unanswered <= lasted, nil
 }
 
 const (
--- a/review/_driver4/server.go
+++ b/review/_driver4/server.go
@@ -21,8 +21,8 @@
 	// idle is the longest that a connection stays open after an answer; 0 for the time of the stand-in's
 	// listener, longer than a case.
 	idle time.Duration
-	// dark holds a channel that is closed when the server speaks again; nil unless it is silent.
-	dark atomic.Pointer[chan struct{}]
+	// darkUntil is until when the server is silent, in Unix milliseconds.
+	darkUntil atomic.Int64
 }
 
 // slots is the number of requests that a server takes at once.
@@ -44,24 +44,16 @@
 	return (&standin.Server{ID: s.id, Service: s.service, Zone: s.zone, Slots: slots}).Entry(s.addr, "ready")
 }
 
-// fallSilent has the server answer nothing for a while. The connections on which it was asked then are lost.
-func (s *server) fallSilent(d time.Duration) {
-	lit := make(chan struct{})
-	s.dark.Store(&lit)
-	s.e.logf("server %s falls silent for %v", s.id, d)
-	time.AfterFunc(d, func() {
-		s.dark.Store(nil)
-		close(lit)
-		s.e.logf("server %s speaks again", s.id)
-	})
+// goDark has the server lose power for a while: it answers nothing, and is silent for good on the connections on
+// which it was asked meanwhile.
+func (s *server) goDark(d time.Duration) {
+	s.darkUntil.Store(time.Now().Add(d).UnixMilli())
+	s.e.logf("server %s is dark for %v", s.id, d)
 }
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if lit := s.dark.Load(); lit != nil {
-		select {
-		case <-*lit:
-		case <-r.Context().Done():
-		}
+	if time.Now().UnixMilli() < s.darkUntil.Load() {
+		<-r.Context().Done() // the VM has closed the connection
 		panic(http.ErrAbortHandler)
 	}
 	h := w.Header()
