--- a/review/_driver4/main.go
+++ b/review/_driver4/main.go
@@ -27,6 +27,7 @@
 type scenario func(ctx context.Context, e *env, trouble bool) (held bool, err error)
 
 var scenarios = map[string]scenario{
+	"config":   playConfig,
 	"deadline": playDeadline,
 	"entry":    playEntry,
 	"options":  playOptions,
