--- a/review/_driver4/cases.go
+++ b/review/_driver4/cases.go
@@ -12,7 +12,15 @@
 	"github.com/sardinespindle/sardinespindle/platform/standin"
 )
 
+// configure publishes a configuration whose routes "/order/" and "/read/" lead to the service "orders".
+func (e *env) configure() {
+	e.store.Put(standin.ConfigKey, standin.Config(7, []string{"shard-a"}, nil, 58))
+}
+
 const (
+	// routeTimeout is the timeout of the routes, and answerSlack how long after it an answer may come.
+	routeTimeout = time.Second
+	answerSlack  = 500 * time.Millisecond
 	// darkness is how long all servers of a service are dark.
 	darkness = 4500 * time.Millisecond
 	// endless is the largest whole number of 64 bits, for a client that waits as long as it takes.
--- a/review/_driver4/config.go
+++ b/review/_driver4/config.go
@@ -43,8 +43,14 @@
 			route["service"] = "news"
 		}
 	}
-	e.store.Put(standin.ConfigKey, config)
 	e.logf("the operator publishes version 8: a route /added/, /read/ moves to news, timeoutMs of /order/ is %s", timeout)
+	e.store.Put(standin.ConfigKey, config)
+	return e.checkApplied(), nil
+}
+
+// checkApplied checks that version 8, which was just published, is in force on all VMs in time: it adds the route
+// "/added/" and moves "/read/" to "news".
+func (e *env) checkApplied() bool {
 	time.Sleep(applyTime + time.Second)
 	stale := 0
 	for n := range checks {
@@ -62,5 +68,5 @@
 	}
 	e.logf("%d of %d requests sent %v after the acknowledgement or later were handled as only version 7 allows",
 		stale, 2*checks*len(e.vms), applyTime+time.Second)
-	return stale == 0, nil
+	return stale == 0
 }
--- a/review/_driver4/fleet.go
+++ b/review/_driver4/fleet.go
@@ -29,11 +29,12 @@
 	mu     sync.Mutex // guards record
 	record io.Writer
 
-	store     *standin.Store
-	storeAddr string
-	ports     [3]int // of clients, peers and operators; the same on all VMs
-	vms       []*vm
-	closers   []func()
+	store      *standin.Store
+	storeAddr  string // the first
+	closeStore func() // at that address
+	ports      [3]int // of clients, peers and operators; the same on all VMs
+	vms        []*vm
+	closers    []func()
 }
 
 func newEnv(daemon, template string, record io.Writer) (*env, error) {
@@ -62,16 +63,17 @@
 	if err != nil {
 		return nil, err
 	}
-	e.storeAddr = l.Addr().String()
-	e.serve(l, e.store)
+	e.storeAddr, e.closeStore = l.Addr().String(), e.serve(l, e.store)
 	return e, nil
 }
 
-// serve serves HTTP on a listener until the case ends.
-func (e *env) serve(l net.Listener, h http.Handler) {
+// serve serves HTTP on a listener until the case ends, or until stop is called.
+func (e *env) serve(l net.Listener, h http.Handler) (stop func()) {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	go s.Serve(l)
-	e.closers = append(e.closers, func() { s.Close() })
+	stop = func() { s.Close() }
+	e.closers = append(e.closers, stop)
+	return stop
 }
 
 func (e *env) close() {
@@ -92,10 +94,11 @@
 
 // vm is one daemon.
 type vm struct {
-	ip, front, ready, admin string
-	cmd                     *exec.Cmd
-	exited                  chan struct{}
-	stderr                  *tail
+	ip, front, ready string
+	settings         string // the file
+	cmd              *exec.Cmd
+	exited           chan struct{}
+	stderr           *tail
 }
 
 // startVMs starts daemons in the zones given, one for each, and waits until all are ready.
@@ -121,22 +124,22 @@
 
 func (e *env) startVM(i int, zone string, seeds []string) error {
 	ip := fmt.Sprintf("127.61.0.%d", i+1)
+	admin := fmt.Sprintf("%s:%d", ip, e.ports[2])
 	v := &vm{
-		ip: ip, front: fmt.Sprintf("%s:%d", ip, e.ports[0]), admin: fmt.Sprintf("%s:%d", ip, e.ports[2]), exited: make(chan struct{}), stderr: &tail{},
+		ip: ip, front: fmt.Sprintf("%s:%d", ip, e.ports[0]), ready: "http://" + admin + platform.ReadyPath,
+		settings: filepath.Join(e.dir, fmt.Sprintf("node-%d.toml", i+1)), exited: make(chan struct{}), stderr: &tail{},
 	}
-	v.ready = "http://" + v.admin + platform.ReadyPath
 	text := render(e.template, map[string]string{
 		"node": fmt.Sprintf("edge-%s-%d", zone, i+1), "zone": zone,
-		"listen.front": v.front, "listen.control": fmt.Sprintf("%s:%d", ip, e.ports[1]), "listen.readinessAddr": v.admin,
+		"listen.front": v.front, "listen.control": fmt.Sprintf("%s:%d", ip, e.ports[1]), "listen.readinessAddr": admin,
 		"platform.address": e.storeAddr, "limits.cpuShare": "0.272", "limits.linkMbps": "700.0", "seeds|json": "[" + strings.Join(seeds, ",") + "]",
 		"limits.memoryMb": "206", "limits.maxFds": "2870",
 		"bounds.retryBudgetRatio": "0.2", "bounds.retryBudgetSlack": "108", "bounds.retryWindowS": "10", "bounds.graceS": "6",
 	})
-	path := filepath.Join(e.dir, fmt.Sprintf("node-%d.toml", i+1))
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
-	v.cmd = exec.Command(e.daemon, "--settings", path)
+	v.cmd = exec.Command(e.daemon, "--settings", v.settings)
 	v.cmd.Stderr = v.stderr
 	v.cmd.Dir = e.dir
 	if err := v.cmd.Start(); err != nil {
@@ -206,7 +209,7 @@
 	}
 }
 
-// tail keeps the first and the last bytes written.
+// tail keeps the first bytes written.
 type tail struct {
 	mu   sync.Mutex
 	text []byte
--- a/review/_driver4/main.go
+++ b/review/_driver4/main.go
@@ -30,8 +30,8 @@
 	"config":   playConfig,
 	"deadline": playDeadline,
 	"entry":    playEntry,
+	"move":     playMove,
 	"options":  playOptions,
-	"hang":     playHang,
 }
 
 var errUnknownCase = errors.New("unknown case")
--- a/review/_driver4/server.go
+++ b/review/_driver4/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -18,9 +17,6 @@
 	id, service, zone, addr string
 	quiet                   bool // runs are not recorded
 	runs                    atomic.Int64
-	// idle is the longest that a connection stays open after an answer; 0 for the time of the stand-in's
-	// listener, longer than a case.
-	idle time.Duration
 	// darkUntil is until when the server is silent, in Unix milliseconds.
 	darkUntil atomic.Int64
 }
@@ -71,23 +67,5 @@
 	if !s.quiet {
 		s.e.logf("server %s of %s runs %s %s, id %s", s.id, s.service, r.Method, r.RequestURI, id)
 	}
-	if s.idle == 0 {
-		fmt.Fprint(w, body) // fails only if the VM has closed the connection
-		return
-	}
-	s.replyOnce(w, h, body)
-}
-
-// replyOnce replies, and closes the connection once it has been idle for a time up to s.idle.
-func (s *server) replyOnce(w http.ResponseWriter, h http.Header, body string) {
-	nc, buf, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	defer nc.Close()
-	fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n", len(body))
-	_ = h.Write(buf) // a reply that cannot be written is lost with its connection
-	fmt.Fprintf(buf, "\r\n%s", body)
-	_ = buf.Flush()
-	time.Sleep(rand.N(s.idle))
+	fmt.Fprint(w, body) // fails only if the VM has closed the connection
 }
